Set up the project and agree the interfaces between its parts

Cause: the parts (limits, membership, tickets, admission, look-ups) grow side by side and need typed ports first.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: setup demo test lint types bench wheel
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements/lock.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements/lock.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: setup
+	$(BIN)/siskinward demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/black --check --quiet src tests benchmarks
+	$(BIN)/ruff check src tests benchmarks
+
+types: setup
+	$(BIN)/mypy
+
+bench: setup
+	$(BIN)/siskinward measure
+
+wheel: setup
+	$(BIN)/python -m pip wheel --quiet --no-deps --no-build-isolation --wheel-dir dist .
--- /dev/null
+++ b/src/siskinward/console/__init__.py
@@ -0,0 +1,3 @@
+"""Command line application."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinward/console/application.py
@@ -0,0 +1,13 @@
+"""The ``siskinward`` command line application."""
+
+from __future__ import annotations
+
+import click
+
+from siskinward import __version__
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__)
+def main() -> None:
+    """Steer a deployment's traffic under its operators' rules."""
--- /dev/null
+++ b/src/siskinward/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""One module per command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinward/protocol/__init__.py
@@ -0,0 +1,3 @@
+"""Typed messages and their msgpack and HTTP forms."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinward/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Small stand-ins for the platform, targets and callers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinward/state/objects.py
@@ -0,0 +1,220 @@
+"""Operator objects. Each INI section ``[kind name]`` declares one of them."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from attrs import field
+from attrs import frozen
+
+from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import RegionName
+from siskinward.state.identifiers import ServiceName
+from siskinward.state.identifiers import TargetName
+from siskinward.state.identifiers import VmName
+
+
+class ServiceClass(Enum):
+    """Order in which services are served under load, most important first."""
+
+    ORDER = "order"
+    READ = "read"
+    BULK = "bulk"
+
+
+class Access(Enum):
+    """Who may call a route."""
+
+    OPEN = "open"
+    KEYED = "keyed"
+
+
+class WhenIsolated(Enum):
+    """Whether a client account is served while its failure domain is isolated."""
+
+    REFUSE = "refuse"
+    SERVE = "serve"
+
+
+class DrainKind(Enum):
+    """Kind of object that a planned drain empties."""
+
+    TARGET = "target"
+    FAILURE_DOMAIN = "failure-domain"
+    REGION = "region"
+
+
+@frozen
+class Region:
+    """A group of failure domains that share links to other regions."""
+
+    name: RegionName
+
+
+@frozen
+class FailureDomain:
+    """A set of VMs and targets that fails, or is cut off, as one."""
+
+    name: DomainName
+    region: RegionName
+
+
+@frozen
+class Vm:
+    """An entry VM; ``front_port`` serves callers, ``peer_port`` serves other VMs."""
+
+    name: VmName
+    failure_domain: DomainName
+    host: str
+    front_port: int
+    peer_port: int
+
+
+@frozen
+class Service:
+    """A set of interchangeable targets behind one queue."""
+
+    name: ServiceName
+    service_class: ServiceClass
+    timeout_s: float = 5.0
+    queue_limit: int = 64
+    hedged: bool = False
+
+
+@frozen
+class Route:
+    """Maps a path prefix and methods to a service."""
+
+    name: str
+    service: ServiceName
+    path_prefix: str
+    methods: tuple[str, ...]
+    access: Access = Access.KEYED
+    idempotent: bool = True
+
+
+@frozen
+class TargetGroup:
+    """The targets of one service in one failure domain."""
+
+    name: str
+    service: ServiceName
+    failure_domain: DomainName
+
+
+@frozen
+class Target:
+    """A back end process: runs ``slots`` requests at once over at most ``connection_limit``."""
+
+    name: TargetName
+    group: str
+    host: str
+    port: int
+    slots: int
+    connection_limit: int
+
+
+@frozen
+class ClientAccount:
+    """A tenant. Rate and burst are counted over all VMs together, one token per request."""
+
+    name: AccountName
+    rate_per_s: float
+    burst_tokens: int
+    weight: float = 1.0
+    when_isolated: WhenIsolated = WhenIsolated.REFUSE
+    home_domain: DomainName | None = None
+
+
+@frozen
+class Key:
+    """A caller's key, kept only as the hexadecimal BLAKE2b-256 hash of its text."""
+
+    name: str
+    client_account: AccountName
+    key_hash_hex: str
+
+
+@frozen
+class Link:
+    """Capacity between two regions, each way, shared by all traffic."""
+
+    name: str
+    from_region: RegionName
+    to_region: RegionName
+    capacity_bits_per_s: float
+    one_way_latency_ms: float
+
+
+@frozen
+class ShiftCap:
+    """Largest share of a service's demand that planned moves may shift per interval."""
+
+    name: str
+    service: ServiceName
+    share_limit: float
+    interval_s: float
+
+
+@frozen
+class RegionLimit:
+    """Most requests per second of a service that a region may be assigned."""
+
+    name: str
+    region: RegionName
+    service: ServiceName
+    capacity_per_s: float
+
+
+@frozen
+class Site:
+    """A place that client blocks are assigned to; it lies in one failure domain."""
+
+    name: str
+    failure_domain: DomainName
+
+
+@frozen
+class ClientBlock:
+    """A block of client addresses with its preferred site and share of demand."""
+
+    name: str
+    prefix: str
+    site: str
+    demand_per_s: float = 0.0
+
+
+@frozen
+class Drain:
+    """A planned drain of a target, failure domain or region.
+
+    ``start_at_s`` is seconds since the epoch; zero means at once.
+    """
+
+    name: str
+    kind: DrainKind
+    subject: str
+    start_at_s: float = 0.0
+    duration_s: float = 60.0
+
+
+@frozen
+class Configuration:
+    """All operator objects, checked as one. Mappings are keyed by object name."""
+
+    regions: dict[RegionName, Region] = field(factory=dict)
+    failure_domains: dict[DomainName, FailureDomain] = field(factory=dict)
+    vms: dict[VmName, Vm] = field(factory=dict)
+    services: dict[ServiceName, Service] = field(factory=dict)
+    routes: dict[str, Route] = field(factory=dict)
+    target_groups: dict[str, TargetGroup] = field(factory=dict)
+    targets: dict[TargetName, Target] = field(factory=dict)
+    client_accounts: dict[AccountName, ClientAccount] = field(factory=dict)
+    keys: dict[str, Key] = field(factory=dict)
+    links: dict[str, Link] = field(factory=dict)
+    shift_caps: dict[str, ShiftCap] = field(factory=dict)
+    region_limits: dict[str, RegionLimit] = field(factory=dict)
+    sites: dict[str, Site] = field(factory=dict)
+    client_blocks: dict[str, ClientBlock] = field(factory=dict)
+    drains: dict[str, Drain] = field(factory=dict)
--- /dev/null
+++ b/src/siskinward/transport/__init__.py
@@ -0,0 +1,3 @@
+"""Streams between VMs, HTTP server and client, connection pools."""
+
+from __future__ import annotations
