--- a/src/siskinward/coordination/outcomes.py
+++ b/src/siskinward/coordination/outcomes.py
@@ -20,6 +20,7 @@
     KEY_MISSING = "key-missing"
     KEY_UNKNOWN = "key-unknown"
     KEY_UNVOUCHED = "key-unvouched"
+    KEY_EXPOSED = "key-exposed"
     RATE = "rate"
     QUEUE_FULL = "queue-full"
     QUEUE_LATE = "queue-late"
--- /dev/null
+++ b/src/siskinward/daemon/effect_runner.py
@@ -0,0 +1,74 @@
+"""Carries out the effects that a decision object returns and feeds the answers back to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import curio
+
+from siskinward.coordination.events import ReadRow
+from siskinward.coordination.events import RowFailed
+from siskinward.coordination.events import RowRead
+from siskinward.coordination.events import RowWritten
+from siskinward.coordination.events import Send
+from siskinward.coordination.events import WriteOutcome
+from siskinward.coordination.events import WriteRow
+from siskinward.coordination.platform import RowWrite
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from siskinward.coordination.events import Effect
+    from siskinward.coordination.events import TableAnswer
+    from siskinward.coordination.platform import PlatformTable
+    from siskinward.transport.peer_hub import PeerHub
+
+
+class TableUser(Protocol):
+    """A decision object that asks the platform's table."""
+
+    def on_table_answer(self, answer: TableAnswer, now_s: float) -> list[Effect]:
+        """Take the answer to an earlier effect."""
+        ...
+
+
+class EffectRunner:
+    """Sends messages at once and runs table calls in tasks of their own."""
+
+    def __init__(self, hub: PeerHub, table: PlatformTable) -> None:
+        self._hub = hub
+        self._table = table
+
+    async def run(self, effects: Iterable[Effect], owner: TableUser | None = None) -> None:
+        """Carry out effects; ``owner`` takes the answers of table calls."""
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    await self._hub.send(to, message)
+                case ReadRow() | WriteRow():
+                    assert owner is not None
+                    await curio.spawn(self._call_table, effect, owner, daemon=True)
+
+    async def _call_table(self, effect: ReadRow | WriteRow, owner: TableUser) -> None:
+        match effect:
+            case ReadRow():
+                answer = await self._read(effect)
+            case WriteRow():
+                answer = await self._write(effect)
+        await self.run(owner.on_table_answer(answer, await curio.clock()), owner)
+
+    async def _read(self, effect: ReadRow) -> TableAnswer:
+        result = await self._table.read((effect.row,))
+        if result.is_error():
+            return RowFailed(effect.row, effect.request_id)
+        row = result.ok[0]
+        return RowRead(effect.row, effect.request_id, row.version, row.value)
+
+    async def _write(self, effect: WriteRow) -> TableAnswer:
+        write = RowWrite(effect.row, effect.expected_version, effect.value)
+        result = await self._table.transact((write,))
+        if result.is_error():
+            return RowWritten(effect.row, effect.request_id, WriteOutcome.UNKNOWN, 0)
+        version = result.ok.rows[0].version
+        return RowWritten(effect.row, effect.request_id, result.ok.outcome, version)
--- /dev/null
+++ b/src/siskinward/protocol/forwarding.py
@@ -0,0 +1,44 @@
+"""Messages that carry a caller's request to a VM of the target's failure domain and back."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from siskinward.coordination.outcomes import Answered
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import Unknown
+
+
+@frozen
+class ForwardRequest:
+    """A request admitted for its client account; no key travels with it.
+
+    ``time_left_s`` is the caller's deadline as a remaining time; clocks are not shared.
+    """
+
+    correlation_id: int
+    sender_incarnation: str
+    service: str
+    client_account: str
+    method: str
+    target_path: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    is_idempotent: bool
+    time_left_s: float
+    excluded_targets: tuple[str, ...] = ()
+
+
+@frozen
+class ForwardReply:
+    """The outcome of ``ForwardRequest``: exactly one of the three is set."""
+
+    correlation_id: int
+    sender_incarnation: str
+    answered: Answered | None = None
+    not_run: NotRun | None = None
+    unknown: Unknown | None = None
+    lost_targets: tuple[str, ...] = ()
+
+
+MESSAGES: tuple[type, ...] = (ForwardRequest, ForwardReply)
--- /dev/null
+++ b/src/siskinward/standins/target.py
@@ -0,0 +1,127 @@
+"""Stand-in for a target: slots, load report, cold start, shedding, draining and faults."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+from attrs import Factory
+from attrs import define
+from attrs import frozen
+
+from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.http_server import HttpServer
+from siskinward.transport.http_server import HttpServerSettings
+
+if TYPE_CHECKING:
+
+    from siskinward.transport.http_messages import HttpRequest
+
+KEY_TEXT_PREFIX = b"demo-"
+CRASH_MARKER = b"crash-target"
+SHED_HEADER = (b"x-not-run", b"shed")
+RUN_ID_HEADER = b"idempotency-key"
+
+
+@frozen
+class TargetStandinSettings:
+    """Service time is drawn evenly between half and one and a half of ``service_time_s``."""
+
+    name: str
+    slots: int
+    service_time_s: float = 0.02
+    cold_requests: int = 5
+    cold_factor: float = 3.0
+    answer_size_bytes: int = 256
+
+
+@define
+class TargetStandin:
+    """One target. It sheds work above its slots and keeps what the promises are checked by."""
+
+    settings: TargetStandinSettings
+    rng: random.Random
+    state: str = "up"
+    running_count: int = 0
+    peak_count: int = 0
+    served_count: int = 0
+    shed_count: int = 0
+    key_seen_count: int = 0
+    runs_by_id: dict[str, int] = Factory(dict)
+    work_after_drain_count: int = 0
+
+    async def serve(self, host: str, port: int) -> None:
+        """Serve until cancelled."""
+        await HttpServer(HttpServerSettings(), self.handle).serve(host, port)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer the load report, a change of state, or a unit of work."""
+        match request.method, request.target:
+            case "GET", "/load":
+                return _json(self.report())
+            case "POST", "/state":
+                self.state = request.body.decode()
+                return _json(self.report())
+            case _:
+                return await self._work(request)
+
+    def report(self) -> dict[str, Any]:
+        """Return the load report, with the counters that a checker reads."""
+        return {
+            "name": self.settings.name,
+            "state": self.state,
+            "slots": self.settings.slots,
+            "running": self.running_count,
+            "peak": self.peak_count,
+            "served": self.served_count,
+            "shed": self.shed_count,
+            "keys_seen": self.key_seen_count,
+            "repeated_runs": sum(1 for runs in self.runs_by_id.values() if runs > 1),
+            "runs": len(self.runs_by_id),
+            "work_while_draining": self.work_after_drain_count,
+        }
+
+    async def _work(self, request: HttpRequest) -> HttpResponse:
+        self._inspect(request)
+        if self.state == "silent":
+            await curio.sleep(3600)
+        if self.running_count >= self.settings.slots or self.state == "shedding":
+            self.shed_count += 1
+            return HttpResponse(503, (SHED_HEADER,))
+        if self.state == "draining":
+            self.work_after_drain_count += 1
+        if CRASH_MARKER in request.body or self.state == "crashed":
+            self.state = "crashed"
+            raise ConnectionResetError("the target crashed")
+        run_id = request.header(RUN_ID_HEADER)
+        if run_id is not None:
+            self.runs_by_id[run_id.decode()] = self.runs_by_id.get(run_id.decode(), 0) + 1
+        self.running_count += 1
+        self.peak_count = max(self.peak_count, self.running_count)
+        try:
+            await curio.sleep(self._service_time_s())
+        finally:
+            self.running_count -= 1
+        self.served_count += 1
+        return _json({"target": self.settings.name, "run": self.served_count}, self.settings)
+
+    def _inspect(self, request: HttpRequest) -> None:
+        parts = [request.target.encode(), request.body, *(v for _, v in request.headers)]
+        if any(KEY_TEXT_PREFIX in part for part in parts):
+            self.key_seen_count += 1
+
+    def _service_time_s(self) -> float:
+        factor = self.rng.uniform(0.5, 1.5)
+        if self.served_count < self.settings.cold_requests:
+            factor *= self.settings.cold_factor
+        return self.settings.service_time_s * factor
+
+
+def _json(value: dict[str, Any], settings: TargetStandinSettings | None = None) -> HttpResponse:
+    body = json.dumps(value).encode()
+    if settings is not None:
+        body = body.ljust(settings.answer_size_bytes)
+    return HttpResponse(200, ((b"content-type", b"application/json"),), body)
--- /dev/null
+++ b/src/siskinward/transport/http_client.py
@@ -0,0 +1,150 @@
+"""HTTP/1.1 client connection over curio and h11 that tells how far a failed exchange got."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+import h11
+from attrs import frozen
+from expression import Error
+from expression import Ok
+
+from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+from siskinward.transport.sockets import connect
+from siskinward.transport.sockets import is_closed_by_peer
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from siskinward.transport.http_messages import HttpRequest
+
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+class ExchangePhase(Enum):
+    """How far an exchange got before it failed."""
+
+    CONNECT = "connect"
+    UNSENT = "unsent"
+    SENT = "sent"
+    INCOMPLETE = "incomplete"
+
+
+@frozen
+class ExchangeError:
+    """A failed exchange. Only ``CONNECT`` and ``UNSENT`` prove that no byte left this VM."""
+
+    step: str
+    peer: str
+    detail: str
+    phase: ExchangePhase
+    timed_out: bool = False
+
+
+class HttpClientConnection:
+    """One connection to one server; one exchange at a time."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._sock: Any = None
+        self._http = h11.Connection(h11.CLIENT)
+        self._phase = ExchangePhase.CONNECT
+        self.last_answer_at_s = 0.0
+
+    @property
+    def peer(self) -> str:
+        """Address of the server."""
+        return f"{self._host}:{self._port}"
+
+    def is_reusable(self) -> bool:
+        """Tell whether another exchange may start: the last one ended and the peer is open."""
+        if self._sock is None or self._http.our_state is not h11.IDLE:
+            return False
+        return not is_closed_by_peer(self._sock)
+
+    async def exchange(
+        self, request: HttpRequest, timeout_s: float
+    ) -> Result[HttpResponse, ExchangeError]:
+        """Send a request and read the whole answer. On any error the connection is closed."""
+        try:
+            async with curio.timeout_after(timeout_s):
+                response = await self._exchange(request)
+        except curio.TaskTimeout:
+            return await self._failed("the time for the exchange ran out", timed_out=True)
+        except (OSError, h11.ProtocolError) as error:
+            return await self._failed(str(error) or type(error).__name__)
+        except BaseException:
+            await self.close()
+            raise
+        self.last_answer_at_s = await curio.clock()
+        return Ok(response)
+
+    async def close(self) -> None:
+        """Close the connection; safe to call twice."""
+        sock, self._sock = self._sock, None
+        if sock is not None:
+            await sock.close()
+
+    async def _exchange(self, request: HttpRequest) -> HttpResponse:
+        if self._sock is None:
+            self._phase = ExchangePhase.CONNECT
+            self._sock = await connect(self._host, self._port)
+        self._phase = ExchangePhase.UNSENT
+        data = self._encode(request)
+        self._phase = ExchangePhase.SENT
+        await self._sock.sendall(data)
+        response = await self._read_response()
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+        else:
+            await self.close()
+        return response
+
+    def _encode(self, request: HttpRequest) -> bytes:
+        headers = [(b"host", self.peer.encode()), *request.headers]
+        headers.append((b"content-length", str(len(request.body)).encode()))
+        head = h11.Request(method=request.method, target=request.target, headers=headers)
+        parts = [self._http.send(head)]
+        if request.body:
+            parts.append(self._http.send(h11.Data(data=request.body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+    async def _read_response(self) -> HttpResponse:
+        head: h11.Response | None = None
+        chunks: list[bytes] = []
+        size_bytes = 0
+        while True:
+            event = self._http.next_event()
+            match event:
+                case h11.NEED_DATA:
+                    self._http.receive_data(await self._sock.recv(RECEIVE_SIZE_BYTES))
+                case h11.Response():
+                    head = event
+                    self._phase = ExchangePhase.INCOMPLETE
+                case h11.Data():
+                    size_bytes += len(event.data)
+                    if size_bytes > ANSWER_LIMIT_BYTES:
+                        raise OSError("the answer is too large")
+                    chunks.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    assert head is not None
+                    return HttpResponse(head.status_code, tuple(head.headers), b"".join(chunks))
+                case h11.ConnectionClosed():
+                    raise ConnectionResetError("closed before the answer")
+                case _:
+                    continue
+
+    async def _failed(
+        self, detail: str, *, timed_out: bool = False
+    ) -> Result[HttpResponse, ExchangeError]:
+        await self.close()
+        error = ExchangeError(
+            f"exchange: {self._phase.value}", self.peer, detail, self._phase, timed_out
+        )
+        return Error(error)
--- /dev/null
+++ b/src/siskinward/transport/http_messages.py
@@ -0,0 +1,36 @@
+"""HTTP requests and answers as held in memory, whole."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+Headers = tuple[tuple[bytes, bytes], ...]
+"""Header lines in order; names are lower case."""
+
+
+@frozen
+class HttpRequest:
+    """A whole request. ``target`` is the path with its query, as received."""
+
+    method: str
+    target: str
+    headers: Headers = ()
+    body: bytes = b""
+    peer: str = ""
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of the first header line called ``name`` (lower case)."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+@frozen
+class HttpResponse:
+    """A whole answer."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of the first header line called ``name`` (lower case)."""
+        return next((value for key, value in self.headers if key == name), None)
