Parse, check and render the operators' objects and the settings

The field types and constraints on the objects drive the parser, the renderer and the messages, so no field is described twice.

--- a/src/siskinward/state/objects.py
+++ b/src/siskinward/state/objects.py
@@ -7,6 +7,19 @@
 from attrs import field
 from attrs import frozen
 
+from siskinward.state.constraints import Fraction
+from siskinward.state.constraints import GroupReference
+from siskinward.state.constraints import Host
+from siskinward.state.constraints import KeyHash
+from siskinward.state.constraints import Method
+from siskinward.state.constraints import Name
+from siskinward.state.constraints import Network
+from siskinward.state.constraints import NonNegativeFloat
+from siskinward.state.constraints import Path
+from siskinward.state.constraints import Port
+from siskinward.state.constraints import PositiveFloat
+from siskinward.state.constraints import PositiveInt
+from siskinward.state.constraints import SiteReference
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import RegionName
@@ -47,9 +60,14 @@
 
 @frozen
 class Region:
-    """A group of failure domains that share links to other regions."""
+    """A group of failure domains that share links to other regions.
+
+    The latencies are one way: between failure domains of the region, and to its clients.
+    """
 
     name: RegionName
+    domain_latency_ms: NonNegativeFloat = 1.0
+    client_latency_ms: NonNegativeFloat = 5.0
 
 
 @frozen
@@ -66,9 +84,9 @@
 
     name: VmName
     failure_domain: DomainName
-    host: str
-    front_port: int
-    peer_port: int
+    host: Host
+    front_port: Port
+    peer_port: Port
 
 
 @frozen
@@ -77,8 +95,8 @@
 
     name: ServiceName
     service_class: ServiceClass
-    timeout_s: float = 5.0
-    queue_limit: int = 64
+    timeout_s: PositiveFloat = 5.0
+    queue_limit: PositiveInt = 64
     hedged: bool = False
 
 
@@ -86,10 +104,10 @@
 class Route:
     """Maps a path prefix and methods to a service."""
 
-    name: str
+    name: Name
     service: ServiceName
-    path_prefix: str
-    methods: tuple[str, ...]
+    path_prefix: Path
+    methods: tuple[Method, ...]
     access: Access = Access.KEYED
     idempotent: bool = True
 
@@ -98,7 +116,7 @@
 class TargetGroup:
     """The targets of one service in one failure domain."""
 
-    name: str
+    name: Name
     service: ServiceName
     failure_domain: DomainName
 
@@ -108,11 +126,11 @@
     """A back end process: runs ``slots`` requests at once over at most ``connection_limit``."""
 
     name: TargetName
-    group: str
-    host: str
-    port: int
-    slots: int
-    connection_limit: int
+    group: GroupReference
+    host: Host
+    port: Port
+    slots: PositiveInt
+    connection_limit: PositiveInt
 
 
 @frozen
@@ -120,9 +138,9 @@
     """A tenant. Rate and burst are counted over all VMs together, one token per request."""
 
     name: AccountName
-    rate_per_s: float
-    burst_tokens: int
-    weight: float = 1.0
+    rate_per_s: NonNegativeFloat
+    burst_tokens: PositiveInt
+    weight: PositiveFloat = 1.0
     when_isolated: WhenIsolated = WhenIsolated.REFUSE
     home_domain: DomainName | None = None
 
@@ -131,47 +149,47 @@
 class Key:
     """A caller's key, kept only as the hexadecimal BLAKE2b-256 hash of its text."""
 
-    name: str
+    name: Name
     client_account: AccountName
-    key_hash_hex: str
+    key_hash_hex: KeyHash
 
 
 @frozen
 class Link:
     """Capacity between two regions, each way, shared by all traffic."""
 
-    name: str
+    name: Name
     from_region: RegionName
     to_region: RegionName
-    capacity_bits_per_s: float
-    one_way_latency_ms: float
+    capacity_bits_per_s: PositiveFloat
+    one_way_latency_ms: NonNegativeFloat
 
 
 @frozen
 class ShiftCap:
     """Largest share of a service's demand that planned moves may shift per interval."""
 
-    name: str
+    name: Name
     service: ServiceName
-    share_limit: float
-    interval_s: float
+    share_limit: Fraction
+    interval_s: PositiveFloat
 
 
 @frozen
 class RegionLimit:
     """Most requests per second of a service that a region may be assigned."""
 
-    name: str
+    name: Name
     region: RegionName
     service: ServiceName
-    capacity_per_s: float
+    capacity_per_s: PositiveFloat
 
 
 @frozen
 class Site:
     """A place that client blocks are assigned to; it lies in one failure domain."""
 
-    name: str
+    name: Name
     failure_domain: DomainName
 
 
@@ -179,10 +197,10 @@
 class ClientBlock:
     """A block of client addresses with its preferred site and share of demand."""
 
-    name: str
-    prefix: str
-    site: str
-    demand_per_s: float = 0.0
+    name: Name
+    prefix: Network
+    site: SiteReference
+    demand_per_s: NonNegativeFloat = 0.0
 
 
 @frozen
@@ -192,11 +210,11 @@
     ``start_at_s`` is seconds since the epoch; zero means at once.
     """
 
-    name: str
+    name: Name
     kind: DrainKind
-    subject: str
-    start_at_s: float = 0.0
-    duration_s: float = 60.0
+    subject: Name
+    start_at_s: NonNegativeFloat = 0.0
+    duration_s: NonNegativeFloat = 60.0
 
 
 @frozen
