Admit requests by exact slots and a fair, deadline-aware queue

ServiceQueue is start-time fair across client accounts, serves classes in order with floors, and refuses early what cannot finish by its deadline.

--- /dev/null
+++ b/src/siskinward/coordination/admission/service_queue.py
@@ -0,0 +1,212 @@
+"""Bounded, deadline-aware queue before the targets of one service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinward.coordination.admission._fair_queue import Entry
+from siskinward.coordination.admission._fair_queue import FairQueue
+from siskinward.coordination.admission._service_estimate import ServiceEstimate
+from siskinward.coordination.admission.decisions import Admitted
+from siskinward.coordination.admission.decisions import Popped
+from siskinward.coordination.admission.decisions import Queued
+from siskinward.coordination.admission.decisions import Refused
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.state.objects import ServiceClass
+
+if TYPE_CHECKING:
+    from siskinward.coordination.admission.decisions import Decision
+    from siskinward.coordination.admission.settings import AdmissionSettings
+    from siskinward.state.identifiers import AccountName
+    from siskinward.state.objects import Service
+
+CLASS_ORDER = (ServiceClass.ORDER, ServiceClass.READ, ServiceClass.BULK)
+
+
+class ServiceQueue:
+    """Admits up to ``capacity`` requests at once and queues the rest, fair across accounts.
+
+    More important classes go first, except for the floors of the settings. A request that cannot
+    finish by its deadline is refused when it is offered, or as soon as that becomes clear.
+    """
+
+    def __init__(self, service: Service, settings: AdmissionSettings) -> None:
+        self._limit = service.queue_limit
+        self._settings = settings
+        self._capacity = 0
+        self._running: set[int] = set()
+        self._waiting: dict[int, Entry] = {}
+        self._queues = {service_class: FairQueue() for service_class in CLASS_ORDER}
+        self._credits = {service_class: 0.0 for service_class in CLASS_ORDER}
+        self._estimate = ServiceEstimate(
+            initial_s=settings.initial_service_s, smoothing=settings.service_smoothing
+        )
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Requests that were admitted and have not finished."""
+        return len(self._running)
+
+    @property
+    def service_s(self) -> float:
+        """Mean of the recent service times."""
+        return self._estimate.mean_s
+
+    def set_capacity(self, slots: int) -> None:
+        """Set how many requests may run at once; running ones are not cut off."""
+        self._capacity = slots
+
+    def offer(
+        self,
+        request_id: int,
+        account: AccountName,
+        *,
+        weight: float,
+        service_class: ServiceClass,
+        deadline_s: float,
+        now_s: float,
+    ) -> Decision:
+        """Decide on a new request."""
+        entry = Entry(request_id, account, weight, service_class, deadline_s, now_s)
+        if now_s >= deadline_s:
+            return self._refuse(entry, RefusalReason.DEADLINE, self._settings.min_retry_after_s)
+        if self._capacity <= 0:
+            return self._refuse(entry, RefusalReason.NO_TARGET, self.service_s)
+        if not self._waiting and len(self._running) < self._capacity:
+            self._enqueue(entry)
+            return self._admit(self._dequeue(service_class), now_s)
+        return self._enqueue_or_refuse(entry, now_s)
+
+    def pop(self, now_s: float) -> Popped:
+        """Admit the next waiting request if there is capacity for it."""
+        refused: list[Refused] = []
+        while self._waiting and len(self._running) < self._capacity:
+            entry = self._dequeue(self._next_class())
+            late_s = now_s + self._estimate.likely_s - entry.deadline_s
+            if late_s <= 0:
+                return Popped(self._admit(entry, now_s), tuple(refused))
+            self._queues[entry.service_class].refund(entry)
+            refused.append(self._refuse(entry, RefusalReason.QUEUE_LATE, self._drain_s()))
+        return Popped(None, tuple(refused))
+
+    def expire(self, now_s: float) -> tuple[Refused, ...]:
+        """Refuse the waiting requests that can no longer finish in time."""
+        latest_start_s = now_s + self._estimate.likely_s
+        late = [entry for entry in self._waiting.values() if entry.deadline_s < latest_start_s]
+        for entry in late:
+            self._drop(entry)
+        drain_s = self._drain_s()
+        return tuple(self._refuse(entry, RefusalReason.QUEUE_LATE, drain_s) for entry in late)
+
+    def cancel(self, request_id: int) -> bool:
+        """Remove a waiting request whose caller has gone; ``False`` if it does not wait."""
+        entry = self._waiting.get(request_id)
+        if entry is None:
+            return False
+        self._drop(entry)
+        return True
+
+    def finished(self, request_id: int, *, service_s: float | None = None) -> bool:
+        """Note that an admitted request's slot is free again; ``False`` if it was noted before.
+
+        ``service_s`` is left out where the request did not complete normally.
+        """
+        if request_id not in self._running:
+            return False
+        self._running.remove(request_id)
+        if service_s is not None:
+            self._estimate.observe(service_s)
+        return True
+
+    def _enqueue_or_refuse(self, entry: Entry, now_s: float) -> Decision:
+        wait_s = (self._ahead_of(entry) + 1) * self.service_s / self._capacity
+        late_s = now_s + wait_s + self._estimate.likely_s - entry.deadline_s
+        if late_s > 0:
+            return self._refuse(entry, RefusalReason.QUEUE_LATE, late_s)
+        evicted = None
+        if len(self._waiting) >= self._limit:
+            victim = self._victim_for(entry)
+            if victim is None:
+                return self._refuse(entry, RefusalReason.QUEUE_FULL, self._drain_s())
+            self._drop(victim)
+            evicted = self._refuse(victim, RefusalReason.QUEUE_FULL, self._drain_s())
+        self._enqueue(entry)
+        return Queued(entry.request_id, wait_s, evicted)
+
+    def _ahead_of(self, entry: Entry) -> float:
+        """Waiting requests to be dispatched before a new one, floors taken into account."""
+        ahead_in_class = self._queues[entry.service_class].ahead_of(entry.account)
+        more_important = CLASS_ORDER[: CLASS_ORDER.index(entry.service_class)]
+        ahead = ahead_in_class + sum(len(self._queues[other]) for other in more_important)
+        floor = self._floor_share(entry.service_class)
+        if floor <= 0:
+            return ahead
+        return min(ahead, (ahead_in_class + 1) / floor)
+
+    def _victim_for(self, entry: Entry) -> Entry | None:
+        """A waiting request that has to make room for ``entry`` in a full queue."""
+        for service_class in reversed(CLASS_ORDER):
+            victim = self._queues[service_class].last_of_longest()
+            if service_class is entry.service_class:
+                return victim if self._is_less_entitled(victim, entry) else None
+            if victim is not None:
+                return victim
+        return None
+
+    def _is_less_entitled(self, victim: Entry | None, entry: Entry) -> bool:
+        if victim is None:
+            return False
+        queue = self._queues[entry.service_class]
+        backlog = queue.normalised_backlog(entry.account) + 1.0 / entry.weight
+        return queue.normalised_backlog(victim.account) > backlog
+
+    def _next_class(self) -> ServiceClass:
+        """The most important waiting class, unless a lower one is owed its floor."""
+        waiting = [name for name in CLASS_ORDER if len(self._queues[name])]
+        for service_class in reversed(waiting[1:]):
+            self._credits[service_class] += self._floor_share(service_class)
+        for service_class in reversed(waiting[1:]):
+            if self._credits[service_class] >= 1.0:
+                self._credits[service_class] -= 1.0
+                return service_class
+        return waiting[0]
+
+    def _floor_share(self, service_class: ServiceClass) -> float:
+        match service_class:
+            case ServiceClass.ORDER:
+                return 0.0
+            case ServiceClass.READ:
+                return self._settings.read_floor_share
+            case ServiceClass.BULK:
+                return self._settings.bulk_floor_share
+
+    def _drain_s(self) -> float:
+        return len(self._waiting) * self.service_s / max(1, self._capacity)
+
+    def _enqueue(self, entry: Entry) -> None:
+        self._waiting[entry.request_id] = entry
+        self._queues[entry.service_class].push(entry)
+
+    def _dequeue(self, service_class: ServiceClass) -> Entry:
+        entry = self._queues[service_class].pop()
+        assert entry is not None
+        del self._waiting[entry.request_id]
+        return entry
+
+    def _drop(self, entry: Entry) -> None:
+        del self._waiting[entry.request_id]
+        self._queues[entry.service_class].remove(entry)
+
+    def _admit(self, entry: Entry, now_s: float) -> Admitted:
+        self._running.add(entry.request_id)
+        return Admitted(entry.request_id, entry.account, now_s - entry.queued_at_s)
+
+    def _refuse(self, entry: Entry, reason: RefusalReason, retry_after_s: float) -> Refused:
+        after_s = max(retry_after_s, self._settings.min_retry_after_s)
+        return Refused(entry.request_id, entry.account, NotRun(reason, after_s))
--- /dev/null
+++ b/src/siskinward/coordination/admission/settings.py
@@ -0,0 +1,23 @@
+"""Settings of admission: queue estimates, class floors and held slots."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+
+@frozen
+class AdmissionSettings:
+    """How a VM admits requests to the targets that it owns.
+
+    ``hold_margin_s`` is added to a request's deadline before a slot with an unknown outcome is
+    used again; ``hold_limit_s`` bounds that time where a target is known to stop work earlier.
+    The floors are the least shares of dispatches that a waiting class receives.
+    """
+
+    hold_margin_s: float = 0.1
+    hold_limit_s: float = float("inf")
+    read_floor_share: float = 0.10
+    bulk_floor_share: float = 0.05
+    initial_service_s: float = 0.02
+    service_smoothing: float = 0.05
+    min_retry_after_s: float = 0.05
