--- /dev/null
+++ b/src/siskinward/console/commands/node.py
@@ -0,0 +1,32 @@
+"""``siskinward node``: runs the process of an entry VM."""
+
+from __future__ import annotations
+
+import contextlib
+import sys
+
+import click
+import curio
+from eliot import to_file
+
+from siskinward.daemon.node import Node
+from siskinward.state.settings import load_settings
+
+EXIT_INVALID_INPUT = 1
+
+
+@click.command()
+@click.option("--settings", "path", required=True, type=click.Path(), help="INI settings file.")
+def node(path: str) -> None:
+    """Serve callers and other VMs until SIGTERM."""
+    result = load_settings(path)
+    if result.is_error():
+        click.echo(str(result.error), err=True)
+        sys.exit(EXIT_INVALID_INPUT)
+    settings = result.ok
+    with contextlib.ExitStack() as stack:
+        log = sys.stderr
+        if settings.log.path is not None:
+            log = stack.enter_context(open(settings.log.path, "a", encoding="utf-8"))
+        to_file(log)
+        curio.run(Node(settings).run)
--- /dev/null
+++ b/src/siskinward/daemon/forwarder.py
@@ -0,0 +1,153 @@
+"""Forwards requests to VMs that own targets, and runs those that other VMs forward here."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import curio
+
+from siskinward.coordination.outcomes import Answered
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import Unknown
+from siskinward.daemon.waiter import Waiter
+from siskinward.daemon.work import Work
+from siskinward.daemon.work import WorkResult
+from siskinward.protocol.forwarding import ForwardReply
+from siskinward.protocol.forwarding import ForwardRequest
+from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import ServiceName
+from siskinward.state.identifiers import TargetName
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.outcomes import Outcome
+    from siskinward.state.identifiers import VmName
+    from siskinward.transport.peer_hub import PeerHub
+
+UNREACHED_RETRY_AFTER_S = 0.2
+
+
+class Forwarder:
+    """Matches replies to requests by correlation id and incarnation; drops late ones."""
+
+    def __init__(
+        self,
+        own: VmIdentity,
+        hub: PeerHub,
+        run_locally: Callable[[Work], Awaitable[WorkResult]],
+    ) -> None:
+        self._own = own
+        self._hub = hub
+        self._run_locally = run_locally
+        self._correlation_ids = itertools.count(1)
+        self._waiters: dict[int, tuple[VmName, Waiter[ForwardReply]]] = {}
+        self.running_count = 0
+        self.late_count = 0
+
+    async def forward(self, vm: VmName, work: Work) -> WorkResult:
+        """Send a request to another VM and wait for its outcome until the deadline."""
+        correlation_id = next(self._correlation_ids)
+        time_left_s = work.deadline_s - await curio.clock()
+        message = _forward_request(work, correlation_id, self._own, time_left_s)
+        waiter = Waiter[ForwardReply]()
+        self._waiters[correlation_id] = (vm, waiter)
+        try:
+            if not await self._hub.send(vm, message):
+                return WorkResult(NotRun(RefusalReason.PEER_LOST, UNREACHED_RETRY_AFTER_S))
+            reply = await waiter.wait(time_left_s)
+        finally:
+            del self._waiters[correlation_id]
+        if reply is None:
+            return WorkResult(Unknown(RefusalReason.PEER_LOST))
+        return _result(reply)
+
+    async def on_request(self, message: ForwardRequest, sender: VmIdentity) -> None:
+        """Run a forwarded request in a task of its own and send the outcome back."""
+        self.running_count += 1
+        await curio.spawn(self._run, message, sender, daemon=True)
+
+    async def on_reply(self, message: ForwardReply, sender: VmIdentity) -> None:
+        """Deliver an outcome to the request that waits for it."""
+        vm, waiter = self._waiters.get(message.correlation_id, (None, None))
+        is_crossed = message.sender_incarnation != self._own.incarnation or vm != sender.vm
+        if waiter is None or is_crossed:
+            self.late_count += 1
+            return
+        await waiter.deliver(message)
+
+    async def on_vm_lost(self, lost: VmName) -> None:
+        """End the wait for a VM that is known to be gone; whether it ran them is unknown."""
+        for correlation_id, (vm, waiter) in list(self._waiters.items()):
+            if vm == lost:
+                unknown = Unknown(RefusalReason.PEER_LOST)
+                await waiter.deliver(
+                    ForwardReply(correlation_id, self._own.incarnation, unknown=unknown)
+                )
+
+    async def _run(self, message: ForwardRequest, sender: VmIdentity) -> None:
+        try:
+            work = _work(message, await curio.clock())
+            result = await self._run_locally(work)
+            await self._hub.send(sender.vm, _forward_reply(message, result))
+        finally:
+            self.running_count -= 1
+
+
+def _forward_request(
+    work: Work, correlation_id: int, own: VmIdentity, time_left_s: float
+) -> ForwardRequest:
+    return ForwardRequest(
+        correlation_id=correlation_id,
+        sender_incarnation=own.incarnation,
+        service=work.service,
+        client_account=work.client_account,
+        method=work.method,
+        target_path=work.target_path,
+        headers=work.headers,
+        body=work.body,
+        run_id=work.run_id,
+        is_idempotent=work.is_idempotent,
+        time_left_s=time_left_s,
+        excluded_targets=work.excluded_targets,
+    )
+
+
+def _work(message: ForwardRequest, now_s: float) -> Work:
+    return Work(
+        service=ServiceName(message.service),
+        client_account=AccountName(message.client_account),
+        method=message.method,
+        target_path=message.target_path,
+        headers=message.headers,
+        body=message.body,
+        run_id=message.run_id,
+        is_idempotent=message.is_idempotent,
+        deadline_s=now_s + message.time_left_s,
+        excluded_targets=tuple(TargetName(name) for name in message.excluded_targets),
+    )
+
+
+def _forward_reply(message: ForwardRequest, result: WorkResult) -> ForwardReply:
+    outcome = result.outcome
+    return ForwardReply(
+        correlation_id=message.correlation_id,
+        sender_incarnation=message.sender_incarnation,
+        answered=outcome if isinstance(outcome, Answered) else None,
+        not_run=outcome if isinstance(outcome, NotRun) else None,
+        unknown=outcome if isinstance(outcome, Unknown) else None,
+        tried_target=result.tried_target,
+        lost_targets=result.lost_targets,
+    )
+
+
+def _result(reply: ForwardReply) -> WorkResult:
+    outcome: Outcome = (
+        reply.answered or reply.not_run or reply.unknown or Unknown(RefusalReason.PEER_LOST)
+    )
+    tried = None if reply.tried_target is None else TargetName(reply.tried_target)
+    return WorkResult(outcome, tried, tuple(TargetName(name) for name in reply.lost_targets))
--- /dev/null
+++ b/src/siskinward/daemon/local_service.py
@@ -0,0 +1,238 @@
+"""Runs requests on the targets that this VM owns, within their slots."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import curio
+
+from siskinward.coordination.admission import Admitted
+from siskinward.coordination.admission import Queued
+from siskinward.coordination.admission import Refused
+from siskinward.coordination.admission import ServiceQueue
+from siskinward.coordination.admission import SlotLedger
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import Unknown
+from siskinward.daemon.waiter import Waiter
+from siskinward.daemon.work import WorkResult
+from siskinward.protocol.target_http import interpret_answer
+from siskinward.protocol.target_http import target_headers
+from siskinward.transport.connection_pool import ConnectionPool
+from siskinward.transport.http_client import ExchangePhase
+from siskinward.transport.http_messages import HttpRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from siskinward.coordination.admission import AdmissionSettings
+    from siskinward.coordination.admission import Slot
+    from siskinward.coordination.outcomes import Outcome
+    from siskinward.daemon.serving_state import ServingState
+    from siskinward.daemon.work import Work
+    from siskinward.state.identifiers import ServiceName
+    from siskinward.state.identifiers import TargetName
+    from siskinward.state.objects import Target
+    from siskinward.transport.http_client import ExchangeError
+
+OPEN_ACCOUNT_WEIGHT = 1.0
+NO_TARGET_RETRY_AFTER_S = 0.5
+
+
+class LocalService:
+    """Queues requests per service, takes a slot for each and runs it on a target."""
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        self._settings = settings
+        self._ledger = SlotLedger(settings)
+        self._queues: dict[ServiceName, ServiceQueue] = {}
+        self._waiters: dict[int, Waiter[Admitted | Refused]] = {}
+        self._pools: dict[TargetName, ConnectionPool] = {}
+        self._held: dict[int, tuple[ServiceName, int]] = {}
+        self._request_ids = itertools.count(1)
+        self._state: ServingState | None = None
+        self._owned: dict[ServiceName, tuple[Target, ...]] = {}
+
+    def apply(self, state: ServingState, owned: Collection[TargetName]) -> None:
+        """Take over a configuration and the targets that this VM owns under it."""
+        configuration = state.configuration
+        before = {target.name for targets in self._owned.values() for target in targets}
+        self._state = state
+        self._owned = {name: () for name in configuration.services}
+        for name in owned:
+            target = configuration.targets[name]
+            service = configuration.target_groups[target.group].service
+            self._owned[service] = (*self._owned[service], target)
+            self._ledger.set_limit(name, slots=target.slots)
+            self._pools.setdefault(
+                name, ConnectionPool(target.host, target.port, target.connection_limit)
+            )
+        for name in before - set(owned):
+            self._ledger.set_limit(name, slots=0)
+        for service, targets in self._owned.items():
+            self._queue(service).set_capacity(sum(target.slots for target in targets))
+
+    def owns_any(self, service: ServiceName) -> bool:
+        """Tell whether this VM owns a target of the service."""
+        return bool(self._owned.get(service))
+
+    async def run(self, work: Work) -> WorkResult:
+        """Wait for a slot, run the request and return its outcome."""
+        request_id = next(self._request_ids)
+        admission = await self._admit(request_id, work)
+        if isinstance(admission, NotRun):
+            return WorkResult(admission)
+        now_s = await curio.clock()
+        slot = self._take_slot(work, now_s)
+        if slot is None:
+            await self._finish(work.service, request_id, None)
+            return WorkResult(NotRun(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER_S))
+        return await self._run_in_slot(work, request_id, slot, now_s)
+
+    async def on_timer(self, now_s: float) -> None:
+        """Release held slots that are due and refuse requests that wait too long."""
+        for slot in self._ledger.on_timer(now_s):
+            service, request_id = self._held.pop(slot.serial)
+            await self._finish(service, request_id, None)
+        for queue in self._queues.values():
+            for refused in queue.expire(now_s):
+                await self._notify(refused)
+
+    async def _admit(self, request_id: int, work: Work) -> Admitted | NotRun:
+        assert self._state is not None
+        configuration = self._state.configuration
+        account = configuration.client_accounts.get(work.client_account)
+        now_s = await curio.clock()
+        decision = self._queue(work.service).offer(
+            request_id,
+            work.client_account,
+            weight=OPEN_ACCOUNT_WEIGHT if account is None else account.weight,
+            service_class=configuration.services[work.service].service_class,
+            deadline_s=work.deadline_s,
+            now_s=now_s,
+        )
+        match decision:
+            case Admitted():
+                return decision
+            case Refused():
+                return decision.outcome
+            case Queued():
+                if decision.evicted is not None:
+                    await self._notify(decision.evicted)
+                return await self._wait(request_id, work, now_s)
+
+    async def _wait(self, request_id: int, work: Work, now_s: float) -> Admitted | NotRun:
+        waiter = Waiter[Admitted | Refused]()
+        self._waiters[request_id] = waiter
+        try:
+            decision = await waiter.wait(work.deadline_s - now_s)
+        except curio.CancelledError:
+            await self._abandon(request_id, work.service, waiter)
+            raise
+        finally:
+            del self._waiters[request_id]
+        match decision:
+            case Admitted():
+                return decision
+            case Refused():
+                return decision.outcome
+            case None:
+                self._queue(work.service).cancel(request_id)
+                return NotRun(RefusalReason.QUEUE_LATE, NO_TARGET_RETRY_AFTER_S)
+
+    async def _abandon(
+        self, request_id: int, service: ServiceName, waiter: Waiter[Admitted | Refused]
+    ) -> None:
+        if waiter.is_delivered:
+            await self._finish(service, request_id, None)
+        else:
+            self._queue(service).cancel(request_id)
+
+    def _take_slot(self, work: Work, now_s: float) -> Slot | None:
+        candidates = [
+            target
+            for target in self._owned.get(work.service, ())
+            if target.name not in work.excluded_targets and self._ledger.free(target.name) > 0
+        ]
+        if not candidates:
+            return None
+        chosen = max(candidates, key=lambda target: self._ledger.free(target.name))
+        return self._ledger.take(chosen.name, deadline_s=work.deadline_s, now_s=now_s)
+
+    async def _run_in_slot(
+        self, work: Work, request_id: int, slot: Slot, start_s: float
+    ) -> WorkResult:
+        outcome: Outcome | None = None
+        is_target_lost = False
+        try:
+            result = await self._pools[slot.target].exchange(
+                _target_request(work, start_s),
+                work.deadline_s - start_s,
+                needs_recent_proof=not work.is_idempotent,
+            )
+            if result.is_error():
+                outcome = _failed_outcome(result.error)
+                is_target_lost = result.error.phase is not ExchangePhase.UNSENT
+            else:
+                answer = result.ok
+                outcome = interpret_answer(answer.status, answer.headers, answer.body)
+        finally:
+            await self._release(work, request_id, slot, outcome, start_s)
+        lost = (slot.target,) if is_target_lost else ()
+        return WorkResult(outcome, slot.target, lost)
+
+    async def _release(
+        self, work: Work, request_id: int, slot: Slot, outcome: Outcome | None, start_s: float
+    ) -> None:
+        now_s = await curio.clock()
+        if outcome is None or isinstance(outcome, Unknown):
+            self._held[slot.serial] = (work.service, request_id)
+            self._ledger.hold(slot, now_s=now_s)
+            return
+        self._ledger.release(slot)
+        service_s = None if isinstance(outcome, NotRun) else now_s - start_s
+        await self._finish(work.service, request_id, service_s)
+
+    async def _finish(self, service: ServiceName, request_id: int, service_s: float | None) -> None:
+        queue = self._queue(service)
+        queue.finished(request_id, service_s=service_s)
+        while True:
+            popped = queue.pop(await curio.clock())
+            for refused in popped.refused:
+                await self._notify(refused)
+            if popped.admitted is None:
+                return
+            await self._notify(popped.admitted)
+
+    async def _notify(self, decision: Admitted | Refused) -> None:
+        waiter = self._waiters.get(decision.request_id)
+        if waiter is not None:
+            await waiter.deliver(decision)
+
+    def _queue(self, service: ServiceName) -> ServiceQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            assert self._state is not None
+            declared = self._state.configuration.services[service]
+            queue = ServiceQueue(declared, self._settings)
+            self._queues[service] = queue
+        return queue
+
+
+def _target_request(work: Work, now_s: float) -> HttpRequest:
+    headers = target_headers(
+        work.headers, work.client_account, work.run_id, work.deadline_s - now_s
+    )
+    return HttpRequest(work.method, work.target_path, headers, work.body)
+
+
+def _failed_outcome(error: ExchangeError) -> Outcome:
+    match error.phase:
+        case ExchangePhase.CONNECT | ExchangePhase.UNSENT:
+            return NotRun(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER_S)
+        case ExchangePhase.SENT:
+            reason = RefusalReason.DEADLINE if error.timed_out else RefusalReason.TARGET_LOST
+            return Unknown(reason)
+        case ExchangePhase.INCOMPLETE:
+            return Unknown(RefusalReason.ANSWER_INCOMPLETE)
--- /dev/null
+++ b/src/siskinward/daemon/request_handler.py
@@ -0,0 +1,122 @@
+"""A caller's request from its arrival to its outcome."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+from attrs import evolve
+
+from siskinward.coordination.outcomes import Answered
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import Unknown
+from siskinward.daemon.work import Work
+from siskinward.protocol.caller_http import contains_key
+from siskinward.protocol.caller_http import parse_caller_headers
+from siskinward.protocol.caller_http import path_of
+from siskinward.protocol.target_http import allowed_headers
+from siskinward.state.identifiers import AccountName
+from siskinward.state.objects import Access
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinward.coordination.outcomes import Outcome
+    from siskinward.daemon.dispatcher import Dispatcher
+    from siskinward.daemon.metrics import NodeMetrics
+    from siskinward.daemon.serving_state import ServingState
+    from siskinward.state.objects import Route
+    from siskinward.transport.http_messages import HttpRequest
+
+OPEN_ACCOUNT = AccountName("")
+SETTLED_RETRY_AFTER_S = 60.0
+STARTING_RETRY_AFTER_S = 1.0
+
+
+class RequestHandler:
+    """Checks route, key and limits, then hands the work to the dispatcher."""
+
+    def __init__(
+        self,
+        current_state: Callable[[], ServingState | None],
+        dispatcher: Dispatcher,
+        metrics: NodeMetrics,
+    ) -> None:
+        self._current_state = current_state
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+
+    async def handle(self, request: HttpRequest) -> Outcome:
+        """Return the outcome of one request; counts it by reason."""
+        start_s = await curio.clock()
+        state = self._current_state()
+        if state is None:
+            return self._refused(RefusalReason.NO_CONFIGURATION, STARTING_RETRY_AFTER_S)
+        route = state.routes.match(request.method, path_of(request.target))
+        if route is None:
+            return self._refused(RefusalReason.NO_ROUTE)
+        outcome, account = await self._checked(request, state, route, start_s)
+        self._count(outcome, route, account, await curio.clock() - start_s)
+        return outcome
+
+    async def _checked(
+        self, request: HttpRequest, state: ServingState, route: Route, start_s: float
+    ) -> tuple[Outcome, AccountName]:
+        service = state.configuration.services[route.service]
+        parsed = parse_caller_headers(request.headers, service)
+        if parsed.is_error():
+            return NotRun(parsed.error, SETTLED_RETRY_AFTER_S), OPEN_ACCOUNT
+        account = _account(state, route, parsed.ok.key_text)
+        if isinstance(account, NotRun):
+            return account, OPEN_ACCOUNT
+        headers = allowed_headers(request.headers)
+        key_text = parsed.ok.key_text
+        if key_text and contains_key(request.target, headers, request.body, key_text):
+            return NotRun(RefusalReason.KEY_EXPOSED, SETTLED_RETRY_AFTER_S), account
+        work = Work(
+            service=route.service,
+            client_account=account,
+            method=request.method,
+            target_path=request.target,
+            headers=headers,
+            body=request.body,
+            run_id=parsed.ok.idempotency_key,
+            is_idempotent=route.idempotent,
+            deadline_s=start_s + parsed.ok.deadline_s,
+        )
+        if route.idempotent:
+            work = evolve(work, run_id=None)
+        return await self._dispatcher.run(work), account
+
+    def _refused(
+        self, reason: RefusalReason, retry_after_s: float = SETTLED_RETRY_AFTER_S
+    ) -> NotRun:
+        self._metrics.count_refusal(reason)
+        return NotRun(reason, retry_after_s)
+
+    def _count(
+        self, outcome: Outcome, route: Route, account: AccountName, latency_s: float
+    ) -> None:
+        match outcome:
+            case Answered():
+                label = "answered"
+            case NotRun(reason):
+                label = "not-run"
+                self._metrics.count_refusal(reason, route.service, account)
+            case Unknown(reason):
+                label = "unknown"
+                self._metrics.count_refusal(reason, route.service, account)
+        self._metrics.requests.labels(route.service, account, label).inc()
+        self._metrics.latency_s.labels(route.service).observe(latency_s)
+
+
+def _account(state: ServingState, route: Route, key_text: str | None) -> AccountName | NotRun:
+    if route.access is Access.OPEN:
+        return OPEN_ACCOUNT
+    if not key_text:
+        return NotRun(RefusalReason.KEY_MISSING, SETTLED_RETRY_AFTER_S)
+    account = state.keys.account_of(key_text)
+    if account is None:
+        return NotRun(RefusalReason.KEY_UNKNOWN, SETTLED_RETRY_AFTER_S)
+    return account
--- a/src/siskinward/protocol/forwarding.py
+++ b/src/siskinward/protocol/forwarding.py
@@ -24,6 +24,7 @@
     target_path: str
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
+    run_id: str | None
     is_idempotent: bool
     time_left_s: float
     excluded_targets: tuple[str, ...] = ()
@@ -38,6 +39,7 @@
     answered: Answered | None = None
     not_run: NotRun | None = None
     unknown: Unknown | None = None
+    tried_target: str | None = None
     lost_targets: tuple[str, ...] = ()
 
 
--- a/src/siskinward/standins/caller.py
+++ b/src/siskinward/standins/caller.py
@@ -129,9 +129,9 @@
         cached = self._lookups.get(route.service)
         now_s = await curio.clock()
         needs_ticket = not route.idempotent
-        if cached is not None and now_s < cached.expires_at_s:
-            if cached.tickets or not needs_ticket:
-                return cached
+        is_fresh = cached is not None and now_s < cached.expires_at_s
+        if cached is not None and is_fresh and (cached.tickets or not needs_ticket):
+            return cached
         fresh = await self._ask_any_vm(route, TICKETS_PER_LOOKUP if needs_ticket else 0)
         self._lookups[route.service] = fresh
         return fresh
--- a/src/siskinward/transport/platform_client.py
+++ b/src/siskinward/transport/platform_client.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import msgpack
-from attrs import frozen
 from expression import Error
 from expression import Ok
 
@@ -31,17 +30,9 @@
 
     from expression import Result
 
-CONNECTION_LIMIT = 8
-TIMEOUT_S = 2.0
-
+    from siskinward.state.settings import PlatformSettings
 
-@frozen
-class PlatformSettings:
-    """Address of the platform, and how long to wait for an answer."""
-
-    host: str
-    port: int
-    timeout_s: float = TIMEOUT_S
+CONNECTION_LIMIT = 8
 
 
 class PlatformClient:
--- /dev/null
+++ b/tests/daemon/test_node_path.py
@@ -0,0 +1,103 @@
+"""A request from a caller to a target and back, through real sockets on loopback."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+import pytest
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from conftest import Deployment
+
+
+def run(deployment: Deployment, body: Callable[[], Awaitable[Any]]) -> None:
+    async def main() -> None:
+        await deployment.start()
+        try:
+            await body()
+        finally:
+            await deployment.stop()
+
+    curio.run(main)
+
+
+def test_node_serves_a_keyed_request_without_its_key(deployment: Deployment) -> None:
+    async def body() -> None:
+        response = await deployment.call("vm-a", "GET", "/listings/x?d=1", account="alpha")
+        assert response is not None and response.status == 200
+        assert json.loads(response.body)["target"] == "listings-a-1"
+        assert sum(target.key_seen_count for target in deployment.targets.values()) == 0
+
+    run(deployment, body)
+
+
+@pytest.mark.parametrize(
+    ("path", "account", "status", "reason"),
+    [
+        ("/listings/x", None, 401, "key-missing"),
+        ("/listings/x", "nobody", 401, "key-unknown"),
+        ("/listings/x?k=demo-alpha", "alpha", 400, "key-exposed"),
+        ("/listings/x?k=demo%2Dalpha", "alpha", 400, "key-exposed"),
+        ("/unknown", "alpha", 404, "no-route"),
+        ("/listingsx", "alpha", 404, "no-route"),
+    ],
+)
+def test_node_refuses_as_not_run(
+    deployment: Deployment, path: str, account: str | None, status: int, reason: str
+) -> None:
+    async def body() -> None:
+        response = await deployment.call("vm-a", "GET", path, account=account)
+        assert response is not None and response.status == status
+        content = json.loads(response.body)
+        assert (content["refused"], content["outcome"]) == (reason, "not-run")
+        metrics = await deployment.call("vm-a", "GET", "/metrics")
+        assert metrics is not None and f'reason="{reason}"'.encode() in metrics.body
+        assert sum(target.served_count for target in deployment.targets.values()) == 0
+
+    run(deployment, body)
+
+
+def test_node_forwards_to_another_domain_when_its_targets_are_gone(
+    deployment: Deployment,
+) -> None:
+    async def body() -> None:
+        deployment.targets["listings-a-1"].state = "shedding"
+        response = await deployment.call("vm-a", "GET", "/listings/x", account="alpha")
+        assert response is not None and response.status == 200
+        assert json.loads(response.body)["target"] == "listings-b-1"
+
+    run(deployment, body)
+
+
+def test_node_refuses_a_withdrawn_key_on_a_live_connection(deployment: Deployment) -> None:
+    async def body() -> None:
+        deployment.publish(deployment.configuration_text(keys=("beta",)))
+        for vm in deployment.vm_ports:
+            await deployment.wait_for(vm, lambda health: health["version"] == 2)
+            response = await deployment.call(vm, "GET", "/listings/x", account="alpha")
+            assert response is not None and response.status == 401
+
+    run(deployment, body)
+
+
+def test_node_shutdown_finishes_running_requests(deployment: Deployment) -> None:
+    async def body() -> None:
+        task = await curio.spawn(_call_slowly, deployment)
+        await curio.sleep(0.05)
+        await deployment.stops["vm-a"].set()
+        response = await task.join()
+        assert response is not None and response.status == 200
+
+    run(deployment, body)
+
+
+async def _call_slowly(deployment: Deployment) -> Any:
+    target = deployment.targets["listings-a-1"]
+    object.__setattr__(target.settings, "service_time_s", 0.6)
+    return await deployment.call("vm-a", "GET", "/listings/x", account="alpha")
