--- /dev/null
+++ b/src/siskinward/coordination/membership/_membership.py
@@ -0,0 +1,231 @@
+"""Main class of the membership."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from siskinward.coordination.events import Effect
+from siskinward.coordination.events import Send
+from siskinward.coordination.membership._digests import RelayedView
+from siskinward.coordination.membership._domain import OwnDomain
+from siskinward.coordination.membership._links import paired_relays
+from siskinward.coordination.membership._remote import RemoteDomains
+from siskinward.coordination.membership.messages import Announce
+from siskinward.coordination.membership.messages import DigestBeat
+from siskinward.coordination.membership.messages import DigestRequest
+from siskinward.coordination.membership.messages import DomainDigest
+from siskinward.coordination.membership.messages import DomainSilent
+from siskinward.coordination.membership.messages import Heartbeat
+from siskinward.coordination.membership.messages import Introduction
+from siskinward.coordination.membership.messages import ViewRequest
+from siskinward.coordination.membership.messages import VmAddress
+
+if TYPE_CHECKING:
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.membership._peers import Member
+    from siskinward.coordination.membership._settings import MembershipSettings
+    from siskinward.coordination.membership.messages import MembershipMessage
+    from siskinward.coordination.platform import ListedVm
+    from siskinward.state.identifiers import DomainName
+    from siskinward.state.identifiers import VmName
+
+
+class Membership:
+    """Tells which VMs are live, which of them are relays, and which failure domains are heard.
+
+    Call ``on_vm_list`` once at the start with the configured VMs, later with each VM list of the
+    platform; ``on_timer`` a few times per heartbeat interval.
+    """
+
+    def __init__(
+        self, settings: MembershipSettings, own: VmIdentity, address: VmAddress, started_s: float
+    ) -> None:
+        self._settings = settings
+        self._own = own
+        self._domain = OwnDomain(settings, own, address)
+        self._remote = RemoteDomains(settings, own.failure_domain)
+        self._last_timer_s = started_s
+        self._next_beat_s = started_s
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Changes whenever the answer of a query may have changed."""
+        return self._revision
+
+    def live_vms(self, domain: DomainName, now_s: float) -> tuple[Member, ...]:
+        """Return the live VMs of a failure domain by incarnation, leaving ones included."""
+        if domain == self._own.failure_domain:
+            return self._domain.live()
+        return self._remote.live(domain)
+
+    def relays(self, domain: DomainName, now_s: float) -> tuple[Member, ...]:
+        """Return the relays of a failure domain, lowest incarnation first."""
+        live = self.live_vms(domain, now_s)
+        staying = tuple(member for member in live if not member.leaving)
+        return (staying or live)[: self._settings.relay_count]
+
+    def is_relay(self, now_s: float) -> bool:
+        """Tell whether this VM is a relay of its failure domain."""
+        relays = self.relays(self._own.failure_domain, now_s)
+        return any(member.identity == self._own for member in relays)
+
+    def heard_domains(self, now_s: float) -> frozenset[DomainName]:
+        """Return the other failure domains that this VM or a live relay of its own hears."""
+        return self._remote.heard()
+
+    def paired_relays(self, now_s: float) -> tuple[Member, ...]:
+        """Return the relays of other failure domains that this VM exchanges messages with."""
+        if not self.is_relay(now_s):
+            return ()
+        own_relays = self.relays(self._own.failure_domain, now_s)
+        rank = [member.identity for member in own_relays].index(self._own)
+        pairs = (
+            paired_relays(rank, len(own_relays), self.relays(domain, now_s))
+            for domain in sorted(self.heard_domains(now_s))
+        )
+        return tuple(member for pair in pairs for member in pair)
+
+    def address_of(self, vm: VmName) -> VmAddress | None:
+        """Return the last known address of a VM."""
+        return self._domain.address_of(vm) or self._remote.address_of(vm)
+
+    def on_vm_list(self, listed: tuple[ListedVm, ...], now_s: float) -> list[Effect]:
+        """Take the lagging list as a hint: whom to contact, and who is leaving."""
+        own = self._own.failure_domain
+        self._domain.on_vm_list(tuple(item for item in listed if item.failure_domain == own))
+        self._remote.on_vm_list(tuple(item for item in listed if item.failure_domain != own))
+        self._revision += 1
+        return []
+
+    def leave(self, now_s: float) -> list[Effect]:
+        """Tell the failure domain and the other relays that this VM is about to stop."""
+        was_relay = self.is_relay(now_s)
+        self._domain.leaving = True
+        effects = self._domain.beats(self._view_id(now_s))
+        return effects + self._own_changed(now_s, was_relay=was_relay)
+
+    def on_timer(self, now_s: float) -> list[Effect]:
+        """Expire what is silent and send the beats that are due."""
+        gap_s = now_s - self._last_timer_s
+        self._last_timer_s = now_s
+        if gap_s > self._settings.stall_bound_s:
+            self._domain.excuse(gap_s, now_s)
+            self._remote.excuse(gap_s, now_s)
+        effects = self._expire(now_s)
+        if now_s < self._next_beat_s:
+            return effects
+        self._next_beat_s = now_s + self._settings.heartbeat_interval_s
+        effects += self._domain.beats(self._view_id(now_s))
+        return effects + self._relay_beats(now_s)
+
+    def on_message(
+        self, message: MembershipMessage, sender: VmIdentity, now_s: float
+    ) -> list[Effect]:
+        """Take a message of another VM."""
+        if sender.failure_domain == self._own.failure_domain:
+            return self._on_domain_message(message, sender, now_s)
+        return self._on_foreign_message(message, sender, now_s)
+
+    def _on_domain_message(
+        self, message: MembershipMessage, sender: VmIdentity, now_s: float
+    ) -> list[Effect]:
+        was_relay = self.is_relay(now_s)
+        heard = self._domain.hear(sender, message, now_s)
+        if heard is None:
+            return []
+        effects = self._own_changed(now_s, was_relay=was_relay) if heard.changed else []
+        match message:
+            case Announce(acquainted=False):
+                effects += self._domain.introduce(sender.vm, with_members=self.is_relay(now_s))
+            case Introduction(members):
+                effects += self._domain.on_introduction(members)
+            case Heartbeat(view_id=view_id):
+                effects += self._on_view_id(view_id, sender.vm)
+            case DomainDigest():
+                self._remote.relayed_by(sender.vm).store(message)
+                self._remote_changed()
+            case DomainSilent(domain):
+                self._remote.relayed_by(sender.vm).drop(domain)
+                self._remote_changed()
+            case ViewRequest(held):
+                effects += self._remote.answer(held, sender.vm)
+        return effects
+
+    def _on_foreign_message(
+        self, message: MembershipMessage, sender: VmIdentity, now_s: float
+    ) -> list[Effect]:
+        match message:
+            case DigestBeat(digest_id):
+                return self._on_digest_beat(digest_id, sender, now_s)
+            case DigestRequest():
+                return [Send(sender.vm, self._domain.digest())]
+            case DomainDigest(domain) if domain == sender.failure_domain:
+                if self._remote.direct.store(message, sender.vm, now_s):
+                    return self._relay_change(domain, now_s)
+        return []
+
+    def _on_digest_beat(self, digest_id: bytes, sender: VmIdentity, now_s: float) -> list[Effect]:
+        if not self.is_relay(now_s):
+            # The sender takes this VM for a relay; the digest names the present ones.
+            return [Send(sender.vm, self._domain.digest())]
+        if self._remote.direct.id_from(sender.failure_domain, sender.vm) != digest_id:
+            return [Send(sender.vm, DigestRequest())]
+        self._remote.direct.beat(sender.failure_domain, sender.vm, now_s)
+        return []
+
+    def _on_view_id(self, view_id: bytes, relay: VmName) -> list[Effect]:
+        if not view_id:
+            self._forget_relayed(relay)
+            return []
+        held = self._remote.relayed.setdefault(relay, RelayedView())
+        if held.view_id == view_id:
+            return []
+        return [Send(relay, ViewRequest(held.held()))]
+
+    def _forget_relayed(self, relay: VmName) -> None:
+        if self._remote.relayed.pop(relay, None):
+            self._remote_changed()
+
+    def _expire(self, now_s: float) -> list[Effect]:
+        effects: list[Effect] = []
+        was_relay = self.is_relay(now_s)
+        silent = self._domain.expire(now_s)
+        if silent:
+            for vm in silent:
+                self._forget_relayed(vm)
+            effects += self._own_changed(now_s, was_relay=was_relay)
+        for domain in self._remote.direct.expire(now_s):
+            effects += self._relay_change(domain, now_s)
+        return effects
+
+    def _own_changed(self, now_s: float, *, was_relay: bool) -> list[Effect]:
+        self._revision += 1
+        if not (was_relay or self.is_relay(now_s)):
+            return []
+        digest = self._domain.digest()
+        return [Send(member.identity.vm, digest) for member in self.paired_relays(now_s)]
+
+    def _relay_change(self, domain: DomainName, now_s: float) -> list[Effect]:
+        self._remote_changed()
+        if not self.is_relay(now_s):
+            return []
+        digest = self._remote.direct.merged.get(domain)
+        message: Any = digest if digest is not None else DomainSilent(domain)
+        return [Send(vm, message) for vm in self._domain.live_peers()]
+
+    def _remote_changed(self) -> None:
+        self._remote.refresh()
+        self._revision += 1
+
+    def _view_id(self, now_s: float) -> bytes:
+        return self._remote.direct.view_id if self.is_relay(now_s) else b""
+
+    def _relay_beats(self, now_s: float) -> list[Effect]:
+        if not self.is_relay(now_s):
+            return []
+        beat = DigestBeat(self._domain.digest_id())
+        vms = [member.identity.vm for member in self.paired_relays(now_s)]
+        vms += self._remote.probes()
+        return [Send(vm, beat) for vm in vms]
--- /dev/null
+++ b/src/siskinward/coordination/membership/_remote.py
@@ -0,0 +1,114 @@
+"""The other failure domains, as heard directly or told by the own relays."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from siskinward.coordination.events import Effect
+from siskinward.coordination.events import Send
+from siskinward.coordination.membership._digests import DirectView
+from siskinward.coordination.membership._digests import RelayedView
+from siskinward.coordination.membership._digests import merged_members
+from siskinward.coordination.membership.messages import DomainSilent
+from siskinward.coordination.membership.messages import HeldDigest
+from siskinward.coordination.membership.messages import VmAddress
+
+if TYPE_CHECKING:
+    from siskinward.coordination.membership._peers import Member
+    from siskinward.coordination.membership._settings import MembershipSettings
+    from siskinward.coordination.platform import ListedVm
+    from siskinward.state.identifiers import DomainName
+    from siskinward.state.identifiers import VmName
+
+
+class RemoteDomains:
+    """Live VMs of the other failure domains, and whom to probe in those not heard."""
+
+    def __init__(self, settings: MembershipSettings, own_domain: DomainName) -> None:
+        self._own_domain = own_domain
+        self._probe_count = settings.probe_count
+        self._probe_turn = 0
+        self._contacts: dict[DomainName, dict[VmName, VmAddress]] = {}
+        self._listed_leaving: frozenset[VmName] = frozenset()
+        self._live: dict[DomainName, tuple[Member, ...]] = {}
+        self._addresses: dict[VmName, VmAddress] = {}
+        self.direct = DirectView(settings.heartbeat_timeout_s)
+        self.relayed: dict[VmName, RelayedView] = {}
+
+    def live(self, domain: DomainName) -> tuple[Member, ...]:
+        """Return the live VMs of a failure domain by incarnation."""
+        return self._live.get(domain, ())
+
+    def heard(self) -> frozenset[DomainName]:
+        """Return the failure domains that are heard."""
+        return frozenset(self._live)
+
+    def address_of(self, vm: VmName) -> VmAddress | None:
+        """Return the last known address of a VM."""
+        if vm in self._addresses:
+            return self._addresses[vm]
+        for contacts in self._contacts.values():
+            if vm in contacts:
+                return contacts[vm]
+        return None
+
+    def on_vm_list(self, listed: tuple[ListedVm, ...]) -> None:
+        """Remember whom to contact and who is said to be leaving."""
+        self._contacts = {}
+        for item in listed:
+            address = VmAddress(item.host, item.front_port, item.peer_port)
+            self._contacts.setdefault(item.failure_domain, {})[item.vm] = address
+        self._listed_leaving = frozenset(item.vm for item in listed if item.leaving)
+        self.refresh()
+
+    def relayed_by(self, relay: VmName) -> RelayedView:
+        """Return what a relay of the own failure domain passed on."""
+        return self.relayed.setdefault(relay, RelayedView())
+
+    def answer(self, held: tuple[HeldDigest, ...], vm: VmName) -> list[Effect]:
+        """Send the digests that ``vm`` lacks, and name those that are no longer heard."""
+        theirs = {item.failure_domain: item.digest_id for item in held}
+        effects: list[Effect] = []
+        for item in self.direct.held():
+            if theirs.pop(item.failure_domain, None) != item.digest_id:
+                effects.append(Send(vm, self.direct.merged[item.failure_domain]))
+        effects += [Send(vm, DomainSilent(domain)) for domain in theirs]
+        return effects
+
+    def probes(self) -> list[VmName]:
+        """Return a few VMs of each failure domain that is not heard directly, in turn."""
+        self._probe_turn += 1
+        vms: list[VmName] = []
+        for domain, contacts in self._contacts.items():
+            if domain in self.direct.merged:
+                continue
+            names = sorted(contacts)
+            first = self._probe_turn * self._probe_count % len(names)
+            vms += (names[first:] + names[:first])[: self._probe_count]
+        return vms
+
+    def excuse(self, gap_s: float, now_s: float) -> None:
+        """Discount a pause of the own process."""
+        self.direct.excuse(gap_s, now_s)
+
+    def refresh(self) -> None:
+        """Recompute the live VMs after a change; what was heard directly wins."""
+        domains = set(self.direct.merged)
+        for view in self.relayed.values():
+            domains |= set(view.digests)
+        self._live = {domain: self._members(domain) for domain in sorted(domains)}
+        everyone = (member for members in self._live.values() for member in members)
+        self._addresses = {member.identity.vm: member.address for member in everyone}
+
+    def _members(self, domain: DomainName) -> tuple[Member, ...]:
+        digests = [v.digests[domain] for v in self.relayed.values() if domain in v.digests]
+        if domain in self.direct.merged:
+            digests.append(self.direct.merged[domain])
+        members = [self._with_hint(member) for member in merged_members(domain, digests)]
+        return tuple(sorted(members, key=lambda m: m.identity.incarnation))
+
+    def _with_hint(self, member: Member) -> Member:
+        listed = member.identity.vm in self._listed_leaving
+        return evolve(member, leaving=True) if listed else member
--- /dev/null
+++ b/src/siskinward/coordination/membership/_settings.py
@@ -0,0 +1,17 @@
+"""Settings of the membership."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+
+@frozen
+class MembershipSettings:
+    """Intervals and bounds; ``stall_bound_s`` is the longest gap between timers not a pause."""
+
+    heartbeat_interval_s: float = 1.0
+    heartbeat_timeout_s: float = 3.5
+    stall_bound_s: float = 1.0
+    forget_after_s: float = 60.0
+    relay_count: int = 2
+    probe_count: int = 2
