Tell live VMs by the membership in look-ups and forwarding

Cause: look-ups and forwarding used the configured VMs, live or not. Conclusion: the part router drives any decision object by message class and timer.

--- a/src/siskinward/console/commands/node.py
+++ b/src/siskinward/console/commands/node.py
@@ -10,6 +10,7 @@
 from eliot import to_file
 
 from siskinward.daemon.node import Node
+from siskinward.state.settings import NodeSettings
 from siskinward.state.settings import load_settings
 
 EXIT_INVALID_INPUT = 1
@@ -29,4 +30,8 @@
         if settings.log.path is not None:
             log = stack.enter_context(open(settings.log.path, "a", encoding="utf-8"))
         to_file(log)
-        curio.run(Node(settings).run)
+        curio.run(_run_node, settings)
+
+
+async def _run_node(settings: NodeSettings) -> None:
+    await Node(settings, await curio.clock()).run()
--- /dev/null
+++ b/src/siskinward/daemon/cluster.py
@@ -0,0 +1,98 @@
+"""This VM's view of the other VMs: who is live, where they listen, who owns what."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinward.coordination.membership import Membership
+from siskinward.coordination.membership import MembershipSettings
+from siskinward.coordination.membership import VmAddress
+from siskinward.coordination.membership import messages as membership_messages
+from siskinward.coordination.platform import ListedVm
+from siskinward.state.objects import Vm
+from siskinward.transport.peer_hub import PeerAddress
+
+if TYPE_CHECKING:
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.membership import Member
+    from siskinward.daemon.part_router import PartRouter
+    from siskinward.daemon.serving_state import ServingState
+    from siskinward.state.identifiers import DomainName
+    from siskinward.state.settings import VmSettings
+    from siskinward.transport.peer_hub import PeerHub
+
+
+class Cluster:
+    """Feeds the membership and keeps the hub's addresses up to date."""
+
+    def __init__(
+        self, own: VmIdentity, settings: VmSettings, hub: PeerHub, router: PartRouter, now_s: float
+    ) -> None:
+        address = VmAddress(settings.host, settings.front_port, settings.peer_port)
+        self._own = own
+        self._own_address = address
+        self._hub = hub
+        self._router = router
+        self._domains: tuple[DomainName, ...] = (own.failure_domain,)
+        self._revision = -1
+        self._is_leaving = False
+        self.membership = Membership(MembershipSettings(), own, address, now_s)
+        router.register(self.membership, membership_messages.MESSAGES)
+
+    def live_vms(self, now_s: float) -> list[Vm]:
+        """Return the live VMs of all heard failure domains that are not leaving."""
+        found = [] if self._is_leaving else [_vm(self._own, self._own_address)]
+        for domain in self._domains:
+            for member in self.membership.live_vms(domain, now_s):
+                if not member.leaving and member.identity.vm != self._own.vm:
+                    found.append(_vm(member.identity, member.address))
+        return found
+
+    def domain_members(self, now_s: float) -> tuple[Member, ...]:
+        """Return the live VMs of the own failure domain, this one included."""
+        return self.membership.live_vms(self._own.failure_domain, now_s)
+
+    async def on_configuration(self, state: ServingState, now_s: float) -> None:
+        """Take the configured VMs as hints."""
+        configuration = state.configuration
+        self._domains = tuple(configuration.failure_domains)
+        vms = configuration.vms.values()
+        await self.on_vm_list(tuple(_listed(vm) for vm in vms), now_s)
+
+    async def on_vm_list(self, listed: tuple[ListedVm, ...], now_s: float) -> None:
+        """Take the platform's list as a hint."""
+        others = tuple(vm for vm in listed if vm.vm != self._own.vm)
+        for vm in others:
+            if not self._hub.has_address(vm.vm):
+                self._hub.set_address(vm.vm, PeerAddress(vm.host, vm.peer_port))
+        await self._router.run(self.membership, self.membership.on_vm_list(others, now_s))
+
+    async def leave(self, now_s: float) -> None:
+        """Tell the others that this VM is about to stop."""
+        self._is_leaving = True
+        await self._router.run(self.membership, self.membership.leave(now_s))
+
+    def refresh_addresses(self, now_s: float) -> bool:
+        """Bring the hub up to date; False when the membership has not changed."""
+        if self.membership.revision == self._revision:
+            return False
+        self._revision = self.membership.revision
+        for domain in self._domains:
+            for member in self.membership.live_vms(domain, now_s):
+                address = PeerAddress(member.address.host, member.address.peer_port)
+                self._hub.set_address(member.identity.vm, address)
+        return True
+
+
+def _vm(identity: VmIdentity, address: VmAddress) -> Vm:
+    return Vm(
+        name=identity.vm,
+        failure_domain=identity.failure_domain,
+        host=address.host,
+        front_port=address.front_port,
+        peer_port=address.peer_port,
+    )
+
+
+def _listed(vm: Vm) -> ListedVm:
+    return ListedVm(vm.name, vm.failure_domain, vm.host, vm.front_port, vm.peer_port, False)
--- a/src/siskinward/daemon/dispatcher.py
+++ b/src/siskinward/daemon/dispatcher.py
@@ -36,7 +36,7 @@
         self,
         local: LocalService,
         forwarder: Forwarder,
-        owners_of: Callable[[ServiceName], list[VmName]],
+        owners_of: Callable[[ServiceName, float], list[VmName]],
         metrics: NodeMetrics,
     ) -> None:
         self._local = local
@@ -48,7 +48,7 @@
         """Return the final outcome; only idempotent or not-run work is tried again."""
         outcome: Outcome = NotRun(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER_S)
         places: list[VmName | None] = [None] if self._local.owns_any(work.service) else []
-        places.extend(self._owners_of(work.service))
+        places.extend(self._owners_of(work.service, await curio.clock()))
         for place in places[:ATTEMPT_LIMIT]:
             result = await self._attempt(place, work)
             outcome = result.outcome
--- a/src/siskinward/daemon/front.py
+++ b/src/siskinward/daemon/front.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
+import curio
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from siskinward.protocol.caller_http import path_of
@@ -34,7 +35,7 @@
         handler: RequestHandler,
         lookups: LookupService,
         metrics: NodeMetrics,
-        health: Callable[[], dict[str, object]],
+        health: Callable[[float], dict[str, object]],
     ) -> None:
         self._handler = handler
         self._lookups = lookups
@@ -47,7 +48,7 @@
             case "/lookup":
                 return await self._lookup(request)
             case "/health":
-                return self._answer_health()
+                return self._answer_health(await curio.clock())
             case "/metrics":
                 headers = ((b"content-type", CONTENT_TYPE_LATEST.encode()),)
                 return HttpResponse(200, headers, self._metrics.render())
@@ -60,7 +61,7 @@
         answer = await self._lookups.answer(query, request.peer)
         return HttpResponse(answer.status, JSON_HEADERS, json.dumps(answer.content).encode())
 
-    def _answer_health(self) -> HttpResponse:
-        health = self._health()
+    def _answer_health(self, now_s: float) -> HttpResponse:
+        health = self._health(now_s)
         status = 200 if health["ready"] else 503
         return HttpResponse(status, JSON_HEADERS, json.dumps(health).encode())
--- a/src/siskinward/daemon/lookup.py
+++ b/src/siskinward/daemon/lookup.py
@@ -5,6 +5,7 @@
 import ipaddress
 from typing import TYPE_CHECKING
 
+import curio
 from attrs import frozen
 
 from siskinward.state.identifiers import ServiceName
@@ -36,7 +37,7 @@
     def __init__(
         self,
         current_state: Callable[[], ServingState | None],
-        live_vms: Callable[[], list[Vm]],
+        live_vms: Callable[[float], list[Vm]],
         mint_tickets: Callable[[int], list[str]],
         ttl_s: float,
         metrics: NodeMetrics,
@@ -62,7 +63,9 @@
         except ValueError:
             return _refusal(400, "malformed")
         domain = _domain_of(state, address)
-        vms = sorted(self._live_vms(), key=lambda vm: _distance(state, vm, domain))
+        vms = sorted(
+            self._live_vms(await curio.clock()), key=lambda vm: _distance(state, vm, domain)
+        )
         content: dict[str, object] = {
             "vms": [_vm_content(vm) for vm in vms[:VMS_LIMIT]],
             "ttl_s": self._ttl_s,
--- /dev/null
+++ b/src/siskinward/daemon/part_router.py
@@ -0,0 +1,59 @@
+"""Drives the decision objects of one VM: messages, timers and the effects that they return."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
+
+import curio
+
+if TYPE_CHECKING:
+    from siskinward.coordination.events import Effect
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.daemon.effect_runner import EffectRunner
+
+
+class Part(Protocol):
+    """A decision object as the embedding program drives it."""
+
+    def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> list[Effect]:
+        """Take a message of another VM."""
+        ...
+
+    def on_timer(self, now_s: float) -> list[Effect]:
+        """Take the passing of time."""
+        ...
+
+
+class PartRouter:
+    """Hands each message to the part that registered its class."""
+
+    def __init__(self, runner: EffectRunner) -> None:
+        self._runner = runner
+        self._parts: list[Part] = []
+        self._part_by_type: dict[type, Part] = {}
+
+    def register(self, part: Part, message_types: tuple[type, ...]) -> None:
+        """Add a part with the message classes that it takes."""
+        self._parts.append(part)
+        for message_type in message_types:
+            self._part_by_type[message_type] = part
+
+    async def deliver(self, message: Any, sender: VmIdentity) -> bool:
+        """Hand over a message; False when no part takes its class."""
+        part = self._part_by_type.get(type(message))
+        if part is None:
+            return False
+        await self.run(part, part.on_message(message, sender, await curio.clock()))
+        return True
+
+    async def tick(self, now_s: float) -> None:
+        """Drive every part's timer."""
+        for part in self._parts:
+            await self.run(part, part.on_timer(now_s))
+
+    async def run(self, part: Any, effects: list[Effect]) -> None:
+        """Carry out effects that a part returned; answers of the table go back to it."""
+        if effects:
+            await self._runner.run(effects, part)
--- a/src/siskinward/protocol/registry.py
+++ b/src/siskinward/protocol/registry.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from siskinward.coordination.membership import messages as membership
 from siskinward.protocol import forwarding
 from siskinward.protocol import handshake
 from siskinward.protocol.codec import MessageCodec
 
-MESSAGES: tuple[type, ...] = (*handshake.MESSAGES, *forwarding.MESSAGES)
+MESSAGES: tuple[type, ...] = (
+    *handshake.MESSAGES,
+    *forwarding.MESSAGES,
+    *membership.MESSAGES,
+)
 
 
 def create_codec() -> MessageCodec:
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import json
 import random
 import socket
 from typing import Any
@@ -102,7 +103,7 @@
         await self.start_node("vm-a", "a", self.ports[1], self.ports[2])
         await self.start_node("vm-b", "b", self.ports[3], self.ports[4])
         for vm in self.vm_ports:
-            await self.wait_for(vm, lambda health: health["ready"])
+            await self.wait_for(vm, lambda health: health["ready"] and len(health["live_vms"]) == 2)
 
     async def start_node(self, vm: str, domain: str, front_port: int, peer_port: int) -> None:
         text = (
@@ -111,7 +112,7 @@
             f"[platform]\nhost = {HOST}\nport = {self.ports[0]}\n"
             f"[peers]\nshared_secret = {SECRET}\n[limits]\nlook_up_ttl_s = 0.2\n"
         )
-        node = Node(parse_settings(text, "test").ok)
+        node = Node(parse_settings(text, "test").ok, await curio.clock())
         self.nodes[vm] = node
         self.stops[vm] = curio.Event()
         await self.spawn(node.serve, self.stops[vm].wait)
@@ -135,8 +136,6 @@
         self.platform.rows["configuration"] = (self.version, msgpack.packb(pointer))
 
     async def wait_for(self, vm: str, condition: Any) -> None:
-        import json
-
         async with curio.timeout_after(WAIT_LIMIT_S):
             while True:
                 response = await self.call(vm, "GET", "/health")
