Refuse requests with both a content length and a transfer encoding

Cause: h11 takes such a request and ignores the length; the test saw the bytes behind it served as a second request (handled: /a, /smuggled). Conclusion: ambiguous lengths are refused as malformed and the connection closes.

--- a/src/siskinward/transport/http_server.py
+++ b/src/siskinward/transport/http_server.py
@@ -112,6 +112,12 @@
         self.status = status
 
 
+def _has_ambiguous_length(head: h11.Request) -> bool:
+    # A server behind this one might believe the other of the two headers.
+    names = {name for name, _ in head.headers}
+    return b"transfer-encoding" in names and b"content-length" in names
+
+
 def _malformed_response(error: _MalformedRequestError) -> HttpResponse:
     body = f'{{"refused": "{error.reason.value}", "outcome": "not-run"}}\n'
     return HttpResponse(error.status, ((b"content-type", b"application/json"),), body.encode())
@@ -129,6 +135,8 @@
         head = await self._next_event(self._settings.idle_timeout_s)
         if not isinstance(head, h11.Request):
             return None
+        if _has_ambiguous_length(head):
+            raise _MalformedRequestError(RefusalReason.MALFORMED, 400)
         body = await self._read_body()
         return HttpRequest(
             method=head.method.decode("ascii"),
--- /dev/null
+++ b/tests/transport/test_peer_hub_strangers.py
@@ -0,0 +1,165 @@
+"""Strangers on the port for other VMs: none of their messages counts, and the hub stays up."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import msgpack
+import pytest
+from attrs import define
+from attrs import field
+
+from siskinward.coordination.events import VmIdentity
+from siskinward.protocol.forwarding import ForwardReply
+from siskinward.protocol.handshake import Hello
+from siskinward.protocol.handshake import compute_proof
+from siskinward.protocol.registry import create_codec
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import VmName
+from siskinward.transport.peer_hub import PeerAddress
+from siskinward.transport.peer_hub import PeerHub
+from siskinward.transport.peer_link import PeerLink
+from siskinward.transport.peer_link import PeerSettings
+from siskinward.transport.sockets import connect
+from siskinward.transport.sockets import listen
+
+HOST = "127.0.0.1"
+WAIT_LIMIT_S = 10.0
+MESSAGE = ForwardReply(7, "incarnation")
+
+
+def identity(name: str) -> VmIdentity:
+    return VmIdentity(VmName(name), DomainName("d"), IncarnationId(f"{name}-1"))
+
+
+@define
+class Receiver:
+    """A hub on a free port, with what it received and the errors that it counted."""
+
+    port: int = 0
+    received: list[Any] = field(factory=list)
+    errors: list[str] = field(factory=list)
+    hub: PeerHub | None = None
+
+    async def start(self, secret: bytes = b"secret") -> None:
+        async def on_message(message: Any, sender: VmIdentity) -> None:
+            self.received.append((message, sender))
+
+        probe = listen(HOST, 0)
+        self.port = probe._socket.getsockname()[1]
+        await probe.close()
+        settings = PeerSettings(identity("receiver"), secret)
+        self.hub = PeerHub(
+            settings, create_codec(), on_message, lambda error: self.errors.append(error.detail)
+        )
+        await curio.spawn(self.hub.serve, HOST, self.port, daemon=True)
+        await curio.sleep(0.02)
+
+    async def wait(self, items: list[Any]) -> None:
+        async with curio.timeout_after(WAIT_LIMIT_S):
+            while not items:
+                await curio.sleep(0.005)
+
+
+async def send_from(receiver: Receiver, name: str, secret: bytes, to: str = "receiver") -> PeerHub:
+    async def ignore(message: Any, sender: VmIdentity) -> None:
+        return None
+
+    errors = receiver.errors
+    hub = PeerHub(
+        PeerSettings(identity(name), secret),
+        create_codec(),
+        ignore,
+        lambda error: errors.append(error.detail),
+    )
+    hub.set_address(VmName(to), PeerAddress(HOST, receiver.port))
+    await hub.send(VmName(to), MESSAGE)
+    return hub
+
+
+def test_peer_hub_delivers_from_a_peer_that_proves_the_secret() -> None:
+    async def main() -> None:
+        receiver = Receiver()
+        await receiver.start()
+        await send_from(receiver, "sender", b"secret")
+        await receiver.wait(receiver.received)
+        assert receiver.received == [(MESSAGE, identity("sender"))]
+
+    curio.run(main)
+
+
+def test_peer_hub_refuses_a_wrong_secret() -> None:
+    async def main() -> None:
+        receiver = Receiver()
+        await receiver.start()
+        await send_from(receiver, "sender", b"another secret")
+        await receiver.wait(receiver.errors)
+        assert receiver.received == []
+        assert receiver.errors[0] == "the shared secret was not proved"
+
+    curio.run(main)
+
+
+def test_peer_hub_sends_nothing_to_a_vm_of_another_name() -> None:
+    async def main() -> None:
+        receiver = Receiver()
+        await receiver.start()
+        await send_from(receiver, "sender", b"secret", to="elsewhere")
+        await receiver.wait(receiver.errors)
+        assert receiver.received == []
+        assert receiver.errors[0] == "expected VM elsewhere, found receiver"
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xc1" * 16,
+        b"GET / HTTP/1.1\r\nhost: x\r\n\r\n",
+        msgpack.packb(["Hello", {"vm": 1}]),
+        msgpack.packb(["Unknown", {}]),
+        msgpack.packb(["ForwardReply", {"correlation_id": 1, "sender_incarnation": "x"}]),
+        msgpack.packb({"a": 1}),
+        b"\xdd\xff\xff\xff\xff",
+        b"\xc6\xff\xff\xff\xff" + b"x" * 1024,
+    ],
+)
+def test_peer_hub_survives_bytes_of_a_stranger(data: bytes) -> None:
+    async def main() -> None:
+        receiver = Receiver()
+        await receiver.start()
+        sock = await connect(HOST, receiver.port)
+        await sock.sendall(data)
+        await sock.close()
+        await send_from(receiver, "sender", b"secret")
+        await receiver.wait(receiver.received)
+        assert [sender for _, sender in receiver.received] == [identity("sender")]
+        assert receiver.errors
+
+    curio.run(main)
+
+
+def test_peer_hub_refuses_a_reflected_challenge() -> None:
+    async def main() -> None:
+        receiver = Receiver()
+        await receiver.start()
+        sock = await connect(HOST, receiver.port)
+        link = PeerLink(sock, create_codec(), "receiver")
+        challenge = await link.read()
+        await link.write(challenge)
+        await receiver.wait(receiver.errors)
+        assert receiver.errors[0] == "the challenge was reflected"
+
+    curio.run(main)
+
+
+def test_proof_binds_the_identity_and_both_nonces() -> None:
+    one = Hello("a", "d", "1", b"n1")
+    other = Hello("b", "d", "2", b"n2")
+    proof = compute_proof(b"secret", one, other)
+    assert proof != compute_proof(b"secret", other, one)
+    assert proof != compute_proof(b"secret", Hello("a", "e", "1", b"n1"), other)
+    assert proof != compute_proof(b"secret", one, Hello("b", "d", "2", b"n3"))
