--- a/src/siskinward/coordination/admission/settings.py
+++ b/src/siskinward/coordination/admission/settings.py
@@ -10,11 +10,12 @@
     """How a VM admits requests to the targets that it owns.
 
     ``hold_margin_s`` is added to a request's deadline before a slot with an unknown outcome is
-    used again; ``hold_limit_s`` bounds that time where a target is known to stop work earlier.
+    used again: it covers clock error and a pause of the VM between taking a slot and sending.
+    ``hold_limit_s`` bounds the whole time where a target is known to stop work earlier.
     The floors are the least shares of dispatches that a waiting class receives.
     """
 
-    hold_margin_s: float = 0.1
+    hold_margin_s: float = 1.0
     hold_limit_s: float = float("inf")
     read_floor_share: float = 0.10
     bulk_floor_share: float = 0.05
