--- /dev/null
+++ b/src/siskinward/console/_edit.py
@@ -0,0 +1,31 @@
+"""Publishes a small edit of the configuration in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from siskinward.console._platform import new_stamp
+from siskinward.console._platform import run_or_fail
+from siskinward.console._publication import require_accepted
+from siskinward.state.configuration import diff_configurations
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinward.coordination.publisher import Publisher
+    from siskinward.coordination.publishing import ConfigurationPointer
+    from siskinward.state.objects import Configuration
+
+
+def publish_edit(
+    publisher: Publisher, edit: Callable[[Configuration], Configuration]
+) -> ConfigurationPointer:
+    """Apply ``edit`` to the version in force and publish it, merged with racing publications."""
+    current = run_or_fail(publisher.read_current())
+    edited = edit(current.configuration)
+    changes = diff_configurations(current.configuration, edited)
+    stamp = new_stamp()
+    publication = curio.run(publisher.publish_changes(changes, stamp))
+    return require_accepted(publication, stamp.publish_id)
--- /dev/null
+++ b/src/siskinward/console/_sources.py
@@ -0,0 +1,44 @@
+"""Reads configurations named by an argument: a file, ``@VERSION`` or ``@current``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinward.console._errors import InvalidInputError
+from siskinward.console._platform import run_or_fail
+from siskinward.state.configuration import load_configuration
+
+if TYPE_CHECKING:
+    from siskinward.coordination.publisher import PublishedConfiguration
+    from siskinward.coordination.publisher import Publisher
+    from siskinward.state.objects import Configuration
+
+CURRENT = "@current"
+
+
+def load_file(path: str) -> Configuration:
+    """Read and check a file; faults end the command."""
+    result = load_configuration(path)
+    if result.is_error():
+        errors = result.error
+        raise InvalidInputError(
+            str(errors), f"{len(errors.errors)} faults. Mend them and try again."
+        )
+    return result.ok
+
+
+def load_source(source: str, publisher: Publisher) -> Configuration:
+    """Read a file or a published version."""
+    if not source.startswith("@"):
+        return load_file(source)
+    return load_published(source, publisher).configuration
+
+
+def load_published(source: str, publisher: Publisher) -> PublishedConfiguration:
+    """Read ``@VERSION`` or ``@current``."""
+    if source == CURRENT:
+        return run_or_fail(publisher.read_current())
+    number = source.removeprefix("@")
+    if not number.isdecimal():
+        raise InvalidInputError(f"{source} is no version", f"Give @VERSION or {CURRENT}.")
+    return run_or_fail(publisher.read_version(int(number)))
--- a/src/siskinward/console/application.py
+++ b/src/siskinward/console/application.py
@@ -5,9 +5,26 @@
 import click
 
 from siskinward import __version__
+from siskinward.console._exit_codes import EXIT_CODES_HELP
+from siskinward.console.commands.check import check
+from siskinward.console.commands.diff import diff
+from siskinward.console.commands.drain import drain
+from siskinward.console.commands.history import history
+from siskinward.console.commands.key import key
+from siskinward.console.commands.publish import publish
+from siskinward.console.commands.show import show
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.group(context_settings={"help_option_names": ["-h", "--help"]}, epilog=EXIT_CODES_HELP)
 @click.version_option(__version__)
 def main() -> None:
     """Steer a deployment's traffic under its operators' rules."""
+
+
+main.add_command(check)
+main.add_command(diff)
+main.add_command(drain)
+main.add_command(history)
+main.add_command(key)
+main.add_command(publish)
+main.add_command(show)
--- /dev/null
+++ b/src/siskinward/console/commands/publish.py
@@ -0,0 +1,120 @@
+"""``siskinward publish``: publishes a configuration file."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import click
+import curio
+
+from siskinward.console._base_version import base_version_of
+from siskinward.console._errors import ConflictError
+from siskinward.console._output import describe_pointer
+from siskinward.console._output import echo_changes
+from siskinward.console._output import echo_json
+from siskinward.console._output import json_option
+from siskinward.console._platform import new_stamp
+from siskinward.console._platform import open_publisher
+from siskinward.console._platform import platform_option
+from siskinward.console._platform import run_or_fail
+from siskinward.console._publication import require_accepted
+from siskinward.console._sources import load_file
+from siskinward.coordination.publishing import LostRace
+from siskinward.state.configuration import diff_configurations
+
+if TYPE_CHECKING:
+    from siskinward.coordination.publisher import PublishedConfiguration
+    from siskinward.coordination.publisher import Publisher
+    from siskinward.coordination.publisher import PublishStamp
+    from siskinward.coordination.publishing import ConfigurationPointer
+    from siskinward.state.objects import Configuration
+
+
+@click.command()
+@click.argument("file", type=click.Path())
+@click.option("--base", type=click.IntRange(0), help="Version that FILE was edited from.")
+@click.option("--merge", is_flag=True, help="Keep others' changes since the base version.")
+@click.option("--publish-id", help="Id of an earlier attempt whose outcome is unknown.")
+@platform_option
+@json_option
+def publish(
+    file: str,
+    base: int | None,
+    merge: bool,
+    publish_id: str | None,
+    address: tuple[str, int],
+    as_json: bool,
+) -> None:
+    """Check FILE and put it in force everywhere.
+
+    FILE replaces the version it was edited from: --base, or the first line that `show` printed.
+    When another version came first, nothing is published and the differences are shown.
+
+    Exit codes: 0 published, 1 invalid input, 2 base version not given, 3 conflict, 4 platform
+    unavailable.
+    """
+    configuration = load_file(file)
+    publisher = open_publisher(address)
+    pointer = None if publish_id is None else run_or_fail(publisher.find(publish_id))
+    if pointer is None:
+        current = run_or_fail(publisher.read_current())
+        base_version = _base_version(file, base, current)
+        stamp = new_stamp(publish_id)
+        if merge:
+            pointer = _publish_merged(publisher, configuration, base_version, stamp)
+        else:
+            pointer = _publish_whole(publisher, configuration, base_version, current, stamp)
+    if as_json:
+        echo_json(pointer)
+        return
+    click.echo(f"published: {describe_pointer(pointer)}")
+
+
+def _base_version(file: str, base: int | None, current: PublishedConfiguration) -> int:
+    """Return the version that the file replaces; only a first publication may leave it out."""
+    version = base if base is not None else base_version_of(file)
+    if version is None and current.pointer.version == 0:
+        return 0
+    if version is None:
+        raise click.UsageError(
+            f"say which version {file} was edited from with --base; "
+            f"version {current.pointer.version} is in force"
+        )
+    return version
+
+
+def _publish_whole(
+    publisher: Publisher,
+    configuration: Configuration,
+    base_version: int,
+    current: PublishedConfiguration,
+    stamp: PublishStamp,
+) -> ConfigurationPointer:
+    if current.pointer.version != base_version:
+        _fail_with_diff(publisher, base_version)
+    publication = curio.run(publisher.publish(configuration, current, stamp))
+    if isinstance(publication, LostRace):
+        _fail_with_diff(publisher, base_version)
+    return require_accepted(publication, stamp.publish_id)
+
+
+def _publish_merged(
+    publisher: Publisher, configuration: Configuration, base_version: int, stamp: PublishStamp
+) -> ConfigurationPointer:
+    base = run_or_fail(publisher.read_version(base_version))
+    changes = diff_configurations(base.configuration, configuration)
+    publication = curio.run(publisher.publish_changes(changes, stamp))
+    return require_accepted(publication, stamp.publish_id)
+
+
+def _fail_with_diff(publisher: Publisher, base_version: int) -> None:
+    """End the command with what others changed since the base version."""
+    base = run_or_fail(publisher.read_version(base_version))
+    current = run_or_fail(publisher.read_current())
+    click.echo(f"Changes by others since version {base_version}:", err=True)
+    changes = diff_configurations(base.configuration, current.configuration)
+    echo_changes(changes, to_stderr=True)
+    raise ConflictError(
+        f"not published: {describe_pointer(current.pointer)} came first",
+        "Add --merge to keep both, or run `siskinward show` and redo your change on it.",
+    )
--- a/src/siskinward/state/configuration/__init__.py
+++ b/src/siskinward/state/configuration/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from siskinward.state.configuration._changes import ObjectChange
+from siskinward.state.configuration._changes import apply_changes
+from siskinward.state.configuration._changes import diff_configurations
 from siskinward.state.configuration._parser import check_configuration
 from siskinward.state.configuration._parser import load_configuration
 from siskinward.state.configuration._parser import parse_configuration
@@ -12,7 +15,10 @@
 __all__ = [
     "ConfigurationError",
     "ConfigurationErrors",
+    "ObjectChange",
+    "apply_changes",
     "check_configuration",
+    "diff_configurations",
     "load_configuration",
     "parse_configuration",
     "render_configuration",
