Run a deployment as plain processes, with callers that check the promises

Cause: the first run showed 7 of 8 VMs missing one another for good: an empty VM list from the platform wiped the configured contacts. The list is now merged over the configured VMs.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $@
 
 demo: setup
-	$(BIN)/siskinward demo
+	examples/demo/run.sh $(BIN)/siskinward
 
 test: setup
 	$(BIN)/python -m pytest
--- a/src/siskinward/console/application.py
+++ b/src/siskinward/console/application.py
@@ -15,6 +15,7 @@
 from siskinward.console.commands.publish import publish
 from siskinward.console.commands.show import show
 from siskinward.console.commands.standin import standin
+from siskinward.console.commands.vms import vms
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]}, epilog=EXIT_CODES_HELP)
@@ -32,3 +33,4 @@
 main.add_command(key)
 main.add_command(publish)
 main.add_command(show)
+main.add_command(vms)
--- a/src/siskinward/console/commands/standin.py
+++ b/src/siskinward/console/commands/standin.py
@@ -4,18 +4,29 @@
 
 import random
 import sys
+from typing import TYPE_CHECKING
 
 import click
 import curio
 
+from siskinward.console._platform import platform_option
+from siskinward.standins.demo_scenario import DemoScenario
+from siskinward.standins.demo_scenario import DemoSettings
 from siskinward.standins.platform import PlatformStandin
+from siskinward.standins.report import render_report
 from siskinward.standins.target import TargetStandin
 from siskinward.standins.target import TargetStandinSettings
 from siskinward.state.configuration import load_configuration
+from siskinward.state.settings import PlatformSettings
+from siskinward.transport.platform_client import PlatformClient
+
+if TYPE_CHECKING:
+    from siskinward.state.objects import Configuration
 
 DEFAULT_HOST = "127.0.0.1"
 DEFAULT_PLATFORM_PORT = 17000
 EXIT_INVALID_INPUT = 1
+EXIT_PROMISE_BROKEN = 5
 
 
 @click.group()
@@ -31,20 +42,44 @@
     curio.run(PlatformStandin().serve, host, port)
 
 
+@standin.command()
+@click.argument("configuration_path", metavar="CONFIGURATION", type=click.Path())
+@platform_option
+@click.option("--duration-s", default=20.0, show_default=True)
+@click.option("--load-share", default=0.25, show_default=True, help="Share of each account's rate.")
+@click.option("--stop-vm-pid", type=int, help="Process that is sent SIGTERM after 12 s.")
+@click.option("--seed", default=1, show_default=True)
+def caller(
+    configuration_path: str,
+    address: tuple[str, int],
+    duration_s: float,
+    load_share: float,
+    stop_vm_pid: int | None,
+    seed: int,
+) -> None:
+    """Offer mixed traffic to the VMs of CONFIGURATION and check the promises."""
+    configuration = _load(configuration_path)
+    settings = DemoSettings(
+        duration_s=duration_s, load_share=load_share, stop_vm_pid=stop_vm_pid, seed=seed
+    )
+    platform = PlatformClient(PlatformSettings(*address))
+    scenario = DemoScenario(settings, configuration, platform, click.echo)
+    report = curio.run(scenario.run)
+    click.echo(render_report(report))
+    sys.exit(0 if report.is_kept else EXIT_PROMISE_BROKEN)
+
+
 @standin.command()
 @click.argument("configuration_path", metavar="CONFIGURATION", type=click.Path())
 @click.option("--service-time-ms", default=20.0, show_default=True)
 @click.option("--seed", default=1, show_default=True)
 def target(configuration_path: str, service_time_ms: float, seed: int) -> None:
     """Serve every target that CONFIGURATION declares."""
-    result = load_configuration(configuration_path)
-    if result.is_error():
-        click.echo(str(result.error), err=True)
-        sys.exit(EXIT_INVALID_INPUT)
+    configuration = _load(configuration_path)
 
     async def serve_all() -> None:
         async with curio.TaskGroup() as group:
-            for number, declared in enumerate(result.ok.targets.values()):
+            for number, declared in enumerate(configuration.targets.values()):
                 settings = TargetStandinSettings(
                     declared.name, declared.slots, service_time_ms / 1000
                 )
@@ -52,3 +87,11 @@
                 await group.spawn(one.serve, declared.host, declared.port)
 
     curio.run(serve_all)
+
+
+def _load(path: str) -> Configuration:
+    result = load_configuration(path)
+    if result.is_error():
+        click.echo(str(result.error), err=True)
+        sys.exit(EXIT_INVALID_INPUT)
+    return result.ok
--- a/src/siskinward/daemon/cluster.py
+++ b/src/siskinward/daemon/cluster.py
@@ -18,6 +18,7 @@
     from siskinward.daemon.part_router import PartRouter
     from siskinward.daemon.serving_state import ServingState
     from siskinward.state.identifiers import DomainName
+    from siskinward.state.identifiers import VmName
     from siskinward.state.settings import VmSettings
     from siskinward.transport.peer_hub import PeerHub
 
@@ -36,6 +37,8 @@
         self._domains: tuple[DomainName, ...] = (own.failure_domain,)
         self._revision = -1
         self._is_leaving = False
+        self._configured: dict[VmName, ListedVm] = {}
+        self._listed: dict[VmName, ListedVm] = {}
         self.membership = Membership(MembershipSettings(), own, address, now_s)
         router.register(self.membership, membership_messages.MESSAGES)
 
@@ -56,16 +59,13 @@
         """Take the configured VMs as hints."""
         configuration = state.configuration
         self._domains = tuple(configuration.failure_domains)
-        vms = configuration.vms.values()
-        await self.on_vm_list(tuple(_listed(vm) for vm in vms), now_s)
+        self._configured = {name: _listed(vm) for name, vm in configuration.vms.items()}
+        await self._on_hints(now_s)
 
     async def on_vm_list(self, listed: tuple[ListedVm, ...], now_s: float) -> None:
-        """Take the platform's list as a hint."""
-        others = tuple(vm for vm in listed if vm.vm != self._own.vm)
-        for vm in others:
-            if not self._hub.has_address(vm.vm):
-                self._hub.set_address(vm.vm, PeerAddress(vm.host, vm.peer_port))
-        await self._router.run(self.membership, self.membership.on_vm_list(others, now_s))
+        """Take the platform's list as a hint; it lags and may lack VMs that are configured."""
+        self._listed = {vm.vm: vm for vm in listed}
+        await self._on_hints(now_s)
 
     async def leave(self, now_s: float) -> None:
         """Tell the others that this VM is about to stop."""
@@ -83,6 +83,14 @@
                 self._hub.set_address(member.identity.vm, address)
         return True
 
+    async def _on_hints(self, now_s: float) -> None:
+        hints = {**self._configured, **self._listed}
+        others = tuple(vm for vm in hints.values() if vm.vm != self._own.vm)
+        for vm in others:
+            if not self._hub.has_address(vm.vm):
+                self._hub.set_address(vm.vm, PeerAddress(vm.host, vm.peer_port))
+        await self._router.run(self.membership, self.membership.on_vm_list(others, now_s))
+
 
 def _vm(identity: VmIdentity, address: VmAddress) -> Vm:
     return Vm(
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import signal
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -32,6 +31,7 @@
 from siskinward.transport.peer_hub import PeerHub
 from siskinward.transport.peer_link import PeerSettings
 from siskinward.transport.platform_client import PlatformClient
+from siskinward.transport.stop_signal import wait_for_stop_signal
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -90,8 +90,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down without cutting off a request."""
-        async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
-            await self.serve(signals.get)
+        await self.serve(wait_for_stop_signal)
 
     async def serve(self, wait_for_stop: Callable[[], Awaitable[Any]]) -> None:
         """Serve until ``wait_for_stop`` returns, then shut down."""
--- a/src/siskinward/standins/caller.py
+++ b/src/siskinward/standins/caller.py
@@ -11,6 +11,7 @@
 from attrs import define
 from attrs import frozen
 
+from siskinward.standins.caller_record import OPEN_ROUTES
 from siskinward.state.objects import Access
 from siskinward.state.objects import ClientAccount
 from siskinward.state.objects import ServiceClass
@@ -77,18 +78,21 @@
             while await curio.clock() < until_s:
                 await group.spawn(self.request, self._pick_route())
                 await curio.sleep(self._rng.expovariate(self._load.rate_per_s))
+        for failure in group.exceptions:
+            if failure is not None:
+                raise failure
 
     async def request(self, route: Route) -> None:
         """Make one request, resent where the caller may, and record its final outcome."""
         start_s = await curio.clock()
-        account = self._load.account.name
+        account = OPEN_ROUTES if route.access is Access.OPEN else self._load.account.name
         self._record.offered(account, route.service, start_s)
         response = await self._attempts(route)
         end_s = await curio.clock()
         if response is None:
             self._record.unanswered(account, route.service)
         elif response.status == 200:
-            self._record.served(account, route.service, end_s - start_s)
+            self._record.served(account, route.service, end_s - start_s, end_s)
         else:
             reason, outcome = _refusal(response)
             self._record.refused(account, route.service, reason, outcome, end_s)
--- a/src/siskinward/standins/caller_record.py
+++ b/src/siskinward/standins/caller_record.py
@@ -16,6 +16,7 @@
 MICROSECONDS_PER_S = 1_000_000
 LATENCY_LIMIT_MICROSECONDS = 60 * MICROSECONDS_PER_S
 SIGNIFICANT_DIGITS = 3
+OPEN_ROUTES = "(open routes)"
 
 
 @frozen
@@ -77,18 +78,19 @@
         self._buckets: dict[str, _ExactBucket] = {}
         self.accounts: dict[str, AccountTally] = {}
         self.unknown_count = 0
-        self.last_served_at_s: dict[str, float] = {}
+        self.served_at_s: dict[str, list[float]] = {}
 
     def offered(self, account: str, service: str, now_s: float) -> None:
         """Count a request, and whether one exact token bucket would have let it pass."""
         tally = self.accounts.setdefault(account, AccountTally())
         tally.offered_count += 1
-        if self._bucket(account, now_s).take(now_s):
+        if account == OPEN_ROUTES or self._bucket(account, now_s).take(now_s):
             tally.inside_count += 1
 
-    def served(self, account: str, service: str, latency_s: float) -> None:
+    def served(self, account: str, service: str, latency_s: float, now_s: float) -> None:
         """Count a whole answer."""
         self.accounts[account].served_count += 1
+        self.served_at_s.setdefault(account, []).append(now_s)
         self._histogram(service).record_value(int(latency_s * MICROSECONDS_PER_S))
 
     def refused(self, account: str, service: str, reason: str, outcome: str, now_s: float) -> None:
--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -156,7 +156,7 @@
                 await self._run_once()
             except SiskinwardError as error:
                 self._on_error(error.error)
-            except (OSError, curio.TaskTimeout, curio.TaskGroupError):
+            except (OSError, curio.TaskTimeout):
                 pass
             await curio.sleep(RECONNECT_DELAY_S)
 
@@ -174,6 +174,8 @@
                 await group.spawn(self._write, link)
                 await group.spawn(self._ping)
                 await group.spawn(self._read_pongs, link)
+            if group.exception is not None:
+                raise group.exception
 
     def _check_peer(self, identity: VmIdentity) -> None:
         if identity.vm == self._to:
--- a/tests/transport/test_peer_hub_strangers.py
+++ b/tests/transport/test_peer_hub_strangers.py
@@ -43,11 +43,11 @@
     errors: list[str] = field(factory=list)
     hub: PeerHub | None = None
 
-    async def start(self, secret: bytes = b"secret") -> None:
+    async def start(self, secret: bytes = b"secret", port: int = 0) -> None:
         async def on_message(message: Any, sender: VmIdentity) -> None:
             self.received.append((message, sender))
 
-        probe = listen(HOST, 0)
+        probe = listen(HOST, port)
         self.port = probe._socket.getsockname()[1]
         await probe.close()
         settings = PeerSettings(identity("receiver"), secret)
@@ -90,6 +90,21 @@
     curio.run(main)
 
 
+def test_peer_hub_reaches_a_peer_that_starts_later() -> None:
+    async def main() -> None:
+        receiver = Receiver()
+        probe = listen(HOST, 0)
+        receiver.port = probe._socket.getsockname()[1]
+        await probe.close()
+        await send_from(receiver, "sender", b"secret")
+        await curio.sleep(0.05)
+        await receiver.start(port=receiver.port)
+        await receiver.wait(receiver.received)
+        assert receiver.received == [(MESSAGE, identity("sender"))]
+
+    curio.run(main)
+
+
 def test_peer_hub_refuses_a_wrong_secret() -> None:
     async def main() -> None:
         receiver = Receiver()
