Add conserved shares: mints, wallets and their ledger

Limits of accounts, links, shifts and retries must hold over the fleet. Tokens are integers, counted against the burst until reported spent or expired.

--- /dev/null
+++ b/src/siskinward/coordination/shares/__init__.py
@@ -0,0 +1,41 @@
+"""Conserved shares: divisible limits enforced over the whole fleet by moving tokens."""
+
+from __future__ import annotations
+
+from siskinward.coordination.shares.keys import AccountTokens
+from siskinward.coordination.shares.keys import LinkBytes
+from siskinward.coordination.shares.keys import ResourceKey
+from siskinward.coordination.shares.keys import RetryTokens
+from siskinward.coordination.shares.keys import ShiftShare
+from siskinward.coordination.shares.messages import MESSAGES
+from siskinward.coordination.shares.messages import MINT_MESSAGES
+from siskinward.coordination.shares.messages import WALLET_MESSAGES
+from siskinward.coordination.shares.mint import TokenMint
+from siskinward.coordination.shares.outcomes import Refused
+from siskinward.coordination.shares.outcomes import Reservation
+from siskinward.coordination.shares.outcomes import Settlement
+from siskinward.coordination.shares.outcomes import Spent
+from siskinward.coordination.shares.outcomes import Wait
+from siskinward.coordination.shares.settings import ShareSettings
+from siskinward.coordination.shares.wallet import MintHolders
+from siskinward.coordination.shares.wallet import TokenWallet
+
+__all__ = [
+    "MESSAGES",
+    "MINT_MESSAGES",
+    "WALLET_MESSAGES",
+    "AccountTokens",
+    "LinkBytes",
+    "MintHolders",
+    "Refused",
+    "Reservation",
+    "ResourceKey",
+    "RetryTokens",
+    "Settlement",
+    "ShareSettings",
+    "ShiftShare",
+    "Spent",
+    "TokenMint",
+    "TokenWallet",
+    "Wait",
+]
--- /dev/null
+++ b/src/siskinward/coordination/shares/_demand.py
@@ -0,0 +1,28 @@
+"""Exponentially weighted estimate of a demand rate."""
+
+from __future__ import annotations
+
+from math import exp
+
+
+class DemandEstimate:
+    """Units per second, averaged over ``window_s``."""
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._rate_per_s = 0.0
+        self._updated_s = 0.0
+        self.last_demand_s = float("-inf")
+
+    def add(self, units: float, now_s: float) -> None:
+        """Count demand."""
+        self._rate_per_s = self.rate_per_s(now_s) + units / self._window_s
+        self._updated_s = now_s
+        self.last_demand_s = now_s
+
+    def rate_per_s(self, now_s: float) -> float:
+        """Return the present estimate."""
+        elapsed_s = now_s - self._updated_s
+        if elapsed_s <= 0:
+            return self._rate_per_s
+        return self._rate_per_s * exp(-elapsed_s / self._window_s)
--- /dev/null
+++ b/src/siskinward/coordination/shares/_supply.py
@@ -0,0 +1,148 @@
+"""Requests from one wallet to the mints: refills, reports, renewals and returns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinward.coordination.events import Effect
+from siskinward.coordination.events import Send
+from siskinward.coordination.shares._purse import Origin
+from siskinward.coordination.shares._purse import Pending
+from siskinward.coordination.shares._purse import Purse
+from siskinward.coordination.shares.messages import TokenRequest
+
+if TYPE_CHECKING:
+    from siskinward.coordination.shares.settings import ShareSettings
+    from siskinward.state.identifiers import DomainName
+    from siskinward.state.identifiers import VmName
+
+
+class Supply:
+    """Decides which mint to ask for what; queues the messages in ``effects``."""
+
+    def __init__(self, settings: ShareSettings) -> None:
+        self._settings = settings
+        self._serial = 0
+        self.holders: dict[DomainName, VmName] = {}
+        self.effects: list[Effect] = []
+
+    def next_attempt_s(self, purse: Purse, now_s: float) -> float:
+        """Return when tokens can come at the earliest, or when to ask again."""
+        next_s = float("inf")
+        for origin in purse.origins.values():
+            if origin.domain not in self.holders or origin.part.burst_micro <= 0:
+                continue
+            if origin.pending is not None:
+                if not origin.pending.timed_out:
+                    next_s = min(next_s, origin.pending.resend_at_s)
+                continue
+            next_s = min(next_s, max(origin.not_before_s, now_s))
+        return next_s
+
+    def refill(self, purse: Purse, now_s: float, *, extra_micro: int = 0) -> None:
+        """Ask mints for what waiters need, and for prefetch once the holding runs low."""
+        held = purse.held_micro
+        waiting = purse.waiting_micro + extra_micro
+        needed = max(waiting - held, 0)
+        spare = max(held - waiting, 0)
+        if not needed and spare >= purse.low_water_micro(now_s, self._settings):
+            return
+        in_flight = purse.in_flight_micro()
+        missing = needed + max(purse.target_micro(now_s, self._settings) - spare, 0) - in_flight
+        needed = max(needed - in_flight, 0)
+        quantum = purse.limit.quantum_micro
+        askable = [origin for origin in purse.origins.values() if self._may_ask(origin, now_s)]
+        askable.sort(key=lambda origin: (origin.distance, -origin.estimate_micro(now_s)))
+        for origin in askable:
+            if missing < quantum:
+                return
+            if not needed and now_s < origin.prefetch_after_s:
+                continue
+            share = min(missing, origin.estimate_micro(now_s))
+            if share < quantum:
+                continue
+            self.send(purse, origin, now_s, needed_micro=min(needed, share), wanted_micro=share)
+            missing -= share
+            needed -= min(needed, share)
+        if needed:
+            self._probe(purse, askable, needed, now_s)
+
+    def _probe(self, purse: Purse, askable: list[Origin], needed: int, now_s: float) -> None:
+        """Ask mints that seem empty: they can recall tokens from other wallets."""
+        for origin in askable:
+            if origin.pending is None:
+                self.send(purse, origin, now_s, needed_micro=needed, wanted_micro=needed)
+
+    def _may_ask(self, origin: Origin, now_s: float) -> bool:
+        if origin.pending is not None or now_s < origin.not_before_s:
+            return False
+        return origin.domain in self.holders and origin.part.burst_micro > 0
+
+    def maintain(self, purse: Purse, origin: Origin, now_s: float) -> None:
+        """Return what is not needed, report what was consumed and renew the holding time."""
+        if origin.pending is not None or origin.domain not in self.holders:
+            return
+        returned = self._returnable(purse, origin, now_s)
+        origin.recalled = False
+        consumed_at_s = origin.consumed_at_s
+        reports = consumed_at_s is not None and now_s - consumed_at_s >= self._settings.report_s
+        renews = origin.held_micro > 0 and origin.expires_s - now_s < self._settings.holding_s / 2
+        if returned or reports or renews:
+            self.send(purse, origin, now_s, returned_micro=returned)
+
+    def _returnable(self, purse: Purse, origin: Origin, now_s: float) -> int:
+        if not origin.held_micro or purse.waiters:
+            return 0
+        settings = self._settings
+        held = purse.held_micro
+        target = purse.target_micro(now_s, settings)
+        if now_s - purse.demand.last_demand_s > settings.idle_return_s:
+            keep = 0
+        elif origin.recalled:
+            keep = purse.low_water_micro(now_s, settings)
+        elif held > 2 * max(target, purse.limit.quantum_micro):
+            keep = target
+        else:
+            return 0
+        returned = min(origin.held_micro, max(held - keep, 0))
+        return returned - returned % purse.limit.quantum_micro
+
+    def send(
+        self,
+        purse: Purse,
+        origin: Origin,
+        now_s: float,
+        *,
+        needed_micro: int = 0,
+        wanted_micro: int = 0,
+        returned_micro: int = 0,
+    ) -> None:
+        holder = self.holders.get(origin.domain)
+        if holder is None:
+            return
+        origin.held_micro -= returned_micro
+        self._serial += 1
+        request = TokenRequest(
+            key=purse.key,
+            serial=self._serial,
+            held_micro=origin.held_micro,
+            returned_micro=returned_micro,
+            needed_micro=needed_micro,
+            wanted_micro=wanted_micro,
+        )
+        origin.consumed_at_s = None
+        resend_at_s = now_s + self._settings.request_timeout_s
+        origin.pending = Pending(holder, request, now_s, resend_at_s)
+        self.effects.append(Send(holder, request))
+
+    def resend(self, origin: Origin, now_s: float) -> None:
+        """Send an unanswered request again; give it up once its tokens would be too old."""
+        pending = origin.pending
+        if pending is None or now_s < pending.resend_at_s:
+            return
+        if now_s - pending.sent_s >= self._settings.holding_s:
+            origin.pending = None
+            return
+        pending.timed_out = True
+        pending.resend_at_s = now_s + self._settings.request_timeout_s
+        self.effects.append(Send(pending.to, pending.request))
--- /dev/null
+++ b/src/siskinward/coordination/shares/mint.py
@@ -0,0 +1,255 @@
+"""Decision object that mints one failure domain's part of every limit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from attrs import define
+from attrs import field
+
+from siskinward.coordination.events import Send
+from siskinward.coordination.shares.ledger import HolderId
+from siskinward.coordination.shares.ledger import MintLedger
+from siskinward.coordination.shares.ledger import empty_ledger
+from siskinward.coordination.shares.limits import limits_of
+from siskinward.coordination.shares.messages import MintHandover
+from siskinward.coordination.shares.messages import TokenAnswer
+from siskinward.coordination.shares.messages import TokenRecall
+from siskinward.coordination.shares.messages import TokenRefusal
+from siskinward.coordination.shares.messages import TokenRequest
+from siskinward.coordination.shares.messages import TokensAvailable
+from siskinward.state.identifiers import VmName
+
+if TYPE_CHECKING:
+    from siskinward.coordination.events import Effect
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.shares.keys import ResourceKey
+    from siskinward.coordination.shares.limits import Limit
+    from siskinward.coordination.shares.settings import ShareSettings
+    from siskinward.state.objects import Configuration
+
+RECALL_FANOUT = 8
+RECALL_INTERVAL_S = 0.01
+
+
+@define
+class _Shortage:
+    """Wallets whose last request fell short, with what they still need."""
+
+    needed_micro: dict[VmName, int] = field(factory=dict)
+    resets_at_s: float = 0.0
+    recall_at_s: float = 0.0
+
+
+class TokenMint:
+    """Mints tokens while this VM holds its failure domain's mint grant.
+
+    The embedding program calls ``on_grant`` with the grant's standing before each ``on_timer``.
+    The mint stops by itself after a stall longer than the pause bound, until the next
+    ``on_grant``.
+    """
+
+    def __init__(self, settings: ShareSettings, own: VmIdentity) -> None:
+        self._settings = settings
+        self._own = own
+        self._limits: dict[ResourceKey, Limit] = {}
+        self._ledgers: dict[ResourceKey, MintLedger] = {}
+        self._shortages: dict[ResourceKey, _Shortage] = {}
+        self._may_use = False
+        self._epoch = 0
+        self._closed_epoch = 0
+        self._last_call_s: float | None = None
+        self._handover: MintHandover | None = None
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the last grant."""
+        return self._epoch
+
+    def ledger(self, key: ResourceKey) -> MintLedger | None:
+        """Return the ledger of a limit, for metrics and tests."""
+        return self._ledgers.get(key)
+
+    def on_accounts(self, configuration: Configuration, now_s: float) -> list[Effect]:
+        """Apply a configuration. No token is created by it; larger parts start later."""
+        former = self._limits
+        self._limits = limits_of(configuration, self._settings)
+        if not self._epoch:
+            return []
+        for key in [key for key in self._ledgers if key not in self._limits]:
+            del self._ledgers[key]
+        for key, limit in self._limits.items():
+            self._apply_limit(key, limit, now_s, is_new=key not in former)
+        return []
+
+    def on_grant(self, may_use: bool, epoch: int, now_s: float) -> list[Effect]:
+        """Take notice of the mint grant's standing."""
+        self._last_call_s = now_s
+        if epoch < self._epoch:
+            self._may_use = False
+            return []
+        self._may_use = may_use
+        if may_use and epoch > self._epoch:
+            self._epoch = epoch
+            self._start_ledgers(now_s)
+            self._adopt_handover(now_s)
+        return []
+
+    def on_timer(self, now_s: float) -> list[Effect]:
+        """Detect stalls; accrual itself needs no timer."""
+        self._check_stall(now_s)
+        return []
+
+    def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> list[Effect]:
+        """Handle a wallet's request or a predecessor's state."""
+        match message:
+            case TokenRequest():
+                return self._on_request(message, sender, now_s)
+            case MintHandover():
+                self._on_handover(message, sender, now_s)
+        return []
+
+    def hand_over(self, successor: VmName, now_s: float) -> list[Effect]:
+        """Stop minting for good in this epoch and send the state to the successor."""
+        if not self._usable(now_s):
+            return []
+        self._closed_epoch = self._epoch
+        ledgers = []
+        for key, ledger in self._ledgers.items():
+            ledger.advance(now_s)
+            if ledger.settled(now_s):
+                ledgers.append(ledger.export(key))
+        return [Send(successor, MintHandover(self._epoch, tuple(ledgers)))]
+
+    def _on_request(self, request: TokenRequest, sender: VmIdentity, now_s: float) -> list[Effect]:
+        ledger = self._ledgers.get(request.key)
+        if ledger is None or not self._usable(now_s):
+            refusal = TokenRefusal(request.key, request.serial, self._settings.backoff_s)
+            return [Send(sender.vm, refusal)]
+        ledger.advance(now_s)
+        holder = HolderId(sender.vm, sender.incarnation)
+        before_micro = ledger.available_micro
+        expires_s = now_s + self._settings.settling_s
+        if not ledger.receive(holder, request, expires_s):
+            return self._answer_again(ledger, holder, request, sender)
+        returned_micro = ledger.available_micro - before_micro
+        granted = ledger.grant(
+            holder, needed_micro=request.needed_micro, wanted_micro=request.wanted_micro
+        )
+        missing_micro = request.needed_micro - granted
+        shortage = self._shortage(request.key, now_s)
+        shortage.needed_micro.pop(sender.vm, None)
+        effects: list[Effect] = []
+        if returned_micro > 0:
+            effects += self._wake(request.key, shortage, ledger.available_micro)
+        if missing_micro > 0:
+            shortage.needed_micro[sender.vm] = missing_micro
+            effects += self._recall(request.key, ledger, holder, now_s)
+        retry_after_s = self._retry_after_s(ledger, shortage) if missing_micro > 0 else 0.0
+        answer = TokenAnswer(
+            request.key, request.serial, granted, ledger.available_micro, retry_after_s
+        )
+        return [Send(sender.vm, answer), *effects]
+
+    def _answer_again(
+        self, ledger: MintLedger, holder: HolderId, request: TokenRequest, sender: VmIdentity
+    ) -> list[Effect]:
+        granted = ledger.granted_for(holder, request.serial)
+        if granted is None:
+            return []
+        answer = TokenAnswer(request.key, request.serial, granted, ledger.available_micro, 0.0)
+        return [Send(sender.vm, answer)]
+
+    def _shortage(self, key: ResourceKey, now_s: float) -> _Shortage:
+        shortage = self._shortages.setdefault(key, _Shortage())
+        if now_s >= shortage.resets_at_s:
+            shortage.needed_micro.clear()
+            shortage.resets_at_s = now_s + self._settings.backoff_limit_s
+        return shortage
+
+    def _wake(self, key: ResourceKey, shortage: _Shortage, available_micro: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for vm, needed_micro in list(shortage.needed_micro.items()):
+            if available_micro <= 0:
+                break
+            available_micro -= needed_micro
+            del shortage.needed_micro[vm]
+            effects.append(Send(vm, TokensAvailable(key)))
+        return effects
+
+    def _recall(
+        self, key: ResourceKey, ledger: MintLedger, asking: HolderId, now_s: float
+    ) -> list[Effect]:
+        shortage = self._shortages[key]
+        if now_s < shortage.recall_at_s:
+            return []
+        shortage.recall_at_s = now_s + RECALL_INTERVAL_S
+        return [
+            Send(vm, TokenRecall(key)) for vm in ledger.holders_to_recall(asking, RECALL_FANOUT)
+        ]
+
+    def _retry_after_s(self, ledger: MintLedger, shortage: _Shortage) -> float:
+        rate = ledger.part.rate_micro_per_s
+        if rate <= 0:
+            return self._settings.backoff_limit_s
+        queued_s = (sum(shortage.needed_micro.values()) - ledger.available_micro) / rate
+        return min(max(queued_s, self._settings.backoff_s), self._settings.backoff_limit_s)
+
+    def _on_handover(self, message: MintHandover, sender: VmIdentity, now_s: float) -> None:
+        if sender.failure_domain != self._own.failure_domain or sender.vm == self._own.vm:
+            return
+        self._handover = message
+        if self._usable(now_s):
+            self._adopt_handover(now_s)
+
+    def _adopt_handover(self, now_s: float) -> None:
+        """Adopt the state of the epoch just before this one, at most once."""
+        handover = self._handover
+        if handover is None or handover.epoch + 1 != self._epoch:
+            return
+        self._handover = None
+        for state in handover.ledgers:
+            ledger = self._ledgers.get(state.key)
+            if ledger is not None and not ledger.settled(now_s):
+                ledger.adopt(state, now_s, now_s + self._settings.settling_s)
+
+    def _start_ledgers(self, now_s: float) -> None:
+        self._shortages.clear()
+        self._ledgers.clear()
+        for key, limit in self._limits.items():
+            self._start_ledger(key, limit, now_s)
+
+    def _start_ledger(self, key: ResourceKey, limit: Limit, now_s: float) -> None:
+        part = limit.part_of(self._own.failure_domain)
+        if part.burst_micro <= 0:
+            return
+        self._ledgers[key] = MintLedger(
+            part,
+            quantum_micro=limit.quantum_micro,
+            now_s=now_s,
+            settles_at_s=now_s + self._settings.settling_s,
+        )
+
+    def _apply_limit(self, key: ResourceKey, limit: Limit, now_s: float, *, is_new: bool) -> None:
+        ledger = self._ledgers.get(key)
+        if ledger is None and is_new:
+            self._start_ledger(key, limit, now_s)
+            return
+        part = limit.part_of(self._own.failure_domain)
+        if ledger is None:
+            if part.burst_micro <= 0:
+                return
+            ledger = empty_ledger(quantum_micro=limit.quantum_micro, now_s=now_s)
+            self._ledgers[key] = ledger
+        growth_at_s = now_s + self._settings.growth_delay_s + self._settings.settling_s
+        ledger.set_part(part, now_s, growth_at_s=growth_at_s)
+
+    def _usable(self, now_s: float) -> bool:
+        self._check_stall(now_s)
+        return self._may_use and self._closed_epoch != self._epoch
+
+    def _check_stall(self, now_s: float) -> None:
+        if self._last_call_s is None or now_s - self._last_call_s > self._settings.pause_bound_s:
+            self._may_use = False
+        self._last_call_s = now_s
