Add tickets: at-most-once claims with a home, a copy and an exhaustive search

Cause: bookings must run at most once without the store on the path. A claim is recorded at the ticket's home and at its copy before dispatch; either can bar it.

--- /dev/null
+++ b/src/siskinward/coordination/tickets/__init__.py
@@ -0,0 +1,27 @@
+"""At most once: tickets, their claims, and claims under callers' own keys."""
+
+from __future__ import annotations
+
+from siskinward.coordination.tickets._book import TicketBook
+from siskinward.coordination.tickets._decisions import AnswerCaller
+from siskinward.coordination.tickets._decisions import Dispatch
+from siskinward.coordination.tickets._decisions import TicketStep
+from siskinward.coordination.tickets._settings import TicketSettings
+from siskinward.coordination.tickets._states import NotRunScope
+from siskinward.coordination.tickets._ticket import Ticket
+from siskinward.coordination.tickets._ticket import is_ticket
+from siskinward.coordination.tickets._ticket import read_ticket
+from siskinward.coordination.tickets._ticket import write_ticket
+
+__all__ = [
+    "AnswerCaller",
+    "Dispatch",
+    "NotRunScope",
+    "Ticket",
+    "TicketBook",
+    "TicketSettings",
+    "TicketStep",
+    "is_ticket",
+    "read_ticket",
+    "write_ticket",
+]
--- /dev/null
+++ b/src/siskinward/coordination/tickets/_attempts.py
@@ -0,0 +1,226 @@
+"""The entry VM's part: one attempt per send, from its claim request to its final outcome."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+from attrs import frozen
+
+from siskinward.coordination.events import Send
+from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import Outcome
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.tickets._decisions import AnswerCaller
+from siskinward.coordination.tickets._decisions import Dispatch
+from siskinward.coordination.tickets._decisions import TicketStep
+from siskinward.coordination.tickets._outbox import FinishOutbox
+from siskinward.coordination.tickets._states import Claim
+from siskinward.coordination.tickets._states import NotRunScope
+from siskinward.coordination.tickets._states import Role
+from siskinward.coordination.tickets._ticket import Ticket
+from siskinward.coordination.tickets.messages import ClaimGranted
+from siskinward.coordination.tickets.messages import ClaimPending
+from siskinward.coordination.tickets.messages import ClaimQuery
+from siskinward.coordination.tickets.messages import ClaimRequest
+from siskinward.coordination.tickets.messages import ClaimSettled
+from siskinward.coordination.tickets.messages import HomeMoved
+from siskinward.coordination.tickets.messages import RoleGone
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinward.coordination.tickets._settings import TicketSettings
+
+
+@frozen
+class AskingHome:
+    """The home was asked for the claim."""
+
+
+@frozen
+class AskingCopy:
+    """The home was silent; the copy was asked too."""
+
+
+@frozen
+class Withdrawing:
+    """Both were silent; the attempt will not run, and asks them to record that."""
+
+
+@frozen
+class Waiting:
+    """Another attempt holds the claim; its outcome will follow."""
+
+
+@frozen
+class Dispatched:
+    """The claim was granted and the request was dispatched."""
+
+
+Stage = AskingHome | AskingCopy | Withdrawing | Waiting | Dispatched
+
+
+@frozen
+class Attempt:
+    """One send under a ticket."""
+
+    ticket: Ticket
+    claim: Claim
+    deadline_s: float
+    stage: Stage
+    next_at_s: float
+    gone: frozenset[Role] = frozenset()
+
+
+class TicketAttempts:
+    """Drives attempts at this VM. An attempt is dispatched at most once, or withdrawn."""
+
+    def __init__(self, settings: TicketSettings, home_of: Callable[[Ticket], VmIdentity]) -> None:
+        self._settings = settings
+        self._home_of = home_of
+        self._attempts: dict[str, Attempt] = {}
+        self._outbox = FinishOutbox(settings, home_of)
+
+    def __contains__(self, attempt_id: str) -> bool:
+        return attempt_id in self._attempts
+
+    def begin(
+        self, ticket: Ticket, claim: Claim, deadline_s: float, now_s: float
+    ) -> list[TicketStep]:
+        """Ask the home for the claim."""
+        next_at_s = now_s + self._settings.ask_timeout_s
+        attempt = Attempt(ticket, claim, deadline_s, AskingHome(), next_at_s)
+        self._attempts[claim.attempt_id] = attempt
+        return [self._request(attempt)]
+
+    def on_granted(self, message: ClaimGranted) -> list[TicketStep]:
+        """Dispatch, unless the attempt was withdrawn or dispatched before."""
+        attempt = self._attempts.get(message.claim.attempt_id)
+        if attempt is None or not isinstance(attempt.stage, AskingHome | AskingCopy):
+            return []
+        self._store(evolve(attempt, stage=Dispatched()))
+        return [Dispatch(message.claim.attempt_id)]
+
+    def on_pending(self, message: ClaimPending) -> list[TicketStep]:
+        """Another attempt holds the claim: wait for its outcome."""
+        attempt = self._attempts.get(message.claim.attempt_id)
+        if attempt is not None and isinstance(attempt.stage, AskingHome | AskingCopy):
+            self._store(evolve(attempt, stage=Waiting(), next_at_s=attempt.deadline_s))
+        return []
+
+    def on_settled(self, message: ClaimSettled, now_s: float) -> list[TicketStep]:
+        """The home or the copy has recorded a final outcome."""
+        attempt_id = message.claim.attempt_id
+        self._outbox.on_recorded(attempt_id, message.role)
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or isinstance(attempt.stage, Dispatched):
+            return []
+        del self._attempts[attempt_id]
+        steps: list[TicketStep] = [AnswerCaller(attempt_id, message.outcome, message.scope)]
+        if _bars_ticket(message.outcome):
+            other = Role.COPY if message.role is Role.HOME else Role.HOME
+            steps += self._outbox.post(attempt.ticket, attempt.claim, message.outcome, other, now_s)
+        return steps
+
+    def on_gone(self, message: RoleGone, now_s: float) -> list[TicketStep]:
+        """The home or the copy was replaced: go on at once, without its time-out."""
+        attempt_id = message.claim.attempt_id
+        self._outbox.on_recorded(attempt_id, message.role)
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return []
+        attempt = evolve(attempt, gone=attempt.gone | {message.role})
+        self._store(attempt)
+        return self._advance(attempt, now_s)
+
+    def on_moved(self, message: HomeMoved) -> list[TicketStep]:
+        """The home role moved: ask its successor."""
+        return [
+            self._request(attempt)
+            for attempt in self._attempts.values()
+            if attempt.ticket.home.incarnation == message.home
+            and isinstance(attempt.stage, AskingHome | AskingCopy)
+        ]
+
+    def on_timer(self, now_s: float) -> list[TicketStep]:
+        """Advance attempts whose time-out or deadline has passed; repeat unrecorded outcomes."""
+        steps: list[TicketStep] = []
+        for attempt in list(self._attempts.values()):
+            if isinstance(attempt.stage, Dispatched):
+                continue
+            if now_s >= attempt.deadline_s:
+                steps += self._give_up(attempt, now_s)
+            elif now_s >= attempt.next_at_s:
+                steps += self._advance(attempt, now_s)
+        return steps + self._outbox.on_timer(now_s)
+
+    def finished(self, attempt_id: str, outcome: Outcome, now_s: float) -> list[TicketStep]:
+        """Report a dispatched attempt's final outcome to the home and the copy."""
+        attempt = self._attempts.pop(attempt_id)
+        return self._post_both(attempt, outcome, now_s)
+
+    def _advance(self, attempt: Attempt, now_s: float) -> list[TicketStep]:
+        match attempt.stage:
+            case AskingHome() if self._may_ask_copy(attempt):
+                next_at_s = now_s + self._settings.ask_timeout_s
+                self._store(evolve(attempt, stage=AskingCopy(), next_at_s=next_at_s))
+                return [self._request(attempt), self._query(attempt)]
+            case AskingHome() | AskingCopy():
+                return self._withdraw(attempt, now_s)
+            case Withdrawing() if now_s >= attempt.next_at_s or self._all_gone(attempt):
+                return self._give_up(attempt, now_s)
+            case _:
+                return []
+
+    def _withdraw(self, attempt: Attempt, now_s: float) -> list[TicketStep]:
+        if self._all_gone(attempt):
+            return self._give_up(attempt, now_s)
+        next_at_s = now_s + self._settings.ask_timeout_s
+        self._store(evolve(attempt, stage=Withdrawing(), next_at_s=next_at_s))
+        return self._post_both(attempt, self._withdrawal(), now_s)
+
+    def _give_up(self, attempt: Attempt, now_s: float) -> list[TicketStep]:
+        del self._attempts[attempt.claim.attempt_id]
+        reason = RefusalReason.CLAIM_UNAVAILABLE
+        steps: list[TicketStep] = []
+        match attempt.stage:
+            case Waiting():
+                reason = RefusalReason.IN_PROGRESS
+            case AskingHome() | AskingCopy():
+                steps = self._post_both(attempt, self._withdrawal(), now_s)
+        answer = AnswerCaller(attempt.claim.attempt_id, Unknown(reason), NotRunScope.SEND)
+        return [answer, *steps]
+
+    def _post_both(self, attempt: Attempt, outcome: Outcome, now_s: float) -> list[TicketStep]:
+        steps: list[TicketStep] = []
+        for role in Role:
+            if role not in attempt.gone:
+                steps += self._outbox.post(attempt.ticket, attempt.claim, outcome, role, now_s)
+        return steps
+
+    def _withdrawal(self) -> NotRun:
+        return NotRun(RefusalReason.CLAIM_UNAVAILABLE, self._settings.retry_after_s)
+
+    def _may_ask_copy(self, attempt: Attempt) -> bool:
+        return attempt.ticket.copy is not None and Role.COPY not in attempt.gone
+
+    def _all_gone(self, attempt: Attempt) -> bool:
+        return Role.HOME in attempt.gone and not self._may_ask_copy(attempt)
+
+    def _request(self, attempt: Attempt) -> TicketStep:
+        return Send(self._home_of(attempt.ticket).vm, ClaimRequest(attempt.ticket, attempt.claim))
+
+    def _query(self, attempt: Attempt) -> TicketStep:
+        assert attempt.ticket.copy is not None
+        return Send(attempt.ticket.copy.vm, ClaimQuery(attempt.ticket, attempt.claim))
+
+    def _store(self, attempt: Attempt) -> None:
+        self._attempts[attempt.claim.attempt_id] = attempt
+
+
+def _bars_ticket(outcome: Outcome) -> bool:
+    # A send that does not belong to the ticket must not bar the request that does.
+    return isinstance(outcome, NotRun) and outcome.reason is not RefusalReason.TICKET_INVALID
--- /dev/null
+++ b/src/siskinward/coordination/tickets/_decisions.py
@@ -0,0 +1,28 @@
+"""Local decisions of the ticket book, carried out by the embedding program."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from siskinward.coordination.events import Effect
+from siskinward.coordination.outcomes import Outcome
+from siskinward.coordination.tickets._states import NotRunScope
+
+
+@frozen
+class Dispatch:
+    """Run the attempt now; its final outcome is reported by ``finished``."""
+
+    attempt_id: str
+
+
+@frozen
+class AnswerCaller:
+    """End the attempt without running it. ``scope`` qualifies a ``NotRun`` outcome."""
+
+    attempt_id: str
+    outcome: Outcome
+    scope: NotRunScope
+
+
+TicketStep = Effect | Dispatch | AnswerCaller
--- /dev/null
+++ b/src/siskinward/coordination/tickets/_hand_over.py
@@ -0,0 +1,90 @@
+"""Moves a home role to a domain peer in parts, at shutdown."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from siskinward.coordination.events import Effect
+from siskinward.coordination.events import Send
+from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.tickets._states import TicketRecord
+from siskinward.coordination.tickets.messages import HandOverNoted
+from siskinward.coordination.tickets.messages import HandOverPart
+
+if TYPE_CHECKING:
+    from siskinward.coordination.tickets._records import TicketRecords
+    from siskinward.coordination.tickets._settings import TicketSettings
+    from siskinward.state.identifiers import IncarnationId
+
+
+@frozen
+class _Unnoted:
+    part: HandOverPart
+    send_at_s: float
+
+
+class HandOverSender:
+    """Sends the parts of home roles until the successor has noted each."""
+
+    def __init__(self, settings: TicketSettings) -> None:
+        self._settings = settings
+        self._unnoted: dict[HandOverNoted, _Unnoted] = {}
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the successor has noted every part."""
+        return not self._unnoted
+
+    def start(
+        self,
+        home: VmIdentity,
+        successor: VmIdentity,
+        records: TicketRecords,
+        home_now_s: float,
+        now_s: float,
+    ) -> list[Effect]:
+        """Cut the home's records into parts and send them."""
+        states = records.of_home(home.incarnation)
+        rows = [TicketRecord(key.serial, state) for key, state in states]
+        size = self._settings.hand_over_records
+        chunks = [tuple(rows[at : at + size]) for at in range(0, len(rows), size)] or [()]
+        dropped = records.dropped_serial(home.incarnation)
+        for index, chunk in enumerate(chunks):
+            part = HandOverPart(home, successor, index, len(chunks), home_now_s, dropped, chunk)
+            noted = HandOverNoted(home.incarnation, index)
+            self._unnoted[noted] = _Unnoted(part, now_s)
+        return self.on_timer(now_s)
+
+    def on_noted(self, message: HandOverNoted) -> None:
+        """The successor has a part."""
+        self._unnoted.pop(message, None)
+
+    def on_timer(self, now_s: float) -> list[Effect]:
+        """Send the parts that are due."""
+        effects: list[Effect] = []
+        for noted, entry in list(self._unnoted.items()):
+            if entry.send_at_s > now_s:
+                continue
+            send_at_s = now_s + self._settings.finish_interval_s
+            self._unnoted[noted] = _Unnoted(entry.part, send_at_s)
+            effects.append(Send(entry.part.successor.vm, entry.part))
+        return effects
+
+
+class HandOverReceiver:
+    """Collects the parts of home roles; a role is used only once all of them are here."""
+
+    def __init__(self) -> None:
+        self._parts: dict[IncarnationId, dict[int, HandOverPart]] = {}
+
+    def add(self, message: HandOverPart) -> list[HandOverPart]:
+        """All parts once they are complete, else an empty list."""
+        incarnation = message.home.incarnation
+        parts = self._parts.setdefault(incarnation, {})
+        parts[message.part] = message
+        if len(parts) < message.parts:
+            return []
+        del self._parts[incarnation]
+        return list(parts.values())
--- /dev/null
+++ b/src/siskinward/coordination/tickets/_home_role.py
@@ -0,0 +1,150 @@
+"""The home's part: decides which attempt may claim a ticket that it, or its predecessor, minted."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinward.coordination.events import Effect
+from siskinward.coordination.events import Send
+from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.tickets._hand_over import HandOverReceiver
+from siskinward.coordination.tickets._hand_over import HandOverSender
+from siskinward.coordination.tickets._keeper import RecordKeeper
+from siskinward.coordination.tickets._records import RecordKey
+from siskinward.coordination.tickets._records import key_of
+from siskinward.coordination.tickets._states import Claim
+from siskinward.coordination.tickets._states import Claimed
+from siskinward.coordination.tickets._states import New
+from siskinward.coordination.tickets._states import Role
+from siskinward.coordination.tickets._states import Running
+from siskinward.coordination.tickets.messages import ClaimCopy
+from siskinward.coordination.tickets.messages import ClaimFinished
+from siskinward.coordination.tickets.messages import ClaimGranted
+from siskinward.coordination.tickets.messages import ClaimRequest
+from siskinward.coordination.tickets.messages import HandOverNoted
+from siskinward.coordination.tickets.messages import HandOverPart
+from siskinward.coordination.tickets.messages import HomeMoved
+from siskinward.coordination.tickets.messages import RoleGone
+
+if TYPE_CHECKING:
+    from siskinward.coordination.tickets._settings import TicketSettings
+    from siskinward.coordination.tickets._ticket import Ticket
+    from siskinward.state.identifiers import IncarnationId
+
+MS_PER_S = 1000.0
+
+
+class HomeRole:
+    """Holds the home role of its own incarnation and of those handed over to it."""
+
+    def __init__(self, settings: TicketSettings, own: VmIdentity) -> None:
+        self._settings = settings
+        self._own = own
+        self.keeper = RecordKeeper(settings, Role.HOME)
+        # Held homes, each with the offset of this VM's clock from the home's.
+        self._clock_offsets_s: dict[IncarnationId, float] = {own.incarnation: 0.0}
+        self._identities: dict[IncarnationId, VmIdentity] = {own.incarnation: own}
+        self._successors: dict[IncarnationId, VmIdentity] = {}
+        self._sender = HandOverSender(settings)
+        self._receiver = HandOverReceiver()
+
+    @property
+    def is_handed_over(self) -> bool:
+        """Whether the successor has noted everything."""
+        return not self._clock_offsets_s and self._sender.is_done
+
+    def on_request(self, message: ClaimRequest, now_s: float) -> list[Effect]:
+        """Claim a new ticket for the attempt, or tell it what became of the ticket."""
+        ticket, claim = message.ticket, message.claim
+        if not self._holds(ticket):
+            return [self._elsewhere(ticket, claim)]
+        key = key_of(ticket)
+        match self.keeper.records.state(key):
+            case New():
+                return self._claim(key, ticket, claim, now_s)
+            case Claimed(holder) | Running(holder) if holder == claim:
+                return [_confirm(ticket, claim)]
+            case _:
+                return self.keeper.answer(key, claim)
+
+    def on_finished(self, message: ClaimFinished, now_s: float) -> list[Effect]:
+        """Record the claimant's final outcome."""
+        if not self._holds(message.ticket):
+            return [self._elsewhere(message.ticket, message.claim)]
+        return self.keeper.finish(message, now_s)
+
+    def hand_over(self, successor: VmIdentity, now_s: float) -> list[Effect]:
+        """Give up every held home role; from now on no claim is made here."""
+        effects: list[Effect] = []
+        for incarnation, offset_s in self._clock_offsets_s.items():
+            home = self._identities[incarnation]
+            records = self.keeper.records
+            effects += self._sender.start(home, successor, records, now_s - offset_s, now_s)
+            self._successors[incarnation] = successor
+        self._clock_offsets_s = {}
+        return effects
+
+    def moves(self) -> list[HomeMoved]:
+        """The home roles given up here and their successors."""
+        return [HomeMoved(home, successor) for home, successor in self._successors.items()]
+
+    def on_hand_over(self, message: HandOverPart, sender: VmIdentity, now_s: float) -> list[Effect]:
+        """Collect the parts of a home role and hold it once they are complete."""
+        if message.successor.incarnation != self._own.incarnation:
+            return []
+        incarnation = message.home.incarnation
+        noted = Send(sender.vm, HandOverNoted(incarnation, message.part))
+        if incarnation in self._clock_offsets_s or incarnation in self._successors:
+            return [noted]
+        parts = self._receiver.add(message)
+        if parts:
+            self._adopt(parts, now_s)
+        return [noted]
+
+    def on_noted(self, message: HandOverNoted) -> None:
+        """The successor has a part."""
+        self._sender.on_noted(message)
+
+    def on_timer(self, now_s: float) -> list[Effect]:
+        """Send again what the successor has not noted; drop old records."""
+        self.keeper.expire(now_s)
+        return self._sender.on_timer(now_s)
+
+    def _claim(self, key: RecordKey, ticket: Ticket, claim: Claim, now_s: float) -> list[Effect]:
+        offset_s = self._clock_offsets_s[key.home]
+        age_s = now_s - offset_s - ticket.minted_at_ms / MS_PER_S
+        if age_s > self._settings.claim_lifetime_s:
+            return self.keeper.refuse_send(claim, RefusalReason.TICKET_INVALID)
+        refusal = self.keeper.refuse_unrecorded(key, claim)
+        if refusal:
+            return refusal
+        state = Claimed(claim) if ticket.copy else Running(claim)
+        self.keeper.records.put(key, state, now_s)
+        return [_confirm(ticket, claim)]
+
+    def _adopt(self, parts: list[HandOverPart], now_s: float) -> None:
+        home = parts[0].home
+        self._identities[home.incarnation] = home
+        self._clock_offsets_s[home.incarnation] = now_s - parts[0].sender_now_s
+        self.keeper.records.note_dropped(home.incarnation, parts[0].dropped_serial)
+        for part in parts:
+            for record in part.records:
+                key = RecordKey(home.incarnation, record.serial)
+                self.keeper.records.put(key, record.state, now_s)
+
+    def _holds(self, ticket: Ticket) -> bool:
+        return ticket.home.incarnation in self._clock_offsets_s
+
+    def _elsewhere(self, ticket: Ticket, claim: Claim) -> Effect:
+        successor = self._successors.get(ticket.home.incarnation)
+        if successor is None:
+            return Send(claim.claimant.vm, RoleGone(claim, Role.HOME))
+        return Send(claim.claimant.vm, HomeMoved(ticket.home.incarnation, successor))
+
+
+def _confirm(ticket: Ticket, claim: Claim) -> Effect:
+    # A ticket without a copy was minted by the only VM of its failure domain.
+    if ticket.copy is None:
+        return Send(claim.claimant.vm, ClaimGranted(claim))
+    return Send(ticket.copy.vm, ClaimCopy(ticket, claim))
--- /dev/null
+++ b/src/siskinward/coordination/tickets/_keeper.py
@@ -0,0 +1,119 @@
+"""What the home role and the copy role share: records, resends, outcomes, waiting resends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinward.coordination.events import Effect
+from siskinward.coordination.events import Send
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import Outcome
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.tickets._records import RecordKey
+from siskinward.coordination.tickets._records import TicketRecords
+from siskinward.coordination.tickets._records import key_of
+from siskinward.coordination.tickets._states import Claim
+from siskinward.coordination.tickets._states import Claimed
+from siskinward.coordination.tickets._states import Lost
+from siskinward.coordination.tickets._states import New
+from siskinward.coordination.tickets._states import NotRunScope
+from siskinward.coordination.tickets._states import Role
+from siskinward.coordination.tickets._states import Running
+from siskinward.coordination.tickets._states import claim_of
+from siskinward.coordination.tickets._states import finished_state
+from siskinward.coordination.tickets._states import outcome_of
+from siskinward.coordination.tickets.messages import ClaimFinished
+from siskinward.coordination.tickets.messages import ClaimPending
+from siskinward.coordination.tickets.messages import ClaimSettled
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from siskinward.coordination.tickets._settings import TicketSettings
+    from siskinward.state.identifiers import IncarnationId
+
+
+class RecordKeeper:
+    """Records tickets in one role and answers the attempts that ask for them."""
+
+    def __init__(self, settings: TicketSettings, role: Role) -> None:
+        self._settings = settings
+        self._role = role
+        self.records = TicketRecords(settings)
+        self._waiters: dict[RecordKey, tuple[Claim, ...]] = {}
+
+    def refuse_send(self, claim: Claim, reason: RefusalReason) -> list[Effect]:
+        """Refuse this send; nothing is said about earlier ones."""
+        refusal = NotRun(reason, self._settings.retry_after_s)
+        return [self._settled(claim, refusal, NotRunScope.SEND)]
+
+    def refuse_unrecorded(self, key: RecordKey, claim: Claim) -> list[Effect]:
+        """Refuse a send for which no record can be made; empty if one can."""
+        if self.records.was_dropped(key):
+            return self.refuse_send(claim, RefusalReason.TICKET_INVALID)
+        if self.records.is_full():
+            return self.refuse_send(claim, RefusalReason.CLAIM_UNAVAILABLE)
+        return []
+
+    def answer(self, key: RecordKey, claim: Claim) -> list[Effect]:
+        """Tell an attempt what became of a recorded ticket, now or once it is known."""
+        state = self.records.state(key)
+        holder = claim_of(state)
+        if holder is not None and not claim.is_resend_of(holder):
+            return self.refuse_send(claim, RefusalReason.TICKET_INVALID)
+        outcome = outcome_of(state)
+        if outcome is not None:
+            return [self._settled(claim, outcome)]
+        return self._wait(key, claim)
+
+    def finish(self, message: ClaimFinished, now_s: float) -> list[Effect]:
+        """Record the claimant's final outcome and tell it, and those who wait, the result."""
+        key = key_of(message.ticket)
+        state = self.records.state(key)
+        match state:
+            case New():
+                refusal = self.refuse_unrecorded(key, message.claim)
+                if refusal:
+                    return refusal
+                self._record_outcome(key, message, now_s)
+            case Claimed(claim) | Running(claim) | Lost(claim) if claim == message.claim:
+                self._record_outcome(key, message, now_s)
+        outcome = outcome_of(self.records.state(key))
+        if outcome is None:
+            return [self._settled(message.claim, Unknown(RefusalReason.IN_PROGRESS))]
+        return [self._settled(message.claim, outcome), *self._notify(key, outcome)]
+
+    def lose_claimants(self, departed: Collection[IncarnationId], now_s: float) -> list[Effect]:
+        """Mark the open claims of departed claimants as lost."""
+        effects: list[Effect] = []
+        for key, state in self.records.open_claims():
+            if state.claim.claimant.incarnation not in departed:
+                continue
+            lost = Lost(state.claim, RefusalReason.PEER_LOST)
+            self.records.put(key, lost, now_s)
+            effects += self._notify(key, Unknown(lost.reason))
+        return effects
+
+    def expire(self, now_s: float) -> None:
+        """Drop records past their lifetime."""
+        self.records.expire(now_s)
+
+    def _record_outcome(self, key: RecordKey, message: ClaimFinished, now_s: float) -> None:
+        self.records.put(key, finished_state(message.claim, message.outcome), now_s)
+
+    def _wait(self, key: RecordKey, claim: Claim) -> list[Effect]:
+        waiters = self._waiters.get(key, ())
+        if claim not in waiters:
+            if len(waiters) >= self._settings.waiter_limit:
+                return [self._settled(claim, Unknown(RefusalReason.IN_PROGRESS))]
+            self._waiters[key] = (*waiters, claim)
+        return [Send(claim.claimant.vm, ClaimPending(claim))]
+
+    def _notify(self, key: RecordKey, outcome: Outcome) -> list[Effect]:
+        return [self._settled(claim, outcome) for claim in self._waiters.pop(key, ())]
+
+    def _settled(
+        self, claim: Claim, outcome: Outcome, scope: NotRunScope = NotRunScope.REQUEST
+    ) -> Effect:
+        return Send(claim.claimant.vm, ClaimSettled(claim, outcome, scope, self._role))
--- /dev/null
+++ b/tests/coordination/tickets/search.py
@@ -0,0 +1,333 @@
+"""Exhaustive search over the interleavings of a few ticket books and their messages.
+
+Every message ever sent may be delivered at any time, any number of times, or never: that covers
+loss, duplication, reordering and delay. A VM that is never stepped again has stalled or died; a
+replaced one starts anew with another incarnation. Local steps are computed once per book state.
+"""
+
+from __future__ import annotations
+
+import copy
+from enum import Enum
+from types import MethodType
+from typing import TYPE_CHECKING
+from typing import Any
+
+from attrs import evolve
+from attrs import frozen
+
+from siskinward.coordination.events import Send
+from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.outcomes import Answered
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.tickets import AnswerCaller
+from siskinward.coordination.tickets import Dispatch
+from siskinward.coordination.tickets import NotRunScope
+from siskinward.coordination.tickets import TicketBook
+from siskinward.coordination.tickets import TicketSettings
+from siskinward.coordination.tickets import TicketStep
+from siskinward.coordination.tickets._attempts import Dispatched
+from siskinward.state.identifiers import AccountName
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+SETTINGS = TicketSettings(ask_timeout_s=1.0)
+SECRET = b"deployment secret"
+DEADLINE_S = 1000.0
+MAX_TICKS = 3
+SHED = NotRun(RefusalReason.TARGET_SHED, 1.0)
+LOST = Unknown(RefusalReason.TARGET_LOST)
+
+
+class Violation(AssertionError):
+    """A promise was broken."""
+
+
+@frozen
+class Begin:
+    attempt: str
+
+
+@frozen
+class Deliver:
+    sender: VmIdentity
+    to: str
+    message: Any
+
+
+@frozen
+class Tick:
+    vm: str
+
+
+@frozen
+class Replace:
+    vm: str
+
+
+@frozen
+class Depart:
+    vm: str
+    at: str
+
+
+@frozen
+class Finish:
+    attempt: str
+    outcome: Any
+
+
+@frozen
+class HandOver:
+    vm: str
+    peer: str
+
+
+@frozen
+class Node:
+    """A VM's process. Nodes and events are interned, so that identity stands for equality."""
+
+    identity: VmIdentity
+    book: int
+    now_s: int = 0
+
+
+class Fate(Enum):
+    """What became of an attempt."""
+
+    BEGUN = "begun"
+    DISPATCHED = "dispatched"
+    RAN = "ran"
+    SHED = "shed"
+
+
+@frozen(cache_hash=True)
+class World:
+    """``nodes`` are numbers of interned nodes; ``messages`` and ``answers`` are sets of bits."""
+
+    nodes: tuple[int, ...]
+    messages: int = 0
+    fates: frozenset[tuple[str, Fate]] = frozenset()
+    answers: int = 0
+    replaced: frozenset[str] = frozenset()
+    departed: frozenset[Depart] = frozenset()
+    handed_over: bool = False
+
+
+class Interner:
+    """Numbers equal values alike."""
+
+    def __init__(self) -> None:
+        self.values: list[Any] = []
+        self._numbers: dict[Any, int] = {}
+
+    def number(self, value: Any) -> int:
+        if value not in self._numbers:
+            self._numbers[value] = len(self.values)
+            self.values.append(value)
+        return self._numbers[value]
+
+    def members(self, bits: int) -> list[int]:
+        return [number for number in range(bits.bit_length()) if bits >> number & 1]
+
+
+@frozen
+class Scenario:
+    """VMs, the VM of each send, and which faults may occur."""
+
+    sends: tuple[tuple[str, str], ...]
+    vms: tuple[str, ...] = ("home", "kopy", "left", "rite")
+    replaceable: tuple[str, ...] = ()
+    replacements: int = 1
+    departures: bool = False
+    hand_over: HandOver | None = None
+
+
+def identity(vm: str, number: int = 0) -> VmIdentity:
+    return VmIdentity(vm, "domain", f"{vm}-{number}")  # type: ignore[arg-type]
+
+
+def freeze(value: Any) -> Any:
+    """A hashable image of a book's whole state."""
+    if isinstance(value, MethodType | TicketSettings):
+        return None
+    if isinstance(value, dict):
+        return frozenset((key, freeze(item)) for key, item in value.items())
+    if hasattr(value, "__dict__") and not isinstance(value, Enum):
+        return (type(value).__name__, freeze(vars(value)))
+    return value
+
+
+class Search:
+    """Visits every reachable world of a scenario once and checks the promises in each."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario = scenario
+        self.ticket = ""
+        self._entry = dict(scenario.sends)
+        self._at = {vm: position for position, vm in enumerate(scenario.vms)}
+        self._books: list[TicketBook] = []
+        self._book_numbers: dict[Any, int] = {}
+        self._nodes = Interner()
+        self._messages = Interner()
+        self._answers = Interner()
+        self._steps: dict[tuple[int, Any], tuple[int, tuple[Any, ...]]] = {}
+
+    def run(self) -> int:
+        """Number of worlds visited."""
+        start = self._start()
+        seen = {start}
+        stack = [start]
+        while stack:
+            for following in self._following(stack.pop()):
+                if following in seen:
+                    continue
+                self._check(following)
+                seen.add(following)
+                stack.append(following)
+        return len(seen)
+
+    def _start(self) -> World:
+        live = tuple(identity(vm) for vm in self.scenario.vms)
+        nodes = []
+        for vm in self.scenario.vms:
+            book = TicketBook(SETTINGS, identity(vm), SECRET)
+            book.on_members(live, 0.0)
+            if vm == "home":
+                self.ticket = book.mint(0.0)
+            nodes.append(self._nodes.number(Node(identity(vm), self._book(book))))
+        return World(tuple(nodes))
+
+    def _book(self, book: TicketBook) -> int:
+        image = freeze(book)
+        if image not in self._book_numbers:
+            self._book_numbers[image] = len(self._books)
+            self._books.append(book)
+        return self._book_numbers[image]
+
+    def _following(self, world: World) -> Iterator[World]:
+        for number in self._messages.members(world.messages):
+            message: Deliver = self._messages.values[number]
+            yield self._step(world, message.to, number)
+        for event in self._events(world):
+            yield self._apply(world, event)
+
+    def _events(self, world: World) -> Iterator[Any]:
+        begun = {attempt for attempt, _ in world.fates}
+        yield from (Begin(attempt) for attempt in self._entry if attempt not in begun)
+        for attempt in (attempt for attempt, fate in world.fates if fate is Fate.DISPATCHED):
+            answer = Answered(200, (), attempt.encode())
+            yield from (Finish(attempt, outcome) for outcome in (answer, SHED, LOST))
+        yield from (Tick(vm) for vm in set(self._entry.values()) if self._may_tick(world, vm))
+        if len(world.replaced) < self.scenario.replacements:
+            yield from (Replace(vm) for vm in self.scenario.replaceable if vm not in world.replaced)
+        if self.scenario.departures:
+            departures = {Depart(vm, at) for vm in world.replaced for at in self._at if at != vm}
+            yield from departures - world.departed
+        if self.scenario.hand_over and not world.handed_over:
+            yield self.scenario.hand_over
+
+    def _may_tick(self, world: World, vm: str) -> bool:
+        node: Node = self._nodes.values[world.nodes[self._at[vm]]]
+        attempts = vars(self._books[node.book])["_attempts"]
+        stages = [type(attempt.stage) for attempt in vars(attempts)["_attempts"].values()]
+        return any(stage is not Dispatched for stage in stages) and node.now_s < MAX_TICKS
+
+    def _apply(self, world: World, event: Any) -> World:
+        match event:
+            case Begin(attempt):
+                world = evolve(world, fates=world.fates | {(attempt, Fate.BEGUN)})
+                return self._step(world, self._entry[attempt], event)
+            case Finish(attempt, outcome):
+                fate = Fate.SHED if outcome == SHED else Fate.RAN
+                fates = (world.fates - {(attempt, Fate.DISPATCHED)}) | {(attempt, fate)}
+                return self._step(evolve(world, fates=fates), self._entry[attempt], event)
+            case Replace(vm):
+                return self._replace(world, vm)
+            case Depart():
+                world = evolve(world, departed=world.departed | {event})
+                return self._step(world, event.at, event)
+            case HandOver():
+                return self._step(evolve(world, handed_over=True), event.vm, event)
+        return self._step(world, event.vm, event)
+
+    def _replace(self, world: World, vm: str) -> World:
+        fresh = identity(vm, 1)
+        book = TicketBook(SETTINGS, fresh, SECRET)
+        book.on_members([identity(name) for name in self._at if name != vm] + [fresh], 0.0)
+        nodes = list(world.nodes)
+        nodes[self._at[vm]] = self._nodes.number(Node(fresh, self._book(book)))
+        # What was dispatched may have run; it can no longer be finished.
+        fates = frozenset(
+            (attempt, Fate.RAN if fate is Fate.DISPATCHED and self._entry[attempt] == vm else fate)
+            for attempt, fate in world.fates
+        )
+        replaced = world.replaced | {vm}
+        return evolve(world, nodes=tuple(nodes), fates=fates, replaced=replaced)
+
+    def _step(self, world: World, vm: str, event: Any) -> World:
+        at = self._at[vm]
+        key = (world.nodes[at], event)
+        if key not in self._steps:
+            self._steps[key] = self._local(self._nodes.values[world.nodes[at]], event)
+        number, steps = self._steps[key]
+        if number == world.nodes[at] and not steps:
+            return world
+        nodes = (*world.nodes[:at], number, *world.nodes[at + 1 :])
+        messages, answers, fates = world.messages, world.answers, set(world.fates)
+        for step in steps:
+            match step:
+                case Deliver():
+                    messages |= 1 << self._messages.number(step)
+                case Dispatch(attempt):
+                    fates.add((attempt, Fate.DISPATCHED))
+                case AnswerCaller():
+                    answers |= 1 << self._answers.number(step)
+        return evolve(
+            world, nodes=nodes, messages=messages, answers=answers, fates=frozenset(fates)
+        )
+
+    def _local(self, node: Node, event: Any) -> tuple[int, tuple[Any, ...]]:
+        if isinstance(event, Tick):
+            node = evolve(node, now_s=node.now_s + 1)
+        book = copy.deepcopy(self._books[node.book])
+        steps = self._drive(book, event, float(node.now_s))
+        number = self._nodes.number(evolve(node, book=self._book(book)))
+        return number, tuple(
+            Deliver(node.identity, step.to, step.message) if isinstance(step, Send) else step
+            for step in steps
+        )
+
+    def _drive(self, book: TicketBook, event: Any, now_s: float) -> list[TicketStep]:
+        match event:
+            case int():
+                message: Deliver = self._messages.values[event]
+                return book.on_message(message.message, message.sender, now_s)
+            case Begin(attempt):
+                account = AccountName("account")
+                return book.begin(attempt, self.ticket, account, "print", DEADLINE_S, now_s)
+            case Finish(attempt, outcome):
+                return book.finished(attempt, outcome, now_s)
+            case Depart(vm):
+                live = [identity(name) for name in self._at if name != vm]
+                return book.on_members(live, now_s)
+            case HandOver(_, peer):
+                return book.hand_over(identity(peer), now_s)
+        return book.on_timer(now_s)
+
+    def _check(self, world: World) -> None:
+        may_have_run = {a for a, fate in world.fates if fate in (Fate.DISPATCHED, Fate.RAN)}
+        dispatched = may_have_run | {a for a, fate in world.fates if fate is Fate.SHED}
+        if len(dispatched) > 1:
+            raise Violation(f"dispatched twice: {dispatched}")
+        for number in self._answers.members(world.answers):
+            match self._answers.values[number]:
+                case AnswerCaller(outcome=NotRun(), scope=NotRunScope.REQUEST) if may_have_run:
+                    raise Violation(f"false not-run, {may_have_run} may have run")
+                case AnswerCaller(attempt_id=attempt) if attempt in dispatched:
+                    raise Violation(f"{attempt} was dispatched and answered besides")
+                case AnswerCaller(outcome=Answered(body=body)) if body.decode() not in dispatched:
+                    raise Violation(f"an answer that no attempt gave: {body!r}")
