Route requests by own counts, distrusted reports, latency and link budgets

Router compares the owners in the own domain with a sample of other domains. Reports lose weight with age and when answers contradict them. Link bytes, cold places, closed domains and back-off are respected.

--- /dev/null
+++ b/src/siskinward/coordination/routing/router.py
@@ -0,0 +1,254 @@
+"""Choice of the failure domain and VM that runs a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.routing._load_view import LoadView
+from siskinward.coordination.routing.link_budget import LinkBudgets
+from siskinward.coordination.routing.subset import peer_subset
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import RegionName
+from siskinward.state.identifiers import ServiceName
+from siskinward.state.identifiers import VmName
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+    from random import Random
+
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.routing.messages import DomainLoad
+    from siskinward.coordination.routing.messages import OwnerLoad
+    from siskinward.coordination.routing.messages import ServiceLoad
+    from siskinward.coordination.routing.settings import RoutingSettings
+    from siskinward.state.objects import Configuration
+
+MS_PER_S = 1000.0
+PEERS_PER_DOMAIN = 2
+SAME_DOMAIN_LATENCY_S = 0.0002
+SAME_REGION_LATENCY_S = 0.001
+UNLINKED_LATENCY_S = 0.05
+
+
+@frozen
+class Place:
+    """Where a service runs: one owner VM of the own domain, or another failure domain."""
+
+    failure_domain: DomainName
+    service: ServiceName
+    owner: VmName | None
+
+
+@frozen
+class Choice:
+    """The VM to hand a request to, with what is expected of it."""
+
+    place: Place
+    vm: VmName
+    region: RegionName
+    predicted_s: float
+    charged_bytes: int
+
+
+class Router:
+    """Ranks places by network latency and expected wait, own outstanding requests first.
+
+    Owners in the own failure domain and a random sample of the other domains are compared, so
+    that many VMs with the same reports do not all choose the same place.
+    """
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        own: VmIdentity,
+        configuration: Configuration,
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._own = own
+        self._random = random
+        self._configuration = configuration
+        self._own_region = configuration.failure_domains[own.failure_domain].region
+        self._links = LinkBudgets(settings, configuration, self._own_region)
+        self._latencies_s = self._latencies()
+        self._views: dict[Place, LoadView] = {}
+        self._places: dict[ServiceName, list[Place]] = {}
+        self._vms: dict[DomainName, tuple[VmName, ...]] = {}
+        self._answer_bytes: dict[ServiceName, float] = {}
+        self._closed_domains: frozenset[DomainName] = frozenset()
+        self._leaving_vms: frozenset[VmName] = frozenset()
+
+    def on_configuration(self, configuration: Configuration, now_s: float) -> None:
+        """Take in a new configuration."""
+        self._configuration = configuration
+        self._links.set_configuration(configuration, now_s=now_s)
+        self._latencies_s = self._latencies()
+        domains = configuration.failure_domains
+        for place in [place for place in self._views if place.failure_domain not in domains]:
+            del self._views[place]
+            self._places[place.service].remove(place)
+
+    def set_closed(self, *, domains: Iterable[DomainName], leaving_vms: Iterable[VmName]) -> None:
+        """Set the domains (drained or unreachable) and VMs that get no new requests."""
+        self._closed_domains = frozenset(domains)
+        self._leaving_vms = frozenset(leaving_vms)
+
+    def on_owner_load(self, report: OwnerLoad, sender: VmIdentity, now_s: float) -> None:
+        """Take in the load of an owner in the own failure domain, this VM included."""
+        if sender.failure_domain != self._own.failure_domain:
+            return
+        for load in report.loads:
+            place = Place(sender.failure_domain, load.service, sender.vm)
+            self._on_load(place, load, report.sequence, now_s)
+
+    def on_domain_load(self, report: DomainLoad, now_s: float) -> None:
+        """Take in the load of another failure domain."""
+        domain = report.failure_domain
+        if domain == self._own.failure_domain:
+            return
+        self._vms[domain] = report.vms
+        for load in report.loads:
+            self._on_load(Place(domain, load.service, None), load, report.sequence, now_s)
+
+    def on_traffic_moved(self, domain: DomainName, now_s: float) -> None:
+        """Ramp a failure domain that a planned shift sends new traffic to."""
+        for place, view in self._views.items():
+            if place.failure_domain == domain:
+                view.restart_ramp(now_s)
+
+    def choose(
+        self,
+        service: ServiceName,
+        *,
+        request_bytes: int,
+        excluded: Collection[VmName],
+        now_s: float,
+    ) -> Choice | RefusalReason:
+        """Choose where a request runs, or say why nowhere; ``excluded`` VMs failed it before."""
+        candidates = self._candidates(service, excluded, now_s)
+        if not candidates:
+            return RefusalReason.NO_TARGET
+        answer_bytes = self._answer_bytes.get(service, self._settings.initial_answer_bytes)
+        size_bytes = request_bytes + int(answer_bytes)
+        sendable = [place for place in candidates if self._fits_link(place, size_bytes, now_s)]
+        if not sendable:
+            return RefusalReason.LINK_BUDGET
+        open_places = [p for p in sendable if not self._views[p].is_backing_off(now_s)]
+        place = min(open_places or sendable, key=lambda place: self._rank(place, now_s))
+        return self._choice(place, excluded, size_bytes, now_s)
+
+    def on_sent(self, choice: Choice, now_s: float) -> None:
+        """Note that the request was handed to the chosen VM."""
+        self._views[choice.place].outstanding += 1
+        self._links.spend(choice.region, size_bytes=choice.charged_bytes, now_s=now_s)
+
+    def on_answer(
+        self, choice: Choice, *, took_s: float, service_s: float, size_bytes: int, now_s: float
+    ) -> None:
+        """Note an answer: the whole time, the target's part of it and bytes both ways."""
+        view = self._views[choice.place]
+        view.outstanding -= 1
+        network_s = 2.0 * self._latencies_s[choice.place.failure_domain]
+        view.on_answer(
+            took_s=took_s,
+            predicted_s=choice.predicted_s,
+            wait_s=max(0.0, took_s - service_s - network_s),
+            now_s=now_s,
+        )
+        unexpected_bytes = size_bytes - choice.charged_bytes
+        self._links.spend(choice.region, size_bytes=unexpected_bytes, now_s=now_s)
+        service = choice.place.service
+        known = self._answer_bytes.get(service, self._settings.initial_answer_bytes)
+        self._answer_bytes[service] = known + self._settings.smoothing * (size_bytes - known)
+
+    def on_refusal(self, choice: Choice, *, retry_after_s: float, now_s: float) -> None:
+        """Note that the chosen VM refused the request."""
+        view = self._views[choice.place]
+        view.outstanding -= 1
+        view.on_refusal(retry_after_s=retry_after_s, now_s=now_s)
+
+    def on_lost(self, choice: Choice, now_s: float) -> None:
+        """Note that the stream to the chosen VM broke, or that it did not answer in time."""
+        self.on_refusal(choice, retry_after_s=self._settings.max_backoff_s, now_s=now_s)
+
+    def _on_load(self, place: Place, load: ServiceLoad, sequence: int, now_s: float) -> None:
+        view = self._views.get(place)
+        if view is None:
+            view = self._views[place] = LoadView(self._settings, now_s)
+            self._places.setdefault(place.service, []).append(place)
+        view.on_report(load, sequence=sequence, now_s=now_s)
+
+    def _candidates(
+        self, service: ServiceName, excluded: Collection[VmName], now_s: float
+    ) -> list[Place]:
+        owners: list[Place] = []
+        others: list[Place] = []
+        for place in self._places.get(service, ()):
+            if place.failure_domain in self._closed_domains:
+                continue
+            if not self._views[place].is_known(now_s):
+                continue
+            if not self._open_vms(place, excluded):
+                continue
+            (others if place.owner is None else owners).append(place)
+        return owners + self._sample(others)
+
+    def _sample(self, places: list[Place]) -> list[Place]:
+        """Distinct places, drawn by their slots."""
+        keyed = [
+            (self._random.random() ** (1.0 / self._views[place].slots), number)
+            for number, place in enumerate(places)
+        ]
+        keyed.sort(reverse=True)
+        return [places[number] for _, number in keyed[: self._settings.sampled_domains]]
+
+    def _open_vms(self, place: Place, excluded: Collection[VmName]) -> list[VmName]:
+        vms = self._vms.get(place.failure_domain, ()) if place.owner is None else (place.owner,)
+        return [vm for vm in vms if vm not in excluded and vm not in self._leaving_vms]
+
+    def _fits_link(self, place: Place, size_bytes: int, now_s: float) -> bool:
+        region = self._region_of(place.failure_domain)
+        return self._links.may_send(region, size_bytes=size_bytes, now_s=now_s)
+
+    def _rank(self, place: Place, now_s: float) -> tuple[float, float]:
+        view = self._views[place]
+        network_s = 0.0
+        if place.owner != self._own.vm:
+            network_s = 2.0 * self._latencies_s[place.failure_domain]
+        return network_s + view.expected_wait_s(now_s), view.utilisation(now_s)
+
+    def _choice(
+        self, place: Place, excluded: Collection[VmName], size_bytes: int, now_s: float
+    ) -> Choice:
+        vms = self._open_vms(place, excluded)
+        near = peer_subset(self._own.vm, vms, count=PEERS_PER_DOMAIN)
+        return Choice(
+            place=place,
+            vm=self._random.choice(near),
+            region=self._region_of(place.failure_domain),
+            predicted_s=self._rank(place, now_s)[0] + self._views[place].service_s,
+            charged_bytes=size_bytes,
+        )
+
+    def _region_of(self, domain: DomainName) -> RegionName:
+        return self._configuration.failure_domains[domain].region
+
+    def _latencies(self) -> dict[DomainName, float]:
+        """One-way latency to each failure domain."""
+        between: dict[RegionName, float] = {self._own_region: SAME_REGION_LATENCY_S}
+        for link in self._configuration.links.values():
+            if self._own_region in (link.from_region, link.to_region):
+                other = link.to_region
+                if other == self._own_region:
+                    other = link.from_region
+                between[other] = link.one_way_latency_ms / MS_PER_S
+        latencies = {
+            name: between.get(domain.region, UNLINKED_LATENCY_S)
+            for name, domain in self._configuration.failure_domains.items()
+        }
+        latencies[self._own.failure_domain] = SAME_DOMAIN_LATENCY_S
+        return latencies
--- /dev/null
+++ b/src/siskinward/coordination/routing/target_picker.py
@@ -0,0 +1,117 @@
+"""Choice among the targets that this VM owns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from siskinward.coordination.routing._ramp import ramp_share
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+    from random import Random
+
+    from siskinward.coordination.admission import SlotLedger
+    from siskinward.coordination.routing.settings import RoutingSettings
+    from siskinward.state.identifiers import TargetName
+
+
+@define
+class _TargetView:
+    """What requests at a target met."""
+
+    up_since_s: float
+    took_s: float | None = None
+    failures: int = 0
+    suspended_until_s: float = float("-inf")
+
+
+class TargetPicker:
+    """Picks the least used target by exact counts; slow, cold and failing ones get less.
+
+    After a failure a target is left alone for a time that doubles with each further failure,
+    then it is tried with one request at a time until one succeeds.
+    """
+
+    def __init__(self, settings: RoutingSettings, random: Random) -> None:
+        self._settings = settings
+        self._random = random
+        self._views: dict[TargetName, _TargetView] = {}
+        self._leaving: frozenset[TargetName] = frozenset()
+
+    def set_leaving(self, targets: Iterable[TargetName]) -> None:
+        """Set the targets that get no new work: draining, or leaving of their own accord."""
+        self._leaving = frozenset(targets)
+
+    def on_target_up(self, target: TargetName, now_s: float) -> None:
+        """Note that a target is newly up, or cold after a move, and begin its ramp."""
+        self._views[target] = _TargetView(up_since_s=now_s)
+
+    def forget(self, target: TargetName) -> None:
+        """Drop what is known of a target that left."""
+        self._views.pop(target, None)
+
+    def slots_open(self, target: TargetName, *, slots: int, now_s: float) -> int:
+        """How many of its slots a target may fill now."""
+        if target in self._leaving:
+            return 0
+        view = self._views.get(target)
+        if view is None:
+            return slots
+        if now_s < view.suspended_until_s:
+            return 0
+        if view.failures:
+            return 1
+        share = ramp_share(self._settings, up_since_s=view.up_since_s, now_s=now_s)
+        return max(1, int(slots * share))
+
+    def pick(
+        self,
+        ledger: SlotLedger,
+        targets: Iterable[TargetName],
+        *,
+        excluded: Collection[TargetName],
+        now_s: float,
+    ) -> TargetName | None:
+        """The target to take a slot at, or ``None`` when none has one to give."""
+        best: TargetName | None = None
+        best_score = (0.0, 0.0)
+        for target in targets:
+            if target in excluded or ledger.free(target) == 0:
+                continue
+            in_use = ledger.in_use(target)
+            slots = in_use + ledger.free(target)
+            open_slots = self.slots_open(target, slots=slots, now_s=now_s)
+            if in_use >= open_slots:
+                continue
+            score = ((in_use + 1) / open_slots * self._slowness(target), self._random.random())
+            if best is None or score < best_score:
+                best, best_score = target, score
+        return best
+
+    def on_answer(self, target: TargetName, *, took_s: float) -> None:
+        """Note a request that the target completed."""
+        view = self._views.setdefault(target, _TargetView(up_since_s=float("-inf")))
+        view.failures = 0
+        if view.took_s is None:
+            view.took_s = took_s
+        view.took_s += self._settings.smoothing * (took_s - view.took_s)
+
+    def on_failure(self, target: TargetName, now_s: float) -> None:
+        """Note a request that the target failed, or a connection that it refused."""
+        view = self._views.setdefault(target, _TargetView(up_since_s=float("-inf")))
+        if now_s < view.suspended_until_s:
+            return
+        pause_s = self._settings.suspend_s * 2.0**view.failures
+        view.suspended_until_s = now_s + min(pause_s, self._settings.max_suspend_s)
+        view.failures += 1
+
+    def _slowness(self, target: TargetName) -> float:
+        """Recent time at the target against the mean of all, never below one."""
+        view = self._views.get(target)
+        known = [other.took_s for other in self._views.values() if other.took_s]
+        if view is None or not view.took_s or not known:
+            return 1.0
+        return max(1.0, view.took_s * len(known) / sum(known))
