--- a/src/siskinward/console/_sources.py
+++ b/src/siskinward/console/_sources.py
@@ -21,9 +21,7 @@
     result = load_configuration(path)
     if result.is_error():
         errors = result.error
-        raise InvalidInputError(
-            str(errors), f"{len(errors.errors)} faults. Mend them and try again."
-        )
+        raise InvalidInputError(errors, f"Faults: {len(errors.errors)}. Mend them and try again.")
     return result.ok
 
 
@@ -41,4 +39,12 @@
     number = source.removeprefix("@")
     if not number.isdecimal():
         raise InvalidInputError(f"{source} is no version", f"Give @VERSION or {CURRENT}.")
-    return run_or_fail(publisher.read_version(int(number)))
+    return load_version(int(number), publisher)
+
+
+def load_version(version: int, publisher: Publisher) -> PublishedConfiguration:
+    """Read a version from the history."""
+    published = run_or_fail(publisher.read_version(version))
+    if published is None:
+        raise InvalidInputError(f"there is no version {version}", "Run `siskinward history`.")
+    return published
--- a/src/siskinward/console/commands/check.py
+++ b/src/siskinward/console/commands/check.py
@@ -31,9 +31,7 @@
         echo_json({"file": file, "ok": not errors, "errors": errors})
         ctx.exit(ExitCode.INVALID_INPUT if errors else ExitCode.OK)
     if errors:
-        raise InvalidInputError(
-            str(result.error), f"{len(errors)} faults. Mend them and check again."
-        )
+        raise InvalidInputError(result.error, f"Faults: {len(errors)}. Mend them and check again.")
     click.echo(f"{file}: no faults" if is_settings else f"{file}: no faults ({_sizes(result.ok)})")
 
 
--- a/src/siskinward/console/commands/publish.py
+++ b/src/siskinward/console/commands/publish.py
@@ -19,6 +19,7 @@
 from siskinward.console._platform import run_or_fail
 from siskinward.console._publication import require_accepted
 from siskinward.console._sources import load_file
+from siskinward.console._sources import load_version
 from siskinward.coordination.publishing import LostRace
 from siskinward.state.configuration import diff_configurations
 
@@ -101,7 +102,7 @@
 def _publish_merged(
     publisher: Publisher, configuration: Configuration, base_version: int, stamp: PublishStamp
 ) -> ConfigurationPointer:
-    base = run_or_fail(publisher.read_version(base_version))
+    base = load_version(base_version, publisher)
     changes = diff_configurations(base.configuration, configuration)
     publication = curio.run(publisher.publish_changes(changes, stamp))
     return require_accepted(publication, stamp.publish_id)
@@ -109,7 +110,7 @@
 
 def _fail_with_diff(publisher: Publisher, base_version: int) -> None:
     """End the command with what others changed since the base version."""
-    base = run_or_fail(publisher.read_version(base_version))
+    base = load_version(base_version, publisher)
     current = run_or_fail(publisher.read_current())
     click.echo(f"Changes by others since version {base_version}:", err=True)
     changes = diff_configurations(base.configuration, current.configuration)
--- a/src/siskinward/coordination/publisher.py
+++ b/src/siskinward/coordination/publisher.py
@@ -107,14 +107,12 @@
         """Read the version in force; before the first publication it is empty."""
         return await self._read_published(CONFIGURATION_ROW)
 
-    async def read_version(self, version: int) -> Result[PublishedConfiguration, StepError]:
-        """Read a version from the history; version 0 is the empty one."""
+    async def read_version(self, version: int) -> Result[PublishedConfiguration | None, StepError]:
+        """Read a version from the history, if it is there; version 0 is the empty one."""
         if version == 0:
             return Ok(PublishedConfiguration(UNPUBLISHED, 0, Configuration()))
         found = await self._read_published(history_row(version))
-        if found.is_ok() and found.ok.pointer.version != version:
-            return Error(StepError("read version", history_row(version), "no such version"))
-        return found
+        return found.map(lambda published: published if published.row_version > 0 else None)
 
     async def read_history(self, limit: int) -> Result[tuple[ConfigurationPointer, ...], StepError]:
         """Read the newest pointers, newest first."""
