--- a/src/siskinward/state/ini/_fields.py
+++ b/src/siskinward/state/ini/_fields.py
@@ -13,9 +13,6 @@
 
 import attrs
 from attrs import frozen
-from expression import Error
-from expression import Ok
-from expression import Result
 
 from siskinward.state.constraints import NAME
 from siskinward.state.constraints import Constraint
@@ -76,14 +73,12 @@
     return f"one or more, separated by spaces: {text}" if spec.repeated else text
 
 
-def decode_field(spec: FieldSpec, text: str) -> Result[Any, str]:
-    """Convert ``text`` to the field's value; the error says what is allowed."""
+def decode_field(spec: FieldSpec, text: str) -> Any:
+    """Convert ``text`` to the field's value, or return None where that is not permitted."""
     if not spec.repeated:
         return _decode_value(spec, text)
-    results = [_decode_value(spec, part) for part in text.split()]
-    if not results or any(result.is_error() for result in results):
-        return Error(describe_field(spec))
-    return Ok(tuple(result.ok for result in results))
+    values = tuple(_decode_value(spec, part) for part in text.split())
+    return None if not values or None in values else values
 
 
 def encode_field(spec: FieldSpec, value: Any) -> str:
@@ -93,11 +88,11 @@
     return _encode_value(value)
 
 
-def _decode_value(spec: FieldSpec, text: str) -> Result[Any, str]:
+def _decode_value(spec: FieldSpec, text: str) -> Any:
     value = _convert(spec.value_type, text)
     if value is None or not all(permits(constraint, value) for constraint in spec.constraints):
-        return Error(describe_field(spec))
-    return Ok(value)
+        return None
+    return value
 
 
 def _convert(value_type: Any, text: str) -> Any:
--- a/src/siskinward/state/ini/_sections.py
+++ b/src/siskinward/state/ini/_sections.py
@@ -40,12 +40,13 @@
                 fault = ConfigurationError(file, section.header, spec.name, ABSENT, allowed)
                 decoded.errors.append(fault)
             continue
-        result = decode_field(spec, text)
-        if result.is_error():
-            fault = ConfigurationError(file, section.header, spec.name, text, result.error)
+        value = decode_field(spec, text)
+        if value is None:
+            allowed = describe_field(spec)
+            fault = ConfigurationError(file, section.header, spec.name, text, allowed)
             decoded.errors.append(fault)
             continue
-        decoded.values[spec.name] = result.ok
+        decoded.values[spec.name] = value
     return decoded
 
 
