Steer by grants, shares, tickets and ownership through the entry VM

Cause: limits, at-most-once and target ownership existed as decision objects only. Conclusion: one grant a failure domain carries its mint and its assigner; summaries go between relays and down a tree, so that no VM sends more than two bulletins an interval.

--- a/src/siskinward/coordination/outcomes.py
+++ b/src/siskinward/coordination/outcomes.py
@@ -51,6 +51,7 @@
     TARGET_LOST = "target-lost"
     ANSWER_INCOMPLETE = "answer-incomplete"
     PEER_LOST = "peer-lost"
+    ANOTHER_VM = "another-vm"
     HEDGE = "hedge"
 
 
--- a/src/siskinward/coordination/routing/router.py
+++ b/src/siskinward/coordination/routing/router.py
@@ -127,9 +127,15 @@
         request_bytes: int,
         excluded: Collection[VmName],
         now_s: float,
+        within_domain: bool = False,
     ) -> Choice | RefusalReason:
-        """Choose where a request runs, or say why nowhere; ``excluded`` VMs failed it before."""
+        """Choose where a request runs, or say why nowhere; ``excluded`` VMs failed it before.
+
+        ``within_domain`` leaves out other failure domains, for a request that came from one.
+        """
         candidates = self._candidates(service, excluded, now_s)
+        if within_domain:
+            candidates = [place for place in candidates if place.owner is not None]
         if not candidates:
             return RefusalReason.NO_TARGET
         answer_bytes = self._answer_bytes.get(service, self._settings.initial_answer_bytes)
--- /dev/null
+++ b/src/siskinward/coordination/summaries/_exchange.py
@@ -0,0 +1,192 @@
+"""Main class of the summary exchange.
+
+Owners report to the root relay of their failure domain. Relays send one summary to their partner
+in each other domain. The root passes a bulletin down a binary tree over the domain's VMs, so that
+no VM sends more than two bulletins an interval, however large the domain is.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+from typing import Any
+
+from attrs import frozen
+
+from siskinward.coordination.events import Send
+from siskinward.coordination.routing import ServiceLoad
+from siskinward.coordination.summaries.messages import Bulletin
+from siskinward.coordination.summaries.messages import DomainSummary
+from siskinward.coordination.summaries.messages import OwnerReport
+from siskinward.state.identifiers import VmName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinward.coordination.events import Effect
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.membership import Membership
+    from siskinward.state.identifiers import DomainName
+    from siskinward.state.identifiers import ServiceName
+
+TREE_FANOUT = 2
+NO_VM = VmName("")
+
+
+@frozen
+class SummarySettings:
+    """How often reports are sent, and how long they are passed on."""
+
+    interval_s: float = 0.5
+    lifetime_s: float = 3.0
+
+
+@frozen
+class OwnReport:
+    """What this VM contributes: its owned targets' load and the grant holder that it knows."""
+
+    loads: tuple[ServiceLoad, ...]
+    holder: VmName
+    epoch: int
+
+
+class SummaryExchange:
+    """Collects owners' loads and other domains' summaries for one VM.
+
+    ``own_report`` is asked once an interval; ``on_change`` is called with what came in.
+    """
+
+    def __init__(
+        self,
+        settings: SummarySettings,
+        own: VmIdentity,
+        membership: Membership,
+        own_report: Callable[[], OwnReport],
+        on_change: Callable[[OwnerReport | DomainSummary, float], None],
+    ) -> None:
+        self._settings = settings
+        self._own = own
+        self._membership = membership
+        self._own_report = own_report
+        self._on_change = on_change
+        self._owners: dict[VmName, tuple[OwnerReport, float]] = {}
+        self._domains: dict[DomainName, tuple[DomainSummary, float]] = {}
+        self._sequence = 0
+        self._next_report_s = 0.0
+
+    def summaries(self, now_s: float) -> list[DomainSummary]:
+        """Return the recent summaries of other failure domains."""
+        return [item for item, at_s in self._domains.values() if self._is_recent(at_s, now_s)]
+
+    def on_timer(self, now_s: float) -> list[Effect]:
+        """Report, summarise and pass on, once an interval."""
+        if now_s < self._next_report_s:
+            return []
+        self._next_report_s = now_s + self._settings.interval_s
+        self._sequence += 1
+        report = self._own_report()
+        own = OwnerReport(self._own.vm, self._own.incarnation, self._sequence, report.loads)
+        self._take_owner(own, now_s)
+        root = self._root(now_s)
+        if root != self._own.vm:
+            effects: list[Effect] = [Send(root, own)]
+        else:
+            effects = self._bulletins(self._bulletin(now_s), now_s)
+        summary = self._summary(report, now_s)
+        partners = self._membership.paired_relays(now_s)
+        return effects + [Send(member.identity.vm, summary) for member in partners]
+
+    def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> list[Effect]:
+        """Take a report, a summary or a bulletin."""
+        match message:
+            case OwnerReport() if sender.failure_domain == self._own.failure_domain:
+                self._take_owner(message, now_s)
+            case DomainSummary() if sender.failure_domain == message.failure_domain:
+                self._take_domain(message, now_s)
+            case Bulletin() if sender.failure_domain == self._own.failure_domain:
+                return self._on_bulletin(message, now_s)
+        return []
+
+    def _on_bulletin(self, message: Bulletin, now_s: float) -> list[Effect]:
+        for owner in message.owners:
+            self._take_owner(owner, now_s)
+        for summary in message.domains:
+            self._take_domain(summary, now_s)
+        return self._bulletins(message, now_s)
+
+    def _take_owner(self, report: OwnerReport, now_s: float) -> None:
+        known, _ = self._owners.get(report.vm, (None, 0.0))
+        is_same_process = known is not None and known.incarnation == report.incarnation
+        if known is not None and is_same_process and known.sequence >= report.sequence:
+            return
+        self._owners[report.vm] = (report, now_s)
+        self._on_change(report, now_s)
+
+    def _take_domain(self, summary: DomainSummary, now_s: float) -> None:
+        if summary.failure_domain == self._own.failure_domain:
+            return
+        known, at_s = self._domains.get(summary.failure_domain, (None, 0.0))
+        if known is not None and self._is_recent(at_s, now_s) and not _is_newer(summary, known):
+            return
+        self._domains[summary.failure_domain] = (summary, now_s)
+        self._on_change(summary, now_s)
+
+    def _summary(self, report: OwnReport, now_s: float) -> DomainSummary:
+        totals: dict[ServiceName, list[ServiceLoad]] = defaultdict(list)
+        for owner, at_s in self._owners.values():
+            if self._is_recent(at_s, now_s):
+                for load in owner.loads:
+                    totals[load.service].append(load)
+        live = self._membership.live_vms(self._own.failure_domain, now_s)
+        return DomainSummary(
+            failure_domain=self._own.failure_domain,
+            holder=report.holder,
+            epoch=report.epoch,
+            sequence=self._sequence,
+            vms=tuple(member.identity.vm for member in live if not member.leaving),
+            loads=tuple(_total(service, loads) for service, loads in totals.items()),
+        )
+
+    def _bulletin(self, now_s: float) -> Bulletin:
+        owners = [item for item, at_s in self._owners.values() if self._is_recent(at_s, now_s)]
+        return Bulletin(tuple(owners), tuple(self.summaries(now_s)))
+
+    def _bulletins(self, bulletin: Bulletin, now_s: float) -> list[Effect]:
+        names = self._tree(now_s)
+        if self._own.vm not in names:
+            return []
+        first = TREE_FANOUT * names.index(self._own.vm) + 1
+        return [Send(vm, bulletin) for vm in names[first : first + TREE_FANOUT]]
+
+    def _root(self, now_s: float) -> VmName:
+        return self._tree(now_s)[0]
+
+    def _tree(self, now_s: float) -> list[VmName]:
+        """Return the domain's VMs, the root relay first."""
+        live = self._membership.live_vms(self._own.failure_domain, now_s)
+        names = [member.identity.vm for member in live] or [self._own.vm]
+        relays = self._membership.relays(self._own.failure_domain, now_s)
+        root = relays[0].identity.vm if relays else names[0]
+        return [root, *(name for name in names if name != root)]
+
+    def _is_recent(self, at_s: float, now_s: float) -> bool:
+        return now_s - at_s <= self._settings.lifetime_s
+
+
+def _is_newer(summary: DomainSummary, known: DomainSummary) -> bool:
+    # Relays count separately; between two of them the higher epoch wins, then the later arrival.
+    return summary.epoch > known.epoch or (
+        summary.epoch == known.epoch and summary.sequence != known.sequence
+    )
+
+
+def _total(service: ServiceName, loads: list[ServiceLoad]) -> ServiceLoad:
+    slots = sum(load.slots for load in loads)
+    weighted_s = sum(load.service_s * load.slots for load in loads)
+    return ServiceLoad(
+        service=service,
+        slots=slots,
+        in_use=sum(load.in_use for load in loads),
+        waiting=sum(load.waiting for load in loads),
+        service_s=weighted_s / slots if slots else 0.0,
+    )
--- /dev/null
+++ b/src/siskinward/daemon/account_gate.py
@@ -0,0 +1,94 @@
+"""Spends one token of the client account for each request, waiting briefly for a refill."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.shares import AccountTokens
+from siskinward.coordination.shares import Refused
+from siskinward.coordination.shares import Settlement
+from siskinward.coordination.shares import Spent
+from siskinward.coordination.shares import Wait
+from siskinward.daemon.waiter import Waiter
+
+if TYPE_CHECKING:
+    from siskinward.coordination.events import Effect
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.shares import TokenWallet
+    from siskinward.daemon.part_router import PartRouter
+    from siskinward.state.identifiers import AccountName
+
+SETTLEMENT_MARGIN_S = 0.2
+
+
+class AccountGate:
+    """Drives the wallet of this VM and delivers settlements to waiting requests."""
+
+    def __init__(self, wallet: TokenWallet, router: PartRouter) -> None:
+        self._wallet = wallet
+        self._router = router
+        self._waiters: dict[int, Waiter[Settlement]] = {}
+
+    async def admit(self, account: AccountName, now_s: float) -> NotRun | None:
+        """Spend a token; None when it was spent."""
+        key = AccountTokens(account)
+        reservation = self._wallet.reserve(key, 1, now_s)
+        waiter = Waiter[Settlement]()
+        if isinstance(reservation, Wait):
+            self._waiters[reservation.reservation] = waiter
+        await self._router.run(self, self._wallet.take_effects())
+        match reservation:
+            case Spent():
+                return None
+            case Refused(retry_after_s):
+                return NotRun(RefusalReason.RATE, retry_after_s)
+            case Wait(number, until_s):
+                settlement = await self._wait(number, key, waiter, until_s - now_s)
+                return _refusal(settlement)
+
+    def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> list[Effect]:
+        """Hand a mint's message to the wallet."""
+        return self._with_settlements(self._wallet.on_message(message, sender, now_s))
+
+    def on_timer(self, now_s: float) -> list[Effect]:
+        """Drive the wallet's timer."""
+        return self._with_settlements(self._wallet.on_timer(now_s))
+
+    async def on_decision(self, decision: Any) -> None:
+        """Deliver a settlement to the request that waits for it."""
+        waiter = self._waiters.get(decision.reservation)
+        if waiter is not None:
+            await waiter.deliver(decision)
+
+    async def close(self, now_s: float) -> None:
+        """Return the unspent tokens, for a shutdown."""
+        await self._router.run(self, self._with_settlements(self._wallet.close(now_s)))
+
+    async def _wait(
+        self, number: int, key: AccountTokens, waiter: Waiter[Settlement], time_left_s: float
+    ) -> Settlement | None:
+        try:
+            return await waiter.wait(time_left_s + SETTLEMENT_MARGIN_S)
+        except curio.CancelledError:
+            self._wallet.cancel(number, key)
+            raise
+        finally:
+            del self._waiters[number]
+
+    def _with_settlements(self, effects: list[Effect]) -> list[Any]:
+        return [*effects, *self._wallet.take_settlements()]
+
+
+def _refusal(settlement: Settlement | None) -> NotRun | None:
+    match settlement:
+        case Settlement(_, Spent()):
+            return None
+        case Settlement(_, Refused(retry_after_s)):
+            return NotRun(RefusalReason.RATE, retry_after_s)
+        case _:
+            return NotRun(RefusalReason.RATE, SETTLEMENT_MARGIN_S)
--- a/src/siskinward/daemon/cluster.py
+++ b/src/siskinward/daemon/cluster.py
@@ -37,6 +37,7 @@
         self._domains: tuple[DomainName, ...] = (own.failure_domain,)
         self._revision = -1
         self._is_leaving = False
+        self._last_live: set[VmName] = set()
         self._configured: dict[VmName, ListedVm] = {}
         self._listed: dict[VmName, ListedVm] = {}
         self.membership = Membership(MembershipSettings(), own, address, now_s)
@@ -55,6 +56,32 @@
         """Return the live VMs of the own failure domain, this one included."""
         return self.membership.live_vms(self._own.failure_domain, now_s)
 
+    def live_identities(self, now_s: float) -> list[VmIdentity]:
+        """Return the live VMs of all heard failure domains, this one included."""
+        found = [self._own]
+        for domain in self._domains:
+            for member in self.membership.live_vms(domain, now_s):
+                if member.identity.vm != self._own.vm:
+                    found.append(member.identity)
+        return found
+
+    def leaving_vms(self, now_s: float) -> list[VmName]:
+        """Return the live VMs that are about to stop."""
+        members = (m for d in self._domains for m in self.membership.live_vms(d, now_s))
+        return [member.identity.vm for member in members if member.leaving]
+
+    def departed(self, now_s: float) -> list[VmName]:
+        """Return the VMs that were live at the last call and no longer are."""
+        before = self._last_live
+        self._last_live = {identity.vm for identity in self.live_identities(now_s)}
+        return sorted(before - self._last_live)
+
+    def successor(self, now_s: float) -> VmIdentity | None:
+        """Return a peer of the own failure domain that stays, to hand over to."""
+        members = self.domain_members(now_s)
+        peers = [m.identity for m in members if not m.leaving and m.identity.vm != self._own.vm]
+        return peers[0] if peers else None
+
     async def on_configuration(self, state: ServingState, now_s: float) -> None:
         """Take the configured VMs as hints."""
         configuration = state.configuration
--- a/src/siskinward/daemon/forwarder.py
+++ b/src/siskinward/daemon/forwarder.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import curio
+from attrs import evolve
 
 from siskinward.coordination.outcomes import Answered
 from siskinward.coordination.outcomes import NotRun
@@ -39,21 +40,22 @@
         self,
         own: VmIdentity,
         hub: PeerHub,
-        run_locally: Callable[[Work], Awaitable[WorkResult]],
+        run_forwarded: Callable[[Work, bool], Awaitable[WorkResult]],
     ) -> None:
         self._own = own
         self._hub = hub
-        self._run_locally = run_locally
+        self._run_forwarded = run_forwarded
         self._correlation_ids = itertools.count(1)
         self._waiters: dict[int, tuple[VmName, Waiter[ForwardReply]]] = {}
         self.running_count = 0
         self.late_count = 0
 
-    async def forward(self, vm: VmName, work: Work) -> WorkResult:
+    async def forward(self, vm: VmName, work: Work, *, may_forward: bool) -> WorkResult:
         """Send a request to another VM and wait for its outcome until the deadline."""
         correlation_id = next(self._correlation_ids)
         time_left_s = work.deadline_s - await curio.clock()
         message = _forward_request(work, correlation_id, self._own, time_left_s)
+        message = evolve(message, may_forward=may_forward)
         waiter = Waiter[ForwardReply]()
         self._waiters[correlation_id] = (vm, waiter)
         try:
@@ -92,7 +94,7 @@
     async def _run(self, message: ForwardRequest, sender: VmIdentity) -> None:
         try:
             work = _work(message, await curio.clock())
-            result = await self._run_locally(work)
+            result = await self._run_forwarded(work, message.may_forward)
             await self._hub.send(sender.vm, _forward_reply(message, result))
         finally:
             self.running_count -= 1
@@ -113,6 +115,7 @@
         run_id=work.run_id,
         is_idempotent=work.is_idempotent,
         time_left_s=time_left_s,
+        may_forward=False,
         excluded_targets=work.excluded_targets,
     )
 
@@ -142,6 +145,7 @@
         unknown=outcome if isinstance(outcome, Unknown) else None,
         tried_target=result.tried_target,
         lost_targets=result.lost_targets,
+        service_s=result.service_s,
     )
 
 
@@ -150,4 +154,5 @@
         reply.answered or reply.not_run or reply.unknown or Unknown(RefusalReason.PEER_LOST)
     )
     tried = None if reply.tried_target is None else TargetName(reply.tried_target)
-    return WorkResult(outcome, tried, tuple(TargetName(name) for name in reply.lost_targets))
+    lost = tuple(TargetName(name) for name in reply.lost_targets)
+    return WorkResult(outcome, tried, lost, reply.service_s)
--- a/src/siskinward/daemon/local_service.py
+++ b/src/siskinward/daemon/local_service.py
@@ -11,10 +11,11 @@
 from siskinward.coordination.admission import Queued
 from siskinward.coordination.admission import Refused
 from siskinward.coordination.admission import ServiceQueue
-from siskinward.coordination.admission import SlotLedger
+from siskinward.coordination.outcomes import Answered
 from siskinward.coordination.outcomes import NotRun
 from siskinward.coordination.outcomes import RefusalReason
 from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.routing import ServiceLoad
 from siskinward.daemon.waiter import Waiter
 from siskinward.daemon.work import WorkResult
 from siskinward.protocol.target_http import interpret_answer
@@ -24,11 +25,12 @@
 from siskinward.transport.http_messages import HttpRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
-
     from siskinward.coordination.admission import AdmissionSettings
     from siskinward.coordination.admission import Slot
+    from siskinward.coordination.admission import SlotLedger
     from siskinward.coordination.outcomes import Outcome
+    from siskinward.coordination.ownership import OwnershipParticipant
+    from siskinward.coordination.routing import TargetPicker
     from siskinward.daemon.serving_state import ServingState
     from siskinward.daemon.work import Work
     from siskinward.state.identifiers import ServiceName
@@ -43,39 +45,39 @@
 class LocalService:
     """Queues requests per service, takes a slot for each and runs it on a target."""
 
-    def __init__(self, settings: AdmissionSettings) -> None:
+    def __init__(
+        self,
+        settings: AdmissionSettings,
+        ledger: SlotLedger,
+        ownership: OwnershipParticipant,
+        picker: TargetPicker,
+    ) -> None:
         self._settings = settings
-        self._ledger = SlotLedger(settings)
+        self._ledger = ledger
+        self._ownership = ownership
+        self._picker = picker
         self._queues: dict[ServiceName, ServiceQueue] = {}
         self._waiters: dict[int, Waiter[Admitted | Refused]] = {}
         self._pools: dict[TargetName, ConnectionPool] = {}
         self._held: dict[int, tuple[ServiceName, int]] = {}
         self._request_ids = itertools.count(1)
         self._state: ServingState | None = None
-        self._owned: dict[ServiceName, tuple[Target, ...]] = {}
+        self._usable: dict[ServiceName, list[TargetName]] = {}
 
-    def apply(self, state: ServingState, owned: Collection[TargetName]) -> None:
-        """Take over a configuration and the targets that this VM owns under it."""
-        configuration = state.configuration
-        before = {target.name for targets in self._owned.values() for target in targets}
+    def apply(self, state: ServingState) -> None:
+        """Take over a configuration."""
         self._state = state
-        self._owned = {name: () for name in configuration.services}
-        for name in owned:
-            target = configuration.targets[name]
-            service = configuration.target_groups[target.group].service
-            self._owned[service] = (*self._owned[service], target)
-            self._ledger.set_limit(name, slots=target.slots)
-            self._pools.setdefault(
-                name, ConnectionPool(target.host, target.port, target.connection_limit)
-            )
-        for name in before - set(owned):
-            self._ledger.set_limit(name, slots=0)
-        for service, targets in self._owned.items():
-            self._queue(service).set_capacity(sum(target.slots for target in targets))
 
-    def owns_any(self, service: ServiceName) -> bool:
-        """Tell whether this VM owns a target of the service."""
-        return bool(self._owned.get(service))
+    def usable_targets(self) -> list[Target]:
+        """Return the targets that this VM may send new work to."""
+        if self._state is None:
+            return []
+        targets = self._state.configuration.targets
+        return [targets[name] for names in self._usable.values() for name in names]
+
+    def loads(self) -> tuple[ServiceLoad, ...]:
+        """Return the load of the targets that this VM owns, by service."""
+        return tuple(self._load(service, names) for service, names in self._usable.items() if names)
 
     async def run(self, work: Work) -> WorkResult:
         """Wait for a slot, run the request and return its outcome."""
@@ -91,13 +93,42 @@
         return await self._run_in_slot(work, request_id, slot, now_s)
 
     async def on_timer(self, now_s: float) -> None:
-        """Release held slots that are due and refuse requests that wait too long."""
+        """Follow the ownership, release held slots that are due, refuse what waits too long."""
+        self._refresh_usable(now_s)
         for slot in self._ledger.on_timer(now_s):
-            service, request_id = self._held.pop(slot.serial)
-            await self._finish(service, request_id, None)
-        for queue in self._queues.values():
+            if slot.serial in self._held:
+                service, request_id = self._held.pop(slot.serial)
+                await self._finish(service, request_id, None)
+        for service, queue in self._queues.items():
             for refused in queue.expire(now_s):
                 await self._notify(refused)
+            await self._pump(service)
+
+    def _refresh_usable(self, now_s: float) -> None:
+        if self._state is None:
+            return
+        configuration = self._state.configuration
+        usable: dict[ServiceName, list[TargetName]] = {}
+        for name in self._ownership.usable_targets(now_s):
+            target = configuration.targets.get(name)
+            if target is not None:
+                service = configuration.target_groups[target.group].service
+                usable.setdefault(service, []).append(name)
+        for service in configuration.services:
+            names = usable.get(service, [])
+            slots = sum(self._open_slots(name, now_s) for name in names)
+            self._queue(service).set_capacity(slots)
+        self._usable = usable
+
+    def _open_slots(self, name: TargetName, now_s: float) -> int:
+        slots = self._ledger.in_use(name) + self._ledger.free(name)
+        return self._picker.slots_open(name, slots=slots, now_s=now_s)
+
+    def _load(self, service: ServiceName, names: list[TargetName]) -> ServiceLoad:
+        queue = self._queue(service)
+        in_use = sum(self._ledger.in_use(name) for name in names)
+        slots = in_use + sum(self._ledger.free(name) for name in names)
+        return ServiceLoad(service, slots, in_use, queue.waiting, queue.service_s)
 
     async def _admit(self, request_id: int, work: Work) -> Admitted | NotRun:
         assert self._state is not None
@@ -150,15 +181,11 @@
             self._queue(service).cancel(request_id)
 
     def _take_slot(self, work: Work, now_s: float) -> Slot | None:
-        candidates = [
-            target
-            for target in self._owned.get(work.service, ())
-            if target.name not in work.excluded_targets and self._ledger.free(target.name) > 0
-        ]
-        if not candidates:
+        names = self._usable.get(work.service, [])
+        chosen = self._picker.pick(self._ledger, names, excluded=work.excluded_targets, now_s=now_s)
+        if chosen is None:
             return None
-        chosen = max(candidates, key=lambda target: self._ledger.free(target.name))
-        return self._ledger.take(chosen.name, deadline_s=work.deadline_s, now_s=now_s)
+        return self._ownership.take(chosen, deadline_s=work.deadline_s, now_s=now_s)
 
     async def _run_in_slot(
         self, work: Work, request_id: int, slot: Slot, start_s: float
@@ -166,7 +193,7 @@
         outcome: Outcome | None = None
         is_target_lost = False
         try:
-            result = await self._pools[slot.target].exchange(
+            result = await self._pool(slot.target).exchange(
                 _target_request(work, start_s),
                 work.deadline_s - start_s,
                 needs_recent_proof=not work.is_idempotent,
@@ -179,8 +206,23 @@
                 outcome = interpret_answer(answer.status, answer.headers, answer.body)
         finally:
             await self._release(work, request_id, slot, outcome, start_s)
+        end_s = await curio.clock()
+        self._tell_picker(slot.target, outcome, is_target_lost, start_s, end_s)
         lost = (slot.target,) if is_target_lost else ()
-        return WorkResult(outcome, slot.target, lost)
+        return WorkResult(outcome, slot.target, lost, end_s - start_s)
+
+    def _tell_picker(
+        self,
+        target: TargetName,
+        outcome: Outcome,
+        is_target_lost: bool,
+        start_s: float,
+        end_s: float,
+    ) -> None:
+        if isinstance(outcome, Answered):
+            self._picker.on_answer(target, took_s=end_s - start_s)
+        elif is_target_lost or isinstance(outcome, NotRun):
+            self._picker.on_failure(target, end_s)
 
     async def _release(
         self, work: Work, request_id: int, slot: Slot, outcome: Outcome | None, start_s: float
@@ -195,8 +237,11 @@
         await self._finish(work.service, request_id, service_s)
 
     async def _finish(self, service: ServiceName, request_id: int, service_s: float | None) -> None:
+        self._queue(service).finished(request_id, service_s=service_s)
+        await self._pump(service)
+
+    async def _pump(self, service: ServiceName) -> None:
         queue = self._queue(service)
-        queue.finished(request_id, service_s=service_s)
         while True:
             popped = queue.pop(await curio.clock())
             for refused in popped.refused:
@@ -210,6 +255,15 @@
         if waiter is not None:
             await waiter.deliver(decision)
 
+    def _pool(self, name: TargetName) -> ConnectionPool:
+        assert self._state is not None
+        target = self._state.configuration.targets[name]
+        pool = self._pools.get(name)
+        if pool is None or not pool.serves(target.host, target.port):
+            pool = ConnectionPool(target.host, target.port, target.connection_limit)
+            self._pools[name] = pool
+        return pool
+
     def _queue(self, service: ServiceName) -> ServiceQueue:
         queue = self._queues.get(service)
         if queue is None:
--- a/src/siskinward/daemon/lookup.py
+++ b/src/siskinward/daemon/lookup.py
@@ -38,13 +38,15 @@
         self,
         current_state: Callable[[], ServingState | None],
         live_vms: Callable[[float], list[Vm]],
-        mint_tickets: Callable[[int], list[str]],
+        mint_tickets: Callable[[int, float], list[str]],
+        closed_domains: Callable[[], frozenset[DomainName]],
         ttl_s: float,
         metrics: NodeMetrics,
     ) -> None:
         self._current_state = current_state
         self._live_vms = live_vms
         self._mint_tickets = mint_tickets
+        self._closed_domains = closed_domains
         self._ttl_s = ttl_s
         self._metrics = metrics
 
@@ -63,13 +65,16 @@
         except ValueError:
             return _refusal(400, "malformed")
         domain = _domain_of(state, address)
+        now_s = await curio.clock()
+        closed = self._closed_domains()
         vms = sorted(
-            self._live_vms(await curio.clock()), key=lambda vm: _distance(state, vm, domain)
+            self._live_vms(now_s),
+            key=lambda vm: (vm.failure_domain in closed, _distance(state, vm, domain)),
         )
         content: dict[str, object] = {
             "vms": [_vm_content(vm) for vm in vms[:VMS_LIMIT]],
             "ttl_s": self._ttl_s,
-            "tickets": self._mint_tickets(ticket_count),
+            "tickets": self._mint_tickets(ticket_count, now_s),
             "version": state.version,
         }
         return LookupAnswer(200, content)
--- /dev/null
+++ b/src/siskinward/daemon/node_parts.py
@@ -0,0 +1,120 @@
+"""Assembles the parts of a node: plain objects, wired once."""
+
+from __future__ import annotations
+
+import os
+import random
+from typing import TYPE_CHECKING
+from typing import Any
+
+from attrs import define
+
+from siskinward.coordination.admission import AdmissionSettings
+from siskinward.coordination.admission import SlotLedger
+from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.grants import messages as grant_messages
+from siskinward.coordination.ownership import MESSAGES as OWNERSHIP_MESSAGES
+from siskinward.coordination.routing import RoutingSettings
+from siskinward.coordination.routing import TargetPicker
+from siskinward.coordination.shares import MINT_MESSAGES
+from siskinward.coordination.shares import WALLET_MESSAGES
+from siskinward.coordination.shares import ShareSettings
+from siskinward.coordination.shares import TokenWallet
+from siskinward.coordination.tickets import TicketBook
+from siskinward.coordination.tickets import TicketSettings
+from siskinward.coordination.tickets import messages as ticket_messages
+from siskinward.daemon.account_gate import AccountGate
+from siskinward.daemon.authority import Authority
+from siskinward.daemon.cluster import Cluster
+from siskinward.daemon.dispatcher import Dispatcher
+from siskinward.daemon.effect_runner import EffectRunner
+from siskinward.daemon.forwarder import Forwarder
+from siskinward.daemon.local_service import LocalService
+from siskinward.daemon.metrics import NodeMetrics
+from siskinward.daemon.part_router import PartRouter
+from siskinward.daemon.ticket_desk import TicketDesk
+from siskinward.protocol.registry import create_codec
+from siskinward.state.identifiers import IncarnationId
+from siskinward.transport.peer_hub import PeerHub
+from siskinward.transport.peer_link import PeerSettings
+from siskinward.transport.platform_client import PlatformClient
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from siskinward.state.errors import StepError
+    from siskinward.state.settings import NodeSettings
+
+INCARNATION_SIZE_BYTES = 8
+
+
+@define
+class NodeParts:
+    """Everything that a node drives."""
+
+    own: VmIdentity
+    metrics: NodeMetrics
+    platform: PlatformClient
+    hub: PeerHub
+    router: PartRouter
+    cluster: Cluster
+    authority: Authority
+    wallet: TokenWallet
+    gate: AccountGate
+    desk: TicketDesk
+    picker: TargetPicker
+    local: LocalService
+    dispatcher: Dispatcher
+    forwarder: Forwarder
+    random: random.Random
+
+
+def create_parts(
+    settings: NodeSettings,
+    on_message: Callable[[Any, VmIdentity], Awaitable[None]],
+    on_error: Callable[[StepError], None],
+    now_s: float,
+) -> NodeParts:
+    """Build the parts of one process, under a new incarnation."""
+    incarnation = IncarnationId(os.urandom(INCARNATION_SIZE_BYTES).hex())
+    own = VmIdentity(settings.node.vm, settings.node.failure_domain, incarnation)
+    secret = settings.peers.shared_secret.encode()
+    metrics = NodeMetrics()
+    platform = PlatformClient(settings.platform)
+    hub = PeerHub(PeerSettings(own, secret), create_codec(), on_message, on_error)
+    router = PartRouter(EffectRunner(hub, platform))
+    ledger = SlotLedger(AdmissionSettings())
+    authority = Authority(own, ledger, now_s)
+    wallet = TokenWallet(ShareSettings(), own)
+    gate = AccountGate(wallet, router)
+    desk = TicketDesk(own, TicketBook(TicketSettings(), own, secret), router)
+    source = random.Random(os.urandom(INCARNATION_SIZE_BYTES))
+    picker = TargetPicker(RoutingSettings(), source)
+    local = LocalService(AdmissionSettings(), ledger, authority.ownership, picker)
+    dispatcher = Dispatcher(own.vm, local, metrics)
+    forwarder = Forwarder(own, hub, dispatcher.run_forwarded)
+    dispatcher.forwarder = forwarder
+    cluster = Cluster(own, settings.node, hub, router, now_s)
+    router.register(authority, grant_messages.MESSAGES)
+    router.register(authority.mint, MINT_MESSAGES)
+    router.register(authority.ownership, OWNERSHIP_MESSAGES)
+    router.register(gate, WALLET_MESSAGES)
+    router.register(desk, ticket_messages.MESSAGES)
+    return NodeParts(
+        own=own,
+        metrics=metrics,
+        platform=platform,
+        hub=hub,
+        router=router,
+        cluster=cluster,
+        authority=authority,
+        wallet=wallet,
+        gate=gate,
+        desk=desk,
+        picker=picker,
+        local=local,
+        dispatcher=dispatcher,
+        forwarder=forwarder,
+        random=source,
+    )
--- a/src/siskinward/daemon/part_router.py
+++ b/src/siskinward/daemon/part_router.py
@@ -9,7 +9,8 @@
 import curio
 
 if TYPE_CHECKING:
-    from siskinward.coordination.events import Effect
+    from collections.abc import Sequence
+
     from siskinward.coordination.events import VmIdentity
     from siskinward.daemon.effect_runner import EffectRunner
 
@@ -17,11 +18,11 @@
 class Part(Protocol):
     """A decision object as the embedding program drives it."""
 
-    def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> list[Effect]:
+    def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> Sequence[Any]:
         """Take a message of another VM."""
         ...
 
-    def on_timer(self, now_s: float) -> list[Effect]:
+    def on_timer(self, now_s: float) -> Sequence[Any]:
         """Take the passing of time."""
         ...
 
@@ -35,11 +36,16 @@
         self._part_by_type: dict[type, Part] = {}
 
     def register(self, part: Part, message_types: tuple[type, ...]) -> None:
-        """Add a part with the message classes that it takes."""
-        self._parts.append(part)
+        """Add a part with the message classes that it takes; a part may be added twice."""
+        if part not in self._parts:
+            self._parts.append(part)
         for message_type in message_types:
             self._part_by_type[message_type] = part
 
+    async def clock(self) -> float:
+        """Return the time that parts are driven with."""
+        return float(await curio.clock())
+
     async def deliver(self, message: Any, sender: VmIdentity) -> bool:
         """Hand over a message; False when no part takes its class."""
         part = self._part_by_type.get(type(message))
@@ -53,7 +59,7 @@
         for part in self._parts:
             await self.run(part, part.on_timer(now_s))
 
-    async def run(self, part: Any, effects: list[Effect]) -> None:
+    async def run(self, part: Any, effects: Sequence[Any]) -> None:
         """Carry out effects that a part returned; answers of the table go back to it."""
         if effects:
             await self._runner.run(effects, part)
--- a/src/siskinward/daemon/request_handler.py
+++ b/src/siskinward/daemon/request_handler.py
@@ -7,6 +7,7 @@
 import curio
 from attrs import evolve
 
+from siskinward.coordination.fingerprints import fingerprint_of
 from siskinward.coordination.outcomes import Answered
 from siskinward.coordination.outcomes import NotRun
 from siskinward.coordination.outcomes import RefusalReason
@@ -23,9 +24,11 @@
     from collections.abc import Callable
 
     from siskinward.coordination.outcomes import Outcome
+    from siskinward.daemon.account_gate import AccountGate
     from siskinward.daemon.dispatcher import Dispatcher
     from siskinward.daemon.metrics import NodeMetrics
     from siskinward.daemon.serving_state import ServingState
+    from siskinward.daemon.ticket_desk import TicketDesk
     from siskinward.state.objects import Route
     from siskinward.transport.http_messages import HttpRequest
 
@@ -40,10 +43,14 @@
     def __init__(
         self,
         current_state: Callable[[], ServingState | None],
+        gate: AccountGate,
+        desk: TicketDesk,
         dispatcher: Dispatcher,
         metrics: NodeMetrics,
     ) -> None:
         self._current_state = current_state
+        self._gate = gate
+        self._desk = desk
         self._dispatcher = dispatcher
         self._metrics = metrics
 
@@ -85,9 +92,20 @@
             is_idempotent=route.idempotent,
             deadline_s=start_s + parsed.ok.deadline_s,
         )
+        return await self._admitted(work, route), account
+
+    async def _admitted(self, work: Work, route: Route) -> Outcome:
+        now_s = await curio.clock()
+        if route.access is Access.KEYED:
+            refusal = await self._gate.admit(work.client_account, now_s)
+            if refusal is not None:
+                return refusal
         if route.idempotent:
-            work = evolve(work, run_id=None)
-        return await self._dispatcher.run(work), account
+            return await self._dispatcher.run(evolve(work, run_id=None))
+        fingerprint = fingerprint_of(
+            work.client_account, route.name, work.method, work.target_path, work.body
+        )
+        return await self._desk.run(work, fingerprint, self._dispatcher.run, now_s)
 
     def _refused(
         self, reason: RefusalReason, retry_after_s: float = SETTLED_RETRY_AFTER_S
--- /dev/null
+++ b/src/siskinward/daemon/steering.py
@@ -0,0 +1,117 @@
+"""Keeps the router and the wallet informed of loads, drains and grant holders."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.routing import DomainLoad
+from siskinward.coordination.routing import OwnerLoad
+from siskinward.coordination.routing import Router
+from siskinward.coordination.routing import RoutingSettings
+from siskinward.coordination.shares import MintHolders
+from siskinward.coordination.summaries import DomainSummary
+from siskinward.coordination.summaries import OwnReport
+from siskinward.coordination.summaries import SummaryExchange
+from siskinward.coordination.summaries import SummarySettings
+from siskinward.coordination.summaries import messages as summary_messages
+from siskinward.state.drains import draining_domains
+from siskinward.state.drains import draining_targets
+from siskinward.state.identifiers import IncarnationId
+
+if TYPE_CHECKING:
+    from siskinward.coordination.events import Effect
+    from siskinward.coordination.summaries.messages import OwnerReport
+    from siskinward.daemon.node_parts import NodeParts
+    from siskinward.daemon.serving_state import ServingState
+    from siskinward.state.identifiers import DomainName
+    from siskinward.state.identifiers import TargetName
+    from siskinward.state.identifiers import VmName
+
+
+class Steering:
+    """Turns summaries and the configuration into what the router, picker and wallet take."""
+
+    def __init__(self, parts: NodeParts) -> None:
+        self._parts = parts
+        self._state: ServingState | None = None
+        self._router: Router | None = None
+        self._holders: dict[DomainName, VmName] = {}
+        self._told_holders: dict[DomainName, VmName] = {}
+        self._reported_leaving: frozenset[TargetName] = frozenset()
+        self._exchange = SummaryExchange(
+            SummarySettings(),
+            parts.own,
+            parts.cluster.membership,
+            self._own_report,
+            self._on_change,
+        )
+        parts.router.register(self._exchange, summary_messages.MESSAGES)
+
+    @property
+    def closed_domains(self) -> frozenset[DomainName]:
+        """Failure domains under a drain that has started."""
+        if self._state is None:
+            return frozenset()
+        return draining_domains(self._state.configuration, time.time())
+
+    def on_configuration(self, state: ServingState, now_s: float) -> None:
+        """Apply a configuration; the first one creates the router."""
+        self._state = state
+        if self._router is None:
+            self._router = Router(
+                RoutingSettings(), self._parts.own, state.configuration, self._parts.random
+            )
+            self._parts.dispatcher.router = self._router
+        else:
+            self._router.on_configuration(state.configuration, now_s)
+
+    def on_target_states(self, leaving: frozenset[TargetName]) -> None:
+        """Take the targets that say themselves that they are leaving."""
+        self._reported_leaving = leaving
+
+    def on_timer(self, now_s: float) -> list[Effect]:
+        """Apply drains that have started and holders that have changed."""
+        if self._state is None or self._router is None:
+            return []
+        drained = draining_targets(self._state.configuration, time.time())
+        self._parts.picker.set_leaving(drained | self._reported_leaving)
+        self._router.set_closed(
+            domains=self.closed_domains, leaving_vms=self._parts.cluster.leaving_vms(now_s)
+        )
+        return self._tell_holders(now_s)
+
+    def _tell_holders(self, now_s: float) -> list[Effect]:
+        authority = self._parts.authority
+        if authority.holder:
+            self._holders[self._parts.own.failure_domain] = authority.holder
+        if self._holders == self._told_holders:
+            return []
+        self._told_holders = dict(self._holders)
+        return self._parts.wallet.on_peers(MintHolders(dict(self._holders)), now_s)
+
+    def _own_report(self) -> OwnReport:
+        authority = self._parts.authority
+        return OwnReport(self._parts.local.loads(), authority.holder, authority.epoch)
+
+    def _on_change(self, report: OwnerReport | DomainSummary, now_s: float) -> None:
+        match report:
+            case DomainSummary():
+                self._on_domain(report, now_s)
+            case _:
+                self._on_owner(report, now_s)
+
+    def _on_domain(self, summary: DomainSummary, now_s: float) -> None:
+        if summary.holder:
+            self._holders[summary.failure_domain] = summary.holder
+        if self._router is not None:
+            load = DomainLoad(summary.failure_domain, summary.sequence, summary.vms, summary.loads)
+            self._router.on_domain_load(load, now_s)
+
+    def _on_owner(self, report: OwnerReport, now_s: float) -> None:
+        if self._router is None:
+            return
+        domain = self._parts.own.failure_domain
+        sender = VmIdentity(report.vm, domain, IncarnationId(report.incarnation))
+        self._router.on_owner_load(OwnerLoad(report.sequence, report.loads), sender, now_s)
--- /dev/null
+++ b/src/siskinward/daemon/ticket_desk.py
@@ -0,0 +1,120 @@
+"""Runs non-idempotent requests at most once, under the VM's ticket book."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+from typing import Any
+
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.tickets import AnswerCaller
+from siskinward.coordination.tickets import Dispatch
+from siskinward.daemon.waiter import Waiter
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from siskinward.coordination.events import TableAnswer
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.outcomes import Outcome
+    from siskinward.coordination.tickets import TicketBook
+    from siskinward.daemon.part_router import PartRouter
+    from siskinward.daemon.work import Work
+
+DECISION_MARGIN_S = 0.5
+RETRY_AFTER_S = 1.0
+
+
+class TicketDesk:
+    """Asks the book before a request is dispatched and tells it the outcome."""
+
+    def __init__(self, own: VmIdentity, book: TicketBook, router: PartRouter) -> None:
+        self._own = own
+        self._book = book
+        self._router = router
+        self._attempt_numbers = itertools.count(1)
+        self._waiters: dict[str, Waiter[Dispatch | AnswerCaller]] = {}
+
+    def mint(self, count: int, now_s: float) -> list[str]:
+        """Return new tickets for a look-up's answer."""
+        return [self._book.mint(now_s) for _ in range(count)]
+
+    async def run(
+        self,
+        work: Work,
+        fingerprint: str,
+        dispatch: Callable[[Work], Awaitable[Outcome]],
+        now_s: float,
+    ) -> Outcome:
+        """Dispatch ``work`` if the book allows it; else return what the book knows."""
+        if work.run_id is None:
+            return NotRun(RefusalReason.TICKET_REQUIRED, RETRY_AFTER_S)
+        attempt_id = f"{self._own.incarnation}-{next(self._attempt_numbers)}"
+        waiter = Waiter[Dispatch | AnswerCaller]()
+        self._waiters[attempt_id] = waiter
+        steps = self._book.begin(
+            attempt_id, work.run_id, work.client_account, fingerprint, work.deadline_s, now_s
+        )
+        try:
+            await self._router.run(self, steps)
+            decision = await waiter.wait(work.deadline_s - now_s + DECISION_MARGIN_S)
+        finally:
+            del self._waiters[attempt_id]
+        match decision:
+            case Dispatch():
+                return await self._dispatch(attempt_id, work, dispatch)
+            case AnswerCaller(outcome=outcome):
+                return outcome
+            case None:
+                return Unknown(RefusalReason.CLAIM_UNAVAILABLE)
+
+    def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> Sequence[Any]:
+        """Hand a message to the book."""
+        return self._book.on_message(message, sender, now_s)
+
+    def on_timer(self, now_s: float) -> Sequence[Any]:
+        """Drive the book's timer."""
+        return self._book.on_timer(now_s)
+
+    def on_table_answer(self, answer: TableAnswer, now_s: float) -> Sequence[Any]:
+        """Hand an answer of the platform's table to the book."""
+        return self._book.on_table_answer(answer, now_s)
+
+    async def on_decision(self, decision: Any) -> None:
+        """Deliver a decision to the request that waits for it."""
+        waiter = self._waiters.get(decision.attempt_id)
+        if waiter is not None:
+            await waiter.deliver(decision)
+        elif isinstance(decision, Dispatch):
+            await self._finish(decision.attempt_id, NotRun(RefusalReason.DEADLINE, RETRY_AFTER_S))
+
+    async def on_members(self, live: Sequence[VmIdentity], now_s: float) -> None:
+        """Take the live VMs of all failure domains."""
+        await self._router.run(self, self._book.on_members(live, now_s))
+
+    async def hand_over(self, peer: VmIdentity, now_s: float) -> None:
+        """Give the home role to a peer, for a shutdown."""
+        await self._router.run(self, self._book.hand_over(peer, now_s))
+
+    @property
+    def is_handed_over(self) -> bool:
+        """Whether a begun hand-over is complete."""
+        return self._book.is_handed_over
+
+    async def _dispatch(
+        self, attempt_id: str, work: Work, dispatch: Callable[[Work], Awaitable[Outcome]]
+    ) -> Outcome:
+        outcome: Outcome = Unknown(RefusalReason.TARGET_LOST)
+        try:
+            outcome = await dispatch(work)
+        finally:
+            await self._finish(attempt_id, outcome)
+        return outcome
+
+    async def _finish(self, attempt_id: str, outcome: Outcome) -> None:
+        now_s = await self._router.clock()
+        await self._router.run(self, self._book.finished(attempt_id, outcome, now_s))
--- a/src/siskinward/daemon/work.py
+++ b/src/siskinward/daemon/work.py
@@ -28,11 +28,21 @@
     deadline_s: float
     excluded_targets: tuple[TargetName, ...] = ()
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of what travels to a target."""
+        headers_bytes = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.target_path) + headers_bytes + len(self.body)
+
 
 @frozen
 class WorkResult:
-    """What became of an attempt; ``lost_targets`` failed while they ran it."""
+    """What became of an attempt; ``lost_targets`` failed while they ran it.
+
+    ``service_s`` is the time that the target took.
+    """
 
     outcome: Outcome
     tried_target: TargetName | None = None
     lost_targets: tuple[TargetName, ...] = ()
+    service_s: float = 0.0
--- a/src/siskinward/protocol/forwarding.py
+++ b/src/siskinward/protocol/forwarding.py
@@ -14,6 +14,7 @@
     """A request admitted for its client account; no key travels with it.
 
     ``time_left_s`` is the caller's deadline as a remaining time; clocks are not shared.
+    ``may_forward`` lets the receiver hand it on to the owner in its own failure domain.
     """
 
     correlation_id: int
@@ -27,6 +28,7 @@
     run_id: str | None
     is_idempotent: bool
     time_left_s: float
+    may_forward: bool
     excluded_targets: tuple[str, ...] = ()
 
 
@@ -41,6 +43,7 @@
     unknown: Unknown | None = None
     tried_target: str | None = None
     lost_targets: tuple[str, ...] = ()
+    service_s: float = 0.0
 
 
 MESSAGES: tuple[type, ...] = (ForwardRequest, ForwardReply)
--- a/src/siskinward/protocol/registry.py
+++ b/src/siskinward/protocol/registry.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+from siskinward.coordination import ownership
+from siskinward.coordination import shares
+from siskinward.coordination.grants import messages as grants
 from siskinward.coordination.membership import messages as membership
+from siskinward.coordination.summaries import messages as summaries
+from siskinward.coordination.tickets import messages as tickets
 from siskinward.protocol import forwarding
 from siskinward.protocol import handshake
 from siskinward.protocol.codec import MessageCodec
@@ -10,7 +15,12 @@
 MESSAGES: tuple[type, ...] = (
     *handshake.MESSAGES,
     *forwarding.MESSAGES,
+    *grants.MESSAGES,
     *membership.MESSAGES,
+    *ownership.MESSAGES,
+    *shares.MESSAGES,
+    *summaries.MESSAGES,
+    *tickets.MESSAGES,
 )
 
 
--- /dev/null
+++ b/src/siskinward/state/drains.py
@@ -0,0 +1,42 @@
+"""What the planned drains of a configuration empty at a given time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinward.state.objects import Drain
+from siskinward.state.objects import DrainKind
+
+if TYPE_CHECKING:
+    from siskinward.state.identifiers import DomainName
+    from siskinward.state.identifiers import TargetName
+    from siskinward.state.objects import Configuration
+
+
+def draining_domains(configuration: Configuration, wall_s: float) -> frozenset[DomainName]:
+    """Return the failure domains under a drain that has started, their region's included."""
+    drains = _started(configuration, wall_s)
+    names = {drain.subject for drain in drains if drain.kind is DrainKind.FAILURE_DOMAIN}
+    regions = {drain.subject for drain in drains if drain.kind is DrainKind.REGION}
+    return frozenset(
+        domain.name
+        for domain in configuration.failure_domains.values()
+        if domain.name in names or domain.region in regions
+    )
+
+
+def draining_targets(configuration: Configuration, wall_s: float) -> frozenset[TargetName]:
+    """Return the targets that get no new work, those of draining failure domains included."""
+    drains = _started(configuration, wall_s)
+    names = {drain.subject for drain in drains if drain.kind is DrainKind.TARGET}
+    domains = draining_domains(configuration, wall_s)
+    groups = configuration.target_groups
+    return frozenset(
+        target.name
+        for target in configuration.targets.values()
+        if target.name in names or groups[target.group].failure_domain in domains
+    )
+
+
+def _started(configuration: Configuration, wall_s: float) -> list[Drain]:
+    return [drain for drain in configuration.drains.values() if drain.start_at_s <= wall_s]
--- a/src/siskinward/transport/connection_pool.py
+++ b/src/siskinward/transport/connection_pool.py
@@ -31,6 +31,10 @@
         self._idle: list[HttpClientConnection] = []
         self.open_count = 0
 
+    def serves(self, host: str, port: int) -> bool:
+        """Tell whether the pool leads to this address."""
+        return (self._host, self._port) == (host, port)
+
     async def exchange(
         self, request: HttpRequest, timeout_s: float, *, needs_recent_proof: bool
     ) -> Result[HttpResponse, ExchangeError]:
