--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -70,10 +70,14 @@
             await curio.spawn(self._run_timer),
             await curio.spawn(self._watch.run),
         ]
-        await wait_for_stop()
-        await self._shut_down()
-        for task in tasks:
-            await task.cancel()
+        try:
+            await wait_for_stop()
+            await self._shut_down()
+        finally:
+            for task in tasks:
+                await task.cancel()
+            await self._server.close()
+            await self._parts.hub.close()
         log_message("node:stopped", vm=own.vm)
 
     def _create_server(self) -> HttpServer:
--- a/src/siskinward/transport/http_server.py
+++ b/src/siskinward/transport/http_server.py
@@ -15,6 +15,7 @@
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 from siskinward.transport.sockets import listen
+from siskinward.transport.task_set import TaskSet
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -50,8 +51,8 @@
         self._handler = handler
         self._on_refusal = on_refusal
         self._leaving = False
-        self._running_count = 0
         self._connections: dict[int, _ServerConnection] = {}
+        self._tasks = TaskSet()
 
     @property
     def connection_count(self) -> int:
@@ -63,7 +64,8 @@
         async with listen(host, port) as listener:
             while True:
                 sock, address = await listener.accept()
-                await curio.spawn(self._serve_connection, sock, str(address[0]), daemon=True)
+                self._tasks.discard_ended()
+                await self._tasks.spawn(self._serve_connection, sock, str(address[0]))
 
     def begin_shutdown(self) -> None:
         """Answer what comes, with ``Connection: close``, so that callers move away."""
@@ -76,6 +78,10 @@
             await curio.sleep(DRAIN_POLL_S)
         return not self._connections
 
+    async def close(self) -> None:
+        """Cut off what is still open."""
+        await self._tasks.cancel()
+
     async def _serve_connection(self, sock: Any, peer: str) -> None:
         connection = _ServerConnection(self._settings, sock, peer)
         self._connections[id(connection)] = connection
--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -20,6 +20,7 @@
 from siskinward.transport.peer_link import PeerLink
 from siskinward.transport.sockets import connect
 from siskinward.transport.sockets import listen
+from siskinward.transport.task_set import TaskSet
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -61,6 +62,7 @@
         self._on_error = on_error
         self._addresses: dict[VmName, PeerAddress] = {}
         self._outgoing: dict[VmName, _OutgoingLink] = {}
+        self._incoming = TaskSet()
         self.dropped_count = 0
         self.sent_bytes = 0
 
@@ -98,7 +100,14 @@
             while True:
                 sock, address = await listener.accept()
                 peer = f"{address[0]}:{address[1]}"
-                await curio.spawn(self._serve_link, sock, peer, daemon=True)
+                self._incoming.discard_ended()
+                await self._incoming.spawn(self._serve_link, sock, peer)
+
+    async def close(self) -> None:
+        """Close all links, with whatever is still queued."""
+        await self._incoming.cancel()
+        for link in self._outgoing.values():
+            await link.task.cancel()
 
     async def _open(self, to: VmName, address: PeerAddress) -> _OutgoingLink:
         previous = self._outgoing.get(to)
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -67,6 +67,8 @@
     nodes: dict[str, Node] = field(factory=dict)
     tasks: list[Any] = field(factory=list)
     stops: dict[str, curio.Event] = field(factory=dict)
+    node_tasks: dict[str, Any] = field(factory=dict)
+    cut_vms: set[str] = field(factory=set)
     version: int = 0
 
     @property
@@ -126,9 +128,47 @@
             f"[peers]\nshared_secret = {SECRET}\n[limits]\nlook_up_ttl_s = 0.2\n"
         )
         node = Node(parse_settings(text, "test").ok, await curio.clock())
+        self._make_cuttable(vm, node)
         self.nodes[vm] = node
         self.stops[vm] = curio.Event()
-        await self.spawn(node.serve, self.stops[vm].wait)
+        self.node_tasks[vm] = await curio.spawn(node.serve, self.stops[vm].wait, daemon=True)
+
+    def _make_cuttable(self, vm: str, node: Node) -> None:
+        """Lose messages to and from the VMs in ``cut_vms``."""
+        send = node._parts.hub.send
+
+        async def send_unless_cut(to: Any, message: Any) -> bool:
+            if to != vm and self.cut_vms & {vm, to}:
+                return True
+            return await send(to, message)
+
+        node._parts.hub.send = send_unless_cut  # type: ignore[method-assign]
+
+    async def kill(self, vm: str) -> None:
+        """End a VM's process at once, with all of its connections."""
+        await self.node_tasks.pop(vm).cancel()
+
+    async def restart(self, vm: str) -> None:
+        """Start a new process of a VM that was killed."""
+        front_port = self.vm_ports[vm]
+        peer_port = self.ports[self.ports.index(front_port) + 1]
+        await self.start_node(vm, vm.removeprefix("vm-"), front_port, peer_port)
+
+    async def tickets(self, vm: str, count: int) -> list[str]:
+        response = await self.call(vm, "GET", f"/lookup?service=bookings&tickets={count}")
+        assert response is not None
+        return list(json.loads(response.body)["tickets"])
+
+    async def book(self, vm: str, ticket: str, body: bytes = b"{}") -> HttpResponse | None:
+        headers = ((b"idempotency-key", ticket.encode()),)
+        return await self.call(
+            vm, "POST", "/bookings/x", account="alpha", body=body, headers=headers
+        )
+
+    def booking_runs(self) -> list[int]:
+        """How often each booking that reached a target ran."""
+        targets = [t for name, t in self.targets.items() if name.startswith("bookings")]
+        return [count for target in targets for count in target.runs_by_id.values()]
 
     async def spawn(self, call: Any, *args: Any) -> None:
         self.tasks.append(await curio.spawn(call, *args, daemon=True))
@@ -176,8 +216,8 @@
         return result.ok if result.is_ok() else None
 
     async def stop(self) -> None:
-        for task in self.tasks:
-            await task.cancel(blocking=False)
+        for task in [*self.node_tasks.values(), *self.tasks]:
+            await task.cancel()
 
     def run(self, body: Callable[[], Awaitable[Any]]) -> None:
         """Start everything on the paused clock, run ``body``, stop everything."""
--- /dev/null
+++ b/tests/daemon/test_node_faults.py
@@ -0,0 +1,242 @@
+"""Faults of the brief, caused in a deployment on the paused clock."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import curio
+import pytest
+
+from siskinward.transport.http_client import HttpClientConnection
+from siskinward.transport.http_messages import HttpRequest
+
+if TYPE_CHECKING:
+    from conftest import Deployment
+
+    from siskinward.transport.http_messages import HttpResponse
+
+HEADERS = ((b"authorization", b"Bearer demo-alpha"),)
+IN_FORCE_LIMIT_S = 5.0
+
+
+def refusal(response: HttpResponse | None) -> tuple[int, str, str]:
+    assert response is not None
+    content = json.loads(response.body)
+    return response.status, content["refused"], content["outcome"]
+
+
+def test_booking_resent_through_another_vm_runs_once(deployment: Deployment) -> None:
+    async def body() -> None:
+        for ticket in await deployment.tickets("vm-a", 5):
+            first = await deployment.book("vm-a", ticket)
+            again = await deployment.book("vm-b", ticket)
+            assert first is not None and again is not None
+            assert first.status == again.status == 200
+            assert first.body == again.body
+        assert deployment.booking_runs() == [1] * 5
+
+    deployment.run(body)
+
+
+def test_booking_resent_while_it_runs_runs_once(deployment: Deployment) -> None:
+    async def body() -> None:
+        (ticket,) = await deployment.tickets("vm-a", 1)
+        tasks = [
+            await curio.spawn(deployment.book, vm, ticket)
+            for vm in ("vm-a", "vm-b", "vm-a", "vm-b")
+        ]
+        responses = [await task.join() for task in tasks]
+        assert {response.status for response in responses} == {200}
+        assert deployment.booking_runs() == [1]
+
+    deployment.run(body)
+
+
+def test_booking_under_a_foreign_ticket_is_refused(deployment: Deployment) -> None:
+    async def body() -> None:
+        (ticket,) = await deployment.tickets("vm-a", 1)
+        await deployment.book("vm-a", ticket, b'{"organ": 1}')
+        other = await deployment.book("vm-a", ticket, b'{"organ": 2}')
+        assert refusal(other) == (400, "ticket-invalid", "not-run")
+        forged = await deployment.book("vm-a", ticket[:-2] + "xx")
+        assert refusal(forged) == (400, "ticket-invalid", "not-run")
+        missing = await deployment.call("vm-a", "POST", "/bookings/x", account="alpha")
+        assert refusal(missing) == (400, "ticket-required", "not-run")
+        assert deployment.booking_runs() == [1]
+
+    deployment.run(body)
+
+
+def test_booking_at_a_crashing_target_is_unknown_and_stays_so(deployment: Deployment) -> None:
+    async def body() -> None:
+        (ticket,) = await deployment.tickets("vm-a", 1)
+        first = await deployment.book("vm-a", ticket, b"crash-target")
+        again = await deployment.book("vm-b", ticket, b"crash-target")
+        assert refusal(first)[2] == "unknown"
+        assert refusal(again)[2] == "unknown"
+        assert [t.state for t in deployment.targets.values()].count("crashed") == 1
+
+    deployment.run(body)
+
+
+def test_booking_at_a_lost_home_never_runs_again(deployment: Deployment) -> None:
+    async def body() -> None:
+        (ticket,) = await deployment.tickets("vm-a", 1)
+        first = await deployment.book("vm-a", ticket)
+        assert first is not None and first.status == 200
+        await deployment.kill("vm-a")
+        again = await deployment.book("vm-b", ticket)
+        assert refusal(again)[2] == "unknown"
+        assert deployment.booking_runs() == [1]
+
+    deployment.run(body)
+
+
+def test_store_outage_of_minutes_goes_unnoticed(deployment: Deployment) -> None:
+    async def body() -> None:
+        deployment.platform.faults.is_out = True
+        for _ in range(20):
+            await curio.sleep(15.0)
+            for vm in deployment.vm_ports:
+                response = await deployment.call(vm, "GET", "/listings/x", account="alpha")
+                assert response is not None and response.status == 200
+                (ticket,) = await deployment.tickets(vm, 1)
+                booked = await deployment.book(vm, ticket)
+                assert booked is not None and booked.status == 200
+
+    deployment.run(body)
+
+
+def test_own_key_needs_the_store_and_says_so(deployment: Deployment) -> None:
+    async def body() -> None:
+        assert (await deployment.book("vm-a", "own-key-1")).status == 200  # type: ignore[union-attr]
+        again = await deployment.book("vm-b", "own-key-1")
+        assert again is not None and again.status == 200
+        deployment.platform.faults.is_out = True
+        refused = await deployment.book("vm-a", "own-key-2")
+        assert refusal(refused) == (503, "store-unavailable", "not-run")
+        assert deployment.booking_runs() == [1]
+
+    deployment.run(body)
+
+
+def test_own_key_claim_whose_answer_is_lost_runs_once(deployment: Deployment) -> None:
+    async def body() -> None:
+        deployment.platform.faults.lost_answers = 1
+        first = await deployment.book("vm-a", "own-key-1")
+        again = await deployment.book("vm-b", "own-key-1")
+        assert first is not None and again is not None
+        assert first.status == again.status == 200
+        assert deployment.booking_runs() == [1]
+
+    deployment.run(body)
+
+
+def test_cut_off_domain_serves_what_it_can(deployment: Deployment) -> None:
+    async def body() -> None:
+        deployment.cut_vms = {"vm-a"}
+        await curio.sleep(20.0)
+        for vm, target in (("vm-a", "listings-a-1"), ("vm-b", "listings-b-1")):
+            response = await deployment.call(vm, "GET", "/listings/x", account="alpha")
+            assert response is not None and response.status == 200
+            assert json.loads(response.body)["target"] == target
+            (ticket,) = await deployment.tickets(vm, 1)
+            booked = await deployment.book(vm, ticket)
+            assert booked is not None and booked.status == 200
+
+    deployment.run(body)
+
+
+def test_withdrawn_key_is_refused_on_a_connected_caller(deployment: Deployment) -> None:
+    async def body() -> None:
+        connection = HttpClientConnection("127.0.0.1", deployment.vm_ports["vm-a"])
+        request = HttpRequest("GET", "/listings/x", HEADERS)
+        first = await connection.exchange(request, 5.0)
+        assert first.ok.status == 200
+        deployment.publish(deployment.configuration_text(keys=("beta",)))
+        await curio.sleep(IN_FORCE_LIMIT_S)
+        assert connection.is_reusable()
+        second = await connection.exchange(request, 5.0)
+        assert refusal(second.ok) == (401, "key-unknown", "not-run")
+        await connection.close()
+
+    deployment.run(body)
+
+
+def test_killed_vm_is_replaced_within_seconds(deployment: Deployment) -> None:
+    async def body() -> None:
+        await deployment.kill("vm-a")
+        await curio.sleep(10.0)
+        response = await deployment.call("vm-b", "GET", "/lookup?service=listings")
+        assert response is not None
+        assert [vm["vm"] for vm in json.loads(response.body)["vms"]] == ["vm-b"]
+        await deployment.restart("vm-a")
+        await deployment.wait_for("vm-a", lambda health: health["owned_targets"] == 2)
+        answer = await deployment.call("vm-a", "GET", "/listings/x", account="alpha")
+        assert answer is not None and answer.status == 200
+
+    deployment.run(body)
+
+
+@pytest.mark.parametrize("state", ["crashed", "shedding"])
+def test_read_at_a_broken_target_is_served_elsewhere(deployment: Deployment, state: str) -> None:
+    async def body() -> None:
+        deployment.targets["listings-a-1"].state = state
+        for _ in range(5):
+            response = await deployment.call("vm-a", "GET", "/listings/x", account="alpha")
+            assert response is not None and response.status == 200
+            assert json.loads(response.body)["target"] == "listings-b-1"
+
+    deployment.run(body)
+
+
+def test_slots_are_never_exceeded_under_load(deployment: Deployment) -> None:
+    async def body() -> None:
+        tasks = [
+            await curio.spawn(deployment.call, vm, "GET", "/open/x")
+            for _ in range(40)
+            for vm in deployment.vm_ports
+        ]
+        statuses = [(await task.join()).status for task in tasks]
+        assert statuses.count(200) == len(tasks)
+        for target in deployment.targets.values():
+            assert target.peak_count <= target.settings.slots
+            assert target.shed_count == 0
+
+    deployment.run(body)
+
+
+def test_draining_target_gets_no_new_work(deployment: Deployment) -> None:
+    async def body() -> None:
+        deployment.targets["listings-a-1"].state = "draining"
+        await curio.sleep(IN_FORCE_LIMIT_S)
+        for _ in range(10):
+            response = await deployment.call("vm-a", "GET", "/open/x")
+            assert response is not None and response.status == 200
+        assert deployment.targets["listings-a-1"].work_after_drain_count == 0
+
+    deployment.run(body)
+
+
+def test_shutdown_under_load_cuts_no_request(deployment: Deployment) -> None:
+    async def body() -> None:
+        results: list[int] = []
+
+        async def call_often() -> None:
+            for _ in range(100):
+                response = await deployment.call("vm-a", "GET", "/open/x")
+                if response is None:
+                    return
+                results.append(response.status)
+                await curio.sleep(0.01)
+
+        task = await curio.spawn(call_often)
+        await curio.sleep(0.1)
+        await deployment.stops["vm-a"].set()
+        await task.join()
+        await deployment.node_tasks["vm-a"].join()
+        assert len(results) > 10
+        assert set(results) == {200}
+
+    deployment.run(body)
