Open the ports before the loops start, and end the process when a loop fails

Cause: a second process on the same ports went on without a front, since the failed task was never looked at; a benchmark then measured the old process.

--- a/src/siskinward/console/commands/node.py
+++ b/src/siskinward/console/commands/node.py
@@ -10,6 +10,7 @@
 from eliot import to_file
 
 from siskinward.daemon.node import Node
+from siskinward.state.errors import SiskinwardError
 from siskinward.state.settings import NodeSettings
 from siskinward.state.settings import load_settings
 
@@ -30,7 +31,11 @@
         if settings.log.path is not None:
             log = stack.enter_context(open(settings.log.path, "a", encoding="utf-8"))
         to_file(log)
-        curio.run(_run_node, settings)
+        try:
+            curio.run(_run_node, settings)
+        except SiskinwardError as error:
+            click.echo(f"{error}. Check the settings, or end the process there.", err=True)
+            sys.exit(EXIT_INVALID_INPUT)
 
 
 async def _run_node(settings: NodeSettings) -> None:
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -17,8 +17,11 @@
 from siskinward.daemon.target_watch import TargetWatch
 from siskinward.protocol.forwarding import ForwardReply
 from siskinward.protocol.forwarding import ForwardRequest
+from siskinward.state.errors import SiskinwardError
+from siskinward.state.errors import StepError
 from siskinward.transport.http_server import HttpServer
 from siskinward.transport.http_server import HttpServerSettings
+from siskinward.transport.sockets import listen
 from siskinward.transport.stop_signal import wait_for_stop_signal
 
 if TYPE_CHECKING:
@@ -27,7 +30,6 @@
 
     from siskinward.coordination.events import VmIdentity
     from siskinward.daemon.serving_state import ServingState
-    from siskinward.state.errors import StepError
     from siskinward.state.settings import NodeSettings
 
 POLL_INTERVAL_S = 0.5
@@ -59,27 +61,34 @@
         await self.serve(wait_for_stop_signal)
 
     async def serve(self, wait_for_stop: Callable[[], Awaitable[Any]]) -> None:
-        """Serve until ``wait_for_stop`` returns, then shut down."""
+        """Serve until ``wait_for_stop`` returns, then shut down.
+
+        Raises ``SiskinwardError`` when a port cannot be opened.
+        """
         own = self._settings.node
+        front = _listen(own.host, own.front_port)
+        peers = _listen(own.host, own.peer_port)
         log_message("node:started", vm=own.vm, incarnation=self._parts.own.incarnation)
-        tasks = [
-            await curio.spawn(self._server.serve, own.host, own.front_port),
-            await curio.spawn(self._parts.hub.serve, own.host, own.peer_port),
-            await curio.spawn(self._run_sync),
-            await curio.spawn(self._run_vm_list),
-            await curio.spawn(self._run_timer),
-            await curio.spawn(self._watch.run),
-        ]
         try:
-            await wait_for_stop()
-            await self._shut_down()
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._server.serve, front)
+                await group.spawn(self._parts.hub.serve, peers)
+                await group.spawn(self._run_sync)
+                await group.spawn(self._run_vm_list)
+                await group.spawn(self._run_timer)
+                await group.spawn(self._watch.run)
+                await group.spawn(self._serve_until, wait_for_stop)
+            if group.exception is not None:
+                raise group.exception
         finally:
-            for task in tasks:
-                await task.cancel()
             await self._server.close()
             await self._parts.hub.close()
         log_message("node:stopped", vm=own.vm)
 
+    async def _serve_until(self, wait_for_stop: Callable[[], Awaitable[Any]]) -> None:
+        await wait_for_stop()
+        await self._shut_down()
+
     def _create_server(self) -> HttpServer:
         parts = self._parts
         limits = self._settings.limits
@@ -201,3 +210,11 @@
             "owned_targets": len(parts.local.usable_targets()),
             "version": 0 if self._state is None else self._state.version,
         }
+
+
+def _listen(host: str, port: int) -> Any:
+    try:
+        return listen(host, port)
+    except OSError as error:
+        detail = error.strerror or str(error)
+        raise SiskinwardError(StepError("listen", f"{host}:{port}", detail)) from error
--- a/src/siskinward/standins/platform.py
+++ b/src/siskinward/standins/platform.py
@@ -15,6 +15,7 @@
 from siskinward.transport.http_server import HttpServer
 from siskinward.transport.http_server import HttpServerSettings
 from siskinward.transport.platform_client import object_hash
+from siskinward.transport.sockets import listen
 
 if TYPE_CHECKING:
     from siskinward.transport.http_messages import HttpRequest
@@ -46,7 +47,7 @@
     async def serve(self, host: str, port: int) -> None:
         """Serve until cancelled."""
         self.listings.append((await curio.clock(), msgpack.packb([])))
-        await HttpServer(HttpServerSettings(), self.handle).serve(host, port)
+        await HttpServer(HttpServerSettings(), self.handle).serve(listen(host, port))
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request, under the faults in force."""
--- a/src/siskinward/standins/target.py
+++ b/src/siskinward/standins/target.py
@@ -15,6 +15,7 @@
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.http_server import HttpServer
 from siskinward.transport.http_server import HttpServerSettings
+from siskinward.transport.sockets import listen
 
 if TYPE_CHECKING:
 
@@ -55,7 +56,7 @@
 
     async def serve(self, host: str, port: int) -> None:
         """Serve until cancelled."""
-        await HttpServer(HttpServerSettings(), self.handle).serve(host, port)
+        await HttpServer(HttpServerSettings(), self.handle).serve(listen(host, port))
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer the load report, a change of state, or a unit of work."""
--- a/src/siskinward/transport/http_server.py
+++ b/src/siskinward/transport/http_server.py
@@ -14,7 +14,6 @@
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
-from siskinward.transport.sockets import listen
 from siskinward.transport.task_set import TaskSet
 
 if TYPE_CHECKING:
@@ -59,9 +58,9 @@
         """Number of open connections."""
         return len(self._connections)
 
-    async def serve(self, host: str, port: int) -> None:
-        """Accept connections until cancelled."""
-        async with listen(host, port) as listener:
+    async def serve(self, listener: Any) -> None:
+        """Accept connections on a socket of ``listen`` until cancelled."""
+        async with listener:
             while True:
                 sock, address = await listener.accept()
                 self._tasks.discard_ended()
--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -19,7 +19,6 @@
 from siskinward.state.errors import StepError
 from siskinward.transport.peer_link import PeerLink
 from siskinward.transport.sockets import connect
-from siskinward.transport.sockets import listen
 from siskinward.transport.task_set import TaskSet
 
 if TYPE_CHECKING:
@@ -94,9 +93,9 @@
         await link.outbox.put(frame)
         return True
 
-    async def serve(self, host: str, port: int) -> None:
-        """Accept streams of other VMs until cancelled."""
-        async with listen(host, port) as listener:
+    async def serve(self, listener: Any) -> None:
+        """Accept streams of other VMs on a socket of ``listen`` until cancelled."""
+        async with listener:
             while True:
                 sock, address = await listener.accept()
                 peer = f"{address[0]}:{address[1]}"
--- a/tests/daemon/test_node_faults.py
+++ b/tests/daemon/test_node_faults.py
@@ -8,6 +8,7 @@
 import curio
 import pytest
 
+from siskinward.state.errors import SiskinwardError
 from siskinward.transport.http_client import HttpClientConnection
 from siskinward.transport.http_messages import HttpRequest
 
@@ -240,3 +241,13 @@
         assert set(results) == {200}
 
     deployment.run(body)
+
+
+def test_node_says_which_port_it_cannot_open(deployment: Deployment) -> None:
+    async def body() -> None:
+        with pytest.raises(SiskinwardError) as caught:
+            await deployment.nodes["vm-a"].serve(deployment.stops["vm-a"].wait)
+        assert caught.value.error.step == "listen"
+        assert caught.value.error.peer == f"127.0.0.1:{deployment.vm_ports['vm-a']}"
+
+    deployment.run(body)
--- a/tests/transport/test_http_server_malformed.py
+++ b/tests/transport/test_http_server_malformed.py
@@ -27,11 +27,10 @@
         handled.append(request.target)
         return HttpResponse(200, (), b"ok")
 
-    probe = listen(HOST, 0)
-    port = probe._socket.getsockname()[1]
-    await probe.close()
+    listener = listen(HOST, 0)
+    port = listener._socket.getsockname()[1]
     server = HttpServer(SETTINGS, handle, lambda reason: reasons.append(reason.value))
-    task = await curio.spawn(server.serve, HOST, port)
+    task = await curio.spawn(server.serve, listener)
     await curio.sleep(0.02)
     sock = await connect(HOST, port)
     await sock.sendall(data)
--- a/tests/transport/test_peer_hub_strangers.py
+++ b/tests/transport/test_peer_hub_strangers.py
@@ -47,14 +47,13 @@
         async def on_message(message: Any, sender: VmIdentity) -> None:
             self.received.append((message, sender))
 
-        probe = listen(HOST, port)
-        self.port = probe._socket.getsockname()[1]
-        await probe.close()
+        listener = listen(HOST, port)
+        self.port = listener._socket.getsockname()[1]
         settings = PeerSettings(identity("receiver"), secret)
         self.hub = PeerHub(
             settings, create_codec(), on_message, lambda error: self.errors.append(error.detail)
         )
-        await curio.spawn(self.hub.serve, HOST, self.port, daemon=True)
+        await curio.spawn(self.hub.serve, listener, daemon=True)
         await curio.sleep(0.02)
 
     async def wait(self, items: list[Any]) -> None:
