--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -1,4 +1,4 @@
-"""Measures parsing, rendering and comparing a configuration of growing size.
+"""Measures parsing, rendering, comparing and updating a configuration of growing size.
 
 Usage: ``python -m benchmarks.configuration [CLIENT_BLOCKS ...]``
 """
@@ -15,9 +15,11 @@
 
 import attrs
 
+from siskinward.state.configuration import apply_delta
 from siskinward.state.configuration import diff_configurations
 from siskinward.state.configuration import parse_configuration
 from siskinward.state.configuration import render_configuration
+from siskinward.state.configuration import render_delta
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import RegionName
@@ -88,7 +90,7 @@
 def main() -> None:
     """Print one line of figures for each size."""
     sizes = [int(argument) for argument in sys.argv[1:]] or DEFAULT_CLIENT_BLOCKS
-    print("blocks  objects   bytes  bare_s  parse_s  ratio  render_s  diff_s  peak_mib")
+    print("blocks  objects   bytes  bare_s  parse_s  ratio  render_s  diff_s  delta_s  peak_mib")
     for size in sizes:
         _measure(size)
 
@@ -100,14 +102,24 @@
     _, bare_s = _timed(lambda: configparser.RawConfigParser().read_string(text))
     parsed, parse_s = _timed(lambda: parse_configuration(text, "benchmark").ok)
     assert parsed == configuration
-    _, diff_s = _timed(lambda: diff_configurations(configuration, parsed))
+    changed = _withdraw_one_key(parsed)
+    changes, diff_s = _timed(lambda: diff_configurations(parsed, changed))
+    delta = render_delta(changes)
+    applied, delta_s = _timed(lambda: apply_delta(parsed, delta, "benchmark").ok)
+    assert applied == changed
     peak_mib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / BYTES_PER_KIB
     print(
         f"{client_blocks:6} {objects:8} {len(text):7} {bare_s:7.3f} {parse_s:8.3f} "
-        f"{parse_s / bare_s:6.2f} {render_s:9.3f} {diff_s:7.3f} {peak_mib:9.1f}"
+        f"{parse_s / bare_s:6.2f} {render_s:9.3f} {diff_s:7.3f} {delta_s:8.5f} {peak_mib:9.1f}"
     )
 
 
+def _withdraw_one_key(configuration: Configuration) -> Configuration:
+    keys = dict(configuration.keys)
+    keys.popitem()
+    return attrs.evolve(configuration, keys=keys)
+
+
 def _timed(call: Callable[[], Any]) -> tuple[Any, float]:
     started_s = time.perf_counter()
     value = call()
--- a/src/siskinward/console/_edit.py
+++ b/src/siskinward/console/_edit.py
@@ -23,7 +23,7 @@
     publisher: Publisher, edit: Callable[[Configuration], Configuration]
 ) -> ConfigurationPointer:
     """Apply ``edit`` to the version in force and publish it, merged with racing publications."""
-    current = run_or_fail(publisher.read_current())
+    current = run_or_fail(publisher.reader.read_current())
     edited = edit(current.configuration)
     changes = diff_configurations(current.configuration, edited)
     stamp = new_stamp()
--- a/src/siskinward/console/_sources.py
+++ b/src/siskinward/console/_sources.py
@@ -9,7 +9,7 @@
 from siskinward.state.configuration import load_configuration
 
 if TYPE_CHECKING:
-    from siskinward.coordination.publisher import PublishedConfiguration
+    from siskinward.coordination.configuration_reader import PublishedConfiguration
     from siskinward.coordination.publisher import Publisher
     from siskinward.state.objects import Configuration
 
@@ -35,7 +35,7 @@
 def load_published(source: str, publisher: Publisher) -> PublishedConfiguration:
     """Read ``@VERSION`` or ``@current``."""
     if source == CURRENT:
-        return run_or_fail(publisher.read_current())
+        return run_or_fail(publisher.reader.read_current())
     number = source.removeprefix("@")
     if not number.isdecimal():
         raise InvalidInputError(f"{source} is no version", f"Give @VERSION or {CURRENT}.")
@@ -44,7 +44,7 @@
 
 def load_version(version: int, publisher: Publisher) -> PublishedConfiguration:
     """Read a version from the history."""
-    published = run_or_fail(publisher.read_version(version))
+    published = run_or_fail(publisher.reader.read_version(version))
     if published is None:
         raise InvalidInputError(f"there is no version {version}", "Run `siskinward history`.")
     return published
--- a/src/siskinward/console/commands/drain.py
+++ b/src/siskinward/console/commands/drain.py
@@ -114,7 +114,7 @@
 @json_option
 def status(address: tuple[str, int], as_json: bool) -> None:
     """List the drains in force and whether each is planned, running or over."""
-    published = run_or_fail(open_publisher(address).read_current())
+    published = run_or_fail(open_publisher(address).reader.read_current())
     now_s = time.time()
     statuses = [DrainStatus(d, _state(d, now_s)) for d in published.configuration.drains.values()]
     if as_json:
--- a/src/siskinward/console/commands/history.py
+++ b/src/siskinward/console/commands/history.py
@@ -34,9 +34,9 @@
     """
     publisher = open_publisher(address)
     if publish_id is None:
-        pointers = run_or_fail(publisher.read_history(limit))
+        pointers = run_or_fail(publisher.reader.read_history(limit))
     else:
-        found = run_or_fail(publisher.find(publish_id))
+        found = run_or_fail(publisher.reader.find(publish_id))
         if found is None:
             raise InvalidInputError(
                 f"no recent publication has the id {publish_id}",
--- a/src/siskinward/console/commands/publish.py
+++ b/src/siskinward/console/commands/publish.py
@@ -24,7 +24,7 @@
 from siskinward.state.configuration import diff_configurations
 
 if TYPE_CHECKING:
-    from siskinward.coordination.publisher import PublishedConfiguration
+    from siskinward.coordination.configuration_reader import PublishedConfiguration
     from siskinward.coordination.publisher import Publisher
     from siskinward.coordination.publisher import PublishStamp
     from siskinward.coordination.publishing import ConfigurationPointer
@@ -56,9 +56,9 @@
     """
     configuration = load_file(file)
     publisher = open_publisher(address)
-    pointer = None if publish_id is None else run_or_fail(publisher.find(publish_id))
+    pointer = None if publish_id is None else run_or_fail(publisher.reader.find(publish_id))
     if pointer is None:
-        current = run_or_fail(publisher.read_current())
+        current = run_or_fail(publisher.reader.read_current())
         base_version = _base_version(file, base, current)
         stamp = new_stamp(publish_id)
         if merge:
@@ -111,7 +111,7 @@
 def _fail_with_diff(publisher: Publisher, base_version: int) -> None:
     """End the command with what others changed since the base version."""
     base = load_version(base_version, publisher)
-    current = run_or_fail(publisher.read_current())
+    current = run_or_fail(publisher.reader.read_current())
     click.echo(f"Changes by others since version {base_version}:", err=True)
     changes = diff_configurations(base.configuration, current.configuration)
     echo_changes(changes, to_stderr=True)
--- a/src/siskinward/coordination/publishing.py
+++ b/src/siskinward/coordination/publishing.py
@@ -26,13 +26,18 @@
 
 @frozen
 class ConfigurationPointer:
-    """Names one published version and its content. ``published_at_s`` is since the epoch."""
+    """Names one published version and its content. ``published_at_s`` is since the epoch.
+
+    The delta leads from the content ``previous_hash`` to this one; without a delta its hash is
+    empty.
+    """
 
     version: int
     content_hash: str
     publish_id: str
     previous_hash: str
     published_at_s: float
+    delta_hash: str = ""
 
 
 UNPUBLISHED = ConfigurationPointer(0, "", "", "", 0.0)
--- a/tests/console/test_configuration_commands.py
+++ b/tests/console/test_configuration_commands.py
@@ -47,7 +47,7 @@
 
 def in_force(platform: MemoryPlatform) -> Configuration:
     publisher = Publisher(platform, platform, curio.sleep, PublisherSettings())
-    return curio.run(publisher.read_current()).ok.configuration
+    return curio.run(publisher.reader.read_current()).ok.configuration
 
 
 def edit(path: Path, text: str, old: str, new: str) -> Path:
--- /dev/null
+++ b/tests/coordination/test_configuration_reader.py
@@ -0,0 +1,78 @@
+"""Catching up with the version in force."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import pytest
+from fakes.memory_platform import Fault
+from fakes.memory_platform import MemoryPlatform
+
+from siskinward.coordination.configuration_reader import DELTA_LIMIT
+from siskinward.coordination.configuration_reader import ConfigurationReader
+from siskinward.coordination.configuration_reader import PublishedConfiguration
+from siskinward.coordination.publisher import Publisher
+from siskinward.coordination.publisher import PublisherSettings
+from siskinward.coordination.publisher import PublishStamp
+from siskinward.state.objects import Configuration
+from siskinward.state.objects import Region
+
+
+def numbered(number: int) -> Configuration:
+    """Return a set of which one object of two differs by number."""
+    regions = (Region("fixed"), Region("numbered", domain_latency_ms=float(number)))
+    return Configuration(regions={region.name: region for region in regions})
+
+
+def read_newer(platform: MemoryPlatform, held: PublishedConfiguration) -> Any:
+    return curio.run(ConfigurationReader(platform, platform).read_newer(held))
+
+
+async def publish_numbered(platform: MemoryPlatform, first: int, last: int) -> None:
+    publisher = Publisher(platform, platform, curio.sleep, PublisherSettings())
+    for number in range(first, last + 1):
+        current = (await publisher.reader.read_current()).ok
+        await publisher.publish(numbered(number), current, PublishStamp(f"id-{number}", 1.0))
+
+
+@pytest.fixture
+def platform() -> MemoryPlatform:
+    platform = MemoryPlatform()
+    curio.run(publish_numbered, platform, 1, 2)
+    return platform
+
+
+@pytest.fixture
+def held(platform: MemoryPlatform) -> PublishedConfiguration:
+    """Version 2, while a later one is in force."""
+    return curio.run(ConfigurationReader(platform, platform).read_version(2)).ok
+
+
+def test_deltas_suffice_without_the_whole_set(
+    platform: MemoryPlatform, held: PublishedConfiguration
+) -> None:
+    curio.run(publish_numbered, platform, 3, 5)
+    current = curio.run(ConfigurationReader(platform, platform).read_current()).ok
+    del platform.objects[current.pointer.content_hash]
+    assert read_newer(platform, held).ok == current
+
+
+@pytest.mark.parametrize("is_far_behind", [False, True])
+def test_whole_set_is_fetched_where_deltas_do_not_suffice(
+    platform: MemoryPlatform, held: PublishedConfiguration, is_far_behind: bool
+) -> None:
+    curio.run(publish_numbered, platform, 3, 3 + (DELTA_LIMIT if is_far_behind else 0))
+    current = curio.run(ConfigurationReader(platform, platform).read_current()).ok
+    del platform.objects[current.pointer.delta_hash]
+    assert read_newer(platform, held).ok == current
+
+
+def test_held_version_never_reverts(platform: MemoryPlatform, held: PublishedConfiguration) -> None:
+    platform.rows["configuration"] = (9, platform.rows["configuration-history/1"][1])
+    assert read_newer(platform, held).ok is held
+
+
+def test_outage_is_an_error(platform: MemoryPlatform, held: PublishedConfiguration) -> None:
+    platform.read_faults.append(Fault.REQUEST_LOST)
+    assert read_newer(platform, held).error.step == "read rows"
--- a/tests/coordination/test_publisher.py
+++ b/tests/coordination/test_publisher.py
@@ -54,12 +54,12 @@
 
 async def publish_onto_current(platform: MemoryPlatform, configuration: Any, name: str) -> Any:
     publisher = publisher_of(platform)
-    current = (await publisher.read_current()).ok
+    current = (await publisher.reader.read_current()).ok
     return await publisher.publish(configuration, current, stamp(name))
 
 
 def published(platform: MemoryPlatform) -> tuple[int, Configuration]:
-    current = curio.run(publisher_of(platform).read_current()).ok
+    current = curio.run(publisher_of(platform).reader.read_current()).ok
     return current.pointer.version, current.configuration
 
 
@@ -102,7 +102,7 @@
         publisher = publisher_of(platform)
         paused = Publisher(platform, platform, publish_other, SETTINGS)
         return await paused.publish(
-            Configuration(), (await publisher.read_current()).ok, stamp("mine")
+            Configuration(), (await publisher.reader.read_current()).ok, stamp("mine")
         )
 
     async def publish_other(_delay_s: float) -> None:
@@ -112,11 +112,11 @@
     assert publication == Accepted(publication.pointer, is_current=False)
     assert (publication.pointer.version, publication.pointer.publish_id) == (2, "mine")
     assert published(platform) == (3, EXAMPLE)
-    assert curio.run(publisher_of(platform).find("mine")).ok == publication.pointer
+    assert curio.run(publisher_of(platform).reader.find("mine")).ok == publication.pointer
 
 
 def test_unsent_publication_is_told_from_unknown_outcome(platform: MemoryPlatform) -> None:
-    current = curio.run(publisher_of(platform).read_current()).ok
+    current = curio.run(publisher_of(platform).reader.read_current()).ok
     platform.transact_faults.extend(ALL_LOST)
     arguments = (Configuration(), current, stamp("mine"))
     assert curio.run(publisher_of(platform).publish(*arguments)) == NotApplied()
@@ -164,7 +164,7 @@
 @pytest.mark.parametrize("value", [b"", b"\xc1", b"\x01", b"\x81\xa1a\x01", b"\x80"])
 def test_damaged_pointer_is_an_error(platform: MemoryPlatform, value: bytes) -> None:
     platform.rows["configuration"] = (7, value)
-    result = curio.run(publisher_of(platform).read_current())
+    result = curio.run(publisher_of(platform).reader.read_current())
     assert result.error.step == "decode pointer"
 
 
@@ -192,7 +192,7 @@
         publications[f"edit-{number}"] = curio.run(publish(changes, stamp(f"edit-{number}")))
     platform.transact_faults.clear()
     platform.read_faults.clear()
-    history = curio.run(publisher_of(platform).read_history(1000)).ok
+    history = curio.run(publisher_of(platform).reader.read_history(1000)).ok
     found = [pointer.publish_id for pointer in history]
     assert len(found) == len(set(found))
     assert [pointer.version for pointer in history] == list(range(len(history), 0, -1))
--- a/tests/fakes/memory_platform.py
+++ b/tests/fakes/memory_platform.py
@@ -65,7 +65,7 @@
         )
 
     async def get(self, content_hash: str) -> Any:
-        if self.is_out:
+        if self.is_out or content_hash not in self.objects:
             return Error(StepError("get object", "memory", "no answer"))
         return Ok(self.objects[content_hash])
 
--- a/tests/state/test_configuration_round_trip.py
+++ b/tests/state/test_configuration_round_trip.py
@@ -3,30 +3,24 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING
 
 import pytest
+from fakes.configurations import configurations
 from hypothesis import given
 from hypothesis import strategies as st
 
 from siskinward.state.configuration import load_configuration
 from siskinward.state.configuration import parse_configuration
 from siskinward.state.configuration import render_configuration
-from siskinward.state.objects import ClientAccount
-from siskinward.state.objects import Configuration
-from siskinward.state.objects import FailureDomain
-from siskinward.state.objects import Region
-from siskinward.state.objects import Vm
-from siskinward.state.objects import WhenIsolated
 from siskinward.state.settings import parse_settings
 
+if TYPE_CHECKING:
+    from siskinward.state.objects import Configuration
+
 EXAMPLES = sorted((Path(__file__).parents[2] / "examples").glob("*.ini"))
 KINDS = ("vm", "key", "route", "target", "drain", "service", "client-account", "DEFAULT")
 
-names = st.from_regex(r"[A-Za-z0-9][A-Za-z0-9._-]{0,20}", fullmatch=True)
-rates = st.floats(min_value=0, allow_nan=False, allow_infinity=False)
-weights = st.floats(min_value=0, exclude_min=True, allow_nan=False, allow_infinity=False)
-counts = st.integers(min_value=1, max_value=10**9)
 lines = st.one_of(
     st.text(),
     st.builds("[{} {}]".format, st.sampled_from(KINDS), st.text(max_size=4)),
@@ -35,37 +29,6 @@
 )
 
 
-@st.composite
-def configurations(draw: Any) -> Configuration:
-    regions = draw(st.sets(names, min_size=1, max_size=4))
-    domains = draw(st.dictionaries(names, st.sampled_from(sorted(regions)), min_size=1, max_size=4))
-    domain_names = st.sampled_from(sorted(domains))
-    accounts = draw(
-        st.lists(
-            st.builds(
-                ClientAccount,
-                name=names,
-                rate_per_s=rates,
-                burst_tokens=counts,
-                weight=weights,
-                when_isolated=st.sampled_from(WhenIsolated),
-                home_domain=st.none() | domain_names,
-            ),
-            max_size=4,
-        )
-    )
-    vms = [
-        Vm(name, draw(domain_names), str(draw(st.ip_addresses())), 2 * number + 1, 2 * number + 2)
-        for number, name in enumerate(sorted(draw(st.sets(names, max_size=4))))
-    ]
-    return Configuration(
-        regions={name: Region(name, draw(rates), draw(rates)) for name in sorted(regions)},
-        failure_domains={name: FailureDomain(name, domains[name]) for name in domains},
-        vms={vm.name: vm for vm in vms},
-        client_accounts={account.name: account for account in accounts},
-    )
-
-
 @given(configurations())
 def test_valid_configuration_round_trips(configuration: Configuration) -> None:
     text = render_configuration(configuration)
