--- a/src/siskinward/state/ini/_errors.py
+++ b/src/siskinward/state/ini/_errors.py
@@ -34,7 +34,11 @@
         place = f"{self.file}: [{self.object}]"
         if self.field:
             place = f"{place} {self.field}"
-        return f"{place} = {_shorten(self.value)!r}; allowed: {self.allowed}"
+        if self.value:
+            place = f"{place} = {_shorten(self.value)!r}"
+        elif self.field:
+            place = f"{place} is missing or empty"
+        return f"{place}; allowed: {self.allowed}"
 
 
 @frozen
--- a/src/siskinward/state/ini/_sections.py
+++ b/src/siskinward/state/ini/_sections.py
@@ -36,7 +36,7 @@
         text = section.values.get(spec.name)
         if text is None:
             if spec.is_required:
-                allowed = f"required: {describe_field(spec)}"
+                allowed = describe_field(spec)
                 fault = ConfigurationError(file, section.header, spec.name, ABSENT, allowed)
                 decoded.errors.append(fault)
             continue
--- a/src/siskinward/state/settings.py
+++ b/src/siskinward/state/settings.py
@@ -137,7 +137,9 @@
             decoded[header] = spec.value_type(**found_section.values)
     for spec in specs.values():
         if spec.is_required and spec.name not in found:
-            errors.append(ConfigurationError(file, spec.name, "", "", "required section"))
+            errors.append(
+                ConfigurationError(file, spec.name, "", "", "the section, which is required")
+            )
     errors.extend(_cross_checks(decoded, file))
     if errors:
         return Error(ConfigurationErrors(tuple(errors)))
