--- a/src/siskinward/coordination/publishing.py
+++ b/src/siskinward/coordination/publishing.py
@@ -108,8 +108,8 @@
     if row.version == 0:
         return Ok(UNPUBLISHED)
     try:
-        pointer = ConfigurationPointer(**msgpack.unpackb(row.value))
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        pointer = _build_pointer(msgpack.unpackb(row.value))
+    except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
         return Error(StepError("decode pointer", row.key, str(error) or type(error).__name__))
     if not _is_well_typed(pointer):
         return Error(StepError("decode pointer", row.key, "a field has the wrong type"))
@@ -143,6 +143,12 @@
     return NotApplied()
 
 
+def _build_pointer(values: dict[str, Any]) -> ConfigurationPointer:
+    """Build a pointer; fields that a later release added are ignored."""
+    known = attrs.fields_dict(ConfigurationPointer)
+    return ConfigurationPointer(**{k: v for k, v in values.items() if k in known})
+
+
 def _is_well_typed(pointer: ConfigurationPointer) -> bool:
     types: dict[str, Any] = {"version": int, "published_at_s": float}
     return all(
--- a/src/siskinward/daemon/configuration_sync.py
+++ b/src/siskinward/daemon/configuration_sync.py
@@ -4,11 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-import msgpack
-
+from siskinward.coordination.configuration_reader import NOTHING_PUBLISHED
+from siskinward.coordination.configuration_reader import ConfigurationReader
 from siskinward.daemon.serving_state import create_serving_state
-from siskinward.state.configuration import parse_configuration
-from siskinward.state.errors import StepError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -17,12 +15,11 @@
     from siskinward.coordination.platform import ObjectStore
     from siskinward.coordination.platform import PlatformTable
     from siskinward.daemon.serving_state import ServingState
-
-POINTER_ROW = "configuration"
+    from siskinward.state.errors import StepError
 
 
 class ConfigurationSync:
-    """Polls the pointer row and fetches the object that it names."""
+    """Polls for a higher version and hands its derived tables to ``on_adopted``."""
 
     def __init__(
         self,
@@ -31,35 +28,24 @@
         on_adopted: Callable[[ServingState], Awaitable[None]],
         on_error: Callable[[StepError], None],
     ) -> None:
-        self._table = table
-        self._store = store
+        self._reader = ConfigurationReader(table, store)
+        self._held = NOTHING_PUBLISHED
         self._on_adopted = on_adopted
         self._on_error = on_error
-        self.version = 0
+
+    @property
+    def version(self) -> int:
+        """The version adopted last; 0 before the first."""
+        return self._held.pointer.version
 
     async def poll(self) -> bool:
-        """Look for a higher version; False when the platform did not answer."""
-        result = await self._table.read((POINTER_ROW,))
+        """Look for a higher version; False when the platform did not give one that can be read."""
+        result = await self._reader.read_newer(self._held)
         if result.is_error():
             self._on_error(result.error)
             return False
-        row = result.ok[0]
-        if row.version == 0:
-            return True
-        pointer = msgpack.unpackb(row.value)
-        if pointer["version"] > self.version:
-            await self._adopt(pointer["version"], pointer["content_hash"])
+        found = result.ok
+        if found.pointer.version > self.version:
+            self._held = found
+            await self._on_adopted(create_serving_state(self.version, found.configuration))
         return True
-
-    async def _adopt(self, version: int, content_hash: str) -> None:
-        content = await self._store.get(content_hash)
-        if content.is_error():
-            self._on_error(content.error)
-            return
-        parsed = parse_configuration(content.ok.decode(), f"version {version}")
-        if parsed.is_error():
-            self._on_error(StepError("parse configuration", content_hash, str(parsed.error)))
-            return
-        if version > self.version:
-            self.version = version
-            await self._on_adopted(create_serving_state(version, parsed.ok))
--- a/tests/coordination/test_configuration_reader.py
+++ b/tests/coordination/test_configuration_reader.py
@@ -4,7 +4,9 @@
 
 from typing import Any
 
+import attrs
 import curio
+import msgpack
 import pytest
 from fakes.memory_platform import Fault
 from fakes.memory_platform import MemoryPlatform
@@ -12,9 +14,11 @@
 from siskinward.coordination.configuration_reader import DELTA_LIMIT
 from siskinward.coordination.configuration_reader import ConfigurationReader
 from siskinward.coordination.configuration_reader import PublishedConfiguration
+from siskinward.coordination.platform import Row
 from siskinward.coordination.publisher import Publisher
 from siskinward.coordination.publisher import PublisherSettings
 from siskinward.coordination.publisher import PublishStamp
+from siskinward.coordination.publishing import decode_pointer
 from siskinward.state.objects import Configuration
 from siskinward.state.objects import Region
 
@@ -76,3 +80,8 @@
 def test_outage_is_an_error(platform: MemoryPlatform, held: PublishedConfiguration) -> None:
     platform.read_faults.append(Fault.REQUEST_LOST)
     assert read_newer(platform, held).error.step == "read rows"
+
+
+def test_pointer_of_a_later_release_is_read(held: PublishedConfiguration) -> None:
+    fields = {**attrs.asdict(held.pointer), "later_field": 1}
+    assert decode_pointer(Row("configuration", 2, msgpack.packb(fields))).ok == held.pointer
