--- a/src/siskinward/state/configuration/_checks.py
+++ b/src/siskinward/state/configuration/_checks.py
@@ -9,6 +9,7 @@
 
 from siskinward.state.configuration._kinds import KIND_BY_COLLECTION
 from siskinward.state.configuration._references import Reference
+from siskinward.state.objects import DrainKind
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -63,6 +64,7 @@
     yield from _unreachable_services(configuration, declared)
     yield from _domains_without_vm(configuration, declared)
     yield from _limits_without_targets(configuration, declared)
+    yield from _emptied_services(configuration, declared)
 
 
 def _dangling_references(declared: Declared) -> Iterator[Fault]:
@@ -173,3 +175,28 @@
         if (limit.region, limit.service) not in held:
             allowed = f"a service with a target group in region {limit.region}"
             yield Fault(f"region-limit {limit.name}", "service", limit.service, allowed)
+
+
+def _emptied_services(configuration: Configuration, declared: Declared) -> Iterator[Fault]:
+    """Yield services whose targets are all under drains, which last until they are cancelled."""
+    if not declared.is_whole("target_groups", "targets", "failure_domains"):
+        return
+    drained = {(drain.kind, drain.subject) for drain in configuration.drains.values()}
+    filled = set()
+    kept = set()
+    for target in configuration.targets.values():
+        group = configuration.target_groups.get(target.group)
+        domain = configuration.failure_domains.get(group.failure_domain) if group else None
+        if group is None or domain is None:
+            continue
+        filled.add(group.service)
+        places = {
+            (DrainKind.TARGET, target.name),
+            (DrainKind.FAILURE_DOMAIN, domain.name),
+            (DrainKind.REGION, domain.region),
+        }
+        if drained.isdisjoint(places):
+            kept.add(group.service)
+    for service in sorted(filled - kept):
+        allowed = "at least one target that no drain empties"
+        yield Fault(f"service {service}", "", "", allowed)
--- a/tests/state/test_configuration_errors.py
+++ b/tests/state/test_configuration_errors.py
@@ -30,7 +30,8 @@
 
 
 def errors_of(text: str) -> tuple[ConfigurationError, ...]:
-    return parse_configuration(text, "site.ini").error.errors
+    result = parse_configuration(text, "site.ini")
+    return () if result.is_ok() else result.error.errors
 
 
 def places(text: str) -> list[tuple[str, str]]:
@@ -107,6 +108,17 @@
     assert set(places(f"{EXAMPLE}\n{section}\n")) == {place}
 
 
+def test_drains_must_leave_each_service_a_target() -> None:
+    regions = ("budapest", "debrecen", "pecs")
+    drains = [f"[drain {name}]\nkind = region\nsubject = {name}\n" for name in regions]
+    assert places("\n".join([EXAMPLE, *drains[:2]])) == []
+    assert places("\n".join([EXAMPLE, *drains])) == [
+        ("service archive", ""),
+        ("service bookings", ""),
+        ("service listings", ""),
+    ]
+
+
 def test_duplicate_key_is_a_fault() -> None:
     hash_line = next(line for line in EXAMPLE.splitlines() if line.startswith("key_hash_hex"))
     section = f"\n[key again]\nclient_account = parish-guild\n{hash_line}\n"
