--- a/src/siskinward/console/_exit_codes.py
+++ b/src/siskinward/console/_exit_codes.py
@@ -13,6 +13,7 @@
     USAGE = 2
     CONFLICT = 3
     PLATFORM_UNAVAILABLE = 4
+    PROMISE_BROKEN = 5
 
 
 EXIT_CODES_HELP = (
--- a/src/siskinward/console/_sources.py
+++ b/src/siskinward/console/_sources.py
@@ -3,26 +3,34 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from siskinward.console._errors import InvalidInputError
 from siskinward.console._platform import run_or_fail
 from siskinward.state.configuration import load_configuration
+from siskinward.state.settings import load_settings
 
 if TYPE_CHECKING:
+    from expression import Result
+
     from siskinward.coordination.configuration_reader import PublishedConfiguration
     from siskinward.coordination.publisher import Publisher
+    from siskinward.state.configuration import ConfigurationErrors
     from siskinward.state.objects import Configuration
+    from siskinward.state.settings import NodeSettings
 
+T = TypeVar("T")
 CURRENT = "@current"
 
 
 def load_file(path: str) -> Configuration:
-    """Read and check a file; faults end the command."""
-    result = load_configuration(path)
-    if result.is_error():
-        errors = result.error
-        raise InvalidInputError(errors, f"Faults: {len(errors.errors)}. Mend them and try again.")
-    return result.ok
+    """Read and check a configuration file; faults end the command."""
+    return _valid_or_fail(load_configuration(path))
+
+
+def load_settings_file(path: str) -> NodeSettings:
+    """Read and check a settings file; faults end the command."""
+    return _valid_or_fail(load_settings(path))
 
 
 def load_source(source: str, publisher: Publisher) -> Configuration:
@@ -48,3 +56,10 @@
     if published is None:
         raise InvalidInputError(f"there is no version {version}", "Run `siskinward history`.")
     return published
+
+
+def _valid_or_fail(result: Result[T, ConfigurationErrors]) -> T:
+    if result.is_error():
+        errors = result.error
+        raise InvalidInputError(errors, f"Faults: {len(errors.errors)}. Mend them and try again.")
+    return result.ok
--- a/src/siskinward/console/commands/node.py
+++ b/src/siskinward/console/commands/node.py
@@ -4,27 +4,24 @@
 
 import contextlib
 import sys
+from typing import TYPE_CHECKING
 
 import click
 import curio
 from eliot import to_file
 
+from siskinward.console._sources import load_settings_file
 from siskinward.daemon.node import Node
-from siskinward.state.settings import NodeSettings
-from siskinward.state.settings import load_settings
 
-EXIT_INVALID_INPUT = 1
+if TYPE_CHECKING:
+    from siskinward.state.settings import NodeSettings
 
 
 @click.command()
 @click.option("--settings", "path", required=True, type=click.Path(), help="INI settings file.")
 def node(path: str) -> None:
     """Serve callers and other VMs until SIGTERM."""
-    result = load_settings(path)
-    if result.is_error():
-        click.echo(str(result.error), err=True)
-        sys.exit(EXIT_INVALID_INPUT)
-    settings = result.ok
+    settings = load_settings_file(path)
     with contextlib.ExitStack() as stack:
         log = sys.stderr
         if settings.log.path is not None:
--- a/src/siskinward/console/commands/standin.py
+++ b/src/siskinward/console/commands/standin.py
@@ -4,29 +4,24 @@
 
 import random
 import sys
-from typing import TYPE_CHECKING
 
 import click
 import curio
 
+from siskinward.console._exit_codes import ExitCode
 from siskinward.console._platform import platform_option
+from siskinward.console._sources import load_file
 from siskinward.standins.demo_scenario import DemoScenario
 from siskinward.standins.demo_scenario import DemoSettings
 from siskinward.standins.platform import PlatformStandin
 from siskinward.standins.report import render_report
 from siskinward.standins.target import TargetStandin
 from siskinward.standins.target import TargetStandinSettings
-from siskinward.state.configuration import load_configuration
 from siskinward.state.settings import PlatformSettings
 from siskinward.transport.platform_client import PlatformClient
 
-if TYPE_CHECKING:
-    from siskinward.state.objects import Configuration
-
 DEFAULT_HOST = "127.0.0.1"
 DEFAULT_PLATFORM_PORT = 17000
-EXIT_INVALID_INPUT = 1
-EXIT_PROMISE_BROKEN = 5
 
 
 @click.group()
@@ -58,7 +53,7 @@
     seed: int,
 ) -> None:
     """Offer mixed traffic to the VMs of CONFIGURATION and check the promises."""
-    configuration = _load(configuration_path)
+    configuration = load_file(configuration_path)
     settings = DemoSettings(
         duration_s=duration_s, load_share=load_share, stop_vm_pid=stop_vm_pid, seed=seed
     )
@@ -66,7 +61,7 @@
     scenario = DemoScenario(settings, configuration, platform, click.echo)
     report = curio.run(scenario.run)
     click.echo(render_report(report))
-    sys.exit(0 if report.is_kept else EXIT_PROMISE_BROKEN)
+    sys.exit(ExitCode.OK if report.is_kept else ExitCode.PROMISE_BROKEN)
 
 
 @standin.command()
@@ -75,7 +70,7 @@
 @click.option("--seed", default=1, show_default=True)
 def target(configuration_path: str, service_time_ms: float, seed: int) -> None:
     """Serve every target that CONFIGURATION declares."""
-    configuration = _load(configuration_path)
+    configuration = load_file(configuration_path)
 
     async def serve_all() -> None:
         async with curio.TaskGroup() as group:
@@ -87,11 +82,3 @@
                 await group.spawn(one.serve, declared.host, declared.port)
 
     curio.run(serve_all)
-
-
-def _load(path: str) -> Configuration:
-    result = load_configuration(path)
-    if result.is_error():
-        click.echo(str(result.error), err=True)
-        sys.exit(EXIT_INVALID_INPUT)
-    return result.ok
--- a/src/siskinward/console/commands/vms.py
+++ b/src/siskinward/console/commands/vms.py
@@ -2,23 +2,22 @@
 
 from __future__ import annotations
 
-import sys
-
 import click
 
 from siskinward.console._exit_codes import EXIT_CODES_HELP
-from siskinward.state.configuration import load_configuration
-
-EXIT_INVALID_INPUT = 1
+from siskinward.console._output import echo_json
+from siskinward.console._output import json_option
+from siskinward.console._sources import load_file
 
 
 @click.command(epilog=EXIT_CODES_HELP)
 @click.argument("file", type=click.Path())
-def vms(file: str) -> None:
+@json_option
+def vms(file: str, as_json: bool) -> None:
     """List the VMs of FILE: name, failure domain, host, front port, peer port."""
-    result = load_configuration(file)
-    if result.is_error():
-        click.echo(str(result.error), err=True)
-        sys.exit(EXIT_INVALID_INPUT)
-    for vm in result.ok.vms.values():
+    found = tuple(load_file(file).vms.values())
+    if as_json:
+        echo_json(found)
+        return
+    for vm in found:
         click.echo(f"{vm.name} {vm.failure_domain} {vm.host} {vm.front_port} {vm.peer_port}")
