--- a/src/siskinward/console/commands/node.py
+++ b/src/siskinward/console/commands/node.py
@@ -4,28 +4,26 @@
 
 import contextlib
 import sys
+from typing import TYPE_CHECKING
 
 import click
 import curio
 from eliot import to_file
 
+from siskinward.console._exit_codes import ExitCode
+from siskinward.console._sources import load_settings_file
 from siskinward.daemon.node import Node
 from siskinward.state.errors import SiskinwardError
-from siskinward.state.settings import NodeSettings
-from siskinward.state.settings import load_settings
 
-EXIT_INVALID_INPUT = 1
+if TYPE_CHECKING:
+    from siskinward.state.settings import NodeSettings
 
 
 @click.command()
 @click.option("--settings", "path", required=True, type=click.Path(), help="INI settings file.")
 def node(path: str) -> None:
     """Serve callers and other VMs until SIGTERM."""
-    result = load_settings(path)
-    if result.is_error():
-        click.echo(str(result.error), err=True)
-        sys.exit(EXIT_INVALID_INPUT)
-    settings = result.ok
+    settings = load_settings_file(path)
     with contextlib.ExitStack() as stack:
         log = sys.stderr
         if settings.log.path is not None:
@@ -35,7 +33,7 @@
             curio.run(_run_node, settings)
         except SiskinwardError as error:
             click.echo(f"{error}. Check the settings, or end the process there.", err=True)
-            sys.exit(EXIT_INVALID_INPUT)
+            sys.exit(ExitCode.INVALID_INPUT)
 
 
 async def _run_node(settings: NodeSettings) -> None:
