--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -47,7 +47,7 @@
         self._state: ServingState | None = None
         self._is_leaving = False
         parts = create_parts(settings, self._on_message, self._on_error, now_s)
-        self._parts = parts
+        self.parts = parts
         self.metrics = parts.metrics
         self._steering = Steering(parts)
         self._watch = TargetWatch(parts.local.usable_targets, self._steering.on_target_states)
@@ -68,11 +68,11 @@
         own = self._settings.node
         front = _listen(own.host, own.front_port)
         peers = _listen(own.host, own.peer_port)
-        log_message("node:started", vm=own.vm, incarnation=self._parts.own.incarnation)
+        log_message("node:started", vm=own.vm, incarnation=self.parts.own.incarnation)
         try:
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(self._server.serve, front)
-                await group.spawn(self._parts.hub.serve, peers)
+                await group.spawn(self.parts.hub.serve, peers)
                 await group.spawn(self._run_sync)
                 await group.spawn(self._run_vm_list)
                 await group.spawn(self._run_timer)
@@ -82,7 +82,7 @@
                 raise group.exception
         finally:
             await self._server.close()
-            await self._parts.hub.close()
+            await self.parts.hub.close()
         log_message("node:stopped", vm=own.vm)
 
     async def _serve_until(self, wait_for_stop: Callable[[], Awaitable[Any]]) -> None:
@@ -90,7 +90,7 @@
         await self._shut_down()
 
     def _create_server(self) -> HttpServer:
-        parts = self._parts
+        parts = self.parts
         limits = self._settings.limits
         handler = RequestHandler(
             lambda: self._state, parts.gate, parts.desk, parts.dispatcher, parts.metrics
@@ -108,7 +108,7 @@
         return HttpServer(settings, front.handle, parts.metrics.count_refusal)
 
     async def _shut_down(self) -> None:
-        parts = self._parts
+        parts = self.parts
         log_message("node:leaving", vm=parts.own.vm)
         self._is_leaving = True
         await parts.cluster.leave(await curio.clock())
@@ -121,7 +121,7 @@
 
     async def _hand_over(self) -> None:
         """Give targets, mint, grant and tickets to peers while requests still finish."""
-        parts = self._parts
+        parts = self.parts
         now_s = await curio.clock()
         await parts.router.run(parts.authority, parts.authority.leave(now_s))
         successor = parts.cluster.successor(now_s)
@@ -132,10 +132,10 @@
             await curio.sleep(TIMER_INTERVAL_S)
 
     def _is_handed_over(self, successor: VmIdentity | None) -> bool:
-        authority = self._parts.authority
-        has_tickets = successor is not None and not self._parts.desk.is_handed_over
+        authority = self.parts.authority
+        has_tickets = successor is not None and not self.parts.desk.is_handed_over
         is_free = authority.grant.handed_over and authority.ownership.has_handed_over
-        return is_free and not has_tickets and self._parts.forwarder.running_count == 0
+        return is_free and not has_tickets and self.parts.forwarder.running_count == 0
 
     async def _run_sync(self) -> None:
         while True:
@@ -144,13 +144,13 @@
 
     async def _run_vm_list(self) -> None:
         while True:
-            result = await self._parts.platform.list_vms()
+            result = await self.parts.platform.list_vms()
             if result.is_ok():
-                await self._parts.cluster.on_vm_list(result.ok, await curio.clock())
+                await self.parts.cluster.on_vm_list(result.ok, await curio.clock())
             await curio.sleep(VM_LIST_INTERVAL_S)
 
     async def _run_timer(self) -> None:
-        parts = self._parts
+        parts = self.parts
         while True:
             await curio.sleep(TIMER_INTERVAL_S)
             now_s = await curio.clock()
@@ -161,7 +161,7 @@
                 await self._on_members(now_s)
 
     async def _on_members(self, now_s: float) -> None:
-        parts = self._parts
+        parts = self.parts
         members = parts.cluster.domain_members(now_s)
         await parts.router.run(parts.authority, parts.authority.on_members(members, now_s))
         await parts.desk.on_members(parts.cluster.live_identities(now_s), now_s)
@@ -169,12 +169,12 @@
             await parts.forwarder.on_vm_lost(vm)
 
     async def _on_adopted(self, state: ServingState) -> None:
-        own = self._parts.own
+        own = self.parts.own
         if own.failure_domain not in state.configuration.failure_domains:
             log_message("configuration:foreign", version=state.version, domain=own.failure_domain)
             return
         log_message("configuration:adopted", version=state.version)
-        parts = self._parts
+        parts = self.parts
         self._state = state
         parts.metrics.configuration_version.set(state.version)
         now_s = await curio.clock()
@@ -188,17 +188,17 @@
     async def _on_message(self, message: Any, sender: VmIdentity) -> None:
         match message:
             case ForwardRequest():
-                await self._parts.forwarder.on_request(message, sender)
+                await self.parts.forwarder.on_request(message, sender)
             case ForwardReply():
-                await self._parts.forwarder.on_reply(message, sender)
+                await self.parts.forwarder.on_reply(message, sender)
             case _:
-                await self._parts.router.deliver(message, sender)
+                await self.parts.router.deliver(message, sender)
 
     def _on_error(self, error: StepError) -> None:
         self.metrics.errors.labels(error.step).inc()
 
     def _health(self, now_s: float) -> dict[str, object]:
-        parts = self._parts
+        parts = self.parts
         return {
             "vm": parts.own.vm,
             "incarnation": parts.own.incarnation,
--- /dev/null
+++ b/src/siskinward/standins/paused_clock.py
@@ -0,0 +1,60 @@
+"""A clock for curio's kernel that moves only when every task waits."""
+
+from __future__ import annotations
+
+import time
+from contextlib import contextmanager
+from selectors import DefaultSelector
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+import curio.kernel
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+START_S = 1000.0
+
+
+class PausedClock:
+    """Stands in for the ``time`` module inside curio's kernel."""
+
+    def __init__(self) -> None:
+        self.now_s = START_S
+
+    def monotonic(self) -> float:
+        """Return the time that the kernel reads."""
+        return self.now_s
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(time, name)
+
+
+class AdvancingSelector(DefaultSelector):
+    """A selector that advances the clock by the timeout when no descriptor is ready."""
+
+    def __init__(self, clock: PausedClock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        """Return what is ready now; else let the time pass at once."""
+        ready = super().select(0)
+        if ready or timeout is None:
+            return ready or super().select(None)
+        self._clock.now_s += max(timeout, 0.0)
+        return []
+
+
+@contextmanager
+def paused_kernel() -> Iterator[Any]:
+    """A kernel whose sleeps and timeouts pass at once, exactly and in order."""
+    clock = PausedClock()
+    previous = curio.kernel.time
+    curio.kernel.time = clock
+    try:
+        with curio.Kernel(selector=AdvancingSelector(clock)) as kernel:
+            yield kernel
+    finally:
+        curio.kernel.time = previous
--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -179,11 +179,17 @@
             self._check_peer(result.ok)
             self._pong_at_s = await curio.clock()
             async with curio.TaskGroup(wait=any) as group:
-                await group.spawn(self._write, link)
+                await group.spawn(self._until_broken, self._write, link)
                 await group.spawn(self._ping)
-                await group.spawn(self._read_pongs, link)
-            if group.exception is not None:
-                raise group.exception
+                await group.spawn(self._until_broken, self._read_pongs, link)
+
+    async def _until_broken(self, call: Callable[..., Awaitable[None]], link: PeerLink) -> None:
+        try:
+            await call(link)
+        except SiskinwardError as error:
+            self._on_error(error.error)
+        except OSError:
+            return
 
     def _check_peer(self, identity: VmIdentity) -> None:
         if identity.vm == self._to:
--- a/tests/daemon/test_node_faults.py
+++ b/tests/daemon/test_node_faults.py
@@ -13,7 +13,7 @@
 from siskinward.transport.http_messages import HttpRequest
 
 if TYPE_CHECKING:
-    from conftest import Deployment
+    from conftest import SmallDeployment
 
     from siskinward.transport.http_messages import HttpResponse
 
@@ -27,7 +27,7 @@
     return response.status, content["refused"], content["outcome"]
 
 
-def test_booking_resent_through_another_vm_runs_once(deployment: Deployment) -> None:
+def test_booking_resent_through_another_vm_runs_once(deployment: SmallDeployment) -> None:
     async def body() -> None:
         for ticket in await deployment.tickets("vm-a", 5):
             first = await deployment.book("vm-a", ticket)
@@ -40,7 +40,7 @@
     deployment.run(body)
 
 
-def test_booking_resent_while_it_runs_runs_once(deployment: Deployment) -> None:
+def test_booking_resent_while_it_runs_runs_once(deployment: SmallDeployment) -> None:
     async def body() -> None:
         (ticket,) = await deployment.tickets("vm-a", 1)
         tasks = [
@@ -54,7 +54,7 @@
     deployment.run(body)
 
 
-def test_booking_under_a_foreign_ticket_is_refused(deployment: Deployment) -> None:
+def test_booking_under_a_foreign_ticket_is_refused(deployment: SmallDeployment) -> None:
     async def body() -> None:
         (ticket,) = await deployment.tickets("vm-a", 1)
         await deployment.book("vm-a", ticket, b'{"organ": 1}')
@@ -62,14 +62,14 @@
         assert refusal(other) == (400, "ticket-invalid", "not-run")
         forged = await deployment.book("vm-a", ticket[:-2] + "xx")
         assert refusal(forged) == (400, "ticket-invalid", "not-run")
-        missing = await deployment.call("vm-a", "POST", "/bookings/x", account="alpha")
+        missing = await deployment.book("vm-a", None)
         assert refusal(missing) == (400, "ticket-required", "not-run")
         assert deployment.booking_runs() == [1]
 
     deployment.run(body)
 
 
-def test_booking_at_a_crashing_target_is_unknown_and_stays_so(deployment: Deployment) -> None:
+def test_booking_at_a_crashing_target_is_unknown_and_stays_so(deployment: SmallDeployment) -> None:
     async def body() -> None:
         (ticket,) = await deployment.tickets("vm-a", 1)
         first = await deployment.book("vm-a", ticket, b"crash-target")
@@ -81,12 +81,12 @@
     deployment.run(body)
 
 
-def test_booking_at_a_lost_home_never_runs_again(deployment: Deployment) -> None:
+def test_booking_at_a_lost_home_never_runs_again(deployment: SmallDeployment) -> None:
     async def body() -> None:
         (ticket,) = await deployment.tickets("vm-a", 1)
         first = await deployment.book("vm-a", ticket)
         assert first is not None and first.status == 200
-        await deployment.kill("vm-a")
+        await deployment.kill_vm("vm-a")
         again = await deployment.book("vm-b", ticket)
         assert refusal(again)[2] == "unknown"
         assert deployment.booking_runs() == [1]
@@ -94,13 +94,13 @@
     deployment.run(body)
 
 
-def test_store_outage_of_minutes_goes_unnoticed(deployment: Deployment) -> None:
+def test_store_outage_of_minutes_goes_unnoticed(deployment: SmallDeployment) -> None:
     async def body() -> None:
         deployment.platform.faults.is_out = True
         for _ in range(20):
             await curio.sleep(15.0)
-            for vm in deployment.vm_ports:
-                response = await deployment.call(vm, "GET", "/listings/x", account="alpha")
+            for vm in deployment.vms:
+                response = await deployment.get(vm, "/listings/x", "alpha")
                 assert response is not None and response.status == 200
                 (ticket,) = await deployment.tickets(vm, 1)
                 booked = await deployment.book(vm, ticket)
@@ -109,7 +109,7 @@
     deployment.run(body)
 
 
-def test_own_key_needs_the_store_and_says_so(deployment: Deployment) -> None:
+def test_own_key_needs_the_store_and_says_so(deployment: SmallDeployment) -> None:
     async def body() -> None:
         assert (await deployment.book("vm-a", "own-key-1")).status == 200  # type: ignore[union-attr]
         again = await deployment.book("vm-b", "own-key-1")
@@ -122,7 +122,7 @@
     deployment.run(body)
 
 
-def test_own_key_claim_whose_answer_is_lost_runs_once(deployment: Deployment) -> None:
+def test_own_key_claim_whose_answer_is_lost_runs_once(deployment: SmallDeployment) -> None:
     async def body() -> None:
         deployment.platform.faults.lost_answers = 1
         first = await deployment.book("vm-a", "own-key-1")
@@ -134,12 +134,12 @@
     deployment.run(body)
 
 
-def test_cut_off_domain_serves_what_it_can(deployment: Deployment) -> None:
+def test_cut_off_domain_serves_what_it_can(deployment: SmallDeployment) -> None:
     async def body() -> None:
-        deployment.cut_vms = {"vm-a"}
+        deployment.cut_domains = {"a"}
         await curio.sleep(20.0)
         for vm, target in (("vm-a", "listings-a-1"), ("vm-b", "listings-b-1")):
-            response = await deployment.call(vm, "GET", "/listings/x", account="alpha")
+            response = await deployment.get(vm, "/listings/x", "alpha")
             assert response is not None and response.status == 200
             assert json.loads(response.body)["target"] == target
             (ticket,) = await deployment.tickets(vm, 1)
@@ -149,13 +149,13 @@
     deployment.run(body)
 
 
-def test_withdrawn_key_is_refused_on_a_connected_caller(deployment: Deployment) -> None:
+def test_withdrawn_key_is_refused_on_a_connected_caller(deployment: SmallDeployment) -> None:
     async def body() -> None:
-        connection = HttpClientConnection("127.0.0.1", deployment.vm_ports["vm-a"])
+        connection = HttpClientConnection("127.0.0.1", deployment.front_port("vm-a"))
         request = HttpRequest("GET", "/listings/x", HEADERS)
         first = await connection.exchange(request, 5.0)
         assert first.ok.status == 200
-        deployment.publish(deployment.configuration_text(keys=("beta",)))
+        await deployment.withdraw_keys("alpha")
         await curio.sleep(IN_FORCE_LIMIT_S)
         assert connection.is_reusable()
         second = await connection.exchange(request, 5.0)
@@ -165,39 +165,41 @@
     deployment.run(body)
 
 
-def test_killed_vm_is_replaced_within_seconds(deployment: Deployment) -> None:
+def test_killed_vm_is_replaced_within_seconds(deployment: SmallDeployment) -> None:
     async def body() -> None:
-        await deployment.kill("vm-a")
+        await deployment.kill_vm("vm-a")
         await curio.sleep(10.0)
-        response = await deployment.call("vm-b", "GET", "/lookup?service=listings")
+        response = await deployment.get("vm-b", "/lookup?service=listings")
         assert response is not None
         assert [vm["vm"] for vm in json.loads(response.body)["vms"]] == ["vm-b"]
-        await deployment.restart("vm-a")
-        await deployment.wait_for("vm-a", lambda health: health["owned_targets"] == 2)
-        answer = await deployment.call("vm-a", "GET", "/listings/x", account="alpha")
+        await deployment.start_vm("vm-a")
+        await deployment.wait_for("vm-a", lambda health: health.get("owned_targets") == 2)
+        answer = await deployment.get("vm-a", "/listings/x", "alpha")
         assert answer is not None and answer.status == 200
 
     deployment.run(body)
 
 
 @pytest.mark.parametrize("state", ["crashed", "shedding"])
-def test_read_at_a_broken_target_is_served_elsewhere(deployment: Deployment, state: str) -> None:
+def test_read_at_a_broken_target_is_served_elsewhere(
+    deployment: SmallDeployment, state: str
+) -> None:
     async def body() -> None:
         deployment.targets["listings-a-1"].state = state
         for _ in range(5):
-            response = await deployment.call("vm-a", "GET", "/listings/x", account="alpha")
+            response = await deployment.get("vm-a", "/listings/x", "alpha")
             assert response is not None and response.status == 200
             assert json.loads(response.body)["target"] == "listings-b-1"
 
     deployment.run(body)
 
 
-def test_slots_are_never_exceeded_under_load(deployment: Deployment) -> None:
+def test_slots_are_never_exceeded_under_load(deployment: SmallDeployment) -> None:
     async def body() -> None:
         tasks = [
-            await curio.spawn(deployment.call, vm, "GET", "/open/x")
+            await curio.spawn(deployment.get, vm, "/open/x")
             for _ in range(40)
-            for vm in deployment.vm_ports
+            for vm in deployment.vms
         ]
         statuses = [(await task.join()).status for task in tasks]
         assert statuses.count(200) == len(tasks)
@@ -208,25 +210,25 @@
     deployment.run(body)
 
 
-def test_draining_target_gets_no_new_work(deployment: Deployment) -> None:
+def test_draining_target_gets_no_new_work(deployment: SmallDeployment) -> None:
     async def body() -> None:
         deployment.targets["listings-a-1"].state = "draining"
         await curio.sleep(IN_FORCE_LIMIT_S)
         for _ in range(10):
-            response = await deployment.call("vm-a", "GET", "/open/x")
+            response = await deployment.get("vm-a", "/open/x")
             assert response is not None and response.status == 200
         assert deployment.targets["listings-a-1"].work_after_drain_count == 0
 
     deployment.run(body)
 
 
-def test_shutdown_under_load_cuts_no_request(deployment: Deployment) -> None:
+def test_shutdown_under_load_cuts_no_request(deployment: SmallDeployment) -> None:
     async def body() -> None:
         results: list[int] = []
 
         async def call_often() -> None:
             for _ in range(100):
-                response = await deployment.call("vm-a", "GET", "/open/x")
+                response = await deployment.get("vm-a", "/open/x")
                 if response is None:
                     return
                 results.append(response.status)
@@ -234,20 +236,20 @@
 
         task = await curio.spawn(call_often)
         await curio.sleep(0.1)
-        await deployment.stops["vm-a"].set()
+        await deployment.stop_vm("vm-a")
         await task.join()
-        await deployment.node_tasks["vm-a"].join()
+        await deployment.vms["vm-a"].task.join()
         assert len(results) > 10
         assert set(results) == {200}
 
     deployment.run(body)
 
 
-def test_node_says_which_port_it_cannot_open(deployment: Deployment) -> None:
+def test_node_says_which_port_it_cannot_open(deployment: SmallDeployment) -> None:
     async def body() -> None:
         with pytest.raises(SiskinwardError) as caught:
-            await deployment.nodes["vm-a"].serve(deployment.stops["vm-a"].wait)
+            await deployment.vms["vm-a"].node.serve(curio.Event().wait)
         assert caught.value.error.step == "listen"
-        assert caught.value.error.peer == f"127.0.0.1:{deployment.vm_ports['vm-a']}"
+        assert caught.value.error.peer == f"127.0.0.1:{deployment.front_port('vm-a')}"
 
     deployment.run(body)
--- a/tests/daemon/test_node_path.py
+++ b/tests/daemon/test_node_path.py
@@ -10,12 +10,12 @@
 import pytest
 
 if TYPE_CHECKING:
-    from conftest import Deployment
+    from conftest import SmallDeployment
 
 
-def test_node_serves_a_keyed_request_without_its_key(deployment: Deployment) -> None:
+def test_node_serves_a_keyed_request_without_its_key(deployment: SmallDeployment) -> None:
     async def body() -> None:
-        response = await deployment.call("vm-a", "GET", "/listings/x?d=1", account="alpha")
+        response = await deployment.get("vm-a", "/listings/x?d=1", "alpha")
         assert response is not None and response.status == 200
         assert json.loads(response.body)["target"] == "listings-a-1"
         assert sum(target.key_seen_count for target in deployment.targets.values()) == 0
@@ -35,14 +35,14 @@
     ],
 )
 def test_node_refuses_as_not_run(
-    deployment: Deployment, path: str, account: str | None, status: int, reason: str
+    deployment: SmallDeployment, path: str, account: str | None, status: int, reason: str
 ) -> None:
     async def body() -> None:
-        response = await deployment.call("vm-a", "GET", path, account=account)
+        response = await deployment.get("vm-a", path, account)
         assert response is not None and response.status == status
         content = json.loads(response.body)
         assert (content["refused"], content["outcome"]) == (reason, "not-run")
-        metrics = await deployment.call("vm-a", "GET", "/metrics")
+        metrics = await deployment.get("vm-a", "/metrics")
         assert metrics is not None and f'reason="{reason}"'.encode() in metrics.body
         assert sum(target.served_count for target in deployment.targets.values()) == 0
 
@@ -50,40 +50,40 @@
 
 
 def test_node_forwards_to_another_domain_when_its_targets_are_gone(
-    deployment: Deployment,
+    deployment: SmallDeployment,
 ) -> None:
     async def body() -> None:
         deployment.targets["listings-a-1"].state = "shedding"
-        response = await deployment.call("vm-a", "GET", "/listings/x", account="alpha")
+        response = await deployment.get("vm-a", "/listings/x", "alpha")
         assert response is not None and response.status == 200
         assert json.loads(response.body)["target"] == "listings-b-1"
 
     deployment.run(body)
 
 
-def test_node_refuses_a_withdrawn_key_on_a_live_connection(deployment: Deployment) -> None:
+def test_node_refuses_a_withdrawn_key_on_a_live_connection(deployment: SmallDeployment) -> None:
     async def body() -> None:
-        deployment.publish(deployment.configuration_text(keys=("beta",)))
-        for vm in deployment.vm_ports:
+        await deployment.withdraw_keys("alpha")
+        for vm in deployment.vms:
             await deployment.wait_for(vm, lambda health: health["version"] == 2)
-            response = await deployment.call(vm, "GET", "/listings/x", account="alpha")
+            response = await deployment.get(vm, "/listings/x", "alpha")
             assert response is not None and response.status == 401
 
     deployment.run(body)
 
 
-def test_node_shutdown_finishes_running_requests(deployment: Deployment) -> None:
+def test_node_shutdown_finishes_running_requests(deployment: SmallDeployment) -> None:
     async def body() -> None:
         task = await curio.spawn(_call_slowly, deployment)
         await curio.sleep(0.05)
-        await deployment.stops["vm-a"].set()
+        await deployment.stop_vm("vm-a")
         response = await task.join()
         assert response is not None and response.status == 200
 
     deployment.run(body)
 
 
-async def _call_slowly(deployment: Deployment) -> Any:
+async def _call_slowly(deployment: SmallDeployment) -> Any:
     target = deployment.targets["listings-a-1"]
     object.__setattr__(target.settings, "service_time_s", 0.6)
-    return await deployment.call("vm-a", "GET", "/listings/x", account="alpha")
+    return await deployment.get("vm-a", "/listings/x", "alpha")
