Spread versioned state forward only and tell an outage from a cut

Cause: withdrawn keys must stop everywhere within seconds, and a VM must know when it cannot know. Relays poll one pointer row and push differences; beats carry the age of the last observation, bounded by an echo instead of synchronised clocks.

--- /dev/null
+++ b/benchmarks/grants.py
@@ -0,0 +1,147 @@
+"""Time without authority: domain grants, expiring leases and static splits side by side.
+
+Run with ``PYTHONPATH=src python benchmarks/grants.py`` from the root. Time is simulated. Each
+figure is the time, in seconds times the share of the authority lost, without a holder.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from statistics import mean
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "tests" / "coordination" / "grants"))
+
+from typing import TYPE_CHECKING
+
+from grant_world import SETTINGS  # noqa: E402
+from grant_world import TICK_S  # noqa: E402
+from grant_world import World  # noqa: E402
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+OUTAGE_S = 600.0
+PAUSE_S = 30.0
+RESTART_S = 60.0
+LEASE_S = 10.0
+LEASE_RENEWAL_S = LEASE_S / 3
+LEASE_POLL_S = 1.0
+SEEDS = range(20)
+DOMAIN_SIZE = 3
+TARGET_GRANTS = 120
+
+
+def lost_by_grant(fault: Callable[[World], None], seed: int, observe_s: float) -> float:
+    """Run one fault on a settled domain; return the seconds without a holder."""
+    world = World(DOMAIN_SIZE, seed)
+    world.run(20.0 + seed * 0.31)
+    fault(world)
+    lost_s = 0.0
+    end_s = world.now_s + observe_s
+    while world.now_s < end_s:
+        world.run(TICK_S)
+        lost_s += 0.0 if world.users() else TICK_S
+    return lost_s
+
+
+def crash(world: World) -> None:
+    """Stop the holder for good."""
+    world.stop(world.users()[0].name)
+
+
+def pause(world: World) -> None:
+    """Pause the holder."""
+    world.users()[0].paused_until_s = world.now_s + PAUSE_S
+
+
+def release(world: World) -> None:
+    """Shut the holder down gracefully."""
+    world.release(world.users()[0].name)
+
+
+def outage(world: World) -> None:
+    """Take the store away from the failure domain: an outage, or a cut of the domain."""
+    world.outage_until_s = world.now_s + OUTAGE_S
+
+
+def crash_in_outage(world: World) -> None:
+    """Stop the holder while the store is away."""
+    outage(world)
+    crash(world)
+
+
+def release_in_outage(world: World) -> None:
+    """Shut the holder down gracefully while the store is away."""
+    outage(world)
+    release(world)
+
+
+def lost_by_lease(seed: int, *, crashed: bool, released: bool, outage_s: float) -> float:
+    """Return the seconds without a holder under an expiring lease, with a perfect clock."""
+    since_renewal_s = LEASE_RENEWAL_S * (seed / len(SEEDS))
+    expires_s = LEASE_S - since_renewal_s
+    if crashed or released:
+        stops_s = 0.0
+        free_s = 0.0 if released and outage_s == 0 else expires_s
+    else:
+        stops_s = free_s = expires_s
+    if outage_s == 0 and not crashed and not released:
+        return 0.0
+    polls = int(max(free_s, outage_s) / LEASE_POLL_S) + 1
+    return polls * LEASE_POLL_S - stops_s
+
+
+def lost_by_split(*, gone_s: float) -> float:
+    """Return the lost share of the authority times seconds when one VM's share is gone."""
+    return gone_s / DOMAIN_SIZE
+
+
+def main() -> None:
+    """Print one line for each fault."""
+    grant_cases: dict[str, tuple[Callable[[World], None], float]] = {
+        "crash": (crash, 60.0),
+        "pause of 30 s": (pause, 60.0),
+        "graceful shutdown": (release, 60.0),
+        "store outage or cut of 600 s": (outage, OUTAGE_S),
+        "crash in that outage": (crash_in_outage, OUTAGE_S + 60.0),
+        "graceful shutdown in that outage": (release_in_outage, OUTAGE_S + 60.0),
+    }
+    lease_cases = {
+        "crash": (True, False, 0.0),
+        "pause of 30 s": (True, False, 0.0),
+        "graceful shutdown": (False, True, 0.0),
+        "store outage or cut of 600 s": (False, False, OUTAGE_S),
+        "crash in that outage": (True, False, OUTAGE_S),
+        "graceful shutdown in that outage": (False, True, OUTAGE_S),
+    }
+    split_gone_s = {"crash": RESTART_S, "pause of 30 s": PAUSE_S, "graceful shutdown": RESTART_S}
+    split_gone_s |= {"crash in that outage": RESTART_S}
+    split_gone_s |= {"graceful shutdown in that outage": RESTART_S}
+    print(f"lost authority in seconds, {DOMAIN_SIZE} VMs a domain, mean (worst) of {len(SEEDS)}")
+    print(f"{'fault':34} {'grant':>16} {'lease 10 s':>16} {'split':>8} {'grant/lease':>12}")
+    for name, (fault, observe_s) in grant_cases.items():
+        grant = [lost_by_grant(fault, seed, observe_s) for seed in SEEDS]
+        crashed, released, outage_s = lease_cases[name]
+        lease = [
+            lost_by_lease(seed, crashed=crashed, released=released, outage_s=outage_s)
+            for seed in SEEDS
+        ]
+        split = lost_by_split(gone_s=split_gone_s.get(name, 0.0))
+        ratio = f"{mean(grant) / mean(lease):.2f}" if mean(lease) else "-"
+        print(
+            f"{name:34} {mean(grant):8.2f} ({max(grant):5.1f}) {mean(lease):8.2f} "
+            f"({max(lease):5.1f}) {split:8.2f} {ratio:>12}"
+        )
+    renewals = TARGET_GRANTS / LEASE_RENEWAL_S
+    reads = TARGET_GRANTS / SETTINGS.verify_interval_s
+    print(
+        f"store load of {TARGET_GRANTS} grants: grants {reads:.0f} reads/s and no writes;", end=""
+    )
+    print(f" leases {renewals:.0f} writes/s")
+    unusable = (DOMAIN_SIZE - 1) / DOMAIN_SIZE
+    print(f"share of the limit that a split refuses when one VM gets all calls: {unusable:.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/siskinward/coordination/membership/_membership.py
+++ b/src/siskinward/coordination/membership/_membership.py
@@ -87,6 +87,16 @@
         )
         return tuple(member for pair in pairs for member in pair)
 
+    def links(self, now_s: float) -> tuple[VmName, ...]:
+        """Return the VMs to exchange relayed state with.
+
+        For a relay: its failure domain and the paired relays; for others: the own relays.
+        """
+        if self.is_relay(now_s):
+            paired = tuple(member.identity.vm for member in self.paired_relays(now_s))
+            return self._domain.live_peers() + paired
+        return tuple(m.identity.vm for m in self.relays(self._own.failure_domain, now_s))
+
     def address_of(self, vm: VmName) -> VmAddress | None:
         """Return the last known address of a VM."""
         return self._domain.address_of(vm) or self._remote.address_of(vm)
--- /dev/null
+++ b/src/siskinward/coordination/version_sync.py
@@ -0,0 +1,175 @@
+"""Spreads versioned state: relays poll the platform and push, others take and ask."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+from expression import Result
+
+from siskinward.coordination.events import Effect
+from siskinward.coordination.events import ReadRow
+from siskinward.coordination.events import RowRead
+from siskinward.coordination.events import Send
+from siskinward.coordination.version_messages import Adopted
+from siskinward.coordination.version_messages import FetchObject
+from siskinward.coordination.version_messages import FreshnessBeat
+from siskinward.coordination.version_messages import ObjectFetched
+from siskinward.coordination.version_messages import VersionPush
+from siskinward.coordination.version_messages import VersionRequest
+from siskinward.state.content_delta import apply_delta
+from siskinward.state.content_delta import make_delta
+from siskinward.state.versions import Pointer
+from siskinward.state.versions import VersionTracker
+from siskinward.state.versions import decode_pointer
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from siskinward.coordination.events import TableAnswer
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.version_messages import ObjectAnswer
+    from siskinward.state.errors import StepError
+    from siskinward.state.identifiers import VmName
+
+SyncMessage = FreshnessBeat | VersionRequest | VersionPush
+
+ROW_PREFIX = "state/"
+PLATFORM = "platform"
+
+SyncEffect = Effect | FetchObject | Adopted
+
+
+@frozen
+class VersionSyncSettings:
+    """A relay polls every ``poll_interval_s``, plus or minus up to ``poll_jitter_s``."""
+
+    poll_interval_s: float = 1.0
+    poll_jitter_s: float = 0.2
+    request_timeout_s: float = 1.0
+
+
+class VersionSync:
+    """One VM's copy of one versioned state, such as the configuration with its keys."""
+
+    def __init__(
+        self, settings: VersionSyncSettings, state: str, randomness: Random, started_s: float
+    ) -> None:
+        self._settings = settings
+        self._state = state
+        self._random = randomness
+        self._row = f"{ROW_PREFIX}{state}"
+        self._links: tuple[VmName, ...] = ()
+        self._is_relay = False
+        self._request_id = 0
+        # The first poll is spread over a whole interval, so that relays do not poll in step.
+        self._next_poll_s = started_s + randomness.uniform(0.0, settings.poll_interval_s)
+        self._next_ask_s = started_s
+        self.tracker = VersionTracker(state)
+        self.last_error: StepError | None = None
+
+    def on_links(self, links: tuple[VmName, ...], *, is_relay: bool, now_s: float) -> None:
+        """Take ``Membership.links`` and ``Membership.is_relay``."""
+        self._links = links
+        self._is_relay = is_relay
+
+    def on_timer(self, now_s: float) -> list[SyncEffect]:
+        """Poll the pointer row when it is due; only relays do."""
+        if not self._is_relay or now_s < self._next_poll_s:
+            return []
+        jitter_s = self._random.uniform(-1.0, 1.0) * self._settings.poll_jitter_s
+        self._next_poll_s = now_s + self._settings.poll_interval_s + jitter_s
+        self._request_id += 1
+        return [ReadRow(self._row, self._request_id)]
+
+    def on_table_answer(self, answer: TableAnswer, now_s: float) -> list[SyncEffect]:
+        """Fetch the content if the pointer row names a higher version."""
+        if answer.row != self._row or not isinstance(answer, RowRead):
+            return []
+        published = decode_pointer(answer.value)
+        if published is None:
+            return []
+        self._note(self.tracker.offer_pointer(published.pointer, PLATFORM))
+        if not self.tracker.behind:
+            return []
+        return [FetchObject(published.pointer.content_hash)]
+
+    def on_object(self, answer: ObjectAnswer, now_s: float) -> list[SyncEffect]:
+        """Adopt and push a fetched content; a failed fetch is repeated by the next poll."""
+        newest = self.tracker.newest
+        if not isinstance(answer, ObjectFetched) or newest is None:
+            return []
+        if answer.content_hash != newest.content_hash:
+            return []
+        return self._adopt(newest, answer.content, PLATFORM)
+
+    def on_message(
+        self,
+        message: SyncMessage,
+        sender: VmIdentity,
+        now_s: float,
+    ) -> list[SyncEffect]:
+        """Take a beat with a higher version, a request, or a content."""
+        match message:
+            case FreshnessBeat(state, version) if (
+                state == self._state and version > self.tracker.version
+            ):
+                return self._ask(sender.vm, now_s)
+            case VersionRequest(state, held_hash) if state == self._state:
+                return self._answer(held_hash, sender.vm)
+            case VersionPush(state) if state == self._state:
+                return self._on_push(message, sender.vm, now_s)
+        return []
+
+    def _on_push(self, push: VersionPush, sender: VmName, now_s: float) -> list[SyncEffect]:
+        if push.pointer.version <= self.tracker.version:
+            return []
+        base = self._base(push.base_hash)
+        if base is None:
+            self._next_ask_s = now_s
+            return self._ask(sender, now_s)
+        return self._adopt(push.pointer, apply_delta(base, push.delta), sender)
+
+    def _base(self, base_hash: str) -> bytes | None:
+        if not base_hash:
+            return b""
+        adopted = self.tracker.adopted
+        if adopted is not None and adopted.content_hash == base_hash:
+            return self.tracker.content
+        return None
+
+    def _ask(self, vm: VmName, now_s: float) -> list[SyncEffect]:
+        if now_s < self._next_ask_s:
+            return []
+        self._next_ask_s = now_s + self._settings.request_timeout_s
+        adopted = self.tracker.adopted
+        return [Send(vm, VersionRequest(self._state, adopted.content_hash if adopted else ""))]
+
+    def _answer(self, held_hash: str, vm: VmName) -> list[SyncEffect]:
+        adopted = self.tracker.adopted
+        if adopted is None or adopted.content_hash == held_hash:
+            return []
+        return [Send(vm, self._push(adopted, held_hash))]
+
+    def _push(self, adopted: Pointer, held_hash: str) -> VersionPush:
+        tracker = self.tracker
+        if held_hash and held_hash == tracker.previous_hash:
+            delta = make_delta(tracker.previous_content, tracker.content)
+            return VersionPush(self._state, adopted, held_hash, delta)
+        return VersionPush(self._state, adopted, "", make_delta(b"", tracker.content))
+
+    def _adopt(self, pointer: Pointer, content: bytes, source: str) -> list[SyncEffect]:
+        result = self.tracker.offer_content(pointer, content, source)
+        self._note(result)
+        if not result.default_value(False):
+            return []
+        effects: list[SyncEffect] = [Adopted(self._state, pointer, content)]
+        if self._is_relay:
+            push = self._push(pointer, self.tracker.previous_hash)
+            effects += [Send(vm, push) for vm in self._links if vm != source]
+        return effects
+
+    def _note(self, result: Result[bool, StepError]) -> None:
+        match result:
+            case Result(tag="error", error=error):
+                self.last_error = error
--- /dev/null
+++ b/tests/coordination/test_freshness.py
@@ -0,0 +1,88 @@
+"""A store outage is told from a cut, on VMs whose clocks differ."""
+
+from __future__ import annotations
+
+import pytest
+from version_net import Net
+
+from siskinward.coordination.freshness import Connected
+from siskinward.coordination.freshness import FreshnessSettings
+from siskinward.coordination.freshness import Isolated
+from siskinward.coordination.freshness import StoreDown
+
+BOUND_S = FreshnessSettings().bound_s
+# The bound counts from the last read, which other domains may pass on for two more beats.
+NOTICED_S = BOUND_S + 2 * FreshnessSettings().beat_interval_s
+
+
+def settled(near: str = "") -> Net:
+    net = Net(near=near)
+    net.publish(1)
+    net.run(10.0)
+    return net
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.25])
+def test_freshness_connected_everywhere(delay_s: float) -> None:
+    net = settled()
+    net.delay_s = delay_s
+    net.run(10.0)
+    assert all(isinstance(net.standing(vm), Connected) for vm in net.vms)
+
+
+def test_freshness_domain_without_platform_is_vouched_for_by_others() -> None:
+    net = settled()
+    net.vms["c0"].sync.on_timer = lambda now_s: []  # type: ignore[method-assign]
+    net.run(20.0)
+    assert isinstance(net.standing("c0"), Connected)
+    assert isinstance(net.standing("c1"), Connected)
+
+
+def test_freshness_store_down_for_all() -> None:
+    net = settled()
+    net.platform_group = None
+    net.run(NOTICED_S)
+    assert all(isinstance(net.standing(vm), StoreDown) for vm in net.vms)
+    net.platform_group = 0
+    net.run(4.0)
+    assert all(isinstance(net.standing(vm), Connected) for vm in net.vms)
+
+
+def test_freshness_cut_domain_is_isolated_within_the_bound() -> None:
+    net = settled()
+    net.cut("c")
+    net.run(BOUND_S)
+    assert isinstance(net.standing("c0"), Isolated)
+    assert isinstance(net.standing("c1"), Isolated)
+    assert isinstance(net.standing("a1"), Connected)
+
+
+def test_freshness_majority_cut_from_the_platform_knows_its_place() -> None:
+    """Without the platform's place a majority cut off from it mistakes the cut for an outage."""
+    for near, expected in (("", StoreDown), ("a", Isolated)):
+        net = settled(near)
+        net.cut("bcde")
+        net.run(NOTICED_S)
+        assert isinstance(net.standing("c1"), expected)
+        assert isinstance(net.standing("a1"), Connected)
+
+
+def test_freshness_never_claims_less_than_the_true_age_when_messages_are_late() -> None:
+    net = settled()
+    net.platform_group = None
+    stopped_s = net.now_s
+    net.delay_s = 3.0
+    for _ in range(60):
+        net.run(0.125)
+        for vm in net.vms:
+            match net.standing(vm):
+                case Connected(age_s):
+                    assert age_s >= net.now_s - stopped_s - 0.01
+
+
+def test_freshness_ends_while_a_known_version_is_not_adopted() -> None:
+    net = settled()
+    net.publish(2)
+    net.objects.clear()
+    net.run(NOTICED_S)
+    assert isinstance(net.standing("a0"), Isolated)
