Drive version sync and freshness as one part, and measure the control traffic

Cause: the embedding program had to time its polls to know how old an answer is. StateReplica keeps the time at which each poll was asked and passes adoptions on. The pointer row is the one that the publisher writes; the messages are registered with the codec.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -2,75 +2,72 @@
 
 Run with ``PYTHONPATH=src python benchmarks/membership.py`` from the root. All VMs run in one
 process on simulated time; every message is encoded by its sender and decoded by its receiver
-(msgpack of ``[tag, fields]`` by cattrs, with a frame of four bytes), and that time is counted.
+by the daemon's codec, and that time is counted. ``compact`` is what would be sent if frames held
+no class and field names.
 """
 
 from __future__ import annotations
 
-import sys
 from random import Random
 from statistics import mean
 from time import perf_counter
 from typing import Any
 
 import msgpack
+from attrs import astuple
 from attrs import define
-from cattrs import UnstructureStrategy
-from cattrs.preconf.msgpack import make_converter
 
-from siskinward.coordination import version_messages
 from siskinward.coordination.events import ReadRow
 from siskinward.coordination.events import RowRead
 from siskinward.coordination.events import Send
 from siskinward.coordination.events import VmIdentity
-from siskinward.coordination.freshness import Freshness
-from siskinward.coordination.freshness import FreshnessSettings
 from siskinward.coordination.membership import Membership
 from siskinward.coordination.membership import MembershipSettings
 from siskinward.coordination.membership import VmAddress
-from siskinward.coordination.membership import messages as membership_messages
 from siskinward.coordination.platform import ListedVm
+from siskinward.coordination.publishing import ConfigurationPointer
+from siskinward.coordination.publishing import encode_pointer
+from siskinward.coordination.state_replica import StateReplica
+from siskinward.coordination.state_replica import StateReplicaSettings
 from siskinward.coordination.version_messages import Adopted
 from siskinward.coordination.version_messages import FetchObject
 from siskinward.coordination.version_messages import FreshnessBeat
 from siskinward.coordination.version_messages import ObjectFetched
 from siskinward.coordination.version_messages import VersionPush
 from siskinward.coordination.version_messages import VersionRequest
-from siskinward.coordination.version_sync import VersionSync
-from siskinward.coordination.version_sync import VersionSyncSettings
+from siskinward.protocol.registry import create_codec
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
 from siskinward.state.identifiers import VmName
-from siskinward.state.versions import Pointer
-from siskinward.state.versions import PublishedPointer
 from siskinward.state.versions import content_hash_of
-from siskinward.state.versions import encode_pointer
 
 TICK_S = 0.25
 SETTLE_S = 10.0
 MEASURE_S = 6.0
-FRAME_BYTES = 4
 TCP_IP_BYTES = 40
 HOP_S = 0.02
-STATE = "config"
+STATE = "configuration"
 CONTENT_BYTES = 150_000
 CHANGED_BYTES = 300
 BUDGET_BYTES_PER_S = 14_000
 BUDGET_CORE = 0.038
-CLASSES = membership_messages.MESSAGES + version_messages.MESSAGES
-TAGS = {message: tag for tag, message in enumerate(CLASSES)}
-CONVERTER = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+CODEC = create_codec()
+PEER = "peer"
 
 
 def encode(message: Any) -> bytes:
-    """Return the message as msgpack of its tag and fields."""
-    return msgpack.packb([TAGS[type(message)], CONVERTER.unstructure(message)])
+    """Return the frame that the daemon sends."""
+    return CODEC.encode(message)
 
 
 def decode(frame: bytes) -> Any:
     """Return the message of a frame."""
-    tag, fields = msgpack.unpackb(frame)
-    return CONVERTER.structure(fields, CLASSES[tag])
+    return CODEC.decode(msgpack.unpackb(frame), PEER).ok
+
+
+def compact_bytes(message: Any) -> int:
+    """Return the size of a frame without the names of the class and its fields."""
+    return len(msgpack.packb([0, astuple(message)]))
 
 
 @define
@@ -79,6 +76,7 @@
 
     busy_s: float = 0.0
     sent_bytes: int = 0
+    compact_bytes: int = 0
     received_bytes: int = 0
     messages: int = 0
     segments: int = 0
@@ -92,8 +90,9 @@
         self.identity = VmIdentity(item.vm, item.failure_domain, incarnation)
         address = VmAddress(item.host, item.front_port, item.peer_port)
         self.membership = Membership(MembershipSettings(), self.identity, address, now_s)
-        self.freshness = Freshness(FreshnessSettings(), self.identity, STATE, now_s)
-        self.sync = VersionSync(VersionSyncSettings(), STATE, Random(item.vm), now_s)
+        self.replica = StateReplica(
+            StateReplicaSettings(), self.identity, STATE, Random(item.vm), now_s
+        )
         self.usage = Usage()
         self.in_force_s: dict[int, float] = {}
         self.revision = -1
@@ -128,9 +127,10 @@
         """Put a content with a few changed bytes in the store and move the pointer."""
         content = bytearray(Random(0).randbytes(CONTENT_BYTES))
         content[1000 : 1000 + CHANGED_BYTES] = Random(version).randbytes(CHANGED_BYTES)
-        pointer = Pointer(version, content_hash_of(bytes(content)))
-        self.objects[pointer.content_hash] = bytes(content)
-        self.row = (version, encode_pointer(PublishedPointer(pointer, "publisher")))
+        name = content_hash_of(bytes(content))
+        self.objects[name] = bytes(content)
+        pointer = ConfigurationPointer(version, name, f"publisher-{version}", "", 0.0)
+        self.row = (version, encode_pointer(pointer))
 
     def run(self, duration_s: float, step_s: float = TICK_S) -> None:
         """Advance the clock; timers fire on every tick of ``TICK_S``."""
@@ -153,12 +153,8 @@
         effects: list[Any] = list(membership.on_timer(now_s))
         if membership.revision != vm.revision:
             vm.revision = membership.revision
-            links = membership.links(now_s)
-            vm.freshness.on_links(links, now_s)
-            vm.freshness.on_heard_domains(membership.heard_domains(now_s), self.known, now_s)
-            vm.sync.on_links(links, is_relay=membership.is_relay(now_s), now_s=now_s)
-        effects += vm.freshness.on_timer(now_s)
-        effects += vm.sync.on_timer(now_s)
+            vm.replica.on_membership(membership, self.known, now_s)
+        effects += vm.replica.on_timer(now_s)
         self.carry_out(vm, effects)
         vm.usage.busy_s += perf_counter() - started
 
@@ -168,16 +164,13 @@
         message = decode(frame)
         effects: list[Any] = []
         match message:
-            case FreshnessBeat():
-                effects += vm.freshness.on_message(message, sender, self.now_s)
-                effects += vm.sync.on_message(message, sender, self.now_s)
-            case VersionPush() | VersionRequest():
-                effects += vm.sync.on_message(message, sender, self.now_s)
+            case FreshnessBeat() | VersionPush() | VersionRequest():
+                effects += vm.replica.on_message(message, sender, self.now_s)
             case _:
                 effects += vm.membership.on_message(message, sender, self.now_s)
         self.carry_out(vm, effects)
         vm.usage.busy_s += perf_counter() - started
-        vm.usage.received_bytes += len(frame) + FRAME_BYTES
+        vm.usage.received_bytes += len(frame)
 
     def carry_out(self, vm: BenchVm, effects: list[Any]) -> None:
         """Carry effects out; messages to one VM in one step share a segment."""
@@ -187,20 +180,19 @@
                 case Send(to, message):
                     frame = encode(message)
                     receivers.add(to)
-                    vm.usage.sent_bytes += len(frame) + FRAME_BYTES
+                    vm.usage.sent_bytes += len(frame)
+                    uncounted = perf_counter()
+                    vm.usage.compact_bytes += compact_bytes(message)
+                    vm.usage.busy_s -= perf_counter() - uncounted
                     vm.usage.messages += 1
                     self.in_flight.append((self.now_s + HOP_S, to, frame, vm.identity))
                 case ReadRow(row, request_id):
                     answer = RowRead(row, request_id, *self.row)
-                    self.carry_out(vm, vm.sync.on_table_answer(answer, self.now_s))
-                    newest = vm.sync.tracker.newest
-                    if newest is not None:
-                        vm.freshness.on_platform_read(newest.version, self.now_s, self.now_s)
+                    self.carry_out(vm, vm.replica.on_table_answer(answer, self.now_s))
                 case FetchObject(name):
                     fetched = ObjectFetched(name, self.objects[name])
-                    self.carry_out(vm, vm.sync.on_object(fetched, self.now_s))
+                    self.carry_out(vm, vm.replica.on_object(fetched, self.now_s))
                 case Adopted(_, pointer):
-                    vm.freshness.on_adopted(pointer.version, self.now_s)
                     vm.in_force_s[pointer.version] = self.now_s
         vm.usage.segments += len(receivers)
 
@@ -210,6 +202,18 @@
             vm.usage = Usage()
 
 
+COLUMNS = (
+    "sent/s",
+    "sent B/s",
+    "compact",
+    "recv B/s",
+    "TCP B/s",
+    "core %",
+    "B/budget",
+    "CPU/budget",
+)
+
+
 def report(fleet: BenchFleet, label: str, duration_s: float) -> tuple[float, float]:
     """Print the means of relays and of other VMs; return the relays' bytes and core share."""
     results = (0.0, 0.0)
@@ -221,15 +225,15 @@
             continue
         core = mean(u.busy_s for u in usages) / duration_s
         sent = mean(u.sent_bytes for u in usages) / duration_s
+        compact = mean(u.compact_bytes for u in usages) / duration_s
         received = mean(u.received_bytes for u in usages) / duration_s
         headers = mean(u.segments for u in usages) / duration_s * TCP_IP_BYTES
         messages = mean(u.messages for u in usages) / duration_s
-        per_message_us = core / (2 * messages) * 1e6
-        print(
-            f"{label:>18} {role:>6} {messages:8.1f} {sent:9.0f} {received:9.0f} {headers:9.0f}"
-            f" {core * 100:8.3f} {per_message_us:10.1f} {(sent + headers) / BUDGET_BYTES_PER_S:7.2f}"
-            f" {core / BUDGET_CORE:7.2f}"
-        )
+        budget = (sent + headers) / BUDGET_BYTES_PER_S
+        figures = (messages, sent, compact, received, headers)
+        cells = "".join(f"{value:11.0f}" for value in figures)
+        shares = f"{core * 100:11.3f}{budget:11.2f}{core / BUDGET_CORE:11.2f}"
+        print(f"{label:>13} {role:>6}{cells}{shares}")
         if wanted:
             results = (sent + headers, core)
     return results
@@ -262,22 +266,15 @@
         times = [vm.in_force_s.get(version, float("inf")) for vm in fleet.vms.values()]
         worst_s.append(max(times) - published_s)
         added.append(mean(vm.usage.sent_bytes for vm in fleet.vms.values()) - quiet)
-    print(f"version in force on all {len(fleet.vms)} VMs, {HOP_S} s a hop, after seconds:", end="")
-    print(
-        f" mean {mean(worst_s):.2f}, worst {max(worst_s):.2f}; bytes sent a VM and change:", end=""
-    )
-    print(f" {mean(added):.0f} for {CHANGED_BYTES} changed of {CONTENT_BYTES}")
+    spread = f"mean {mean(worst_s):.2f}, worst {max(worst_s):.2f}"
+    print(f"version in force on all {len(fleet.vms)} VMs after, at {HOP_S} s a hop: {spread} s")
+    cost = f"{mean(added):.0f} for {CHANGED_BYTES} changed of {CONTENT_BYTES}"
+    print(f"bytes sent a VM for a change of the version: {cost}")
 
 
 def main() -> None:
     """Print a line for each size and role, slopes, and the spread of a version."""
-    print(
-        f"{'domains x VMs':>18} {'role':>6} {'sent/s':>8} {'sent B/s':>9} {'recv B/s':>9}"
-        f" {'TCP B/s':>9} {'core %':>8} {'us/message':>10} {'bytes/':>7} {'core/':>7}"
-    )
-    print(
-        f"{'':>18} {'':>6} {'':>8} {'':>9} {'':>9} {'':>9} {'':>8} {'':>10} {'budget':>7} {'budget':>7}"
-    )
+    print(f"{'domains x VMs':>13} {'role':>6}" + "".join(f"{name:>11}" for name in COLUMNS))
     found = {(d, s): steady(d, s) for d in (6, 20) for s in (2, 10, 30, 60)}
     bytes_slope = (found[20, 60][0] - found[20, 10][0]) / 50
     core_slope = (found[20, 60][1] - found[20, 10][1]) / 50
@@ -291,4 +288,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/src/siskinward/coordination/membership/_domain.py
+++ b/src/siskinward/coordination/membership/_domain.py
@@ -10,6 +10,7 @@
 from siskinward.coordination.events import Effect
 from siskinward.coordination.events import Send
 from siskinward.coordination.membership._digests import digest_id
+from siskinward.coordination.membership._links import relays_of
 from siskinward.coordination.membership._peers import Member
 from siskinward.coordination.membership._peers import PeerTable
 from siskinward.coordination.membership.messages import Announce
@@ -44,7 +45,10 @@
         self._contacts: dict[VmName, VmAddress] = {}
         self._listed_leaving: frozenset[VmName] = frozenset()
         self._leaving = False
+        self._relay_count = settings.relay_count
         self._live: tuple[Member, ...] = ()
+        self._relays: tuple[Member, ...] = ()
+        self._is_relay = False
         self._digest = DomainDigest(own.failure_domain, ())
         self._digest_id = b""
         self._refresh()
@@ -63,6 +67,14 @@
         """Return the live VMs, this one included, by incarnation."""
         return self._live
 
+    def relays(self) -> tuple[Member, ...]:
+        """Return the relays, lowest incarnation first."""
+        return self._relays
+
+    def is_relay(self) -> bool:
+        """Tell whether this VM is a relay."""
+        return self._is_relay
+
     def live_peers(self) -> tuple[VmName, ...]:
         """Return the names of the other live VMs."""
         return tuple(m.identity.vm for m in self._live if m.identity != self._own)
@@ -169,6 +181,8 @@
                 leaving = peer.leaving or vm in self._listed_leaving
                 members.append(Member(peer.identity, address, leaving))
         self._live = tuple(sorted(members, key=lambda m: m.identity.incarnation))
+        self._relays = relays_of(self._live, self._relay_count)
+        self._is_relay = any(member.identity == self._own for member in self._relays)
         entries = sorted((m.entry() for m in members), key=lambda entry: entry.vm)
         self._digest = DomainDigest(self._own.failure_domain, tuple(entries))
         self._digest_id = digest_id(self._digest)
--- a/src/siskinward/coordination/membership/_links.py
+++ b/src/siskinward/coordination/membership/_links.py
@@ -1,4 +1,4 @@
-"""Pairs the relays of two failure domains so that each pair has a path over every relay."""
+"""Chooses the relays of a failure domain and pairs them with those of another."""
 
 from __future__ import annotations
 
@@ -8,6 +8,12 @@
     from siskinward.coordination.membership._peers import Member
 
 
+def relays_of(live: tuple[Member, ...], count: int) -> tuple[Member, ...]:
+    """Return the first ``count`` members; leaving ones only if no other is left."""
+    staying = tuple(member for member in live if not member.leaving)
+    return (staying or live)[:count]
+
+
 def paired_relays(rank: int, own_count: int, theirs: tuple[Member, ...]) -> tuple[Member, ...]:
     """Return the relays that the own relay of ``rank`` exchanges messages with.
 
--- a/src/siskinward/coordination/membership/_membership.py
+++ b/src/siskinward/coordination/membership/_membership.py
@@ -10,6 +10,7 @@
 from siskinward.coordination.membership._digests import RelayedView
 from siskinward.coordination.membership._domain import OwnDomain
 from siskinward.coordination.membership._links import paired_relays
+from siskinward.coordination.membership._links import relays_of
 from siskinward.coordination.membership._remote import RemoteDomains
 from siskinward.coordination.membership.messages import Announce
 from siskinward.coordination.membership.messages import DigestBeat
@@ -62,14 +63,13 @@
 
     def relays(self, domain: DomainName, now_s: float) -> tuple[Member, ...]:
         """Return the relays of a failure domain, lowest incarnation first."""
-        live = self.live_vms(domain, now_s)
-        staying = tuple(member for member in live if not member.leaving)
-        return (staying or live)[: self._settings.relay_count]
+        if domain == self._own.failure_domain:
+            return self._domain.relays()
+        return relays_of(self._remote.live(domain), self._settings.relay_count)
 
     def is_relay(self, now_s: float) -> bool:
         """Tell whether this VM is a relay of its failure domain."""
-        relays = self.relays(self._own.failure_domain, now_s)
-        return any(member.identity == self._own for member in relays)
+        return self._domain.is_relay()
 
     def heard_domains(self, now_s: float) -> frozenset[DomainName]:
         """Return the other failure domains that this VM or a live relay of its own hears."""
--- a/src/siskinward/coordination/version_sync.py
+++ b/src/siskinward/coordination/version_sync.py
@@ -11,6 +11,8 @@
 from siskinward.coordination.events import ReadRow
 from siskinward.coordination.events import RowRead
 from siskinward.coordination.events import Send
+from siskinward.coordination.platform import Row
+from siskinward.coordination.publishing import decode_pointer
 from siskinward.coordination.version_messages import Adopted
 from siskinward.coordination.version_messages import FetchObject
 from siskinward.coordination.version_messages import FreshnessBeat
@@ -21,7 +23,6 @@
 from siskinward.state.content_delta import make_delta
 from siskinward.state.versions import Pointer
 from siskinward.state.versions import VersionTracker
-from siskinward.state.versions import decode_pointer
 
 if TYPE_CHECKING:
     from random import Random
@@ -34,7 +35,6 @@
 
 SyncMessage = FreshnessBeat | VersionRequest | VersionPush
 
-ROW_PREFIX = "state/"
 PLATFORM = "platform"
 
 SyncEffect = Effect | FetchObject | Adopted
@@ -50,7 +50,10 @@
 
 
 class VersionSync:
-    """One VM's copy of one versioned state, such as the configuration with its keys."""
+    """One VM's copy of one versioned state, such as the configuration with its keys.
+
+    ``state`` is the key of its pointer row.
+    """
 
     def __init__(
         self, settings: VersionSyncSettings, state: str, randomness: Random, started_s: float
@@ -58,7 +61,6 @@
         self._settings = settings
         self._state = state
         self._random = randomness
-        self._row = f"{ROW_PREFIX}{state}"
         self._links: tuple[VmName, ...] = ()
         self._is_relay = False
         self._request_id = 0
@@ -80,19 +82,19 @@
         jitter_s = self._random.uniform(-1.0, 1.0) * self._settings.poll_jitter_s
         self._next_poll_s = now_s + self._settings.poll_interval_s + jitter_s
         self._request_id += 1
-        return [ReadRow(self._row, self._request_id)]
+        return [ReadRow(self._state, self._request_id)]
 
     def on_table_answer(self, answer: TableAnswer, now_s: float) -> list[SyncEffect]:
         """Fetch the content if the pointer row names a higher version."""
-        if answer.row != self._row or not isinstance(answer, RowRead):
-            return []
-        published = decode_pointer(answer.value)
-        if published is None:
+        if answer.row != self._state or not isinstance(answer, RowRead):
             return []
-        self._note(self.tracker.offer_pointer(published.pointer, PLATFORM))
-        if not self.tracker.behind:
+        published = decode_pointer(Row(answer.row, answer.version, answer.value))
+        if published.is_error():
+            self.last_error = published.error
             return []
-        return [FetchObject(published.pointer.content_hash)]
+        pointer = Pointer(published.ok.version, published.ok.content_hash)
+        self._note(self.tracker.offer_pointer(pointer, PLATFORM))
+        return [FetchObject(pointer.content_hash)] if self.tracker.behind else []
 
     def on_object(self, answer: ObjectAnswer, now_s: float) -> list[SyncEffect]:
         """Adopt and push a fetched content; a failed fetch is repeated by the next poll."""
--- a/src/siskinward/protocol/registry.py
+++ b/src/siskinward/protocol/registry.py
@@ -4,6 +4,7 @@
 
 from siskinward.coordination import ownership
 from siskinward.coordination import shares
+from siskinward.coordination import version_messages
 from siskinward.coordination.grants import messages as grants
 from siskinward.coordination.membership import messages as membership
 from siskinward.coordination.summaries import messages as summaries
@@ -21,6 +22,7 @@
     *shares.MESSAGES,
     *summaries.MESSAGES,
     *tickets.MESSAGES,
+    *version_messages.MESSAGES,
 )
 
 
--- a/src/siskinward/state/versions.py
+++ b/src/siskinward/state/versions.py
@@ -4,7 +4,6 @@
 
 from hashlib import blake2b
 
-import msgpack
 from attrs import frozen
 from expression import Error
 from expression import Ok
@@ -23,33 +22,11 @@
     content_hash: str
 
 
-@frozen
-class PublishedPointer:
-    """The pointer row. A publisher whose answer was lost recognises its ``publish_id``."""
-
-    pointer: Pointer
-    publish_id: str
-
-
 def content_hash_of(content: bytes) -> str:
     """Return the hash that names a content."""
     return blake2b(content, digest_size=HASH_BYTES).hexdigest()
 
 
-def encode_pointer(published: PublishedPointer) -> bytes:
-    """Return the value of the pointer row."""
-    pointer = published.pointer
-    return msgpack.packb([pointer.version, pointer.content_hash, published.publish_id])
-
-
-def decode_pointer(value: bytes) -> PublishedPointer | None:
-    """Read the pointer row; an absent row has an empty value."""
-    if not value:
-        return None
-    version, content_hash, publish_id = msgpack.unpackb(value)
-    return PublishedPointer(Pointer(version, content_hash), publish_id)
-
-
 class VersionTracker:
     """Adopts only versions higher than the adopted one, with content that matches its hash."""
 
--- a/tests/coordination/version_net.py
+++ b/tests/coordination/version_net.py
@@ -10,22 +10,20 @@
 from siskinward.coordination.events import RowRead
 from siskinward.coordination.events import Send
 from siskinward.coordination.events import VmIdentity
-from siskinward.coordination.freshness import Freshness
 from siskinward.coordination.freshness import FreshnessSettings
+from siskinward.coordination.publishing import ConfigurationPointer
+from siskinward.coordination.publishing import encode_pointer
+from siskinward.coordination.state_replica import StateReplica
+from siskinward.coordination.state_replica import StateReplicaSettings
 from siskinward.coordination.version_messages import Adopted
 from siskinward.coordination.version_messages import FetchObject
 from siskinward.coordination.version_messages import ObjectFailed
 from siskinward.coordination.version_messages import ObjectFetched
 from siskinward.coordination.version_messages import VersionPush
-from siskinward.coordination.version_sync import VersionSync
-from siskinward.coordination.version_sync import VersionSyncSettings
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
 from siskinward.state.identifiers import VmName
-from siskinward.state.versions import Pointer
-from siskinward.state.versions import PublishedPointer
 from siskinward.state.versions import content_hash_of
-from siskinward.state.versions import encode_pointer
 
 TICK_S = 0.125
 STATE = "configuration"
@@ -39,8 +37,10 @@
         identity = VmIdentity(VmName(name), self.domain, IncarnationId(f"i-{name}-{now_s}"))
         self.identity = identity
         settings = FreshnessSettings(platform_domains=near)
-        self.freshness = Freshness(settings, identity, STATE, now_s + skew_s)
-        self.sync = VersionSync(VersionSyncSettings(), STATE, Random(name), now_s + skew_s)
+        self.replica = StateReplica(
+            StateReplicaSettings(freshness=settings), identity, STATE, Random(name), now_s + skew_s
+        )
+        self.sync = self.replica.sync
         self.versions: list[int] = []
 
 
@@ -69,9 +69,10 @@
 
     def publish(self, version: int) -> None:
         content = f"{'x' * 100}version {version}{'y' * 100}".encode()
-        pointer = Pointer(version, content_hash_of(content))
-        self.objects[pointer.content_hash] = content
-        self.row = (self.row[0] + 1, encode_pointer(PublishedPointer(pointer, "p")))
+        name = content_hash_of(content)
+        self.objects[name] = content
+        pointer = ConfigurationPointer(version, name, f"p{version}", "", 0.0)
+        self.row = (self.row[0] + 1, encode_pointer(pointer))
 
     def cut(self, group: str) -> None:
         self.groups = {domain: int(domain in group) for domain in self.domains}
@@ -101,11 +102,11 @@
     def tick(self, vm: Vm) -> None:
         clock_s = self.now_s + vm.skew_s
         known = frozenset(DomainName(d) for d in self.domains)
-        vm.freshness.on_links(self.links(vm), clock_s)
-        vm.freshness.on_heard_domains(self.heard(vm) - {vm.domain}, known, clock_s)
+        freshness = vm.replica.freshness
+        freshness.on_links(self.links(vm), clock_s)
+        freshness.on_heard_domains(self.heard(vm) - {vm.domain}, known, clock_s)
         vm.sync.on_links(self.links(vm), is_relay=vm.name[1] == "0", now_s=clock_s)
-        self.carry_out(vm, vm.freshness.on_timer(clock_s))
-        self.carry_out(vm, vm.sync.on_timer(clock_s))
+        self.carry_out(vm, vm.replica.on_timer(clock_s))
 
     def carry_out(self, vm: Vm, effects: list[Any]) -> None:
         clock_s = self.now_s + vm.skew_s
@@ -116,19 +117,15 @@
                     self.in_flight.append((self.now_s + self.delay_s, to, message, vm.identity))
                 case ReadRow(row, request_id) if reaches:
                     answer = RowRead(row, request_id, *self.row)
-                    self.carry_out(vm, vm.sync.on_table_answer(answer, clock_s))
-                    newest = vm.sync.tracker.newest
-                    if newest:
-                        vm.freshness.on_platform_read(newest.version, clock_s, clock_s)
+                    self.carry_out(vm, vm.replica.on_table_answer(answer, clock_s))
                 case ReadRow(row, request_id):
-                    vm.sync.on_table_answer(RowFailed(row, request_id), clock_s)
+                    vm.replica.on_table_answer(RowFailed(row, request_id), clock_s)
                 case FetchObject(name):
                     content = self.objects.get(name)
                     answer_object = ObjectFetched(name, content) if content else ObjectFailed(name)
-                    self.carry_out(vm, vm.sync.on_object(answer_object, clock_s))
+                    self.carry_out(vm, vm.replica.on_object(answer_object, clock_s))
                 case Adopted(_, pointer):
                     vm.versions.append(pointer.version)
-                    vm.freshness.on_adopted(pointer.version, clock_s)
 
     def receive(self, to: str, message: Any, sender: VmIdentity) -> None:
         vm = self.vms[to]
@@ -138,13 +135,11 @@
         if isinstance(message, VersionPush) and to in self.drop_pushes_to:
             self.drop_pushes_to.discard(to)
             return
-        self.carry_out(vm, vm.sync.on_message(message, sender, clock_s))
-        if type(message).__name__ == "FreshnessBeat":
-            self.carry_out(vm, vm.freshness.on_message(message, sender, clock_s))
+        self.carry_out(vm, vm.replica.on_message(message, sender, clock_s))
 
     def in_force(self) -> set[int]:
         return {vm.sync.tracker.version for vm in self.vms.values()}
 
     def standing(self, name: str) -> Any:
         vm = self.vms[name]
-        return vm.freshness.standing(self.now_s + vm.skew_s)
+        return vm.replica.standing(self.now_s + vm.skew_s)
