Tell a wrongly suspected holder who replaced it

Cause: announcements went to live members only. VMs are now told until a minute after they were last live, and the holder named in the row always. A focused test failed before and passes now.

--- a/src/siskinward/coordination/grants/_link.py
+++ b/src/siskinward/coordination/grants/_link.py
@@ -26,20 +26,30 @@
 class GrantLink:
     """Requests and messages of one participant."""
 
-    def __init__(self, own: VmIdentity, grant: str) -> None:
+    def __init__(self, own: VmIdentity, grant: str, remember_s: float) -> None:
         self.own = own
+        self._remember_s = remember_s
+        self._told_s: dict[VmName, float] = {}
         self.grant = grant
         self.row = f"{ROW_PREFIX}{grant}"
         self.row_version = 0
         self._members: tuple[Member, ...] = ()
         self._last_request_id = 0
 
-    def set_members(self, members: tuple[Member, ...]) -> list[VmName]:
+    def set_members(self, members: tuple[Member, ...], now_s: float) -> list[VmName]:
         """Replace the live VMs; return the peers that are new."""
-        known = {member.identity for member in self._members}
+        known = set(self.peers())
         self._members = members
+        self._told_s.update((peer.vm, now_s) for peer in (*known, *self.peers()))
+        bound_s = now_s - self._remember_s
+        self._told_s = {vm: at_s for vm, at_s in self._told_s.items() if at_s >= bound_s}
         return [peer.vm for peer in self.peers() if peer not in known]
 
+    def remember(self, vm: VmName, now_s: float) -> None:
+        """Go on telling a VM that is not live: it may be suspected wrongly."""
+        if vm and vm != self.own.vm:
+            self._told_s[vm] = now_s
+
     def peers(self) -> list[VmIdentity]:
         """Return the other live VMs."""
         return [m.identity for m in self._members if m.identity != self.own]
@@ -81,8 +91,8 @@
         return GrantNotice(self.grant, record.epoch, record.vm, record.incarnation)
 
     def to_peers(self, message: GrantMessage) -> list[Effect]:
-        """Send a message to all other live VMs."""
-        return [Send(peer.vm, message) for peer in self.peers()]
+        """Send a message to all other VMs that are live or were until recently."""
+        return [Send(vm, message) for vm in self._told_s]
 
     def hand_over(self, record: GrantRecord) -> list[Effect]:
         """Tell the successor that it holds the grant."""
--- a/src/siskinward/coordination/grants/_machine.py
+++ b/src/siskinward/coordination/grants/_machine.py
@@ -38,7 +38,7 @@
         self, settings: GrantSettings, own: VmIdentity, grant: str, started_s: float
     ) -> None:
         self._settings = settings
-        self.link = GrantLink(own, grant)
+        self.link = GrantLink(own, grant, settings.remember_s)
         self.state: State = Following()
         self.newest = ABSENT
         self._next_announce_s = started_s
@@ -212,6 +212,7 @@
         if record.epoch >= self.newest.epoch:
             self.newest = record
         newest = self.newest
+        link.remember(newest.vm, now_s)
         if newest.incarnation == link.own.incarnation:
             return self.wait(newest, now_s)
         self.state = Following()
--- a/src/siskinward/coordination/grants/_participant.py
+++ b/src/siskinward/coordination/grants/_participant.py
@@ -82,7 +82,7 @@
     def on_members(self, members: tuple[Member, ...], now_s: float) -> list[Effect]:
         """Take the live VMs of the own failure domain."""
         machine = self._machine
-        added = machine.link.set_members(members)
+        added = machine.link.set_members(members, now_s)
         match machine.state:
             case Holding(record) | Waiting(record):
                 return [Send(vm, machine.link.notice(record)) for vm in added]
--- a/src/siskinward/coordination/grants/_settings.py
+++ b/src/siskinward/coordination/grants/_settings.py
@@ -15,7 +15,8 @@
     ``delivery_bound_s``: a message repeated every ``announce_interval_s`` between two running VMs
     of one failure domain arrives within it. ``stall_bound_s``: longest gap between two timers
     after which a holder goes on without validation. ``clock_rate_error``: largest relative error
-    of a VM's clock.
+    of a VM's clock. ``remember_s``: how long VMs that are no
+    longer live are still told who holds the grant, since they may be suspected wrongly.
     """
 
     announce_interval_s: float = 0.25
@@ -26,6 +27,7 @@
     settle_s: float = 4.0
     verify_interval_s: float = 2.0
     answer_timeout_s: float = 5.0
+    remember_s: float = 60.0
 
     @property
     def takeover_wait_s(self) -> float:
--- a/tests/coordination/grants/grant_world.py
+++ b/tests/coordination/grants/grant_world.py
@@ -46,6 +46,7 @@
     seen_s: float = 0.0
     suspected_until_s: float = 0.0
     stop_at_s: float = float("inf")
+    members: tuple[Member, ...] = ()
     inbox: list[tuple[float, Callable[[Node], list[Any]]]] = field(factory=list)
 
     def clock(self, now_s: float) -> float:
@@ -196,7 +197,9 @@
             if member.identity != node.identity
             and self.nodes[member.identity.vm].cut_in_domain == node.cut_in_domain
         )
-        self.carry_out(node, node.participant.on_members((*seen, own), clock_s))
+        if node.members != (*seen, own):
+            node.members = (*seen, own)
+            self.carry_out(node, node.participant.on_members(node.members, clock_s))
         self.carry_out(node, node.participant.on_timer(clock_s))
         if node.leaving and (node.participant.handed_over or self.now_s > node.stop_at_s):
             node.up = False
--- a/tests/coordination/grants/test_grants_failures.py
+++ b/tests/coordination/grants/test_grants_failures.py
@@ -7,6 +7,7 @@
 import pytest
 from grant_world import SETTINGS
 from grant_world import SILENCE_S
+from grant_world import TICK_S
 from grant_world import Node
 from grant_world import World
 
@@ -160,6 +161,18 @@
     assert len(world.users()) == 1
 
 
+def test_wrongly_suspected_holder_hears_of_its_successor(world: World) -> None:
+    old = only_user(world)
+    world.run(SETTINGS.remember_s)
+    old.suspected_until_s = world.now_s + 10.0
+    while recorded(world).incarnation == old.identity.incarnation:
+        world.run(TICK_S, lambda: at_most_one(world))
+    # From here on the old holder cannot learn it from the row.
+    world.outage_until_s = world.now_s + 30.0
+    world.run(30.0, lambda: at_most_one(world))
+    assert only_user(world) != old
+
+
 def test_cut_inside_the_domain_breaks_the_assumption(world: World) -> None:
     """Cuts are assumed to run between failure domains.
 
