Test the ticket book: forged text, foreign sends, kept answers, own keys, hand-over

Cause: the bounds on answers and the table's lost answers need tests beside the search. A successor of a home role asks itself for handed-over tickets, also when no VM announced the move.

--- a/src/siskinward/coordination/tickets/_book.py
+++ b/src/siskinward/coordination/tickets/_book.py
@@ -189,6 +189,8 @@
         return results
 
     def _home_of(self, ticket: Ticket) -> VmIdentity:
+        if self._home.holds(ticket):
+            return self._own
         return self._moved.get(ticket.home.incarnation, ticket.home)
 
 
--- a/src/siskinward/coordination/tickets/_home_role.py
+++ b/src/siskinward/coordination/tickets/_home_role.py
@@ -54,10 +54,14 @@
         """Whether the successor has noted everything."""
         return not self._clock_offsets_s and self._sender.is_done
 
+    def holds(self, ticket: Ticket) -> bool:
+        """Whether this VM decides on the ticket."""
+        return ticket.home.incarnation in self._clock_offsets_s
+
     def on_request(self, message: ClaimRequest, now_s: float) -> list[Effect]:
         """Claim a new ticket for the attempt, or tell it what became of the ticket."""
         ticket, claim = message.ticket, message.claim
-        if not self._holds(ticket):
+        if not self.holds(ticket):
             return [self._elsewhere(ticket, claim)]
         key = key_of(ticket)
         match self.keeper.records.state(key):
@@ -70,7 +74,7 @@
 
     def on_finished(self, message: ClaimFinished, now_s: float) -> list[Effect]:
         """Record the claimant's final outcome."""
-        if not self._holds(message.ticket):
+        if not self.holds(message.ticket):
             return [self._elsewhere(message.ticket, message.claim)]
         return self.keeper.finish(message, now_s)
 
@@ -133,9 +137,6 @@
                 key = RecordKey(home.incarnation, record.serial)
                 self.keeper.records.put(key, record.state, now_s)
 
-    def _holds(self, ticket: Ticket) -> bool:
-        return ticket.home.incarnation in self._clock_offsets_s
-
     def _elsewhere(self, ticket: Ticket, claim: Claim) -> Effect:
         successor = self._successors.get(ticket.home.incarnation)
         if successor is None:
--- a/tests/coordination/tickets/search.py
+++ b/tests/coordination/tickets/search.py
@@ -9,6 +9,7 @@
 
 import copy
 from enum import Enum
+from enum import IntEnum
 from types import MethodType
 from typing import TYPE_CHECKING
 from typing import Any
@@ -37,16 +38,15 @@
 SETTINGS = TicketSettings(ask_timeout_s=1.0)
 SECRET = b"deployment secret"
 DEADLINE_S = 1000.0
-MAX_TICKS = 3
 SHED = NotRun(RefusalReason.TARGET_SHED, 1.0)
 LOST = Unknown(RefusalReason.TARGET_LOST)
 
 
-class Violation(AssertionError):
+class ViolationError(AssertionError):
     """A promise was broken."""
 
 
-@frozen
+@frozen(cache_hash=True)
 class Begin:
     attempt: str
 
@@ -58,7 +58,7 @@
     message: Any
 
 
-@frozen
+@frozen(cache_hash=True)
 class Tick:
     vm: str
 
@@ -68,19 +68,19 @@
     vm: str
 
 
-@frozen
+@frozen(cache_hash=True)
 class Depart:
     vm: str
     at: str
 
 
-@frozen
+@frozen(cache_hash=True)
 class Finish:
     attempt: str
     outcome: Any
 
 
-@frozen
+@frozen(cache_hash=True)
 class HandOver:
     vm: str
     peer: str
@@ -95,13 +95,26 @@
     now_s: int = 0
 
 
-class Fate(Enum):
+class Fate(IntEnum):
     """What became of an attempt."""
 
-    BEGUN = "begun"
-    DISPATCHED = "dispatched"
-    RAN = "ran"
-    SHED = "shed"
+    UNSENT = 0
+    BEGUN = 1
+    DISPATCHED = 2
+    RAN = 3
+    SHED = 4
+
+    __hash__ = int.__hash__
+
+
+@frozen
+class Local:
+    """A book's reaction to an event: its next node, and sets of bits."""
+
+    node: int
+    messages: int
+    answers: int
+    dispatched: tuple[str, ...]
 
 
 @frozen(cache_hash=True)
@@ -110,8 +123,8 @@
 
     nodes: tuple[int, ...]
     messages: int = 0
-    fates: frozenset[tuple[str, Fate]] = frozenset()
     answers: int = 0
+    fates: tuple[Fate, ...] = ()
     replaced: frozenset[str] = frozenset()
     departed: frozenset[Depart] = frozenset()
     handed_over: bool = False
@@ -144,6 +157,8 @@
     replacements: int = 1
     departures: bool = False
     hand_over: HandOver | None = None
+    ticks: int = 3
+    copyless: bool = False
 
 
 def identity(vm: str, number: int = 0) -> VmIdentity:
@@ -167,14 +182,17 @@
     def __init__(self, scenario: Scenario) -> None:
         self.scenario = scenario
         self.ticket = ""
+        self.fates: set[Fate] = set()
         self._entry = dict(scenario.sends)
+        self._attempts = [attempt for attempt, _ in scenario.sends]
         self._at = {vm: position for position, vm in enumerate(scenario.vms)}
         self._books: list[TicketBook] = []
         self._book_numbers: dict[Any, int] = {}
         self._nodes = Interner()
         self._messages = Interner()
         self._answers = Interner()
-        self._steps: dict[tuple[int, Any], tuple[int, tuple[Any, ...]]] = {}
+        self._fresh: dict[str, int] = {}
+        self._steps: dict[tuple[int, Any], Local] = {}
 
     def run(self) -> int:
         """Number of worlds visited."""
@@ -182,8 +200,9 @@
         seen = {start}
         stack = [start]
         while stack:
-            for following in self._following(stack.pop()):
-                if following in seen:
+            world = stack.pop()
+            for following in self._following(world):
+                if following is world or following in seen:
                     continue
                 self._check(following)
                 seen.add(following)
@@ -195,11 +214,12 @@
         nodes = []
         for vm in self.scenario.vms:
             book = TicketBook(SETTINGS, identity(vm), SECRET)
-            book.on_members(live, 0.0)
+            if not self.scenario.copyless:
+                book.on_members(live, 0.0)
             if vm == "home":
                 self.ticket = book.mint(0.0)
             nodes.append(self._nodes.number(Node(identity(vm), self._book(book))))
-        return World(tuple(nodes))
+        return World(tuple(nodes), fates=(Fate.UNSENT,) * len(self._attempts))
 
     def _book(self, book: TicketBook) -> int:
         image = freeze(book)
@@ -216,11 +236,12 @@
             yield self._apply(world, event)
 
     def _events(self, world: World) -> Iterator[Any]:
-        begun = {attempt for attempt, _ in world.fates}
-        yield from (Begin(attempt) for attempt in self._entry if attempt not in begun)
-        for attempt in (attempt for attempt, fate in world.fates if fate is Fate.DISPATCHED):
-            answer = Answered(200, (), attempt.encode())
-            yield from (Finish(attempt, outcome) for outcome in (answer, SHED, LOST))
+        for attempt, fate in zip(self._attempts, world.fates, strict=True):
+            if fate is Fate.UNSENT:
+                yield Begin(attempt)
+            if fate is Fate.DISPATCHED:
+                answer = Answered(200, (), attempt.encode())
+                yield from (Finish(attempt, outcome) for outcome in (answer, SHED, LOST))
         yield from (Tick(vm) for vm in set(self._entry.values()) if self._may_tick(world, vm))
         if len(world.replaced) < self.scenario.replacements:
             yield from (Replace(vm) for vm in self.scenario.replaceable if vm not in world.replaced)
@@ -234,17 +255,16 @@
         node: Node = self._nodes.values[world.nodes[self._at[vm]]]
         attempts = vars(self._books[node.book])["_attempts"]
         stages = [type(attempt.stage) for attempt in vars(attempts)["_attempts"].values()]
-        return any(stage is not Dispatched for stage in stages) and node.now_s < MAX_TICKS
+        return any(stage is not Dispatched for stage in stages) and node.now_s < self.scenario.ticks
 
     def _apply(self, world: World, event: Any) -> World:
         match event:
             case Begin(attempt):
-                world = evolve(world, fates=world.fates | {(attempt, Fate.BEGUN)})
+                world = self._with_fate(world, attempt, Fate.BEGUN)
                 return self._step(world, self._entry[attempt], event)
             case Finish(attempt, outcome):
-                fate = Fate.SHED if outcome == SHED else Fate.RAN
-                fates = (world.fates - {(attempt, Fate.DISPATCHED)}) | {(attempt, fate)}
-                return self._step(evolve(world, fates=fates), self._entry[attempt], event)
+                world = self._with_fate(world, attempt, Fate.SHED if outcome == SHED else Fate.RAN)
+                return self._step(world, self._entry[attempt], event)
             case Replace(vm):
                 return self._replace(world, vm)
             case Depart():
@@ -254,52 +274,64 @@
                 return self._step(evolve(world, handed_over=True), event.vm, event)
         return self._step(world, event.vm, event)
 
+    def _with_fate(self, world: World, attempt: str, fate: Fate) -> World:
+        at = self._attempts.index(attempt)
+        return evolve(world, fates=(*world.fates[:at], fate, *world.fates[at + 1 :]))
+
     def _replace(self, world: World, vm: str) -> World:
-        fresh = identity(vm, 1)
-        book = TicketBook(SETTINGS, fresh, SECRET)
-        book.on_members([identity(name) for name in self._at if name != vm] + [fresh], 0.0)
         nodes = list(world.nodes)
-        nodes[self._at[vm]] = self._nodes.number(Node(fresh, self._book(book)))
+        nodes[self._at[vm]] = self._fresh_node(vm)
         # What was dispatched may have run; it can no longer be finished.
-        fates = frozenset(
-            (attempt, Fate.RAN if fate is Fate.DISPATCHED and self._entry[attempt] == vm else fate)
-            for attempt, fate in world.fates
+        fates = tuple(
+            Fate.RAN if fate is Fate.DISPATCHED and self._entry[attempt] == vm else fate
+            for attempt, fate in zip(self._attempts, world.fates, strict=True)
         )
         replaced = world.replaced | {vm}
         return evolve(world, nodes=tuple(nodes), fates=fates, replaced=replaced)
 
+    def _fresh_node(self, vm: str) -> int:
+        if vm not in self._fresh:
+            fresh = identity(vm, 1)
+            book = TicketBook(SETTINGS, fresh, SECRET)
+            book.on_members([identity(name) for name in self._at if name != vm] + [fresh], 0.0)
+            self._fresh[vm] = self._nodes.number(Node(fresh, self._book(book)))
+        return self._fresh[vm]
+
     def _step(self, world: World, vm: str, event: Any) -> World:
         at = self._at[vm]
         key = (world.nodes[at], event)
-        if key not in self._steps:
-            self._steps[key] = self._local(self._nodes.values[world.nodes[at]], event)
-        number, steps = self._steps[key]
-        if number == world.nodes[at] and not steps:
+        local = self._steps.get(key)
+        if local is None:
+            local = self._steps[key] = self._local(self._nodes.values[world.nodes[at]], event)
+        messages = world.messages | local.messages
+        answers = world.answers | local.answers
+        nodes = (*world.nodes[:at], local.node, *world.nodes[at + 1 :])
+        if (nodes, messages, answers) == (world.nodes, world.messages, world.answers):
+            if local.dispatched:
+                raise ViolationError(f"{local.dispatched} dispatched without a record of it")
             return world
-        nodes = (*world.nodes[:at], number, *world.nodes[at + 1 :])
-        messages, answers, fates = world.messages, world.answers, set(world.fates)
-        for step in steps:
-            match step:
-                case Deliver():
-                    messages |= 1 << self._messages.number(step)
-                case Dispatch(attempt):
-                    fates.add((attempt, Fate.DISPATCHED))
-                case AnswerCaller():
-                    answers |= 1 << self._answers.number(step)
-        return evolve(
-            world, nodes=nodes, messages=messages, answers=answers, fates=frozenset(fates)
-        )
-
-    def _local(self, node: Node, event: Any) -> tuple[int, tuple[Any, ...]]:
+        for attempt in local.dispatched:
+            if world.fates[self._attempts.index(attempt)] is not Fate.BEGUN:
+                raise ViolationError(f"{attempt} was dispatched twice")
+            world = self._with_fate(world, attempt, Fate.DISPATCHED)
+        rest = (world.fates, world.replaced, world.departed, world.handed_over)
+        return World(nodes, messages, answers, *rest)
+
+    def _local(self, node: Node, event: Any) -> Local:
         if isinstance(event, Tick):
             node = evolve(node, now_s=node.now_s + 1)
         book = copy.deepcopy(self._books[node.book])
         steps = self._drive(book, event, float(node.now_s))
         number = self._nodes.number(evolve(node, book=self._book(book)))
-        return number, tuple(
-            Deliver(node.identity, step.to, step.message) if isinstance(step, Send) else step
-            for step in steps
-        )
+        messages, answers = 0, 0
+        for step in steps:
+            match step:
+                case Send(to, message):
+                    messages |= 1 << self._messages.number(Deliver(node.identity, to, message))
+                case AnswerCaller():
+                    answers |= 1 << self._answers.number(step)
+        dispatched = tuple(step.attempt_id for step in steps if isinstance(step, Dispatch))
+        return Local(number, messages, answers, dispatched)
 
     def _drive(self, book: TicketBook, event: Any, now_s: float) -> list[TicketStep]:
         match event:
@@ -319,15 +351,17 @@
         return book.on_timer(now_s)
 
     def _check(self, world: World) -> None:
-        may_have_run = {a for a, fate in world.fates if fate in (Fate.DISPATCHED, Fate.RAN)}
-        dispatched = may_have_run | {a for a, fate in world.fates if fate is Fate.SHED}
+        self.fates.update(world.fates)
+        fates = list(zip(self._attempts, world.fates, strict=True))
+        may_have_run = {a for a, fate in fates if fate in (Fate.DISPATCHED, Fate.RAN)}
+        dispatched = may_have_run | {a for a, fate in fates if fate is Fate.SHED}
         if len(dispatched) > 1:
-            raise Violation(f"dispatched twice: {dispatched}")
+            raise ViolationError(f"dispatched twice: {dispatched}")
         for number in self._answers.members(world.answers):
             match self._answers.values[number]:
                 case AnswerCaller(outcome=NotRun(), scope=NotRunScope.REQUEST) if may_have_run:
-                    raise Violation(f"false not-run, {may_have_run} may have run")
+                    raise ViolationError(f"false not-run, {may_have_run} may have run")
                 case AnswerCaller(attempt_id=attempt) if attempt in dispatched:
-                    raise Violation(f"{attempt} was dispatched and answered besides")
+                    raise ViolationError(f"{attempt} was dispatched and answered besides")
                 case AnswerCaller(outcome=Answered(body=body)) if body.decode() not in dispatched:
-                    raise Violation(f"an answer that no attempt gave: {body!r}")
+                    raise ViolationError(f"an answer that no attempt gave: {body!r}")
--- /dev/null
+++ b/tests/coordination/tickets/test_tickets_book.py
@@ -0,0 +1,128 @@
+"""Ticket text, refusals of foreign sends, bounds on kept answers, and old tickets."""
+
+from __future__ import annotations
+
+import pytest
+
+from siskinward.coordination.events import Send
+from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.outcomes import Answered
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.tickets import AnswerCaller
+from siskinward.coordination.tickets import Dispatch
+from siskinward.coordination.tickets import NotRunScope
+from siskinward.coordination.tickets import TicketBook
+from siskinward.coordination.tickets import TicketSettings
+from siskinward.coordination.tickets import read_ticket
+from siskinward.coordination.tickets import write_ticket
+from siskinward.coordination.tickets.messages import HandOverPart
+from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import VmName
+
+SECRET = b"deployment secret"
+AGENCY = AccountName("agency")
+
+
+def identity(vm: str) -> VmIdentity:
+    return VmIdentity(VmName(vm), DomainName("pécs: 1"), IncarnationId(f"{vm}-0"))
+
+
+def lone_book(settings: TicketSettings | None = None) -> TicketBook:
+    return TicketBook(settings or TicketSettings(), identity("home"), SECRET)
+
+
+def run(book: TicketBook, attempt: str, ticket: str, body: bytes, now_s: float = 0.0) -> None:
+    assert book.begin(attempt, ticket, AGENCY, "print", 60.0, now_s) == [Dispatch(attempt)]
+    assert book.finished(attempt, Answered(200, (), body), now_s) == []
+
+
+def test_ticket_text_survives_header_and_refuses_forgery() -> None:
+    book = lone_book()
+    book.on_members([identity("home"), identity("peer")], 0.0)
+    text = book.mint(1.5)
+    assert text.isascii() and text.isprintable() and " " not in text
+    ticket = read_ticket(text, SECRET).ok
+    assert ticket.copy == identity("peer")
+    assert write_ticket(ticket, SECRET) == text
+    for at in range(len(text)):
+        forged = text[:at] + chr(ord(text[at]) ^ 1) + text[at + 1 :]
+        assert read_ticket(forged, SECRET).is_error()
+    assert read_ticket(text, b"other secret").is_error()
+
+
+@pytest.mark.parametrize(
+    ("account", "fingerprint"), [(AGENCY, "other"), (AccountName("rival"), "print")]
+)
+def test_begin_refuses_ticket_of_another_request(account: AccountName, fingerprint: str) -> None:
+    book = lone_book()
+    ticket = book.mint(0.0)
+    run(book, "first", ticket, b"booked")
+    refusal = NotRun(RefusalReason.TICKET_INVALID, TicketSettings().retry_after_s)
+    steps = book.begin("second", ticket, account, fingerprint, 60.0, 1.0)
+    assert steps == [AnswerCaller("second", refusal, NotRunScope.SEND)]
+    resend = book.begin("third", ticket, AGENCY, "print", 60.0, 1.0)
+    answer = Answered(200, (), b"booked")
+    assert resend == [AnswerCaller("third", answer, NotRunScope.REQUEST)]
+
+
+def test_kept_answers_stay_within_bytes_and_evicted_ones_never_run_again() -> None:
+    settings = TicketSettings(kept_answers_bytes=1000, kept_answer_limit_bytes=600)
+    book = lone_book(settings)
+    tickets = [book.mint(0.0) for _ in range(4)]
+    for number, size in enumerate((500, 500, 500, 700)):
+        run(book, f"first-{number}", tickets[number], b"x" * size)
+    assert book._home.keeper.records.kept_bytes <= settings.kept_answers_bytes
+    outcomes = []
+    for number, ticket in enumerate(tickets):
+        (step,) = book.begin(f"again-{number}", ticket, AGENCY, "print", 60.0, 1.0)
+        assert isinstance(step, AnswerCaller)
+        outcomes.append(step.outcome)
+    evicted = Unknown(RefusalReason.ANSWER_EVICTED)
+    kept = Answered(200, (), b"x" * 500)
+    assert outcomes == [evicted, kept, kept, evicted]
+
+
+def test_old_ticket_is_refused_and_never_claimed() -> None:
+    settings = TicketSettings()
+    book = lone_book(settings)
+    used, unused = book.mint(0.0), book.mint(0.0)
+    run(book, "first", used, b"booked", now_s=settings.claim_lifetime_s)
+    now_s = settings.claim_lifetime_s + settings.record_lifetime_s + 1.0
+    book.on_timer(now_s)
+    assert len(book._home.keeper.records) == 0
+    for attempt, ticket in (("second", used), ("third", unused)):
+        (step,) = book.begin(attempt, ticket, AGENCY, "print", now_s + 60.0, now_s)
+        assert isinstance(step, AnswerCaller)
+        assert isinstance(step.outcome, NotRun)
+        assert step.scope is NotRunScope.SEND
+
+
+def test_hand_over_in_parts_keeps_answers_and_needs_every_part() -> None:
+    settings = TicketSettings(hand_over_records=2)
+    home, peer = lone_book(settings), TicketBook(settings, identity("peer"), SECRET)
+    tickets = [home.mint(0.0) for _ in range(5)]
+    for number, ticket in enumerate(tickets[:4]):
+        run(home, f"first-{number}", ticket, b"booked")
+    sends = [step for step in home.hand_over(identity("peer"), 1.0) if isinstance(step, Send)]
+    parts = [step.message for step in sends if isinstance(step.message, HandOverPart)]
+    assert len(parts) == 2
+    assert not home.is_handed_over
+    sent_again: list[Send] = []
+    for number, part in enumerate(parts):
+        assert _holds_role(peer, tickets[0]) is False
+        replies = peer.on_message(part, identity("home"), 500.0 + number)
+        sent_again += [step for step in replies if isinstance(step, Send)]
+    for reply in sent_again:
+        home.on_message(reply.message, identity("peer"), 2.0)
+    assert home.is_handed_over
+    (step,) = peer.begin("again", tickets[0], AGENCY, "print", 900.0, 502.0)
+    assert step == AnswerCaller("again", Answered(200, (), b"booked"), NotRunScope.REQUEST)
+    assert peer.begin("new", tickets[4], AGENCY, "print", 900.0, 502.0) == [Dispatch("new")]
+
+
+def _holds_role(book: TicketBook, ticket: str) -> bool:
+    return book._home.holds(read_ticket(ticket, SECRET).ok)
