Add retries: typed failures, a retry ledger, hedges and paced refusals

Cause: only idempotent work, or work known not to have run, may be tried again. A request that may have run in any attempt is never told not-run later.

--- /dev/null
+++ b/src/siskinward/coordination/retries/__init__.py
@@ -0,0 +1,41 @@
+"""Retries, hedges and advice to refused callers."""
+
+from __future__ import annotations
+
+from siskinward.coordination.retries._hedging import HedgePolicy
+from siskinward.coordination.retries._ledger import RetryLedger
+from siskinward.coordination.retries._pacing import RefusalPacer
+from siskinward.coordination.retries._policy import GiveUp
+from siskinward.coordination.retries._policy import RequestProgress
+from siskinward.coordination.retries._policy import RetryDecision
+from siskinward.coordination.retries._policy import RetryPolicy
+from siskinward.coordination.retries._policy import TryAgain
+from siskinward.coordination.retries._results import AnswerIncomplete
+from siskinward.coordination.retries._results import AttemptFailure
+from siskinward.coordination.retries._results import LostAfterSent
+from siskinward.coordination.retries._results import NeverConnected
+from siskinward.coordination.retries._results import PeerLost
+from siskinward.coordination.retries._results import Shed
+from siskinward.coordination.retries._results import StaleConnection
+from siskinward.coordination.retries._results import TimedOut
+from siskinward.coordination.retries._settings import RetrySettings
+
+__all__ = [
+    "AnswerIncomplete",
+    "AttemptFailure",
+    "GiveUp",
+    "HedgePolicy",
+    "LostAfterSent",
+    "NeverConnected",
+    "PeerLost",
+    "RefusalPacer",
+    "RequestProgress",
+    "RetryDecision",
+    "RetryLedger",
+    "RetryPolicy",
+    "RetrySettings",
+    "Shed",
+    "StaleConnection",
+    "TimedOut",
+    "TryAgain",
+]
--- /dev/null
+++ b/tests/coordination/retries/test_retries_policy.py
@@ -0,0 +1,120 @@
+"""Which failures are retried, what a given-up request is told, and the ledger's bound."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.retries import AnswerIncomplete
+from siskinward.coordination.retries import GiveUp
+from siskinward.coordination.retries import HedgePolicy
+from siskinward.coordination.retries import LostAfterSent
+from siskinward.coordination.retries import NeverConnected
+from siskinward.coordination.retries import PeerLost
+from siskinward.coordination.retries import RefusalPacer
+from siskinward.coordination.retries import RequestProgress
+from siskinward.coordination.retries import RetryLedger
+from siskinward.coordination.retries import RetryPolicy
+from siskinward.coordination.retries import RetrySettings
+from siskinward.coordination.retries import Shed
+from siskinward.coordination.retries import StaleConnection
+from siskinward.coordination.retries import TimedOut
+from siskinward.coordination.retries import TryAgain
+from siskinward.state.identifiers import ServiceName
+from siskinward.state.identifiers import TargetName
+from siskinward.state.objects import Service
+from siskinward.state.objects import ServiceClass
+
+if TYPE_CHECKING:
+    from siskinward.coordination.retries import AttemptFailure
+
+SETTINGS = RetrySettings()
+TARGET = TargetName("organ-1")
+KNOWN_NOT_RUN = [NeverConnected, StaleConnection, Shed]
+MAY_HAVE_RUN = [LostAfterSent, AnswerIncomplete, PeerLost, TimedOut]
+FAILURES = st.lists(
+    st.sampled_from(KNOWN_NOT_RUN + MAY_HAVE_RUN).map(lambda kind: kind(TARGET)), min_size=1
+)
+
+
+@given(failures=FAILURES, idempotent=st.booleans())
+def test_policy_never_reruns_and_never_denies_a_run(
+    failures: list[AttemptFailure], idempotent: bool
+) -> None:
+    policy, ledger = RetryPolicy(SETTINGS, Random(1)), RetryLedger(SETTINGS)
+    progress = RequestProgress(idempotent, deadline_s=5.0)
+    may_have_run = False
+    for tries, failure in enumerate(failures, start=1):
+        may_have_run = may_have_run or isinstance(failure, tuple(MAY_HAVE_RUN))
+        match policy.decide(progress, failure, ledger, 0.0):
+            case TryAgain() as again:
+                assert idempotent or not may_have_run
+                assert tries < SETTINGS.attempt_limit
+                progress = again.progress
+            case GiveUp(outcome):
+                assert isinstance(outcome, Unknown if may_have_run else NotRun)
+                return
+
+
+@pytest.mark.parametrize("kind", KNOWN_NOT_RUN)
+def test_policy_retries_booking_known_not_run(kind: type[Shed]) -> None:
+    ledger = RetryLedger(SETTINGS)
+    progress = RequestProgress(idempotent=False, deadline_s=5.0)
+    decision = RetryPolicy(SETTINGS, Random(1)).decide(progress, kind(TARGET), ledger, 0.0)
+    assert isinstance(decision, TryAgain)
+    assert decision.exclude == TARGET
+
+
+@pytest.mark.parametrize(("deadline_s", "tokens"), [(0.001, 20.0), (5.0, 0.0)])
+def test_policy_gives_up_without_time_or_tokens(deadline_s: float, tokens: float) -> None:
+    settings = RetrySettings(ledger_limit_tokens=tokens)
+    progress = RequestProgress(idempotent=True, deadline_s=deadline_s)
+    decision = RetryPolicy(settings, Random(1)).decide(
+        progress, NeverConnected(TARGET), RetryLedger(settings), 0.0, retry_after_s=2.0
+    )
+    assert isinstance(decision, GiveUp)
+    assert isinstance(decision.outcome, NotRun)
+    assert decision.outcome.reason is RefusalReason.NO_TARGET
+    assert decision.outcome.retry_after_s >= 2.0
+
+
+def test_ledger_bounds_retries_by_fraction_of_first_attempts() -> None:
+    ledger = RetryLedger(SETTINGS)
+    requests, retries = 1000, 0
+    for _ in range(requests):
+        ledger.on_first_attempt()
+        retries += sum(ledger.spend() for _ in range(SETTINGS.attempt_limit - 1))
+    bound = SETTINGS.ledger_limit_tokens + requests * SETTINGS.earned_tokens_per_request
+    assert retries <= bound
+
+
+@pytest.mark.parametrize("hedged", [True, False])
+def test_hedge_only_for_hedged_idempotent_services_after_p95(hedged: bool) -> None:
+    service = Service(ServiceName("listings"), ServiceClass.READ, hedged=hedged)
+    policy = HedgePolicy(SETTINGS, service)
+    read = RequestProgress(idempotent=True, deadline_s=5.0)
+    booking = RequestProgress(idempotent=False, deadline_s=5.0)
+    assert policy.hedge_after_s(read) is None
+    for number in range(SETTINGS.hedge_samples):
+        policy.on_latency(0.2 if number % 10 == 0 else 0.01)
+    ledger = RetryLedger(RetrySettings(ledger_limit_tokens=1.0))
+    assert policy.hedge_after_s(booking) is None
+    assert policy.hedge_after_s(read) == (0.2 if hedged else None)
+    assert not policy.may_hedge(booking, ledger, 0.0)
+    assert policy.may_hedge(read, ledger, 0.0) is hedged
+    assert not policy.may_hedge(read, ledger, 0.0)
+
+
+def test_pacer_spreads_callers_and_never_calls_them_early() -> None:
+    pacer = RefusalPacer(SETTINGS, Random(1))
+    waits_s = {pacer.after_queue_s(64, 32.0) for _ in range(50)}
+    assert len(waits_s) > 1
+    assert all(2.0 <= wait_s <= 2.0 * (1.0 + SETTINGS.retry_after_jitter) for wait_s in waits_s)
+    assert pacer.after_bucket_s(3.0, 0.0) >= SETTINGS.retry_after_limit_s
