Add quarantine: one run at a time for suspects, fleet-wide

Cause: a request that crashes its targets is resent through other VMs. Innocent requests beside it are cleared by their next run; proven ones are never suspected.

--- /dev/null
+++ b/src/siskinward/coordination/quarantine/__init__.py
@@ -0,0 +1,11 @@
+"""Quarantine of requests that coincide with the loss of targets."""
+
+from __future__ import annotations
+
+from siskinward.coordination.quarantine._quarantine import Permit
+from siskinward.coordination.quarantine._quarantine import Quarantine
+from siskinward.coordination.quarantine._quarantine import QuarantineStep
+from siskinward.coordination.quarantine._quarantine import Refuse
+from siskinward.coordination.quarantine._settings import QuarantineSettings
+
+__all__ = ["Permit", "Quarantine", "QuarantineSettings", "QuarantineStep", "Refuse"]
--- /dev/null
+++ b/tests/coordination/quarantine/test_quarantine_fleet.py
@@ -0,0 +1,186 @@
+"""A crash request resent through every VM at once, and the innocent requests beside it."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskinward.coordination.events import Send
+from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.quarantine import Permit
+from siskinward.coordination.quarantine import Quarantine
+from siskinward.coordination.quarantine import QuarantineSettings
+from siskinward.coordination.quarantine import Refuse
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import TargetName
+from siskinward.state.identifiers import VmName
+
+if TYPE_CHECKING:
+    from siskinward.coordination.quarantine import QuarantineStep
+
+TARGETS_LIMIT = 2
+CRASH = "crash"
+SETTLED_S = 100.0
+
+
+def identity(number: int) -> VmIdentity:
+    return VmIdentity(VmName(f"vm-{number}"), DomainName("domain"), IncarnationId(f"vm-{number}-0"))
+
+
+class Fleet:
+    """VMs with a mailbox whose messages are delivered in random order."""
+
+    def __init__(self, size: int, settings: QuarantineSettings, random: Random) -> None:
+        identities = [identity(number) for number in range(size)]
+        self.vms = {one.vm: Quarantine(settings, one) for one in identities}
+        self._identities = {one.vm: one for one in identities}
+        self._random = random
+        self._mail: list[tuple[VmName, Send]] = []
+        self._attempts = 0
+        self.permits: list[tuple[VmName, Permit]] = []
+        self.refused = 0
+        self.silent: set[VmName] = set()
+        for book in self.vms.values():
+            book.on_members(identities, 0.0)
+
+    def send(self, vm: VmName, fingerprint: str, now_s: float) -> None:
+        self._attempts += 1
+        steps = self.vms[vm].admit(f"attempt-{self._attempts}", fingerprint, now_s)
+        self.carry(vm, steps)
+
+    def carry(self, vm: VmName, steps: list[QuarantineStep]) -> None:
+        for step in steps:
+            match step:
+                case Send():
+                    self._mail.append((vm, step))
+                case Permit():
+                    self.permits.append((vm, step))
+                case Refuse():
+                    self.refused += 1
+
+    def deliver(self, now_s: float, most: int = 10**6) -> None:
+        while self._mail and most:
+            most -= 1
+            vm, send = self._mail.pop(self._random.randrange(len(self._mail)))
+            if send.to not in self.silent:
+                steps = self.vms[send.to].on_message(send.message, self._identities[vm], now_s)
+                self.carry(send.to, steps)
+
+
+def run_crashing(fleet: Fleet, now_s: float) -> int:
+    """Start every permitted attempt and lose its target; the number of targets lost."""
+    permits, fleet.permits = fleet.permits, []
+    for vm, permit in permits:
+        target = TargetName(f"target-{permit.attempt_id}")
+        fleet.vms[vm].started(permit.attempt_id, target)
+    for vm, permit in permits:
+        target = TargetName(f"target-{permit.attempt_id}")
+        fleet.carry(vm, fleet.vms[vm].target_lost(target, now_s))
+    return len(permits)
+
+
+@given(seed=st.integers(0, 10**6), size=st.integers(1, 12))
+def test_quarantine_two_targets_at_most_once_the_first_loss_is_told(seed: int, size: int) -> None:
+    fleet = Fleet(size, QuarantineSettings(), Random(seed))
+    fleet.send(VmName("vm-0"), CRASH, SETTLED_S)
+    lost = run_crashing(fleet, SETTLED_S)
+    fleet.deliver(SETTLED_S)
+    for round_number in range(20):
+        now_s = SETTLED_S + round_number * 0.05
+        for vm in fleet.vms:
+            fleet.send(vm, CRASH, now_s)
+        fleet.deliver(now_s, most=3)
+        lost += run_crashing(fleet, now_s)
+    fleet.deliver(SETTLED_S + 2.0)
+    lost += run_crashing(fleet, SETTLED_S + 2.0)
+    assert 1 <= lost <= TARGETS_LIMIT
+
+
+@given(seed=st.integers(0, 10**6))
+def test_quarantine_asking_for_unproven_holds_back_sends_at_once(seed: int) -> None:
+    fleet = Fleet(8, QuarantineSettings(ask_unproven=True), Random(seed))
+    lost = 0
+    for round_number in range(20):
+        now_s = SETTLED_S + round_number * 0.05
+        for vm in fleet.vms:
+            fleet.send(vm, CRASH, now_s)
+        fleet.deliver(now_s, most=5)
+        lost += run_crashing(fleet, now_s)
+    assert 1 <= lost <= TARGETS_LIMIT
+
+
+def test_quarantine_refuses_suspect_when_owner_is_silent() -> None:
+    settings = QuarantineSettings()
+    fleet = Fleet(3, settings, Random(1))
+    fleet.send(VmName("vm-0"), CRASH, SETTLED_S)
+    run_crashing(fleet, SETTLED_S)
+    fleet.deliver(SETTLED_S)
+    owner = fleet.vms[VmName("vm-0")].owner_of(CRASH)
+    sender = next(vm for vm in fleet.vms if vm != owner)
+    fleet.silent.add(owner)
+    fleet.send(sender, CRASH, SETTLED_S)
+    fleet.deliver(SETTLED_S)
+    later_s = SETTLED_S + settings.ask_timeout_s
+    fleet.carry(sender, fleet.vms[sender].on_timer(later_s))
+    assert fleet.permits == []
+    assert fleet.refused == 1
+
+
+@pytest.mark.parametrize("proven", [True, False])
+def test_quarantine_innocent_beside_crash_request_runs_on(proven: bool) -> None:
+    fleet = Fleet(3, QuarantineSettings(), Random(1))
+    vm, book = VmName("vm-0"), fleet.vms[VmName("vm-0")]
+    if proven:
+        fleet.send(vm, "innocent", SETTLED_S)
+        _, permit = fleet.permits.pop()
+        book.finished(permit.attempt_id, ran=True, now_s=SETTLED_S)
+    for fingerprint in (CRASH, "innocent"):
+        fleet.send(vm, fingerprint, SETTLED_S)
+    for _, permit in fleet.permits:
+        book.started(permit.attempt_id, TargetName("organ-1"))
+    fleet.permits.clear()
+    fleet.carry(vm, book.target_lost(TargetName("organ-1"), SETTLED_S))
+    fleet.deliver(SETTLED_S)
+    fleet.send(VmName("vm-1"), "innocent", SETTLED_S)
+    fleet.deliver(SETTLED_S)
+    ((sender, permit),) = fleet.permits
+    assert permit.alone is not proven
+    fleet.permits.clear()
+    done = fleet.vms[sender].finished(permit.attempt_id, ran=True, now_s=SETTLED_S)
+    fleet.carry(sender, done)
+    fleet.deliver(SETTLED_S)
+    for other in fleet.vms:
+        fleet.send(other, "innocent", SETTLED_S)
+    assert [permit.alone for _, permit in fleet.permits] == [False] * len(fleet.vms)
+
+
+def test_quarantine_same_loss_seen_by_two_vms_counts_once() -> None:
+    fleet = Fleet(2, QuarantineSettings(), Random(1))
+    for vm in fleet.vms:
+        fleet.send(vm, "innocent", SETTLED_S)
+    for vm, permit in fleet.permits:
+        fleet.vms[vm].started(permit.attempt_id, TargetName("organ-1"))
+    fleet.permits.clear()
+    for vm, book in fleet.vms.items():
+        fleet.carry(vm, book.target_lost(TargetName("organ-1"), SETTLED_S))
+    fleet.deliver(SETTLED_S)
+    fleet.send(VmName("vm-1"), "innocent", SETTLED_S)
+    fleet.deliver(SETTLED_S)
+    assert [permit.alone for _, permit in fleet.permits] == [True]
+
+
+def test_quarantine_expires() -> None:
+    settings = QuarantineSettings()
+    fleet = Fleet(1, settings, Random(1))
+    for _ in range(TARGETS_LIMIT):
+        fleet.send(VmName("vm-0"), CRASH, SETTLED_S)
+        assert run_crashing(fleet, SETTLED_S) == 1
+    fleet.send(VmName("vm-0"), CRASH, SETTLED_S + settings.quarantine_s - 1.0)
+    assert fleet.refused == 1
+    fleet.send(VmName("vm-0"), CRASH, SETTLED_S + settings.quarantine_s + 1.0)
+    assert len(fleet.permits) == 1
