Add connection liveness: adaptive time-outs, proofs of life, exchange matching

Cause: open connections can go silent for good while new ones work. An overdue answer is suspected only once a newer connection has answered since it was sent.

--- /dev/null
+++ b/src/siskinward/coordination/connections.py
@@ -0,0 +1,246 @@
+"""Liveness of connections to one target, and matching of answers to requests.
+
+Pure decisions: the transport names its connections and reports what happens on them.
+"""
+
+from __future__ import annotations
+
+from attrs import evolve
+from attrs import frozen
+
+from siskinward.state.identifiers import IncarnationId
+
+
+@frozen
+class ConnectionSettings:
+    """Time-outs; the adaptive time-out is the smoothed latency plus a multiple of its deviation."""
+
+    silence_least_s: float = 0.05
+    silence_limit_s: float = 5.0
+    deviation_multiple: float = 4.0
+    latency_gain: float = 0.125
+    deviation_gain: float = 0.25
+    proof_lifetime_s: float = 1.0
+    idle_limit_s: float = 30.0
+
+
+@frozen
+class Correlation:
+    """Names one exchange: the process that asked and its number there."""
+
+    incarnation: IncarnationId
+    number: int
+
+
+@frozen
+class Reuse:
+    """Use this idle connection."""
+
+    connection_id: int
+
+
+@frozen
+class OpenNew:
+    """Open a connection."""
+
+
+@frozen
+class Accepted:
+    """The answer belongs to the open exchange on its connection."""
+
+    correlation: Correlation
+
+
+@frozen
+class LateAnswer:
+    """Nobody waits for the answer any more: drop it."""
+
+
+@frozen
+class CrossedAnswer:
+    """The answer belongs to another connection or process: drop it, close the connection."""
+
+
+ConnectionChoice = Reuse | OpenNew
+AnswerMatch = Accepted | LateAnswer | CrossedAnswer
+
+
+class AdaptiveTimeout:
+    """Time-out of an exchange from the latencies seen, as in RFC 6298."""
+
+    def __init__(self, settings: ConnectionSettings) -> None:
+        self._settings = settings
+        self._latency_s: float | None = None
+        self._deviation_s = 0.0
+
+    def on_latency(self, latency_s: float) -> None:
+        """Take the time from a request's last byte to its answer's first."""
+        if self._latency_s is None:
+            self._latency_s = latency_s
+            self._deviation_s = latency_s / 2.0
+            return
+        settings = self._settings
+        error_s = latency_s - self._latency_s
+        self._deviation_s += settings.deviation_gain * (abs(error_s) - self._deviation_s)
+        self._latency_s += settings.latency_gain * error_s
+
+    @property
+    def timeout_s(self) -> float:
+        """Silence after which a connection is suspected; the limit until latencies are known."""
+        settings = self._settings
+        if self._latency_s is None:
+            return settings.silence_limit_s
+        timeout_s = self._latency_s + settings.deviation_multiple * self._deviation_s
+        return min(max(timeout_s, settings.silence_least_s), settings.silence_limit_s)
+
+
+class ExchangeTable:
+    """Open exchanges of this process, each on one connection; drops and counts other answers."""
+
+    def __init__(self, own: IncarnationId) -> None:
+        self._own = own
+        self._open: dict[Correlation, int] = {}
+        self._last_number = 0
+        self.late_answers = 0
+        self.crossed_answers = 0
+
+    def begin(self, connection_id: int) -> Correlation:
+        """Name a new exchange."""
+        self._last_number += 1
+        correlation = Correlation(self._own, self._last_number)
+        self._open[correlation] = connection_id
+        return correlation
+
+    def match(self, connection_id: int, correlation: Correlation) -> AnswerMatch:
+        """Match a whole answer with the exchange that it names; each is accepted once."""
+        expected = self._open.get(correlation)
+        if expected == connection_id:
+            del self._open[correlation]
+            return Accepted(correlation)
+        was_asked = 0 < correlation.number <= self._last_number
+        if expected is None and correlation.incarnation == self._own and was_asked:
+            self.late_answers += 1
+            return LateAnswer()
+        self.crossed_answers += 1
+        return CrossedAnswer()
+
+    def abandon(self, correlation: Correlation) -> None:
+        """Nobody waits for this answer any more."""
+        self._open.pop(correlation, None)
+
+
+@frozen
+class _Connection:
+    opened_at_s: float
+    proof_at_s: float
+    exchange: Correlation | None = None
+    sent_at_s: float = 0.0
+    answer_begun: bool = False
+    answered_at_s: float = 0.0
+
+
+class TargetConnections:
+    """The connections to one target: which to use, which to suspect, whose answer arrived."""
+
+    def __init__(self, settings: ConnectionSettings, exchanges: ExchangeTable) -> None:
+        self._settings = settings
+        self._exchanges = exchanges
+        self._timeout = AdaptiveTimeout(settings)
+        self._connections: dict[int, _Connection] = {}
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    @property
+    def timeout_s(self) -> float:
+        """The adaptive time-out at present."""
+        return self._timeout.timeout_s
+
+    def opened(self, connection_id: int, now_s: float) -> None:
+        """A connection was established; that proves it alive."""
+        self._connections[connection_id] = _Connection(now_s, now_s)
+
+    def closed(self, connection_id: int) -> None:
+        """A connection is gone, and so is any exchange on it."""
+        connection = self._connections.pop(connection_id, None)
+        if connection is not None and connection.exchange is not None:
+            self._exchanges.abandon(connection.exchange)
+
+    def choose(self, *, idempotent: bool, now_s: float) -> ConnectionChoice:
+        """The idle connection last proven alive, or a new one where that is too old."""
+        limit_s = self._settings.idle_limit_s if idempotent else self._settings.proof_lifetime_s
+        idle = [
+            (connection.proof_at_s, connection_id)
+            for connection_id, connection in self._connections.items()
+            if connection.exchange is None and now_s - connection.proof_at_s <= limit_s
+        ]
+        return Reuse(max(idle)[1]) if idle else OpenNew()
+
+    def sent(self, connection_id: int, now_s: float) -> Correlation:
+        """A request was written; an unfinished exchange bars the connection."""
+        connection = self._connections[connection_id]
+        if connection.exchange is not None:
+            raise ValueError(f"connection {connection_id} has an unfinished exchange")
+        correlation = self._exchanges.begin(connection_id)
+        self._connections[connection_id] = evolve(
+            connection, exchange=correlation, sent_at_s=now_s, answer_begun=False
+        )
+        return correlation
+
+    def answer_began(self, connection_id: int, now_s: float) -> None:
+        """The first byte of an awaited answer arrived; that proves the connection alive."""
+        connection = self._connections.get(connection_id)
+        if connection is None or connection.exchange is None or connection.answer_begun:
+            return
+        self._timeout.on_latency(now_s - connection.sent_at_s)
+        self._connections[connection_id] = evolve(
+            connection, answer_begun=True, answered_at_s=now_s, proof_at_s=now_s
+        )
+
+    def answered(self, connection_id: int, correlation: Correlation, now_s: float) -> AnswerMatch:
+        """A whole answer arrived. Unless it is accepted, the transport closes the connection."""
+        match = self._exchanges.match(connection_id, correlation)
+        if not isinstance(match, Accepted):
+            self.closed(connection_id)
+            return match
+        self.answer_began(connection_id, now_s)
+        connection = self._connections[connection_id]
+        self._connections[connection_id] = evolve(connection, exchange=None, proof_at_s=now_s)
+        return match
+
+    def suspects(self, now_s: float) -> list[int]:
+        """Connections whose answer is overdue while a newer connection has answered since."""
+        return [
+            connection_id
+            for connection_id, connection in self._connections.items()
+            if self._is_overdue(connection, now_s) and self._newer_answered(connection)
+        ]
+
+    def needs_probe(self, now_s: float) -> bool:
+        """Whether an answer is overdue and only a new connection can tell silence from load."""
+        return any(
+            self._is_overdue(connection, now_s) and not self._newer_answered(connection)
+            for connection in self._connections.values()
+        )
+
+    def idle_expired(self, now_s: float) -> list[int]:
+        """Idle connections too old for any use."""
+        limit_s = self._settings.idle_limit_s
+        return [
+            connection_id
+            for connection_id, connection in self._connections.items()
+            if connection.exchange is None and now_s - connection.proof_at_s > limit_s
+        ]
+
+    def _is_overdue(self, connection: _Connection, now_s: float) -> bool:
+        if connection.exchange is None or connection.answer_begun:
+            return False
+        return now_s - connection.sent_at_s > self._timeout.timeout_s
+
+    def _newer_answered(self, connection: _Connection) -> bool:
+        # A connect alone would not do: it succeeds at a target that is merely slow.
+        return any(
+            other.opened_at_s > connection.opened_at_s
+            and other.answered_at_s > connection.sent_at_s
+            for other in self._connections.values()
+        )
--- /dev/null
+++ b/tests/coordination/test_connections.py
@@ -0,0 +1,120 @@
+"""Silent connections, recent proofs of life, and late or crossed answers."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskinward.coordination.connections import Accepted
+from siskinward.coordination.connections import AdaptiveTimeout
+from siskinward.coordination.connections import ConnectionSettings
+from siskinward.coordination.connections import Correlation
+from siskinward.coordination.connections import CrossedAnswer
+from siskinward.coordination.connections import ExchangeTable
+from siskinward.coordination.connections import LateAnswer
+from siskinward.coordination.connections import OpenNew
+from siskinward.coordination.connections import Reuse
+from siskinward.coordination.connections import TargetConnections
+from siskinward.state.identifiers import IncarnationId
+
+SETTINGS = ConnectionSettings()
+OWN = IncarnationId("vm-0")
+LATENCY_S = 0.02
+
+
+def connections() -> TargetConnections:
+    return TargetConnections(SETTINGS, ExchangeTable(OWN))
+
+
+def exchange(book: TargetConnections, connection_id: int, now_s: float) -> None:
+    correlation = book.sent(connection_id, now_s)
+    assert book.answered(connection_id, correlation, now_s + LATENCY_S) == Accepted(correlation)
+
+
+def warmed() -> TargetConnections:
+    book = connections()
+    book.opened(1, 0.0)
+    for number in range(50):
+        exchange(book, 1, number * 0.1)
+    return book
+
+
+def test_silent_connection_is_suspected_only_once_a_newer_one_answers() -> None:
+    book = warmed()
+    book.sent(1, 10.0)
+    overdue_s = 10.0 + book.timeout_s + 0.001
+    assert not book.needs_probe(10.0 + LATENCY_S)
+    assert book.needs_probe(overdue_s)
+    book.opened(2, overdue_s)
+    assert book.suspects(overdue_s) == []
+    exchange(book, 2, overdue_s)
+    assert book.suspects(overdue_s + LATENCY_S) == [1]
+    book.closed(1)
+    assert book.choose(idempotent=True, now_s=overdue_s + LATENCY_S) == Reuse(2)
+
+
+def test_slow_target_is_not_suspected_while_its_answer_streams() -> None:
+    book = warmed()
+    book.sent(1, 10.0)
+    book.answer_began(1, 10.0 + LATENCY_S)
+    book.opened(2, 11.0)
+    exchange(book, 2, 11.0)
+    assert book.suspects(20.0) == []
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "idle_s", "choice"),
+    [
+        (True, SETTINGS.idle_limit_s, Reuse(1)),
+        (True, SETTINGS.idle_limit_s + 1.0, OpenNew()),
+        (False, SETTINGS.proof_lifetime_s, Reuse(1)),
+        (False, SETTINGS.proof_lifetime_s + 0.1, OpenNew()),
+    ],
+)
+def test_choice_needs_recent_proof_for_bookings(
+    idempotent: bool, idle_s: float, choice: Reuse | OpenNew
+) -> None:
+    book = connections()
+    book.opened(1, 0.0)
+    assert book.choose(idempotent=idempotent, now_s=idle_s) == choice
+
+
+def test_unfinished_exchange_bars_its_connection() -> None:
+    book = connections()
+    book.opened(1, 0.0)
+    book.sent(1, 0.0)
+    book.answer_began(1, 0.1)
+    assert book.choose(idempotent=True, now_s=0.1) == OpenNew()
+    with pytest.raises(ValueError, match="unfinished"):
+        book.sent(1, 0.1)
+
+
+def test_late_and_crossed_answers_are_dropped_and_counted() -> None:
+    exchanges = ExchangeTable(OWN)
+    first, second = exchanges.begin(1), exchanges.begin(2)
+    assert exchanges.match(2, first) == CrossedAnswer()
+    assert exchanges.match(1, Correlation(IncarnationId("earlier"), 1)) == CrossedAnswer()
+    assert exchanges.match(1, Correlation(OWN, 99)) == CrossedAnswer()
+    assert exchanges.match(1, first) == Accepted(first)
+    assert exchanges.match(1, first) == LateAnswer()
+    exchanges.abandon(second)
+    assert exchanges.match(2, second) == LateAnswer()
+    assert (exchanges.late_answers, exchanges.crossed_answers) == (2, 3)
+
+
+def test_late_answer_on_a_kept_connection_ends_that_connection() -> None:
+    book = connections()
+    book.opened(1, 0.0)
+    correlation = book.sent(1, 0.0)
+    assert book.answered(1, correlation, 0.1) == Accepted(correlation)
+    assert book.answered(1, correlation, 0.2) == LateAnswer()
+    assert len(book) == 0
+
+
+@given(st.lists(st.floats(0.0, 100.0), max_size=50))
+def test_timeout_stays_within_its_limits(latencies_s: list[float]) -> None:
+    timeout = AdaptiveTimeout(SETTINGS)
+    for latency_s in latencies_s:
+        timeout.on_latency(latency_s)
+        assert SETTINGS.silence_least_s <= timeout.timeout_s <= SETTINGS.silence_limit_s
