--- a/src/siskinward/coordination/quarantine/__init__.py
+++ b/src/siskinward/coordination/quarantine/__init__.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+from siskinward.coordination.quarantine._quarantine import Hold
 from siskinward.coordination.quarantine._quarantine import Permit
 from siskinward.coordination.quarantine._quarantine import Quarantine
 from siskinward.coordination.quarantine._quarantine import QuarantineStep
 from siskinward.coordination.quarantine._quarantine import Refuse
 from siskinward.coordination.quarantine._settings import QuarantineSettings
+from siskinward.coordination.quarantine._settings import hold_for_s
 
-__all__ = ["Permit", "Quarantine", "QuarantineSettings", "QuarantineStep", "Refuse"]
+__all__ = [
+    "Hold",
+    "Permit",
+    "Quarantine",
+    "QuarantineSettings",
+    "QuarantineStep",
+    "Refuse",
+    "hold_for_s",
+]
--- a/src/siskinward/coordination/quarantine/_quarantine.py
+++ b/src/siskinward/coordination/quarantine/_quarantine.py
@@ -50,7 +50,15 @@
     outcome: NotRun
 
 
-QuarantineStep = Effect | Permit | Refuse
+@frozen
+class Hold:
+    """Call ``admit`` again after ``for_s``, with ``held`` set."""
+
+    attempt_id: str
+    for_s: float
+
+
+QuarantineStep = Effect | Permit | Refuse | Hold
 
 
 @frozen
@@ -92,12 +100,17 @@
             self._owner.on_members_changed(now_s)
         return []
 
-    def admit(self, attempt_id: str, fingerprint: str, now_s: float) -> list[QuarantineStep]:
+    def admit(
+        self, attempt_id: str, fingerprint: str, now_s: float, *, held: bool = False
+    ) -> list[QuarantineStep]:
         """Ask to run an attempt; ends in one ``Permit`` or ``Refuse``, at once or later."""
         refused_s = self._suspects.quarantined_for_s(fingerprint, now_s)
         if refused_s > 0.0:
             return [self._refusal(attempt_id, refused_s)]
         if not self._must_ask(fingerprint, now_s):
+            hold_s = 0.0 if held else self._hold_s(fingerprint, now_s)
+            if hold_s > 0.0:
+                return [Hold(attempt_id, hold_s)]
             self._runs[attempt_id] = _Run(fingerprint, None)
             return [Permit(attempt_id, alone=False)]
         owner = self.owner_of(fingerprint)
@@ -192,6 +205,11 @@
         self._runs[message.attempt_id] = _Run(message.fingerprint, asking.owner)
         return [Permit(message.attempt_id, alone=True)]
 
+    def _hold_s(self, fingerprint: str, now_s: float) -> float:
+        if self._suspects.is_proven(fingerprint, now_s):
+            return 0.0
+        return self._settings.hold_unproven_s
+
     def _next_loss_id(self) -> str:
         self._losses += 1
         return f"{self._own.incarnation}/{self._losses}"
--- a/src/siskinward/coordination/quarantine/_settings.py
+++ b/src/siskinward/coordination/quarantine/_settings.py
@@ -9,11 +9,13 @@
 class QuarantineSettings:
     """Bounds and time-outs.
 
-    ``ask_unproven`` makes every fingerprint that has not succeeded lately ask its owner before
-    each run, not only those that coincided with a loss. ``targets_limit`` is the number of lost
-    targets at which a fingerprint is refused.
+    ``hold_unproven_s`` delays fingerprints that have not succeeded lately, so that the report of
+    a first loss overtakes a resend, see ``hold_for_s``. ``ask_unproven`` makes them ask their
+    owner before each run, as those that coincided with a loss always do. ``targets_limit`` is the
+    number of lost targets at which a fingerprint is refused.
     """
 
+    hold_unproven_s: float
     targets_limit: int = 2
     ask_unproven: bool = False
     suspect_lifetime_s: float = 900.0
@@ -26,3 +28,12 @@
     settle_s: float = 5.0
     same_loss_window_s: float = 1.0
     busy_retry_after_s: float = 0.2
+
+
+def hold_for_s(longest_one_way_s: float, client_round_trip_s: float) -> float:
+    """Shortest hold for which a report between VMs overtakes the resend of a caller.
+
+    The report and the caller's answer leave at the same time. The resend arrives at the earliest
+    after the round trip of the nearest caller, the report after the longest way between VMs.
+    """
+    return max(longest_one_way_s - client_round_trip_s, 0.0)
--- a/tests/coordination/quarantine/test_quarantine_fleet.py
+++ b/tests/coordination/quarantine/test_quarantine_fleet.py
@@ -11,10 +11,12 @@
 
 from siskinward.coordination.events import Send
 from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.quarantine import Hold
 from siskinward.coordination.quarantine import Permit
 from siskinward.coordination.quarantine import Quarantine
 from siskinward.coordination.quarantine import QuarantineSettings
 from siskinward.coordination.quarantine import Refuse
+from siskinward.coordination.quarantine import hold_for_s
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
 from siskinward.state.identifiers import TargetName
@@ -24,6 +26,7 @@
     from siskinward.coordination.quarantine import QuarantineStep
 
 TARGETS_LIMIT = 2
+NO_HOLD_S = 0.0
 CRASH = "crash"
 SETTLED_S = 100.0
 
@@ -86,7 +89,7 @@
 
 @given(seed=st.integers(0, 10**6), size=st.integers(1, 12))
 def test_quarantine_two_targets_at_most_once_the_first_loss_is_told(seed: int, size: int) -> None:
-    fleet = Fleet(size, QuarantineSettings(), Random(seed))
+    fleet = Fleet(size, QuarantineSettings(NO_HOLD_S), Random(seed))
     fleet.send(VmName("vm-0"), CRASH, SETTLED_S)
     lost = run_crashing(fleet, SETTLED_S)
     fleet.deliver(SETTLED_S)
@@ -103,7 +106,7 @@
 
 @given(seed=st.integers(0, 10**6))
 def test_quarantine_asking_for_unproven_holds_back_sends_at_once(seed: int) -> None:
-    fleet = Fleet(8, QuarantineSettings(ask_unproven=True), Random(seed))
+    fleet = Fleet(8, QuarantineSettings(NO_HOLD_S, ask_unproven=True), Random(seed))
     lost = 0
     for round_number in range(20):
         now_s = SETTLED_S + round_number * 0.05
@@ -115,7 +118,7 @@
 
 
 def test_quarantine_refuses_suspect_when_owner_is_silent() -> None:
-    settings = QuarantineSettings()
+    settings = QuarantineSettings(NO_HOLD_S)
     fleet = Fleet(3, settings, Random(1))
     fleet.send(VmName("vm-0"), CRASH, SETTLED_S)
     run_crashing(fleet, SETTLED_S)
@@ -133,7 +136,7 @@
 
 @pytest.mark.parametrize("proven", [True, False])
 def test_quarantine_innocent_beside_crash_request_runs_on(proven: bool) -> None:
-    fleet = Fleet(3, QuarantineSettings(), Random(1))
+    fleet = Fleet(3, QuarantineSettings(NO_HOLD_S), Random(1))
     vm, book = VmName("vm-0"), fleet.vms[VmName("vm-0")]
     if proven:
         fleet.send(vm, "innocent", SETTLED_S)
@@ -160,7 +163,7 @@
 
 
 def test_quarantine_same_loss_seen_by_two_vms_counts_once() -> None:
-    fleet = Fleet(2, QuarantineSettings(), Random(1))
+    fleet = Fleet(2, QuarantineSettings(NO_HOLD_S), Random(1))
     for vm in fleet.vms:
         fleet.send(vm, "innocent", SETTLED_S)
     for vm, permit in fleet.permits:
@@ -175,7 +178,7 @@
 
 
 def test_quarantine_expires() -> None:
-    settings = QuarantineSettings()
+    settings = QuarantineSettings(NO_HOLD_S)
     fleet = Fleet(1, settings, Random(1))
     for _ in range(TARGETS_LIMIT):
         fleet.send(VmName("vm-0"), CRASH, SETTLED_S)
@@ -184,3 +187,28 @@
     assert fleet.refused == 1
     fleet.send(VmName("vm-0"), CRASH, SETTLED_S + settings.quarantine_s + 1.0)
     assert len(fleet.permits) == 1
+
+
+def test_quarantine_holds_unproven_until_a_report_can_overtake_its_resend() -> None:
+    hold_s = hold_for_s(longest_one_way_s=0.020, client_round_trip_s=0.002)
+    fleet = Fleet(2, QuarantineSettings(hold_s), Random(1))
+    sender, other = (fleet.vms[VmName(f"vm-{number}")] for number in range(2))
+    assert sender.admit("first", CRASH, SETTLED_S) == [Hold("first", hold_s)]
+    (permit,) = sender.admit("first", CRASH, SETTLED_S, held=True)
+    assert permit == Permit("first", alone=False)
+    sender.started("first", TargetName("organ-1"))
+    lost = sender.target_lost(TargetName("organ-1"), SETTLED_S)
+    resent_s = SETTLED_S + 0.002
+    assert other.admit("second", CRASH, resent_s) == [Hold("second", hold_s)]
+    fleet.carry(VmName("vm-0"), lost)
+    fleet.deliver(SETTLED_S + 0.020)
+    steps = other.admit("second", CRASH, resent_s + hold_s, held=True)
+    assert Permit("second", alone=False) not in steps
+
+
+def test_quarantine_does_not_hold_proven_requests() -> None:
+    fleet = Fleet(1, QuarantineSettings(0.020), Random(1))
+    book = fleet.vms[VmName("vm-0")]
+    book.admit("first", "listing", SETTLED_S, held=True)
+    book.finished("first", ran=True, now_s=SETTLED_S)
+    assert book.admit("second", "listing", SETTLED_S) == [Permit("second", alone=False)]
