Bound ticket records by memory: 20,000 a role, dropped early once they bar no claim

Cause: a booking's two records took 812 bytes beside its answer, so that 50,000 a role could pass the node's 128 MB. A full book now drops records past the claim lifetime, then refuses.

--- a/src/siskinward/coordination/tickets/_copy_role.py
+++ b/src/siskinward/coordination/tickets/_copy_role.py
@@ -43,7 +43,7 @@
         key = key_of(ticket)
         match self.keeper.records.state(key):
             case New():
-                refusal = self.keeper.refuse_unrecorded(key, claim)
+                refusal = self.keeper.refuse_unrecorded(key, claim, now_s)
                 if refusal:
                     return refusal
                 self.keeper.records.put(key, Running(claim), now_s)
@@ -61,7 +61,7 @@
         key = key_of(ticket)
         match self.keeper.records.state(key):
             case New():
-                refusal = self.keeper.refuse_unrecorded(key, claim)
+                refusal = self.keeper.refuse_unrecorded(key, claim, now_s)
                 if refusal:
                     return refusal
                 self.keeper.records.put(key, self._barred(), now_s)
--- a/src/siskinward/coordination/tickets/_home_role.py
+++ b/src/siskinward/coordination/tickets/_home_role.py
@@ -120,7 +120,7 @@
         age_s = now_s - offset_s - ticket.minted_at_ms / MS_PER_S
         if age_s > self._settings.claim_lifetime_s:
             return self.keeper.refuse_send(claim, RefusalReason.TICKET_INVALID)
-        refusal = self.keeper.refuse_unrecorded(key, claim)
+        refusal = self.keeper.refuse_unrecorded(key, claim, now_s)
         if refusal:
             return refusal
         state = Claimed(claim) if ticket.copy else Running(claim)
--- a/src/siskinward/coordination/tickets/_keeper.py
+++ b/src/siskinward/coordination/tickets/_keeper.py
@@ -48,11 +48,11 @@
         refusal = NotRun(reason, self._settings.retry_after_s)
         return [self._settled(claim, refusal, NotRunScope.SEND)]
 
-    def refuse_unrecorded(self, key: RecordKey, claim: Claim) -> list[Effect]:
+    def refuse_unrecorded(self, key: RecordKey, claim: Claim, now_s: float) -> list[Effect]:
         """Refuse a send for which no record can be made; empty if one can."""
         if self.records.was_dropped(key):
             return self.refuse_send(claim, RefusalReason.TICKET_INVALID)
-        if self.records.is_full():
+        if not self.records.has_room(now_s):
             return self.refuse_send(claim, RefusalReason.CLAIM_UNAVAILABLE)
         return []
 
@@ -73,7 +73,7 @@
         state = self.records.state(key)
         match state:
             case New():
-                refusal = self.refuse_unrecorded(key, message.claim)
+                refusal = self.refuse_unrecorded(key, message.claim, now_s)
                 if refusal:
                     return refusal
                 self._record_outcome(key, message, now_s)
@@ -86,6 +86,8 @@
 
     def lose_claimants(self, departed: Collection[IncarnationId], now_s: float) -> list[Effect]:
         """Mark the open claims of departed claimants as lost."""
+        if not departed:
+            return []
         effects: list[Effect] = []
         for key, state in self.records.open_claims():
             if state.claim.claimant.incarnation not in departed:
--- a/src/siskinward/coordination/tickets/_records.py
+++ b/src/siskinward/coordination/tickets/_records.py
@@ -73,9 +73,14 @@
         """Records of the home up to this serial may have been dropped."""
         self._dropped_serials[home] = max(self.dropped_serial(home), serial)
 
-    def is_full(self) -> bool:
-        """Whether no further ticket can be recorded."""
-        return len(self._states) >= self._settings.record_limit
+    def has_room(self, now_s: float) -> bool:
+        """Whether a further ticket can be recorded; drops records that bar no claim any more."""
+        while len(self._states) >= self._settings.record_limit:
+            key = next(iter(self._noted_at_s))
+            if now_s - self._noted_at_s[key] <= self._settings.claim_lifetime_s:
+                return False
+            self._drop(key)
+        return True
 
     def put(self, key: RecordKey, state: TicketState, now_s: float) -> None:
         """Record a state and evict answers that exceed the bound, oldest first."""
--- a/src/siskinward/coordination/tickets/_settings.py
+++ b/src/siskinward/coordination/tickets/_settings.py
@@ -10,9 +10,9 @@
     """Time-outs and bounds. ``record_lifetime_s`` must exceed ``claim_lifetime_s``."""
 
     ask_timeout_s: float = 0.25
-    claim_lifetime_s: float = 600.0
-    record_lifetime_s: float = 1800.0
-    record_limit: int = 50_000
+    claim_lifetime_s: float = 300.0
+    record_lifetime_s: float = 900.0
+    record_limit: int = 20_000
     kept_answers_bytes: int = 8 * 1024 * 1024
     kept_answer_limit_bytes: int = 64 * 1024
     waiter_limit: int = 4
--- a/tests/coordination/tickets/test_tickets_book.py
+++ b/tests/coordination/tickets/test_tickets_book.py
@@ -101,6 +101,22 @@
         assert step.scope is NotRunScope.SEND
 
 
+def test_full_book_refuses_until_records_bar_no_claim_any_more() -> None:
+    settings = TicketSettings(record_limit=2)
+    book = lone_book(settings)
+    tickets = [book.mint(0.0) for _ in range(3)]
+    for number in range(2):
+        run(book, f"first-{number}", tickets[number], b"booked")
+    (step,) = book.begin("full", tickets[2], AGENCY, "print", 60.0, 1.0)
+    refusal = NotRun(RefusalReason.CLAIM_UNAVAILABLE, settings.retry_after_s)
+    assert step == AnswerCaller("full", refusal, NotRunScope.SEND)
+    now_s = settings.claim_lifetime_s + 1.0
+    run(book, "later", book.mint(now_s), b"booked", now_s)
+    (step,) = book.begin("old", tickets[0], AGENCY, "print", now_s + 60.0, now_s)
+    refusal = NotRun(RefusalReason.TICKET_INVALID, settings.retry_after_s)
+    assert step == AnswerCaller("old", refusal, NotRunScope.SEND)
+
+
 def test_hand_over_in_parts_keeps_answers_and_needs_every_part() -> None:
     settings = TicketSettings(hand_over_records=2)
     home, peer = lone_book(settings), TicketBook(settings, identity("peer"), SECRET)
