--- /dev/null
+++ b/src/siskinward/coordination/planner/_inputs.py
@@ -0,0 +1,161 @@
+"""Measured inputs of a planner and how old they are."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinward.coordination.planner._capacity_plan import PlanInput
+from siskinward.coordination.topology import domain_latencies_s
+from siskinward.state.objects import DrainKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from siskinward.coordination.planner.assignment import Cell
+    from siskinward.coordination.planner.assignment import CellRoute
+    from siskinward.coordination.planner.settings import PlannerSettings
+    from siskinward.state.identifiers import DomainName
+    from siskinward.state.identifiers import RegionName
+    from siskinward.state.identifiers import ServiceName
+    from siskinward.state.objects import Configuration
+    from siskinward.state.objects import Drain
+
+
+class PlannerInputs:
+    """Demand of cells and capacity of failure domains for one service, as last measured."""
+
+    def __init__(
+        self, settings: PlannerSettings, service: ServiceName, configuration: Configuration
+    ) -> None:
+        self._settings = settings
+        self._service = service
+        self.demands: dict[Cell, float] = {}
+        self._demand_at_s: dict[Cell, float] = {}
+        self._last_demand_s = float("-inf")
+        self._capacities: dict[DomainName, float] = {}
+        self._capacity_at_s: dict[DomainName, float] = {}
+        self._drains: tuple[Drain, ...] = ()
+        self.set_configuration(configuration)
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take in a new configuration."""
+        self._configuration = configuration
+        self.regions: dict[DomainName, RegionName] = {
+            name: domain.region for name, domain in configuration.failure_domains.items()
+        }
+        self.region_capacities: dict[RegionName, float] = {
+            limit.region: limit.capacity_per_s
+            for limit in configuration.region_limits.values()
+            if limit.service == self._service
+        }
+        self._orders = {name: _by_latency(configuration, name) for name in self.regions}
+
+    def set_drains(self, drains: Iterable[Drain]) -> None:
+        """Set the drains that have started."""
+        self._drains = tuple(drains)
+
+    def on_demand(self, demands: Mapping[Cell, float], now_s: float) -> None:
+        """Take in measured demand; cells that are left out keep their last one."""
+        self.demands.update(demands)
+        self._demand_at_s.update(dict.fromkeys(demands, now_s))
+        self._last_demand_s = now_s
+
+    def on_capacity(self, domain: DomainName, capacity_per_s: float, now_s: float) -> None:
+        """Take in what the targets of a failure domain can serve."""
+        self._capacities[domain] = capacity_per_s
+        self._capacity_at_s[domain] = now_s
+
+    def is_demand_fresh(self, now_s: float) -> bool:
+        """Whether the demand of any cell was measured lately."""
+        return now_s - self._last_demand_s <= self._settings.freeze_after_s
+
+    def is_cell_fresh(self, cell: Cell, now_s: float) -> bool:
+        """Whether a cell's demand was measured lately."""
+        return now_s - self._demand_at_s[cell] <= self._settings.freeze_after_s
+
+    def is_capacity_fresh(self, domain: DomainName, now_s: float) -> bool:
+        """Whether a domain's capacity was measured lately."""
+        measured_s = self._capacity_at_s.get(domain, float("-inf"))
+        return now_s - measured_s <= self._settings.freeze_after_s
+
+    def drained_domains(self, drain: Drain) -> frozenset[DomainName]:
+        """The failure domains that a drain empties."""
+        return frozenset(
+            name
+            for name, region in self.regions.items()
+            if (drain.kind is DrainKind.FAILURE_DOMAIN and drain.subject == name)
+            or (drain.kind is DrainKind.REGION and drain.subject == region)
+        )
+
+    @property
+    def drains(self) -> tuple[Drain, ...]:
+        """The drains that have started."""
+        return self._drains
+
+    def capacities(self) -> dict[DomainName, float]:
+        """Capacity of each domain without what is drained."""
+        closed = frozenset[str]().union(*map(self.drained_domains, self._drains))
+        return {
+            name: capacity * self._undrained_share(name)
+            for name, capacity in self._capacities.items()
+            if name not in closed and name in self.regions
+        }
+
+    def placed(self, routes: Mapping[Cell, CellRoute]) -> dict[Cell, DomainName]:
+        """Where the measured cells are; one without a route is at the domain of its site."""
+        found: dict[Cell, DomainName] = {}
+        for cell in self.demands:
+            home = self.home_of(cell)
+            if home is not None:
+                found[cell] = routes[cell].domain if cell in routes else home
+        return found
+
+    def home_of(self, cell: Cell) -> DomainName | None:
+        """The failure domain of the cell's site."""
+        site = self._configuration.sites.get(cell.site)
+        return None if site is None else site.failure_domain
+
+    def plan_input(self, placed: Mapping[Cell, DomainName]) -> PlanInput:
+        """What the plan works from; ``placed`` cells prefer to stay and are placed first."""
+        preferences = {cell: self._preference(cell, current) for cell, current in placed.items()}
+
+        def rank(cell: Cell) -> tuple[bool, float, Cell]:
+            return preferences[cell][0] != placed[cell], -self.demands[cell], cell
+
+        return PlanInput(
+            demands={cell: self.demands[cell] for cell in sorted(placed, key=rank)},
+            preferences=preferences,
+            capacities=self.capacities(),
+            region_capacities=self.region_capacities,
+            regions=self.regions,
+        )
+
+    def _preference(self, cell: Cell, current: DomainName) -> Sequence[DomainName]:
+        home = self.home_of(cell)
+        assert home is not None
+        order = self._orders[home]
+        if current not in order:
+            return tuple(order)
+        stay_s = order[current] - self._settings.stickiness_s
+        return sorted(order, key=lambda name: stay_s if name == current else order[name])
+
+    def _undrained_share(self, domain: DomainName) -> float:
+        """Share of the service's slots in a domain that lies at targets that are not drained."""
+        groups = self._configuration.target_groups
+        drained = {d.subject for d in self._drains if d.kind is DrainKind.TARGET}
+        slots = kept = 0
+        for target in self._configuration.targets.values():
+            group = groups[target.group]
+            if group.service != self._service or group.failure_domain != domain:
+                continue
+            slots += target.slots
+            kept += 0 if target.name in drained else target.slots
+        return kept / slots if slots else 1.0
+
+
+def _by_latency(configuration: Configuration, home: DomainName) -> dict[DomainName, float]:
+    """Latency from ``home`` to each domain, nearest first."""
+    latencies_s = domain_latencies_s(configuration, home)
+    return dict(sorted(latencies_s.items(), key=lambda item: (item[1], item[0])))
--- a/src/siskinward/coordination/routing/router.py
+++ b/src/siskinward/coordination/routing/router.py
@@ -10,6 +10,7 @@
 from siskinward.coordination.routing._load_view import LoadView
 from siskinward.coordination.routing.link_budget import LinkBudgets
 from siskinward.coordination.routing.subset import peer_subset
+from siskinward.coordination.topology import domain_latencies_s
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import ServiceName
@@ -27,11 +28,7 @@
     from siskinward.coordination.routing.settings import RoutingSettings
     from siskinward.state.objects import Configuration
 
-MS_PER_S = 1000.0
 PEERS_PER_DOMAIN = 2
-SAME_DOMAIN_LATENCY_S = 0.0002
-SAME_REGION_LATENCY_S = 0.001
-UNLINKED_LATENCY_S = 0.05
 
 
 @frozen
@@ -74,7 +71,7 @@
         self._configuration = configuration
         self._own_region = configuration.failure_domains[own.failure_domain].region
         self._links = LinkBudgets(settings, configuration, self._own_region)
-        self._latencies_s = self._latencies()
+        self._latencies_s = domain_latencies_s(configuration, self._own.failure_domain)
         self._views: dict[Place, LoadView] = {}
         self._places: dict[ServiceName, list[Place]] = {}
         self._vms: dict[DomainName, tuple[VmName, ...]] = {}
@@ -86,7 +83,7 @@
         """Take in a new configuration."""
         self._configuration = configuration
         self._links.set_configuration(configuration, now_s=now_s)
-        self._latencies_s = self._latencies()
+        self._latencies_s = domain_latencies_s(configuration, self._own.failure_domain)
         domains = configuration.failure_domains
         for place in [place for place in self._views if place.failure_domain not in domains]:
             del self._views[place]
@@ -236,19 +233,3 @@
 
     def _region_of(self, domain: DomainName) -> RegionName:
         return self._configuration.failure_domains[domain].region
-
-    def _latencies(self) -> dict[DomainName, float]:
-        """One-way latency to each failure domain."""
-        between: dict[RegionName, float] = {self._own_region: SAME_REGION_LATENCY_S}
-        for link in self._configuration.links.values():
-            if self._own_region in (link.from_region, link.to_region):
-                other = link.to_region
-                if other == self._own_region:
-                    other = link.from_region
-                between[other] = link.one_way_latency_ms / MS_PER_S
-        latencies = {
-            name: between.get(domain.region, UNLINKED_LATENCY_S)
-            for name, domain in self._configuration.failure_domains.items()
-        }
-        latencies[self._own.failure_domain] = SAME_DOMAIN_LATENCY_S
-        return latencies
