Spread planned moves over equally near domains and measure drains

All cells of a drained domain preferred the same neighbour, whose cold inflow then set the pace: a region of three took 335 s.

--- a/src/siskinward/coordination/planner/_inputs.py
+++ b/src/siskinward/coordination/planner/_inputs.py
@@ -50,7 +50,8 @@
             for limit in configuration.region_limits.values()
             if limit.service == self._service
         }
-        self._orders = {name: _by_latency(configuration, name) for name in self.regions}
+        self._latencies_s = {name: domain_latencies_s(configuration, name) for name in self.regions}
+        self._orders: dict[tuple[DomainName, int], Sequence[DomainName]] = {}
 
     def set_drains(self, drains: Iterable[Drain]) -> None:
         """Set the drains that have started."""
@@ -135,11 +136,27 @@
     def _preference(self, cell: Cell, current: DomainName) -> Sequence[DomainName]:
         home = self.home_of(cell)
         assert home is not None
-        order = self._orders[home]
-        if current not in order:
-            return tuple(order)
-        stay_s = order[current] - self._settings.stickiness_s
-        return sorted(order, key=lambda name: stay_s if name == current else order[name])
+        order = self._order(home, cell.bucket)
+        if current == order[0] or current not in order:
+            return order
+        latencies_s = self._latencies_s[home]
+        stay_s = latencies_s[current] - self._settings.stickiness_s
+        nearer = [name for name in order if latencies_s[name] < stay_s and name != current]
+        rest = [name for name in order if latencies_s[name] >= stay_s and name != current]
+        return [*nearer, current, *rest]
+
+    def _order(self, home: DomainName, bucket: int) -> Sequence[DomainName]:
+        """Domains from near to far; each bucket ranks equally near ones differently."""
+        known = self._orders.get((home, bucket))
+        if known is not None:
+            return known
+        latencies_s = self._latencies_s[home]
+        names = sorted(latencies_s)
+        start = bucket % len(names)
+        turned = names[start:] + names[:start]
+        order = tuple(sorted(turned, key=lambda name: latencies_s[name]))
+        self._orders[(home, bucket)] = order
+        return order
 
     def _undrained_share(self, domain: DomainName) -> float:
         """Share of the service's slots in a domain that lies at targets that are not drained."""
@@ -153,9 +170,3 @@
             slots += target.slots
             kept += 0 if target.name in drained else target.slots
         return kept / slots if slots else 1.0
-
-
-def _by_latency(configuration: Configuration, home: DomainName) -> dict[DomainName, float]:
-    """Latency from ``home`` to each domain, nearest first."""
-    latencies_s = domain_latencies_s(configuration, home)
-    return dict(sorted(latencies_s.items(), key=lambda item: (item[1], item[0])))
--- a/src/siskinward/coordination/planner/shift_planner.py
+++ b/src/siskinward/coordination/planner/shift_planner.py
@@ -64,6 +64,7 @@
         self._inputs = PlannerInputs(settings, service, configuration)
         self._assignment = assignment
         self._transits: list[_Transit] = []
+        self._wanted: list[Move] = []
         self._inflows: dict[DomainName, ShiftLedger] = {}
         self._set_cap(configuration)
         self._ledger = ShiftLedger(window_s=self._window_s)
@@ -102,7 +103,7 @@
         placed = self._inputs.placed(self._assignment.routes)
         self._start_at_home(placed)
         plan = make_plan(self._inputs.plan_input(placed))
-        wanted = self._wanted_moves(plan, placed)
+        wanted = self._wanted = self._wanted_moves(plan, placed)
         moves = self._take_moves(wanted, now_s)
         self._assignment = self._next_assignment(plan, moves)
         return ShiftStep(self._assignment, moves, len(wanted) - len(moves), plan.shortfalls)
@@ -256,5 +257,19 @@
             return DrainProgress(drain.name, remaining, inf, is_finished=False)
         available = self._ledger.available(self._cap_per_s, now_s)
         windows = ceil(max(0.0, remaining - available) / self._cap_per_s) if remaining else 0
-        finish_in_s = windows * self._ledger.window_s + self._settle_s
-        return DrainProgress(drain.name, remaining, finish_in_s, is_finished=False)
+        waiting_s = max(windows * self._ledger.window_s, self._inflow_wait_s(domains))
+        return DrainProgress(drain.name, remaining, waiting_s + self._settle_s, is_finished=False)
+
+    def _inflow_wait_s(self, domains: frozenset[DomainName]) -> float:
+        """How long the planned destinations of a drain need to take it in."""
+        inflows: defaultdict[DomainName, float] = defaultdict(float)
+        for move in self._wanted:
+            if move.from_domain in domains:
+                inflows[move.to_domain] += move.demand_per_s
+        capacities = self._inputs.capacities()
+        waits = [
+            ceil(amount / (capacities[name] * self._settings.cold_inflow_share)) - 1
+            for name, amount in inflows.items()
+            if amount > 0 and capacities.get(name, 0.0) > 0
+        ]
+        return max(waits, default=0) * self._settings.cold_interval_s
