--- a/src/siskinward/coordination/admission/service_queue.py
+++ b/src/siskinward/coordination/admission/service_queue.py
@@ -28,7 +28,8 @@
     """Admits up to ``capacity`` requests at once and queues the rest, fair across accounts.
 
     More important classes go first, except for the floors of the settings. A request that cannot
-    finish by its deadline is refused when it is offered, or as soon as that becomes clear.
+    finish by its deadline is refused when it is offered, or as soon as that becomes clear. Reads
+    are refused earlier, so that those that are served are served fast.
     """
 
     def __init__(self, service: Service, settings: AdmissionSettings) -> None:
@@ -88,8 +89,7 @@
         refused: list[Refused] = []
         while self._waiting and len(self._running) < self._capacity:
             entry = self._dequeue(self._next_class())
-            late_s = now_s + self._estimate.likely_s - entry.deadline_s
-            if late_s <= 0:
+            if now_s <= self._latest_start_s(entry):
                 return Popped(self._admit(entry, now_s), tuple(refused))
             self._queues[entry.service_class].refund(entry)
             refused.append(self._refuse(entry, RefusalReason.QUEUE_LATE, self._drain_s()))
@@ -97,8 +97,7 @@
 
     def expire(self, now_s: float) -> tuple[Refused, ...]:
         """Refuse the waiting requests that can no longer finish in time."""
-        latest_start_s = now_s + self._estimate.likely_s
-        late = [entry for entry in self._waiting.values() if entry.deadline_s < latest_start_s]
+        late = [entry for entry in self._waiting.values() if self._latest_start_s(entry) < now_s]
         for entry in late:
             self._drop(entry)
         drain_s = self._drain_s()
@@ -126,7 +125,7 @@
 
     def _enqueue_or_refuse(self, entry: Entry, now_s: float) -> Decision:
         wait_s = (self._ahead_of(entry) + 1) * self.service_s / self._capacity
-        late_s = now_s + wait_s + self._estimate.likely_s - entry.deadline_s
+        late_s = now_s + wait_s - self._latest_start_s(entry)
         if late_s > 0:
             return self._refuse(entry, RefusalReason.QUEUE_LATE, late_s)
         evicted = None
@@ -139,6 +138,14 @@
         self._enqueue(entry)
         return Queued(entry.request_id, wait_s, evicted)
 
+    def _latest_start_s(self, entry: Entry) -> float:
+        """When a request must start; reads wait for a part of their time only."""
+        latest_s = entry.deadline_s - self._estimate.likely_s
+        if entry.service_class is not ServiceClass.READ:
+            return latest_s
+        left_s = entry.deadline_s - entry.queued_at_s
+        return min(latest_s, entry.queued_at_s + left_s * self._settings.read_wait_share)
+
     def _ahead_of(self, entry: Entry) -> float:
         """Waiting requests to be dispatched before a new one, floors taken into account."""
         ahead_in_class = self._queues[entry.service_class].ahead_of(entry.account)
--- a/src/siskinward/coordination/admission/settings.py
+++ b/src/siskinward/coordination/admission/settings.py
@@ -12,13 +12,15 @@
     ``hold_margin_s`` is added to a request's deadline before a slot with an unknown outcome is
     used again: it covers clock error and a pause of the VM between taking a slot and sending.
     ``hold_limit_s`` bounds the whole time where a target is known to stop work earlier.
-    The floors are the least shares of dispatches that a waiting class receives.
+    The floors are the least shares of dispatches that a waiting class receives. A read is refused
+    rather than kept waiting for more than ``read_wait_share`` of the time it came with.
     """
 
     hold_margin_s: float = 1.0
     hold_limit_s: float = float("inf")
     read_floor_share: float = 0.10
     bulk_floor_share: float = 0.05
+    read_wait_share: float = 0.25
     initial_service_s: float = 0.02
     service_smoothing: float = 0.05
     min_retry_after_s: float = 0.05
--- a/src/siskinward/coordination/routing/_load_view.py
+++ b/src/siskinward/coordination/routing/_load_view.py
@@ -42,6 +42,10 @@
         if is_silent:
             self._up_since_s = now_s
         self._sequence = sequence
+        self.on_seen(load, now_s=now_s)
+
+    def on_seen(self, load: ServiceLoad, *, now_s: float) -> None:
+        """Take in the load that came with an answer."""
         self._reported_at_s = now_s
         self._others = max(0.0, load.in_use + load.waiting - self.outstanding)
         self.slots = load.slots
--- a/src/siskinward/coordination/routing/router.py
+++ b/src/siskinward/coordination/routing/router.py
@@ -144,11 +144,23 @@
         self._links.spend(choice.region, size_bytes=choice.charged_bytes, now_s=now_s)
 
     def on_answer(
-        self, choice: Choice, *, took_s: float, service_s: float, size_bytes: int, now_s: float
+        self,
+        choice: Choice,
+        *,
+        took_s: float,
+        service_s: float,
+        size_bytes: int,
+        load: ServiceLoad | None,
+        now_s: float,
     ) -> None:
-        """Note an answer: the whole time, the target's part of it and bytes both ways."""
+        """Note an answer: the whole time, the target's part of it and bytes both ways.
+
+        ``load`` is what the answering VM knew of the service in its failure domain.
+        """
         view = self._views[choice.place]
         view.outstanding -= 1
+        if load is not None:
+            view.on_seen(load, now_s=now_s)
         network_s = 2.0 * self._latencies_s[choice.place.failure_domain]
         view.on_answer(
             took_s=took_s,
@@ -162,15 +174,20 @@
         known = self._answer_bytes.get(service, self._settings.initial_answer_bytes)
         self._answer_bytes[service] = known + self._settings.smoothing * (size_bytes - known)
 
-    def on_refusal(self, choice: Choice, *, retry_after_s: float, now_s: float) -> None:
+    def on_refusal(
+        self, choice: Choice, *, retry_after_s: float, load: ServiceLoad | None, now_s: float
+    ) -> None:
         """Note that the chosen VM refused the request."""
         view = self._views[choice.place]
         view.outstanding -= 1
+        if load is not None:
+            view.on_seen(load, now_s=now_s)
         view.on_refusal(retry_after_s=retry_after_s, now_s=now_s)
 
     def on_lost(self, choice: Choice, now_s: float) -> None:
         """Note that the stream to the chosen VM broke, or that it did not answer in time."""
-        self.on_refusal(choice, retry_after_s=self._settings.max_backoff_s, now_s=now_s)
+        backoff_s = self._settings.max_backoff_s
+        self.on_refusal(choice, retry_after_s=backoff_s, load=None, now_s=now_s)
 
     def _on_load(self, place: Place, load: ServiceLoad, sequence: int, now_s: float) -> None:
         view = self._views.get(place)
@@ -216,7 +233,8 @@
         network_s = 0.0
         if place.owner != self._own.vm:
             network_s = 2.0 * self._latencies_s[place.failure_domain]
-        return network_s + view.expected_wait_s(now_s), view.utilisation(now_s)
+        expected_s = network_s + view.expected_wait_s(now_s) + view.service_s
+        return expected_s, view.utilisation(now_s)
 
     def _choice(
         self, place: Place, excluded: Collection[VmName], size_bytes: int, now_s: float
@@ -227,7 +245,7 @@
             place=place,
             vm=self._random.choice(near),
             region=self._region_of(place.failure_domain),
-            predicted_s=self._rank(place, now_s)[0] + self._views[place].service_s,
+            predicted_s=self._rank(place, now_s)[0],
             charged_bytes=size_bytes,
         )
 
