--- a/src/siskinward/coordination/routing/router.py
+++ b/src/siskinward/coordination/routing/router.py
@@ -10,6 +10,7 @@
 from siskinward.coordination.routing._load_view import LoadView
 from siskinward.coordination.routing.link_budget import LinkBudgets
 from siskinward.coordination.routing.subset import peer_subset
+from siskinward.coordination.topology import domain_latencies_s
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import ServiceName
@@ -27,11 +28,7 @@
     from siskinward.coordination.routing.settings import RoutingSettings
     from siskinward.state.objects import Configuration
 
-MS_PER_S = 1000.0
 PEERS_PER_DOMAIN = 2
-SAME_DOMAIN_LATENCY_S = 0.0002
-SAME_REGION_LATENCY_S = 0.001
-UNLINKED_LATENCY_S = 0.05
 
 
 @frozen
@@ -74,7 +71,7 @@
         self._configuration = configuration
         self._own_region = configuration.failure_domains[own.failure_domain].region
         self._links = LinkBudgets(settings, configuration, self._own_region)
-        self._latencies_s = self._latencies()
+        self._latencies_s = domain_latencies_s(configuration, self._own.failure_domain)
         self._views: dict[Place, LoadView] = {}
         self._places: dict[ServiceName, list[Place]] = {}
         self._vms: dict[DomainName, tuple[VmName, ...]] = {}
@@ -86,7 +83,7 @@
         """Take in a new configuration."""
         self._configuration = configuration
         self._links.set_configuration(configuration, now_s=now_s)
-        self._latencies_s = self._latencies()
+        self._latencies_s = domain_latencies_s(configuration, self._own.failure_domain)
         domains = configuration.failure_domains
         for place in [place for place in self._views if place.failure_domain not in domains]:
             del self._views[place]
@@ -153,11 +150,23 @@
         self._links.spend(choice.region, size_bytes=choice.charged_bytes, now_s=now_s)
 
     def on_answer(
-        self, choice: Choice, *, took_s: float, service_s: float, size_bytes: int, now_s: float
+        self,
+        choice: Choice,
+        *,
+        took_s: float,
+        service_s: float,
+        size_bytes: int,
+        load: ServiceLoad | None,
+        now_s: float,
     ) -> None:
-        """Note an answer: the whole time, the target's part of it and bytes both ways."""
+        """Note an answer: the whole time, the target's part of it and bytes both ways.
+
+        ``load`` is what the answering VM knew of the service in its failure domain.
+        """
         view = self._views[choice.place]
         view.outstanding -= 1
+        if load is not None:
+            view.on_seen(load, now_s=now_s)
         network_s = 2.0 * self._latencies_s[choice.place.failure_domain]
         view.on_answer(
             took_s=took_s,
@@ -171,15 +180,20 @@
         known = self._answer_bytes.get(service, self._settings.initial_answer_bytes)
         self._answer_bytes[service] = known + self._settings.smoothing * (size_bytes - known)
 
-    def on_refusal(self, choice: Choice, *, retry_after_s: float, now_s: float) -> None:
+    def on_refusal(
+        self, choice: Choice, *, retry_after_s: float, load: ServiceLoad | None, now_s: float
+    ) -> None:
         """Note that the chosen VM refused the request."""
         view = self._views[choice.place]
         view.outstanding -= 1
+        if load is not None:
+            view.on_seen(load, now_s=now_s)
         view.on_refusal(retry_after_s=retry_after_s, now_s=now_s)
 
     def on_lost(self, choice: Choice, now_s: float) -> None:
         """Note that the stream to the chosen VM broke, or that it did not answer in time."""
-        self.on_refusal(choice, retry_after_s=self._settings.max_backoff_s, now_s=now_s)
+        backoff_s = self._settings.max_backoff_s
+        self.on_refusal(choice, retry_after_s=backoff_s, load=None, now_s=now_s)
 
     def _on_load(self, place: Place, load: ServiceLoad, sequence: int, now_s: float) -> None:
         view = self._views.get(place)
@@ -225,7 +239,8 @@
         network_s = 0.0
         if place.owner != self._own.vm:
             network_s = 2.0 * self._latencies_s[place.failure_domain]
-        return network_s + view.expected_wait_s(now_s), view.utilisation(now_s)
+        expected_s = network_s + view.expected_wait_s(now_s) + view.service_s
+        return expected_s, view.utilisation(now_s)
 
     def _choice(
         self, place: Place, excluded: Collection[VmName], size_bytes: int, now_s: float
@@ -236,25 +251,9 @@
             place=place,
             vm=self._random.choice(near),
             region=self._region_of(place.failure_domain),
-            predicted_s=self._rank(place, now_s)[0] + self._views[place].service_s,
+            predicted_s=self._rank(place, now_s)[0],
             charged_bytes=size_bytes,
         )
 
     def _region_of(self, domain: DomainName) -> RegionName:
         return self._configuration.failure_domains[domain].region
-
-    def _latencies(self) -> dict[DomainName, float]:
-        """One-way latency to each failure domain."""
-        between: dict[RegionName, float] = {self._own_region: SAME_REGION_LATENCY_S}
-        for link in self._configuration.links.values():
-            if self._own_region in (link.from_region, link.to_region):
-                other = link.to_region
-                if other == self._own_region:
-                    other = link.from_region
-                between[other] = link.one_way_latency_ms / MS_PER_S
-        latencies = {
-            name: between.get(domain.region, UNLINKED_LATENCY_S)
-            for name, domain in self._configuration.failure_domains.items()
-        }
-        latencies[self._own.failure_domain] = SAME_DOMAIN_LATENCY_S
-        return latencies
