Wire versions, freshness, retries and the quarantine into the node

Cause: every VM polled the platform each 0.5 s (1,180 reads/s at 590 VMs), a withdrawn key stayed valid in an isolated domain, a crash request was retried without bound, and retries had no budget. Conclusion: a VM without the platform stays Connected through its peers' observations.

--- a/src/siskinward/daemon/cluster.py
+++ b/src/siskinward/daemon/cluster.py
@@ -43,6 +43,11 @@
         self.membership = Membership(MembershipSettings(), own, address, now_s)
         router.register(self.membership, membership_messages.MESSAGES)
 
+    @property
+    def known_domains(self) -> frozenset[DomainName]:
+        """All configured failure domains."""
+        return frozenset(self._domains)
+
     def live_vms(self, now_s: float) -> list[Vm]:
         """Return the live VMs of all heard failure domains that are not leaving."""
         found = [] if self._is_leaving else [_vm(self._own, self._own_address)]
--- a/src/siskinward/daemon/dispatcher.py
+++ b/src/siskinward/daemon/dispatcher.py
@@ -10,8 +10,9 @@
 from siskinward.coordination.outcomes import Answered
 from siskinward.coordination.outcomes import NotRun
 from siskinward.coordination.outcomes import RefusalReason
-from siskinward.coordination.outcomes import RetryReason
 from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.retries import GiveUp
+from siskinward.coordination.retries import RequestProgress
 from siskinward.daemon.work import WorkResult
 
 if TYPE_CHECKING:
@@ -21,19 +22,22 @@
     from siskinward.daemon.forwarder import Forwarder
     from siskinward.daemon.local_service import LocalService
     from siskinward.daemon.metrics import NodeMetrics
+    from siskinward.daemon.retry_desk import RetryDesk
     from siskinward.daemon.work import Work
     from siskinward.state.identifiers import VmName
 
-ATTEMPT_LIMIT = 4
 NO_TARGET_RETRY_AFTER_S = 0.5
 
 
 class Dispatcher:
     """Asks the router for each attempt and tells it what became of it."""
 
-    def __init__(self, own_vm: VmName, local: LocalService, metrics: NodeMetrics) -> None:
+    def __init__(
+        self, own_vm: VmName, local: LocalService, retries: RetryDesk, metrics: NodeMetrics
+    ) -> None:
         self._own_vm = own_vm
         self._local = local
+        self._retries = retries
         self._metrics = metrics
         self.router: Router | None = None
         self.forwarder: Forwarder | None = None
@@ -50,31 +54,42 @@
         return await self._run(work, within_domain=True)
 
     async def _run(self, work: Work, *, within_domain: bool) -> WorkResult:
+        ledger = self._retries.ledger(work.service)
+        ledger.on_first_attempt()
+        progress = RequestProgress(work.is_idempotent, work.deadline_s)
         excluded_vms: set[VmName] = set()
-        result = WorkResult(NotRun(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER_S))
-        if self.router is None:
-            return result
-        for attempt in range(ATTEMPT_LIMIT):
-            choice = self.router.choose(
-                work.service,
-                request_bytes=work.size_bytes,
-                excluded=excluded_vms,
-                now_s=await curio.clock(),
-                within_domain=within_domain,
-            )
+        while True:
+            choice = await self._choose(work, excluded_vms, within_domain=within_domain)
             if isinstance(choice, RefusalReason):
-                return result if attempt else _unplaced(choice)
+                return _unplaced(choice, progress)
             result = await self._attempt(choice, work)
-            reason = _retry_reason(result.outcome, is_idempotent=work.is_idempotent)
-            if reason is None or await curio.clock() >= work.deadline_s:
+            if isinstance(result.outcome, Answered):
                 return result
-            self._metrics.count_retry(reason, work.service)
+            now_s = await curio.clock()
+            decision = self._retries.decide(work.service, progress, result, now_s)
+            if isinstance(decision, GiveUp):
+                return evolve(result, outcome=decision.outcome)
+            self._metrics.count_retry(decision.reason, work.service)
+            progress = decision.progress
             if result.tried_target is None:
                 excluded_vms.add(choice.vm)
             else:
                 excluded = (*work.excluded_targets, result.tried_target)
                 work = evolve(work, excluded_targets=excluded)
-        return result
+            await curio.sleep(decision.after_s)
+
+    async def _choose(
+        self, work: Work, excluded_vms: set[VmName], *, within_domain: bool
+    ) -> Choice | RefusalReason:
+        if self.router is None:
+            return RefusalReason.NO_TARGET
+        return self.router.choose(
+            work.service,
+            request_bytes=work.size_bytes,
+            excluded=excluded_vms,
+            now_s=await curio.clock(),
+            within_domain=within_domain,
+        )
 
     async def _attempt(self, choice: Choice, work: Work) -> WorkResult:
         assert self.forwarder is not None
@@ -101,35 +116,20 @@
                     took_s=now_s - start_s,
                     service_s=result.service_s,
                     size_bytes=work.size_bytes + len(body),
+                    load=result.load,
                     now_s=now_s,
                 )
             case NotRun(RefusalReason.PEER_LOST) | Unknown(RefusalReason.PEER_LOST):
                 self.router.on_lost(choice, now_s)
             case NotRun(_, retry_after_s):
-                self.router.on_refusal(choice, retry_after_s=retry_after_s, now_s=now_s)
+                self.router.on_refusal(
+                    choice, retry_after_s=retry_after_s, load=result.load, now_s=now_s
+                )
             case Unknown():
-                self.router.on_refusal(choice, retry_after_s=0.0, now_s=now_s)
+                self.router.on_refusal(choice, retry_after_s=0.0, load=result.load, now_s=now_s)
 
 
-def _unplaced(reason: RefusalReason) -> WorkResult:
+def _unplaced(reason: RefusalReason, progress: RequestProgress) -> WorkResult:
+    if progress.may_have_run:
+        return WorkResult(Unknown(reason))
     return WorkResult(NotRun(reason, NO_TARGET_RETRY_AFTER_S))
-
-
-def _retry_reason(outcome: Outcome, *, is_idempotent: bool) -> RetryReason | None:
-    match outcome:
-        case Answered():
-            return None
-        case NotRun(RefusalReason.TARGET_SHED):
-            return RetryReason.TARGET_SHED
-        case NotRun(RefusalReason.PEER_LOST):
-            return RetryReason.PEER_LOST
-        case NotRun(RefusalReason.NO_TARGET):
-            return RetryReason.CONNECT_FAILED
-        case NotRun():
-            return RetryReason.ANOTHER_VM
-        case Unknown(RefusalReason.ANSWER_INCOMPLETE) if is_idempotent:
-            return RetryReason.ANSWER_INCOMPLETE
-        case Unknown() if is_idempotent:
-            return RetryReason.TARGET_LOST
-        case _:
-            return None
--- a/src/siskinward/daemon/forwarder.py
+++ b/src/siskinward/daemon/forwarder.py
@@ -113,6 +113,7 @@
         headers=work.headers,
         body=work.body,
         run_id=work.run_id,
+        fingerprint=work.fingerprint,
         is_idempotent=work.is_idempotent,
         time_left_s=time_left_s,
         may_forward=False,
@@ -129,6 +130,7 @@
         headers=message.headers,
         body=message.body,
         run_id=message.run_id,
+        fingerprint=message.fingerprint,
         is_idempotent=message.is_idempotent,
         deadline_s=now_s + message.time_left_s,
         excluded_targets=tuple(TargetName(name) for name in message.excluded_targets),
@@ -146,6 +148,7 @@
         tried_target=result.tried_target,
         lost_targets=result.lost_targets,
         service_s=result.service_s,
+        load=result.load,
     )
 
 
@@ -155,4 +158,4 @@
     )
     tried = None if reply.tried_target is None else TargetName(reply.tried_target)
     lost = tuple(TargetName(name) for name in reply.lost_targets)
-    return WorkResult(outcome, tried, lost, reply.service_s)
+    return WorkResult(outcome, tried, lost, reply.service_s, reply.load)
--- a/src/siskinward/daemon/local_service.py
+++ b/src/siskinward/daemon/local_service.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import curio
+from attrs import evolve
 
 from siskinward.coordination.admission import Admitted
 from siskinward.coordination.admission import Queued
@@ -30,7 +31,9 @@
     from siskinward.coordination.admission import SlotLedger
     from siskinward.coordination.outcomes import Outcome
     from siskinward.coordination.ownership import OwnershipParticipant
+    from siskinward.coordination.quarantine import Permit
     from siskinward.coordination.routing import TargetPicker
+    from siskinward.daemon.quarantine_desk import QuarantineDesk
     from siskinward.daemon.serving_state import ServingState
     from siskinward.daemon.work import Work
     from siskinward.state.identifiers import ServiceName
@@ -51,11 +54,13 @@
         ledger: SlotLedger,
         ownership: OwnershipParticipant,
         picker: TargetPicker,
+        quarantine: QuarantineDesk,
     ) -> None:
         self._settings = settings
         self._ledger = ledger
         self._ownership = ownership
         self._picker = picker
+        self._quarantine = quarantine
         self._queues: dict[ServiceName, ServiceQueue] = {}
         self._waiters: dict[int, Waiter[Admitted | Refused]] = {}
         self._pools: dict[TargetName, ConnectionPool] = {}
@@ -81,16 +86,35 @@
 
     async def run(self, work: Work) -> WorkResult:
         """Wait for a slot, run the request and return its outcome."""
+        permit = await self._quarantine.admit(work.fingerprint, await curio.clock())
+        if isinstance(permit, NotRun):
+            return WorkResult(permit)
+        result = WorkResult(NotRun(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER_S))
+        try:
+            result = await self._run_permitted(work, permit)
+        finally:
+            for target in result.lost_targets:
+                await self._quarantine.target_lost(target)
+            ran = isinstance(result.outcome, Answered)
+            await self._quarantine.finished(permit, ran=ran)
+        return evolve(result, load=self._own_load(work.service))
+
+    async def _run_permitted(self, work: Work, permit: Permit) -> WorkResult:
         request_id = next(self._request_ids)
         admission = await self._admit(request_id, work)
         if isinstance(admission, NotRun):
             return WorkResult(admission)
         now_s = await curio.clock()
-        slot = self._take_slot(work, now_s)
-        if slot is None:
+        slots = self._take_slots(work, permit, now_s)
+        if not slots:
             await self._finish(work.service, request_id, None)
             return WorkResult(NotRun(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER_S))
-        return await self._run_in_slot(work, request_id, slot, now_s)
+        self._quarantine.started(permit, slots[0].target)
+        try:
+            return await self._run_in_slot(work, request_id, slots[0], now_s)
+        finally:
+            for slot in slots[1:]:
+                self._ledger.release(slot)
 
     async def on_timer(self, now_s: float) -> None:
         """Follow the ownership, release held slots that are due, refuse what waits too long."""
@@ -124,6 +148,10 @@
         slots = self._ledger.in_use(name) + self._ledger.free(name)
         return self._picker.slots_open(name, slots=slots, now_s=now_s)
 
+    def _own_load(self, service: ServiceName) -> ServiceLoad | None:
+        names = self._usable.get(service)
+        return self._load(service, names) if names else None
+
     def _load(self, service: ServiceName, names: list[TargetName]) -> ServiceLoad:
         queue = self._queue(service)
         in_use = sum(self._ledger.in_use(name) for name in names)
@@ -180,12 +208,20 @@
         else:
             self._queue(service).cancel(request_id)
 
-    def _take_slot(self, work: Work, now_s: float) -> Slot | None:
+    def _take_slots(self, work: Work, permit: Permit, now_s: float) -> list[Slot]:
+        """Take one slot; all slots of an idle target for a request that must run alone."""
         names = self._usable.get(work.service, [])
+        if permit.alone:
+            names = [name for name in names if self._ledger.in_use(name) == 0]
         chosen = self._picker.pick(self._ledger, names, excluded=work.excluded_targets, now_s=now_s)
         if chosen is None:
-            return None
-        return self._ownership.take(chosen, deadline_s=work.deadline_s, now_s=now_s)
+            return []
+        count = self._ledger.free(chosen) if permit.alone else 1
+        taken = [
+            self._ownership.take(chosen, deadline_s=work.deadline_s, now_s=now_s)
+            for _ in range(count)
+        ]
+        return [slot for slot in taken if slot is not None]
 
     async def _run_in_slot(
         self, work: Work, request_id: int, slot: Slot, start_s: float
@@ -200,7 +236,7 @@
             )
             if result.is_error():
                 outcome = _failed_outcome(result.error)
-                is_target_lost = result.error.phase is not ExchangePhase.UNSENT
+                is_target_lost = not result.error.timed_out
             else:
                 answer = result.ok
                 outcome = interpret_answer(answer.status, answer.headers, answer.body)
@@ -208,7 +244,8 @@
             await self._release(work, request_id, slot, outcome, start_s)
         end_s = await curio.clock()
         self._tell_picker(slot.target, outcome, is_target_lost, start_s, end_s)
-        lost = (slot.target,) if is_target_lost else ()
+        is_loss = is_target_lost and isinstance(outcome, Unknown)
+        lost = (slot.target,) if is_loss else ()
         return WorkResult(outcome, slot.target, lost, end_s - start_s)
 
     def _tell_picker(
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -8,7 +8,8 @@
 import curio
 from eliot import log_message
 
-from siskinward.daemon.configuration_sync import ConfigurationSync
+from siskinward.coordination.version_messages import MESSAGES as VERSION_MESSAGES
+from siskinward.daemon.configuration_replica import ConfigurationReplica
 from siskinward.daemon.front import Front
 from siskinward.daemon.lookup import LookupService
 from siskinward.daemon.node_parts import create_parts
@@ -32,7 +33,6 @@
     from siskinward.daemon.serving_state import ServingState
     from siskinward.state.settings import NodeSettings
 
-POLL_INTERVAL_S = 0.5
 VM_LIST_INTERVAL_S = 5.0
 TIMER_INTERVAL_S = 0.05
 HAND_OVER_LIMIT_S = 5.0
@@ -51,9 +51,16 @@
         self.metrics = parts.metrics
         self._steering = Steering(parts)
         self._watch = TargetWatch(parts.local.usable_targets, self._steering.on_target_states)
-        self._sync = ConfigurationSync(
-            parts.platform, parts.platform, self._on_adopted, self._on_error
+        self._replica = ConfigurationReplica(
+            parts.own,
+            parts.platform,
+            parts.router,
+            self._on_adopted,
+            self._on_error,
+            parts.random,
+            now_s,
         )
+        parts.router.register(self._replica, VERSION_MESSAGES)
         self._server = self._create_server()
 
     async def run(self) -> None:
@@ -73,7 +80,6 @@
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(self._server.serve, front)
                 await group.spawn(self.parts.hub.serve, peers)
-                await group.spawn(self._run_sync)
                 await group.spawn(self._run_vm_list)
                 await group.spawn(self._run_timer)
                 await group.spawn(self._watch.run)
@@ -93,7 +99,12 @@
         parts = self.parts
         limits = self._settings.limits
         handler = RequestHandler(
-            lambda: self._state, parts.gate, parts.desk, parts.dispatcher, parts.metrics
+            lambda: self._state,
+            self._replica.standing,
+            parts.gate,
+            parts.desk,
+            parts.dispatcher,
+            parts.metrics,
         )
         lookups = LookupService(
             lambda: self._state,
@@ -137,11 +148,6 @@
         is_free = authority.grant.handed_over and authority.ownership.has_handed_over
         return is_free and not has_tickets and self.parts.forwarder.running_count == 0
 
-    async def _run_sync(self) -> None:
-        while True:
-            await self._sync.poll()
-            await curio.sleep(POLL_INTERVAL_S)
-
     async def _run_vm_list(self) -> None:
         while True:
             result = await self.parts.platform.list_vms()
@@ -165,6 +171,8 @@
         members = parts.cluster.domain_members(now_s)
         await parts.router.run(parts.authority, parts.authority.on_members(members, now_s))
         await parts.desk.on_members(parts.cluster.live_identities(now_s), now_s)
+        await parts.quarantine.on_members(parts.cluster.live_identities(now_s), now_s)
+        self._replica.on_membership(parts.cluster.membership, parts.cluster.known_domains, now_s)
         for vm in parts.cluster.departed(now_s):
             await parts.forwarder.on_vm_lost(vm)
 
@@ -208,6 +216,7 @@
             "grant_holder": parts.authority.holder,
             "grant_epoch": parts.authority.epoch,
             "owned_targets": len(parts.local.usable_targets()),
+            "standing": type(self._replica.standing(now_s)).__name__,
             "version": 0 if self._state is None else self._state.version,
         }
 
--- a/src/siskinward/daemon/node_parts.py
+++ b/src/siskinward/daemon/node_parts.py
@@ -14,6 +14,10 @@
 from siskinward.coordination.events import VmIdentity
 from siskinward.coordination.grants import messages as grant_messages
 from siskinward.coordination.ownership import MESSAGES as OWNERSHIP_MESSAGES
+from siskinward.coordination.quarantine import Quarantine
+from siskinward.coordination.quarantine import QuarantineSettings
+from siskinward.coordination.quarantine import messages as quarantine_messages
+from siskinward.coordination.retries import RetrySettings
 from siskinward.coordination.routing import RoutingSettings
 from siskinward.coordination.routing import TargetPicker
 from siskinward.coordination.shares import MINT_MESSAGES
@@ -32,6 +36,8 @@
 from siskinward.daemon.local_service import LocalService
 from siskinward.daemon.metrics import NodeMetrics
 from siskinward.daemon.part_router import PartRouter
+from siskinward.daemon.quarantine_desk import QuarantineDesk
+from siskinward.daemon.retry_desk import RetryDesk
 from siskinward.daemon.ticket_desk import TicketDesk
 from siskinward.protocol.registry import create_codec
 from siskinward.state.identifiers import IncarnationId
@@ -47,6 +53,7 @@
     from siskinward.state.settings import NodeSettings
 
 INCARNATION_SIZE_BYTES = 8
+QUARANTINE_SETTINGS = QuarantineSettings(hold_unproven_s=0.0)
 
 
 @define
@@ -63,6 +70,7 @@
     wallet: TokenWallet
     gate: AccountGate
     desk: TicketDesk
+    quarantine: QuarantineDesk
     picker: TargetPicker
     local: LocalService
     dispatcher: Dispatcher
@@ -91,8 +99,9 @@
     desk = TicketDesk(own, TicketBook(TicketSettings(), own, secret), router)
     source = random.Random(os.urandom(INCARNATION_SIZE_BYTES))
     picker = TargetPicker(RoutingSettings(), source)
-    local = LocalService(AdmissionSettings(), ledger, authority.ownership, picker)
-    dispatcher = Dispatcher(own.vm, local, metrics)
+    quarantine = QuarantineDesk(own, Quarantine(QUARANTINE_SETTINGS, own), router)
+    local = LocalService(AdmissionSettings(), ledger, authority.ownership, picker, quarantine)
+    dispatcher = Dispatcher(own.vm, local, RetryDesk(RetrySettings(), source), metrics)
     forwarder = Forwarder(own, hub, dispatcher.run_forwarded)
     dispatcher.forwarder = forwarder
     cluster = Cluster(own, settings.node, hub, router, now_s)
@@ -101,6 +110,7 @@
     router.register(authority.ownership, OWNERSHIP_MESSAGES)
     router.register(gate, WALLET_MESSAGES)
     router.register(desk, ticket_messages.MESSAGES)
+    router.register(quarantine, quarantine_messages.MESSAGES)
     return NodeParts(
         own=own,
         metrics=metrics,
@@ -112,6 +122,7 @@
         wallet=wallet,
         gate=gate,
         desk=desk,
+        quarantine=quarantine,
         picker=picker,
         local=local,
         dispatcher=dispatcher,
--- /dev/null
+++ b/src/siskinward/daemon/quarantine_desk.py
@@ -0,0 +1,100 @@
+"""Asks the quarantine before each run at a target and tells it how the run ended."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.quarantine import Hold
+from siskinward.coordination.quarantine import Permit
+from siskinward.coordination.quarantine import Refuse
+from siskinward.daemon.waiter import Waiter
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.quarantine import Quarantine
+    from siskinward.daemon.part_router import PartRouter
+    from siskinward.state.identifiers import TargetName
+
+ANSWER_LIMIT_S = 1.0
+RETRY_AFTER_S = 0.2
+
+
+class QuarantineDesk:
+    """Delivers the quarantine's decisions to the attempts that wait for them."""
+
+    def __init__(self, own: VmIdentity, quarantine: Quarantine, router: PartRouter) -> None:
+        self._own = own
+        self._quarantine = quarantine
+        self._router = router
+        self._numbers = itertools.count(1)
+        self._waiters: dict[str, Waiter[Permit | Refuse | Hold]] = {}
+
+    async def admit(self, fingerprint: str, now_s: float) -> Permit | NotRun:
+        """Wait for the permission to run a request."""
+        attempt_id = f"{self._own.incarnation}/{next(self._numbers)}"
+        decision = await self._ask(attempt_id, fingerprint, now_s, held=False)
+        if isinstance(decision, Hold):
+            await curio.sleep(decision.for_s)
+            now_s = await curio.clock()
+            decision = await self._ask(attempt_id, fingerprint, now_s, held=True)
+        match decision:
+            case Permit():
+                return decision
+            case Refuse(outcome=outcome):
+                return outcome
+            case _:
+                return NotRun(RefusalReason.QUARANTINED, RETRY_AFTER_S)
+
+    def started(self, permit: Permit, target: TargetName) -> None:
+        """Note that the request was dispatched."""
+        self._quarantine.started(permit.attempt_id, target)
+
+    async def finished(self, permit: Permit, *, ran: bool) -> None:
+        """Note that the attempt ended without the loss of its target."""
+        now_s = await curio.clock()
+        steps = self._quarantine.finished(permit.attempt_id, ran=ran, now_s=now_s)
+        await self._router.run(self, steps)
+
+    async def target_lost(self, target: TargetName) -> None:
+        """Note that a target was lost, with all that ran there."""
+        await self._router.run(self, self._quarantine.target_lost(target, await curio.clock()))
+
+    async def on_members(self, live: Sequence[VmIdentity], now_s: float) -> None:
+        """Take the live VMs of all failure domains."""
+        await self._router.run(self, self._quarantine.on_members(live, now_s))
+
+    def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> Sequence[Any]:
+        """Hand a message to the quarantine."""
+        return self._quarantine.on_message(message, sender, now_s)
+
+    def on_timer(self, now_s: float) -> Sequence[Any]:
+        """Drive the quarantine's timer."""
+        return self._quarantine.on_timer(now_s)
+
+    async def on_decision(self, decision: Any) -> None:
+        """Deliver a decision; a permit that nobody waits for any more is given back."""
+        waiter = self._waiters.get(decision.attempt_id)
+        if waiter is not None:
+            await waiter.deliver(decision)
+        elif isinstance(decision, Permit):
+            await self.finished(decision, ran=False)
+
+    async def _ask(
+        self, attempt_id: str, fingerprint: str, now_s: float, *, held: bool
+    ) -> Permit | Refuse | Hold | None:
+        waiter = Waiter[Permit | Refuse | Hold]()
+        self._waiters[attempt_id] = waiter
+        try:
+            steps = self._quarantine.admit(attempt_id, fingerprint, now_s, held=held)
+            await self._router.run(self, steps)
+            return await waiter.wait(ANSWER_LIMIT_S)
+        finally:
+            del self._waiters[attempt_id]
--- a/src/siskinward/daemon/request_handler.py
+++ b/src/siskinward/daemon/request_handler.py
@@ -8,6 +8,7 @@
 from attrs import evolve
 
 from siskinward.coordination.fingerprints import fingerprint_of
+from siskinward.coordination.freshness import Isolated
 from siskinward.coordination.outcomes import Answered
 from siskinward.coordination.outcomes import NotRun
 from siskinward.coordination.outcomes import RefusalReason
@@ -19,10 +20,12 @@
 from siskinward.protocol.target_http import allowed_headers
 from siskinward.state.identifiers import AccountName
 from siskinward.state.objects import Access
+from siskinward.state.objects import WhenIsolated
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from siskinward.coordination.freshness import Standing
     from siskinward.coordination.outcomes import Outcome
     from siskinward.daemon.account_gate import AccountGate
     from siskinward.daemon.dispatcher import Dispatcher
@@ -43,12 +46,14 @@
     def __init__(
         self,
         current_state: Callable[[], ServingState | None],
+        standing: Callable[[float], Standing],
         gate: AccountGate,
         desk: TicketDesk,
         dispatcher: Dispatcher,
         metrics: NodeMetrics,
     ) -> None:
         self._current_state = current_state
+        self._standing = standing
         self._gate = gate
         self._desk = desk
         self._dispatcher = dispatcher
@@ -74,7 +79,7 @@
         parsed = parse_caller_headers(request.headers, service)
         if parsed.is_error():
             return NotRun(parsed.error, SETTLED_RETRY_AFTER_S), OPEN_ACCOUNT
-        account = _account(state, route, parsed.ok.key_text)
+        account = self._account(state, route, parsed.ok.key_text, start_s)
         if isinstance(account, NotRun):
             return account, OPEN_ACCOUNT
         headers = allowed_headers(request.headers)
@@ -89,6 +94,9 @@
             headers=headers,
             body=request.body,
             run_id=parsed.ok.idempotency_key,
+            fingerprint=fingerprint_of(
+                account, route.name, request.method, request.target, request.body
+            ),
             is_idempotent=route.idempotent,
             deadline_s=start_s + parsed.ok.deadline_s,
         )
@@ -102,10 +110,23 @@
                 return refusal
         if route.idempotent:
             return await self._dispatcher.run(evolve(work, run_id=None))
-        fingerprint = fingerprint_of(
-            work.client_account, route.name, work.method, work.target_path, work.body
-        )
-        return await self._desk.run(work, fingerprint, self._dispatcher.run, now_s)
+        return await self._desk.run(work, self._dispatcher.run, now_s)
+
+    def _account(
+        self, state: ServingState, route: Route, key_text: str | None, now_s: float
+    ) -> AccountName | NotRun:
+        if route.access is Access.OPEN:
+            return OPEN_ACCOUNT
+        if not key_text:
+            return NotRun(RefusalReason.KEY_MISSING, SETTLED_RETRY_AFTER_S)
+        account = state.keys.account_of(key_text)
+        if account is None:
+            return NotRun(RefusalReason.KEY_UNKNOWN, SETTLED_RETRY_AFTER_S)
+        when_isolated = state.configuration.client_accounts[account].when_isolated
+        is_refused = when_isolated is WhenIsolated.REFUSE
+        if is_refused and isinstance(self._standing(now_s), Isolated):
+            return NotRun(RefusalReason.KEY_UNVOUCHED, STARTING_RETRY_AFTER_S)
+        return account
 
     def _refused(
         self, reason: RefusalReason, retry_after_s: float = SETTLED_RETRY_AFTER_S
@@ -127,14 +148,3 @@
                 self._metrics.count_refusal(reason, route.service, account)
         self._metrics.requests.labels(route.service, account, label).inc()
         self._metrics.latency_s.labels(route.service).observe(latency_s)
-
-
-def _account(state: ServingState, route: Route, key_text: str | None) -> AccountName | NotRun:
-    if route.access is Access.OPEN:
-        return OPEN_ACCOUNT
-    if not key_text:
-        return NotRun(RefusalReason.KEY_MISSING, SETTLED_RETRY_AFTER_S)
-    account = state.keys.account_of(key_text)
-    if account is None:
-        return NotRun(RefusalReason.KEY_UNKNOWN, SETTLED_RETRY_AFTER_S)
-    return account
--- /dev/null
+++ b/src/siskinward/daemon/retry_desk.py
@@ -0,0 +1,108 @@
+"""Decides on further attempts of a request, within the service's retry ledger."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from siskinward.coordination.outcomes import Answered
+from siskinward.coordination.outcomes import NotRun
+from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import RetryReason
+from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.retries import AnswerIncomplete
+from siskinward.coordination.retries import GiveUp
+from siskinward.coordination.retries import HedgePolicy
+from siskinward.coordination.retries import LostAfterSent
+from siskinward.coordination.retries import NeverConnected
+from siskinward.coordination.retries import PeerLost
+from siskinward.coordination.retries import RequestProgress
+from siskinward.coordination.retries import RetryLedger
+from siskinward.coordination.retries import RetryPolicy
+from siskinward.coordination.retries import RetrySettings
+from siskinward.coordination.retries import Shed
+from siskinward.coordination.retries import TimedOut
+from siskinward.coordination.retries import TryAgain
+from siskinward.state.identifiers import TargetName
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from siskinward.coordination.outcomes import Outcome
+    from siskinward.coordination.retries import AttemptFailure
+    from siskinward.daemon.work import WorkResult
+    from siskinward.state.identifiers import ServiceName
+    from siskinward.state.objects import Service
+
+NO_TARGET = TargetName("")
+FINAL_REASONS = frozenset(
+    {RefusalReason.DEADLINE, RefusalReason.QUARANTINED, RefusalReason.LINK_BUDGET}
+)
+
+
+class RetryDesk:
+    """One ledger and one hedge policy a service."""
+
+    def __init__(self, settings: RetrySettings, random: Random) -> None:
+        self._settings = settings
+        self._policy = RetryPolicy(settings, random)
+        self._ledgers: dict[ServiceName, RetryLedger] = {}
+        self._hedges: dict[ServiceName, HedgePolicy] = {}
+
+    def ledger(self, service: ServiceName) -> RetryLedger:
+        """Return the retry ledger of a service."""
+        if service not in self._ledgers:
+            self._ledgers[service] = RetryLedger(self._settings)
+        return self._ledgers[service]
+
+    def hedge_policy(self, service: Service) -> HedgePolicy:
+        """Return the hedge policy of a service."""
+        if service.name not in self._hedges:
+            self._hedges[service.name] = HedgePolicy(self._settings, service)
+        return self._hedges[service.name]
+
+    def decide(
+        self, service: ServiceName, progress: RequestProgress, result: WorkResult, now_s: float
+    ) -> TryAgain | GiveUp:
+        """Decide after an attempt that was not answered."""
+        outcome = result.outcome
+        if isinstance(outcome, NotRun) and outcome.reason in FINAL_REASONS:
+            return GiveUp(_final_outcome(progress, outcome))
+        retry_after_s = outcome.retry_after_s if isinstance(outcome, NotRun) else 0.0
+        decision = self._policy.decide(
+            progress,
+            _failure(outcome, result.tried_target or NO_TARGET),
+            self.ledger(service),
+            now_s,
+            retry_after_s=retry_after_s,
+        )
+        match decision:
+            case TryAgain() if result.tried_target is None and isinstance(outcome, NotRun):
+                return evolve(decision, reason=RetryReason.ANOTHER_VM, after_s=0.0)
+            case GiveUp() if isinstance(outcome, NotRun):
+                return GiveUp(_final_outcome(progress, outcome))
+        return decision
+
+
+def _final_outcome(progress: RequestProgress, outcome: NotRun) -> Outcome:
+    # An earlier attempt may have run although the last one did not.
+    return Unknown(outcome.reason) if progress.may_have_run else outcome
+
+
+def _failure(outcome: Outcome, target: TargetName) -> AttemptFailure:
+    match outcome:
+        case Answered():
+            raise ValueError("an answer is no failure")
+        case NotRun(RefusalReason.NO_TARGET | RefusalReason.PEER_LOST):
+            return NeverConnected(target)
+        case NotRun():
+            return Shed(target)
+        case Unknown(RefusalReason.ANSWER_INCOMPLETE):
+            return AnswerIncomplete(target)
+        case Unknown(RefusalReason.PEER_LOST):
+            return PeerLost(target)
+        case Unknown(RefusalReason.DEADLINE):
+            return TimedOut(target)
+        case Unknown():
+            return LostAfterSent(target)
--- a/src/siskinward/daemon/ticket_desk.py
+++ b/src/siskinward/daemon/ticket_desk.py
@@ -46,7 +46,6 @@
     async def run(
         self,
         work: Work,
-        fingerprint: str,
         dispatch: Callable[[Work], Awaitable[Outcome]],
         now_s: float,
     ) -> Outcome:
@@ -57,7 +56,7 @@
         waiter = Waiter[Dispatch | AnswerCaller]()
         self._waiters[attempt_id] = waiter
         steps = self._book.begin(
-            attempt_id, work.run_id, work.client_account, fingerprint, work.deadline_s, now_s
+            attempt_id, work.run_id, work.client_account, work.fingerprint, work.deadline_s, now_s
         )
         try:
             await self._router.run(self, steps)
--- a/src/siskinward/daemon/work.py
+++ b/src/siskinward/daemon/work.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from siskinward.coordination.outcomes import Outcome
+from siskinward.coordination.routing import ServiceLoad
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import ServiceName
 from siskinward.state.identifiers import TargetName
@@ -24,6 +25,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     run_id: str | None
+    fingerprint: str
     is_idempotent: bool
     deadline_s: float
     excluded_targets: tuple[TargetName, ...] = ()
@@ -39,10 +41,12 @@
 class WorkResult:
     """What became of an attempt; ``lost_targets`` failed while they ran it.
 
-    ``service_s`` is the time that the target took.
+    ``service_s`` is the time that the target took, ``load`` what the VM that answered knew of the
+    service in its failure domain.
     """
 
     outcome: Outcome
     tried_target: TargetName | None = None
     lost_targets: tuple[TargetName, ...] = ()
     service_s: float = 0.0
+    load: ServiceLoad | None = None
--- a/src/siskinward/protocol/forwarding.py
+++ b/src/siskinward/protocol/forwarding.py
@@ -7,6 +7,7 @@
 from siskinward.coordination.outcomes import Answered
 from siskinward.coordination.outcomes import NotRun
 from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.routing import ServiceLoad
 
 
 @frozen
@@ -26,6 +27,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     run_id: str | None
+    fingerprint: str
     is_idempotent: bool
     time_left_s: float
     may_forward: bool
@@ -44,6 +46,7 @@
     tried_target: str | None = None
     lost_targets: tuple[str, ...] = ()
     service_s: float = 0.0
+    load: ServiceLoad | None = None
 
 
 MESSAGES: tuple[type, ...] = (ForwardRequest, ForwardReply)
--- a/src/siskinward/protocol/registry.py
+++ b/src/siskinward/protocol/registry.py
@@ -7,6 +7,7 @@
 from siskinward.coordination import version_messages
 from siskinward.coordination.grants import messages as grants
 from siskinward.coordination.membership import messages as membership
+from siskinward.coordination.quarantine import messages as quarantine
 from siskinward.coordination.summaries import messages as summaries
 from siskinward.coordination.tickets import messages as tickets
 from siskinward.protocol import forwarding
@@ -19,10 +20,12 @@
     *grants.MESSAGES,
     *membership.MESSAGES,
     *ownership.MESSAGES,
+    *quarantine.MESSAGES,
     *shares.MESSAGES,
     *summaries.MESSAGES,
     *tickets.MESSAGES,
     *version_messages.MESSAGES,
+    *version_messages.MESSAGES,
 )
 
 
--- a/src/siskinward/standins/deployment.py
+++ b/src/siskinward/standins/deployment.py
@@ -17,6 +17,7 @@
 from attrs import define
 from attrs import field
 from attrs import frozen
+from expression import Error
 
 from siskinward.coordination.publisher import Publisher
 from siskinward.coordination.publisher import PublisherSettings
@@ -34,6 +35,8 @@
 from siskinward.state.settings import PeerSettings
 from siskinward.state.settings import PlatformSettings
 from siskinward.state.settings import VmSettings
+from siskinward.transport.http_client import ExchangeError
+from siskinward.transport.http_client import ExchangePhase
 from siskinward.transport.http_client import HttpClientConnection
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.platform_client import PlatformClient
@@ -84,6 +87,9 @@
     targets: dict[str, TargetStandin] = field(factory=dict)
     vms: dict[str, _RunningVm] = field(factory=dict)
     cut_domains: set[str] = field(factory=set)
+    """Failure domains cut off from all other ones."""
+    platformless_domains: set[str] = field(factory=set)
+    """Failure domains cut off from the platform."""
     _platform_port: int = 0
     _tasks: list[Any] = field(factory=list)
     _publish_count: int = 0
@@ -230,6 +236,15 @@
             await running.resumed.wait()
             await tick(await curio.clock())
 
+        exchange = parts.platform.pool.exchange
+
+        async def exchange_unless_cut(*args: Any, **keywords: Any) -> Any:
+            if vm.failure_domain in self.platformless_domains:
+                detail = "cut off from the platform"
+                return Error(ExchangeError("exchange", "platform", detail, ExchangePhase.CONNECT))
+            return await exchange(*args, **keywords)
+
+        parts.platform.pool.exchange = exchange_unless_cut  # type: ignore[method-assign]
         parts.hub.send = send_later  # type: ignore[method-assign]
         parts.router.deliver = deliver_unless_paused  # type: ignore[method-assign]
         parts.router.tick = tick_unless_paused  # type: ignore[method-assign]
--- a/src/siskinward/standins/target.py
+++ b/src/siskinward/standins/target.py
@@ -49,6 +49,7 @@
     running_count: int = 0
     peak_count: int = 0
     served_count: int = 0
+    crash_count: int = 0
     shed_count: int = 0
     key_seen_count: int = 0
     runs_by_id: dict[str, int] = Factory(dict)
@@ -95,6 +96,7 @@
         if self.state == "draining":
             self.work_after_drain_count += 1
         if CRASH_MARKER in request.body or self.state == "crashed":
+            self.crash_count += int(self.state != "crashed")
             self.state = "crashed"
             raise ConnectionResetError("the target crashed")
         run_id = request.header(RUN_ID_HEADER)
--- a/src/siskinward/state/configuration/__init__.py
+++ b/src/siskinward/state/configuration/__init__.py
@@ -11,6 +11,7 @@
 from siskinward.state.configuration._parser import load_configuration
 from siskinward.state.configuration._parser import parse_configuration
 from siskinward.state.configuration._renderer import render_configuration
+from siskinward.state.configuration._section_delta import section_delta
 from siskinward.state.ini import ConfigurationError
 from siskinward.state.ini import ConfigurationErrors
 
@@ -26,4 +27,5 @@
     "parse_configuration",
     "render_configuration",
     "render_delta",
+    "section_delta",
 ]
--- a/src/siskinward/transport/platform_client.py
+++ b/src/siskinward/transport/platform_client.py
@@ -40,7 +40,7 @@
 
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
-        self._pool = ConnectionPool(settings.host, settings.port, CONNECTION_LIMIT)
+        self.pool = ConnectionPool(settings.host, settings.port, CONNECTION_LIMIT)
 
     async def read(self, keys: tuple[str, ...]) -> Result[tuple[Row, ...], StepError]:
         """Read several rows at one point in time."""
@@ -77,7 +77,7 @@
     ) -> Result[Any, StepError]:
         peer = f"platform {self._settings.host}:{self._settings.port}"
         request = HttpRequest(method, path, (), body)
-        result = await self._pool.exchange(
+        result = await self.pool.exchange(
             request, self._settings.timeout_s, needs_recent_proof=True
         )
         if result.is_error():
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -46,6 +46,8 @@
         lines += ["connection_limit = 50"]
     for account in ("alpha", "beta"):
         lines += [f"[client-account {account}]", "rate_per_s = 50", "burst_tokens = 100"]
+        if account == "beta":
+            lines += ["when_isolated = serve"]
         lines += [f"[key {account}-1]", f"client_account = {account}"]
         lines += [f"key_hash_hex = {hash_key('demo-' + account).hex()}"]
     return "\n".join(lines) + "\n"
--- a/tests/daemon/test_node_faults.py
+++ b/tests/daemon/test_node_faults.py
@@ -18,6 +18,7 @@
     from siskinward.transport.http_messages import HttpResponse
 
 HEADERS = ((b"authorization", b"Bearer demo-alpha"),)
+CRASH_HEADERS = (*HEADERS, (b"content-type", b"text/plain"))
 IN_FORCE_LIMIT_S = 5.0
 
 
@@ -149,6 +150,57 @@
     deployment.run(body)
 
 
+def test_isolated_domain_refuses_keys_that_nobody_vouches_for(
+    deployment: SmallDeployment,
+) -> None:
+    async def body() -> None:
+        deployment.cut_domains = {"a"}
+        deployment.platformless_domains = {"a"}
+        await deployment.withdraw_keys("alpha")
+        await curio.sleep(IN_FORCE_LIMIT_S + 1.0)
+        refused = await deployment.get("vm-a", "/listings/x", "alpha")
+        assert refusal(refused) == (503, "key-unvouched", "not-run")
+        for path, account in (("/open/x", None), ("/listings/x", "beta")):
+            response = await deployment.get("vm-a", path, account)
+            assert response is not None and response.status == 200
+        deployment.cut_domains = set()
+        deployment.platformless_domains = set()
+        await curio.sleep(IN_FORCE_LIMIT_S)
+        assert refusal(await deployment.get("vm-a", "/listings/x", "alpha"))[1] == "key-unknown"
+
+    deployment.run(body)
+
+
+def test_domain_without_the_platform_hears_versions_from_others(
+    deployment: SmallDeployment,
+) -> None:
+    async def body() -> None:
+        deployment.platformless_domains = {"a"}
+        await curio.sleep(IN_FORCE_LIMIT_S)
+        await deployment.withdraw_keys("alpha")
+        await curio.sleep(IN_FORCE_LIMIT_S)
+        refused = await deployment.get("vm-a", "/listings/x", "alpha")
+        assert refusal(refused)[1] == "key-unknown"
+        assert (await deployment.health("vm-a"))["standing"] == "Connected"
+
+    deployment.run(body)
+
+
+def test_crash_request_costs_two_targets_at_most(deployment: SmallDeployment) -> None:
+    async def body() -> None:
+        for _ in range(6):
+            for vm in deployment.vms:
+                await deployment.call(vm, "GET", "/listings/x", CRASH_HEADERS, b"crash-target")
+                for target in deployment.targets.values():
+                    target.state = "up"
+        assert sum(target.crash_count for target in deployment.targets.values()) <= 2
+        await curio.sleep(IN_FORCE_LIMIT_S)
+        healthy = await deployment.get("vm-a", "/listings/y", "alpha")
+        assert healthy is not None and healthy.status == 200
+
+    deployment.run(body)
+
+
 def test_withdrawn_key_is_refused_on_a_connected_caller(deployment: SmallDeployment) -> None:
     async def body() -> None:
         connection = HttpClientConnection("127.0.0.1", deployment.front_port("vm-a"))
--- a/tests/state/test_configuration_round_trip.py
+++ b/tests/state/test_configuration_round_trip.py
@@ -10,9 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from siskinward.state.configuration import apply_delta
 from siskinward.state.configuration import load_configuration
 from siskinward.state.configuration import parse_configuration
 from siskinward.state.configuration import render_configuration
+from siskinward.state.configuration import section_delta
 from siskinward.state.settings import parse_settings
 
 if TYPE_CHECKING:
@@ -70,3 +72,14 @@
         found = [t for t in configuration.targets.values() if services[t.group] == service]
         assert len(found) == count
         assert {(t.slots, t.connection_limit) for t in found} == {(slot_count, connection_limit)}
+
+
+@given(configurations(), configurations())
+def test_section_delta_leads_from_one_configuration_to_the_other(
+    old: Configuration, new: Configuration
+) -> None:
+    old_text, new_text = render_configuration(old), render_configuration(new)
+    parsed_old = parse_configuration(old_text, "old").ok
+    parsed_new = parse_configuration(new_text, "new").ok
+    result = apply_delta(parsed_old, section_delta(old_text, new_text), "delta")
+    assert result.ok == parsed_new
