--- a/src/siskinward/coordination/admission/service_queue.py
+++ b/src/siskinward/coordination/admission/service_queue.py
@@ -36,6 +36,7 @@
         self._limit = service.queue_limit
         self._settings = settings
         self._capacity = 0
+        self._used_by_others = 0
         self._running: set[int] = set()
         self._waiting: dict[int, Entry] = {}
         self._queues = {service_class: FairQueue() for service_class in CLASS_ORDER}
@@ -59,9 +60,14 @@
         """Mean of the recent service times."""
         return self._estimate.mean_s
 
-    def set_capacity(self, slots: int) -> None:
-        """Set how many requests may run at once; running ones are not cut off."""
+    def set_capacity(self, slots: int, *, free: int | None = None) -> None:
+        """Set how many requests may run at once; running ones are not cut off.
+
+        ``free`` of the slots are open now, where others than this queue's requests use some, or
+        where its requests use slots that no longer count.
+        """
         self._capacity = slots
+        self._used_by_others = 0 if free is None else slots - free - len(self._running)
 
     def offer(
         self,
@@ -79,7 +85,7 @@
             return self._refuse(entry, RefusalReason.DEADLINE, self._settings.min_retry_after_s)
         if self._capacity <= 0:
             return self._refuse(entry, RefusalReason.NO_TARGET, self.service_s)
-        if not self._waiting and len(self._running) < self._capacity:
+        if not self._waiting and self._has_free_slot():
             self._enqueue(entry)
             return self._admit(self._dequeue(service_class), now_s)
         return self._enqueue_or_refuse(entry, now_s)
@@ -87,7 +93,7 @@
     def pop(self, now_s: float) -> Popped:
         """Admit the next waiting request if there is capacity for it."""
         refused: list[Refused] = []
-        while self._waiting and len(self._running) < self._capacity:
+        while self._waiting and self._has_free_slot():
             entry = self._dequeue(self._next_class())
             if now_s <= self._latest_start_s(entry):
                 return Popped(self._admit(entry, now_s), tuple(refused))
@@ -123,6 +129,9 @@
             self._estimate.observe(service_s)
         return True
 
+    def _has_free_slot(self) -> bool:
+        return len(self._running) + self._used_by_others < self._capacity
+
     def _enqueue_or_refuse(self, entry: Entry, now_s: float) -> Decision:
         wait_s = (self._ahead_of(entry) + 1) * self.service_s / self._capacity
         late_s = now_s + wait_s - self._latest_start_s(entry)
--- /dev/null
+++ b/src/siskinward/coordination/dispatch.py
@@ -0,0 +1,221 @@
+"""Admission of one service's requests at the VM that owns its targets, in one place."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from siskinward.coordination.admission import Admitted
+from siskinward.coordination.admission import Queued
+from siskinward.coordination.admission import Refused
+from siskinward.coordination.admission import ServiceQueue
+from siskinward.coordination.admission import Slot
+from siskinward.coordination.routing import ServiceLoad
+from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import TargetName
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from siskinward.coordination.admission import AdmissionSettings
+    from siskinward.coordination.admission import SlotLedger
+    from siskinward.coordination.ownership import OwnershipParticipant
+    from siskinward.coordination.routing import TargetPicker
+    from siskinward.state.identifiers import DomainName
+    from siskinward.state.objects import Configuration
+    from siskinward.state.objects import Service
+
+
+@frozen
+class Offer:
+    """A request to admit; ``excluded`` targets failed it before."""
+
+    request_id: int
+    account: AccountName
+    weight: float
+    deadline_s: float
+    excluded: frozenset[TargetName] = frozenset()
+
+
+@frozen
+class Started:
+    """The request may be sent to the slot's target, which must stop at the slot's deadline."""
+
+    request_id: int
+    slot: Slot
+    waited_s: float
+
+
+@frozen
+class Completed:
+    """The target answered after ``service_s``."""
+
+    service_s: float
+
+
+@frozen
+class Failed:
+    """The target did not run the request, or has certainly stopped running it."""
+
+
+@frozen
+class Lost:
+    """The connection was lost; the target may go on until the slot's deadline."""
+
+
+Ending = Completed | Failed | Lost
+
+
+@frozen
+class Progress:
+    """Requests to send to their targets now, and requests that will not run."""
+
+    started: tuple[Started, ...] = ()
+    refused: tuple[Refused, ...] = ()
+
+
+class Dispatcher:
+    """Queues offers of one service and starts them as slots of owned targets come free.
+
+    Every offer is started or refused exactly once, at the offer or by a later ``Progress``,
+    unless it is cancelled before.
+    """
+
+    def __init__(
+        self,
+        service: Service,
+        settings: AdmissionSettings,
+        ledger: SlotLedger,
+        ownership: OwnershipParticipant,
+        picker: TargetPicker,
+    ) -> None:
+        self._service = service
+        self._queue = ServiceQueue(service, settings)
+        self._ledger = ledger
+        self._ownership = ownership
+        self._picker = picker
+        self._slots: dict[TargetName, int] = {}
+        self._offers: dict[int, Offer] = {}
+        self._running: dict[int, Slot] = {}
+
+    def set_configuration(self, configuration: Configuration, domain: DomainName) -> None:
+        """Take in the service's targets in the own failure domain."""
+        groups = configuration.target_groups
+        self._slots = {
+            name: target.slots
+            for name, target in configuration.targets.items()
+            if groups[target.group].service == self._service.name
+            and groups[target.group].failure_domain == domain
+        }
+
+    def offer(self, offer: Offer, now_s: float) -> Progress:
+        """Start, queue or refuse a request."""
+        self._update_capacity(now_s)
+        self._offers[offer.request_id] = offer
+        decision = self._queue.offer(
+            offer.request_id,
+            offer.account,
+            weight=offer.weight,
+            service_class=self._service.service_class,
+            deadline_s=offer.deadline_s,
+            now_s=now_s,
+        )
+        match decision:
+            case Admitted():
+                return self._progress([decision], [], now_s)
+            case Refused():
+                return self._progress([], [decision], now_s)
+            case Queued(evicted=Refused() as evicted):
+                return self._progress([], [evicted], now_s)
+        return Progress()
+
+    def finish(self, request_id: int, ending: Ending, now_s: float) -> Progress:
+        """Note how a started request ended, and start others in its place."""
+        slot = self._running.pop(request_id, None)
+        if slot is None:
+            return Progress()
+        match ending:
+            case Completed(service_s=service_s):
+                self._ledger.release(slot)
+                self._picker.on_answer(slot.target, took_s=service_s)
+                self._queue.finished(request_id, service_s=service_s)
+            case Failed():
+                self._ledger.release(slot)
+                self._picker.on_failure(slot.target, now_s)
+                self._queue.finished(request_id)
+            case Lost():
+                self._ledger.hold(slot, now_s=now_s)
+                self._picker.on_failure(slot.target, now_s)
+                self._queue.finished(request_id)
+        return self._advance([], now_s)
+
+    def cancel(self, request_id: int) -> bool:
+        """Forget a waiting request whose caller has gone; ``False`` if it does not wait."""
+        if not self._queue.cancel(request_id):
+            return False
+        del self._offers[request_id]
+        return True
+
+    def on_timer(self, now_s: float) -> Progress:
+        """Free slots held long enough, refuse what became late and start what can be."""
+        self._ledger.on_timer(now_s)
+        return self._advance(list(self._queue.expire(now_s)), now_s)
+
+    def load(self, now_s: float) -> ServiceLoad:
+        """What this VM reports to those that forward to it."""
+        targets = self._usable(now_s)
+        return ServiceLoad(
+            service=self._service.name,
+            slots=sum(self._open(target, now_s) for target in targets),
+            in_use=sum(self._ledger.in_use(target) for target in targets),
+            waiting=self._queue.waiting,
+            service_s=self._queue.service_s,
+        )
+
+    def _advance(self, refused: list[Refused], now_s: float) -> Progress:
+        admitted: list[Admitted] = []
+        self._update_capacity(now_s)
+        while True:
+            popped = self._queue.pop(now_s)
+            refused.extend(popped.refused)
+            if popped.admitted is None:
+                return self._progress(admitted, refused, now_s)
+            admitted.append(popped.admitted)
+
+    def _progress(self, admitted: list[Admitted], refused: list[Refused], now_s: float) -> Progress:
+        started = tuple(self._start(item, now_s) for item in admitted)
+        for item in refused:
+            del self._offers[item.request_id]
+        return Progress(started, tuple(refused))
+
+    def _start(self, admitted: Admitted, now_s: float) -> Started:
+        offer = self._offers.pop(admitted.request_id)
+        targets = self._usable(now_s)
+        target = self._pick(targets, offer.excluded, now_s) or self._pick(targets, (), now_s)
+        # The queue admits no more than the open slots counted for the same ``now_s``.
+        assert target is not None
+        slot = self._ownership.take(target, deadline_s=offer.deadline_s, now_s=now_s)
+        assert slot is not None
+        self._running[offer.request_id] = slot
+        return Started(offer.request_id, slot, admitted.waited_s)
+
+    def _pick(
+        self, targets: list[TargetName], excluded: Collection[TargetName], now_s: float
+    ) -> TargetName | None:
+        return self._picker.pick(self._ledger, targets, excluded=excluded, now_s=now_s)
+
+    def _usable(self, now_s: float) -> list[TargetName]:
+        return [name for name in self._ownership.usable_targets(now_s) if name in self._slots]
+
+    def _open(self, target: TargetName, now_s: float) -> int:
+        return self._picker.slots_open(target, slots=self._slots[target], now_s=now_s)
+
+    def _update_capacity(self, now_s: float) -> None:
+        targets = self._usable(now_s)
+        open_slots = {target: self._open(target, now_s) for target in targets}
+        free = sum(
+            max(0, min(count - self._ledger.in_use(target), self._ledger.free(target)))
+            for target, count in open_slots.items()
+        )
+        self._queue.set_capacity(sum(open_slots.values()), free=free)
