--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -46,7 +46,7 @@
 
 
 class DispatchHarness:
-    """A dispatcher of the only VM of a failure domain, with its clock and how each request ended."""
+    """A dispatcher of a domain's only VM, with a clock and a count of how each request ended."""
 
     def __init__(self) -> None:
         self.now_s = 0.0
