--- a/src/siskinward/coordination/summaries/_exchange.py
+++ b/src/siskinward/coordination/summaries/_exchange.py
@@ -61,7 +61,7 @@
         settings: SummarySettings,
         own: VmIdentity,
         membership: Membership,
-        own_report: Callable[[], OwnReport],
+        own_report: Callable[[float], OwnReport],
         on_change: Callable[[OwnerReport | DomainSummary, float], None],
     ) -> None:
         self._settings = settings
@@ -84,7 +84,7 @@
             return []
         self._next_report_s = now_s + self._settings.interval_s
         self._sequence += 1
-        report = self._own_report()
+        report = self._own_report(now_s)
         own = OwnerReport(self._own.vm, self._own.incarnation, self._sequence, report.loads)
         self._take_owner(own, now_s)
         root = self._root(now_s)
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -215,7 +215,7 @@
             "live_vms": sorted(vm.name for vm in parts.cluster.live_vms(now_s)),
             "grant_holder": parts.authority.holder,
             "grant_epoch": parts.authority.epoch,
-            "owned_targets": len(parts.local.usable_targets()),
+            "owned_targets": len(parts.local.usable_targets(now_s)),
             "standing": type(self._replica.standing(now_s)).__name__,
             "version": 0 if self._state is None else self._state.version,
         }
--- a/src/siskinward/daemon/node_parts.py
+++ b/src/siskinward/daemon/node_parts.py
@@ -100,7 +100,9 @@
     source = random.Random(os.urandom(INCARNATION_SIZE_BYTES))
     picker = TargetPicker(RoutingSettings(), source)
     quarantine = QuarantineDesk(own, Quarantine(QUARANTINE_SETTINGS, own), router)
-    local = LocalService(AdmissionSettings(), ledger, authority.ownership, picker, quarantine)
+    local = LocalService(
+        AdmissionSettings(), own.failure_domain, ledger, authority.ownership, picker, quarantine
+    )
     dispatcher = Dispatcher(own.vm, local, RetryDesk(RetrySettings(), source), metrics)
     forwarder = Forwarder(own, hub, dispatcher.run_forwarded)
     dispatcher.forwarder = forwarder
--- a/src/siskinward/daemon/steering.py
+++ b/src/siskinward/daemon/steering.py
@@ -91,9 +91,9 @@
         self._told_holders = dict(self._holders)
         return self._parts.wallet.on_peers(MintHolders(dict(self._holders)), now_s)
 
-    def _own_report(self) -> OwnReport:
+    def _own_report(self, now_s: float) -> OwnReport:
         authority = self._parts.authority
-        return OwnReport(self._parts.local.loads(), authority.holder, authority.epoch)
+        return OwnReport(self._parts.local.loads(now_s), authority.holder, authority.epoch)
 
     def _on_change(self, report: OwnerReport | DomainSummary, now_s: float) -> None:
         match report:
--- a/src/siskinward/daemon/target_watch.py
+++ b/src/siskinward/daemon/target_watch.py
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        owned_targets: Callable[[], list[Target]],
+        owned_targets: Callable[[float], list[Target]],
         on_states: Callable[[frozenset[TargetName]], None],
     ) -> None:
         self._owned_targets = owned_targets
@@ -37,7 +37,7 @@
         """Watch until cancelled."""
         leaving: set[TargetName] = set()
         while True:
-            targets = self._owned_targets()
+            targets = self._owned_targets(await curio.clock())
             leaving &= {target.name for target in targets}
             async with curio.TaskGroup() as group:
                 tasks = [await group.spawn(self._state_of, target) for target in targets]
