Answer look-ups from the client map and the look-up table

Cause: a look-up walked all client blocks, about 12 network objects a call. Conclusion: VMs of draining failure domains are named only when no other is left.

--- a/src/siskinward/daemon/lookup.py
+++ b/src/siskinward/daemon/lookup.py
@@ -3,24 +3,31 @@
 from __future__ import annotations
 
 import ipaddress
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import curio
 from attrs import frozen
 
+from siskinward.coordination.lookup import LookupSettings
+from siskinward.coordination.lookup import LookupTable
+from siskinward.coordination.lookup import VmEndpoint
+from siskinward.state.client_map import BlockSite
+from siskinward.state.client_map import ClientMap
 from siskinward.state.identifiers import ServiceName
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
+    from siskinward.coordination.events import VmIdentity
     from siskinward.daemon.metrics import NodeMetrics
     from siskinward.daemon.serving_state import ServingState
     from siskinward.state.identifiers import DomainName
+    from siskinward.state.objects import ClientBlock
     from siskinward.state.objects import Vm
 
 TICKETS_LIMIT = 64
-VMS_LIMIT = 4
-LEAVING_TTL_S = 1.0
 
 
 @frozen
@@ -32,73 +39,71 @@
 
 
 class LookupService:
-    """Orders live VMs for a client's address: those of its site's failure domain first."""
+    """Feeds the look-up table and answers from it; nobody else is asked."""
 
     def __init__(
         self,
-        current_state: Callable[[], ServingState | None],
-        live_vms: Callable[[float], list[Vm]],
+        own: VmIdentity,
+        settings: LookupSettings,
         mint_tickets: Callable[[int, float], list[str]],
-        closed_domains: Callable[[], frozenset[DomainName]],
-        ttl_s: float,
         metrics: NodeMetrics,
     ) -> None:
-        self._current_state = current_state
-        self._live_vms = live_vms
+        self._own = own
+        self._settings = settings
         self._mint_tickets = mint_tickets
-        self._closed_domains = closed_domains
-        self._ttl_s = ttl_s
         self._metrics = metrics
+        self._state: ServingState | None = None
+        self._table: LookupTable | None = None
+        self._blocks: dict[str, ClientBlock] = {}
+
+    def on_configuration(self, state: ServingState) -> None:
+        """Take a configuration; the map is built anew only when its blocks changed."""
+        self._state = state
+        if self._table is None:
+            self._table = LookupTable(self._settings, self._own, state.configuration)
+        else:
+            self._table.set_configuration(state.configuration)
+        blocks = state.configuration.client_blocks
+        if blocks != self._blocks:
+            self._blocks = blocks
+            pairs = [BlockSite(block.prefix, block.site) for block in blocks.values()]
+            built = ClientMap.from_blocks(state.version, pairs)
+            if built.is_ok():
+                self._table.set_client_map(built.ok)
+
+    def on_live_vms(self, live: Iterable[Vm], closed_domains: frozenset[DomainName]) -> None:
+        """Take the VMs to name; those of closed domains are named only when no other is left."""
+        if self._table is None:
+            return
+        vms = list(live)
+        named = [vm for vm in vms if vm.failure_domain not in closed_domains] or vms
+        by_domain: dict[DomainName, list[VmEndpoint]] = defaultdict(list)
+        for vm in named:
+            by_domain[vm.failure_domain].append(VmEndpoint(vm.name, vm.host, vm.front_port))
+        self._table.set_live_vms(by_domain, ())
 
     async def answer(self, query: dict[str, list[str]], peer: str) -> LookupAnswer:
         """Answer ``service``, ``client`` (default: the caller's address) and ``tickets``."""
         self._metrics.lookups.inc()
-        state = self._current_state()
-        if state is None:
+        if self._state is None or self._table is None:
             return _refusal(503, "no-configuration")
         service = ServiceName(query.get("service", [""])[0])
-        if service not in state.configuration.services:
+        if service not in self._state.configuration.services:
             return _refusal(404, "no-route")
         try:
-            address = ipaddress.ip_address(query.get("client", [peer])[0])
-            ticket_count = min(int(query.get("tickets", ["0"])[0]), TICKETS_LIMIT)
+            address = str(ipaddress.ip_address(query.get("client", [peer])[0]))
+            ticket_count = min(max(int(query.get("tickets", ["0"])[0]), 0), TICKETS_LIMIT)
         except ValueError:
             return _refusal(400, "malformed")
-        domain = _domain_of(state, address)
-        now_s = await curio.clock()
-        closed = self._closed_domains()
-        vms = sorted(
-            self._live_vms(now_s),
-            key=lambda vm: (vm.failure_domain in closed, _distance(state, vm, domain)),
-        )
+        found = self._table.answer(address, service)
         content: dict[str, object] = {
-            "vms": [_vm_content(vm) for vm in vms[:VMS_LIMIT]],
-            "ttl_s": self._ttl_s,
-            "tickets": self._mint_tickets(ticket_count, now_s),
-            "version": state.version,
+            "vms": [{"vm": vm.name, "host": vm.host, "port": vm.port} for vm in found.vms],
+            "ttl_s": found.ttl_s,
+            "tickets": self._mint_tickets(ticket_count, await curio.clock()),
+            "version": self._state.version,
         }
         return LookupAnswer(200, content)
 
 
 def _refusal(status: int, reason: str) -> LookupAnswer:
     return LookupAnswer(status, {"refused": reason, "outcome": "not-run"})
-
-
-def _domain_of(
-    state: ServingState, address: ipaddress.IPv4Address | ipaddress.IPv6Address
-) -> DomainName | None:
-    for block in state.configuration.client_blocks.values():
-        if address in ipaddress.ip_network(block.prefix):
-            return state.configuration.sites[block.site].failure_domain
-    return None
-
-
-def _distance(state: ServingState, vm: Vm, domain: DomainName | None) -> int:
-    if domain is None or vm.failure_domain == domain:
-        return 0
-    domains = state.configuration.failure_domains
-    return 1 if domains[vm.failure_domain].region == domains[domain].region else 2
-
-
-def _vm_content(vm: Vm) -> dict[str, object]:
-    return {"vm": vm.name, "host": vm.host, "port": vm.front_port}
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -8,6 +8,7 @@
 import curio
 from eliot import log_message
 
+from siskinward.coordination.lookup import LookupSettings
 from siskinward.coordination.version_messages import MESSAGES as VERSION_MESSAGES
 from siskinward.daemon.configuration_replica import ConfigurationReplica
 from siskinward.daemon.front import Front
@@ -31,6 +32,7 @@
 
     from siskinward.coordination.events import VmIdentity
     from siskinward.daemon.serving_state import ServingState
+    from siskinward.state.identifiers import DomainName
     from siskinward.state.settings import NodeSettings
 
 VM_LIST_INTERVAL_S = 5.0
@@ -61,6 +63,13 @@
             now_s,
         )
         parts.router.register(self._replica, VERSION_MESSAGES)
+        self._lookups = LookupService(
+            parts.own,
+            LookupSettings(ttl_s=settings.limits.look_up_ttl_s),
+            parts.desk.mint,
+            parts.metrics,
+        )
+        self._closed_domains: frozenset[DomainName] = frozenset()
         self._server = self._create_server()
 
     async def run(self) -> None:
@@ -106,15 +115,7 @@
             parts.dispatcher,
             parts.metrics,
         )
-        lookups = LookupService(
-            lambda: self._state,
-            parts.cluster.live_vms,
-            parts.desk.mint,
-            lambda: self._steering.closed_domains,
-            limits.look_up_ttl_s,
-            parts.metrics,
-        )
-        front = Front(handler, lookups, parts.metrics, self._health)
+        front = Front(handler, self._lookups, parts.metrics, self._health)
         settings = HttpServerSettings(limits.header_bytes, limits.body_bytes, limits.idle_timeout_s)
         return HttpServer(settings, front.handle, parts.metrics.count_refusal)
 
@@ -122,7 +123,9 @@
         parts = self.parts
         log_message("node:leaving", vm=parts.own.vm)
         self._is_leaving = True
-        await parts.cluster.leave(await curio.clock())
+        now_s = await curio.clock()
+        await parts.cluster.leave(now_s)
+        self._lookups.on_live_vms(parts.cluster.live_vms(now_s), self._closed_domains)
         await curio.sleep(self._settings.limits.look_up_ttl_s)
         self._server.begin_shutdown()
         await self._hand_over()
@@ -163,8 +166,17 @@
             await parts.router.tick(now_s)
             await parts.router.run(parts.gate, self._steering.on_timer(now_s))
             await parts.local.on_timer(now_s)
-            if parts.cluster.refresh_addresses(now_s):
-                await self._on_members(now_s)
+            await self._on_changes(now_s)
+
+    async def _on_changes(self, now_s: float) -> None:
+        closed_domains = self._steering.closed_domains
+        has_drained = closed_domains != self._closed_domains
+        self._closed_domains = closed_domains
+        has_members = self.parts.cluster.refresh_addresses(now_s)
+        if has_members:
+            await self._on_members(now_s)
+        if has_members or has_drained:
+            self._lookups.on_live_vms(self.parts.cluster.live_vms(now_s), closed_domains)
 
     async def _on_members(self, now_s: float) -> None:
         parts = self.parts
@@ -188,6 +200,8 @@
         now_s = await curio.clock()
         await parts.cluster.on_configuration(state, now_s)
         parts.local.apply(state)
+        self._lookups.on_configuration(state)
+        self._lookups.on_live_vms(parts.cluster.live_vms(now_s), self._closed_domains)
         self._steering.on_configuration(state, now_s)
         effects = parts.authority.on_configuration(state.configuration, now_s)
         await parts.router.run(parts.authority, effects)
