Give up connections that go silent while new ones work

Cause: a request on a silent connection waited for its whole deadline. Conclusion: silence is told from load only by a newer connection that has answered since.

--- a/src/siskinward/daemon/local_service.py
+++ b/src/siskinward/daemon/local_service.py
@@ -26,6 +26,7 @@
 from siskinward.protocol.target_http import target_headers
 from siskinward.state.objects import Service
 from siskinward.transport.connection_pool import ConnectionPool
+from siskinward.transport.connection_pool import PoolSettings
 from siskinward.transport.http_client import ExchangePhase
 from siskinward.transport.http_messages import HttpRequest
 
@@ -52,6 +53,7 @@
 OPEN_ACCOUNT_WEIGHT = 1.0
 NO_TARGET_RETRY_AFTER_S = 0.5
 ADMISSION_MARGIN_S = 0.1
+PROBE_PATH = "/load"
 
 
 @define
@@ -250,8 +252,9 @@
         assert self._state is not None
         target = self._state.configuration.targets[name]
         pool = self._pools.get(name)
-        if pool is None or not pool.serves(target.host, target.port):
-            pool = ConnectionPool(target.host, target.port, target.connection_limit)
+        settings = PoolSettings(target.host, target.port, target.connection_limit, PROBE_PATH)
+        if pool is None or pool.settings != settings:
+            pool = ConnectionPool(settings)
             self._pools[name] = pool
         return pool
 
--- a/src/siskinward/standins/caller.py
+++ b/src/siskinward/standins/caller.py
@@ -16,6 +16,7 @@
 from siskinward.state.objects import ClientAccount
 from siskinward.state.objects import ServiceClass
 from siskinward.transport.connection_pool import ConnectionPool
+from siskinward.transport.connection_pool import PoolSettings
 from siskinward.transport.http_messages import HttpRequest
 
 if TYPE_CHECKING:
@@ -151,7 +152,9 @@
         return _CachedLookup(0.0, [])
 
     def _pool(self, host: str, port: int) -> ConnectionPool:
-        return self._pools.setdefault((host, port), ConnectionPool(host, port, CONNECTION_LIMIT))
+        return self._pools.setdefault(
+            (host, port), ConnectionPool(PoolSettings(host, port, CONNECTION_LIMIT))
+        )
 
     def _pick_route(self) -> Route:
         return self._rng.choices(self._routes, self._weights)[0]
--- a/src/siskinward/standins/target.py
+++ b/src/siskinward/standins/target.py
@@ -25,6 +25,7 @@
 CRASH_MARKER = b"crash-target"
 SHED_HEADER = (b"x-not-run", b"shed")
 RUN_ID_HEADER = b"idempotency-key"
+SILENCE_S = 3600.0
 
 
 @frozen
@@ -54,16 +55,27 @@
     key_seen_count: int = 0
     runs_by_id: dict[str, int] = Factory(dict)
     work_after_drain_count: int = 0
+    seen_ports: set[int] = Factory(set)
+    silent_ports: set[int] = Factory(set)
 
     async def serve(self, host: str, port: int) -> None:
         """Serve until cancelled."""
         await HttpServer(HttpServerSettings(), self.handle).serve(listen(host, port))
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer the load report, a change of state, or a unit of work."""
+        """Answer the load report, a change of state, or a unit of work.
+
+        ``POST /silence`` makes the connections that are open now silent for good.
+        """
+        if request.peer_port in self.silent_ports:
+            await curio.sleep(SILENCE_S)
+        self.seen_ports.add(request.peer_port)
         match request.method, request.target:
             case "GET", "/load":
                 return _json(self.report())
+            case "POST", "/silence":
+                self.silent_ports |= self.seen_ports
+                return _json(self.report())
             case "POST", "/state":
                 self.state = request.body.decode()
                 return _json(self.report())
@@ -89,7 +101,7 @@
     async def _work(self, request: HttpRequest) -> HttpResponse:
         self._inspect(request)
         if self.state == "silent":
-            await curio.sleep(3600)
+            await curio.sleep(SILENCE_S)
         if self.running_count >= self.settings.slots or self.state == "shedding":
             self.shed_count += 1
             return HttpResponse(503, (SHED_HEADER,))
--- a/src/siskinward/transport/connection_pool.py
+++ b/src/siskinward/transport/connection_pool.py
@@ -1,80 +1,157 @@
-"""Bounded pool of connections to one target."""
+"""Bounded pool of connections to one server, which gives up connections that went silent."""
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 import curio
+from attrs import frozen
 from expression import Error
+from expression import Ok
 
+from siskinward.coordination.connections import ConnectionSettings
+from siskinward.coordination.connections import ExchangeTable
+from siskinward.coordination.connections import Reuse
+from siskinward.coordination.connections import TargetConnections
+from siskinward.state.identifiers import IncarnationId
 from siskinward.transport.http_client import ExchangeError
 from siskinward.transport.http_client import ExchangePhase
 from siskinward.transport.http_client import HttpClientConnection
+from siskinward.transport.http_messages import HttpRequest
 
 if TYPE_CHECKING:
     from expression import Result
 
-    from siskinward.transport.http_messages import HttpRequest
     from siskinward.transport.http_messages import HttpResponse
 
-PROOF_OF_LIFE_AGE_S = 5.0
-IDLE_LIMIT_S = 60.0
+PROBE_TIMEOUT_S = 1.0
 
 
-class ConnectionPool:
-    """Lends idle connections, newest first, and opens new ones up to ``connection_limit``."""
+@frozen
+class PoolSettings:
+    """Where a pool leads; ``probe_path`` is asked on a new connection to tell silence from load."""
+
+    host: str
+    port: int
+    connection_limit: int
+    probe_path: str | None = None
 
-    def __init__(self, host: str, port: int, connection_limit: int) -> None:
-        self._host = host
-        self._port = port
-        self._connection_limit = connection_limit
-        self._idle: list[HttpClientConnection] = []
-        self.open_count = 0
 
-    def serves(self, host: str, port: int) -> bool:
-        """Tell whether the pool leads to this address."""
-        return (self._host, self._port) == (host, port)
+class ConnectionPool:
+    """Lends the idle connection last proven alive, and opens new ones up to the limit."""
+
+    def __init__(self, settings: PoolSettings) -> None:
+        self.settings = settings
+        self._connections = TargetConnections(
+            ConnectionSettings(), ExchangeTable(IncarnationId(""))
+        )
+        self._open: dict[int, HttpClientConnection] = {}
+        self._ids = itertools.count(1)
+        self.silent_count = 0
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._open)
 
     async def exchange(
         self, request: HttpRequest, timeout_s: float, *, needs_recent_proof: bool
     ) -> Result[HttpResponse, ExchangeError]:
         """Run one exchange. ``needs_recent_proof`` avoids connections that were idle for long."""
-        connection = await self._take(needs_recent_proof=needs_recent_proof)
-        if connection is None:
-            detail = f"all {self._connection_limit} connections are in use"
-            peer = f"{self._host}:{self._port}"
-            return Error(ExchangeError("take connection", peer, detail, ExchangePhase.CONNECT))
+        taken = await self._take(timeout_s, needs_recent_proof=needs_recent_proof)
+        if taken.is_error():
+            return Error(taken.error)
+        return await self._exchange(taken.ok, request, timeout_s)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for connection_id in list(self._open):
+            await self._discard(connection_id)
+
+    async def probe(self) -> None:
+        """Ask the server on a new connection, to learn whether it still answers."""
+        path = self.settings.probe_path
+        if path is None:
+            return
+        opened = await self._open_new(PROBE_TIMEOUT_S)
+        if opened.is_ok():
+            await self._exchange(opened.ok, HttpRequest("GET", path), PROBE_TIMEOUT_S)
+
+    async def _exchange(
+        self, connection_id: int, request: HttpRequest, timeout_s: float
+    ) -> Result[HttpResponse, ExchangeError]:
+        connection = self._open[connection_id]
+        correlation = self._connections.sent(connection_id, await curio.clock())
+        watch = _PoolSilenceWatch(self, self._connections, connection_id)
+        is_kept = False
         try:
-            result = await connection.exchange(request, timeout_s)
+            result = await connection.exchange(request, timeout_s, watch)
+            is_kept = result.is_ok() and connection.is_reusable()
         finally:
-            await self._give_back(connection)
+            if is_kept:
+                now_s = await curio.clock()
+                self._connections.answered(connection_id, correlation, now_s)
+            else:
+                await self._discard(connection_id)
         return result
 
-    async def close(self) -> None:
-        """Close the idle connections."""
-        while self._idle:
-            await self._discard(self._idle.pop())
-
-    async def _take(self, *, needs_recent_proof: bool) -> HttpClientConnection | None:
+    async def _take(
+        self, timeout_s: float, *, needs_recent_proof: bool
+    ) -> Result[int, ExchangeError]:
         now_s = await curio.clock()
-        age_limit_s = PROOF_OF_LIFE_AGE_S if needs_recent_proof else IDLE_LIMIT_S
-        while self._idle:
-            connection = self._idle.pop()
-            is_recent = now_s - connection.last_answer_at_s <= age_limit_s
-            if is_recent and connection.is_reusable():
-                return connection
-            await self._discard(connection)
-        if self.open_count >= self._connection_limit:
-            return None
-        self.open_count += 1
-        return HttpClientConnection(self._host, self._port)
-
-    async def _give_back(self, connection: HttpClientConnection) -> None:
-        if connection.is_reusable():
-            self._idle.append(connection)
-            return
-        await self._discard(connection)
-
-    async def _discard(self, connection: HttpClientConnection) -> None:
-        self.open_count -= 1
-        await connection.close()
+        for connection_id in self._connections.idle_expired(now_s):
+            await self._discard(connection_id)
+        while True:
+            choice = self._connections.choose(idempotent=not needs_recent_proof, now_s=now_s)
+            if not isinstance(choice, Reuse):
+                return await self._open_new(timeout_s)
+            if self._open[choice.connection_id].is_reusable():
+                return Ok(choice.connection_id)
+            await self._discard(choice.connection_id)
+
+    async def _open_new(self, timeout_s: float) -> Result[int, ExchangeError]:
+        settings = self.settings
+        if self.open_count >= settings.connection_limit:
+            detail = f"all {settings.connection_limit} connections are in use"
+            peer = f"{settings.host}:{settings.port}"
+            return Error(ExchangeError("take connection", peer, detail, ExchangePhase.CONNECT))
+        connection_id = next(self._ids)
+        connection = HttpClientConnection(settings.host, settings.port)
+        self._open[connection_id] = connection
+        connected = await connection.connect(timeout_s)
+        if connected.is_error():
+            await self._discard(connection_id)
+            return Error(connected.error)
+        self._connections.opened(connection_id, await curio.clock())
+        return Ok(connection_id)
+
+    async def _discard(self, connection_id: int) -> None:
+        self._connections.closed(connection_id)
+        connection = self._open.pop(connection_id, None)
+        if connection is not None:
+            await connection.close()
+
+
+class _PoolSilenceWatch:
+    """Watches one exchange of a pool."""
+
+    def __init__(
+        self, pool: ConnectionPool, connections: TargetConnections, connection_id: int
+    ) -> None:
+        self._pool = pool
+        self._connections = connections
+        self._connection_id = connection_id
+
+    def interval_s(self) -> float:
+        return self._connections.timeout_s
+
+    async def is_silent(self) -> bool:
+        if self._connections.needs_probe(await curio.clock()):
+            await self._pool.probe()
+        is_suspect = self._connection_id in self._connections.suspects(await curio.clock())
+        self._pool.silent_count += int(is_suspect)
+        return is_suspect
+
+    async def on_first_byte(self) -> None:
+        self._connections.answer_began(self._connection_id, await curio.clock())
--- a/src/siskinward/transport/http_client.py
+++ b/src/siskinward/transport/http_client.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Protocol
 
 import curio
 import h11
@@ -45,6 +46,22 @@
     timed_out: bool = False
 
 
+class SilenceWatch(Protocol):
+    """Decides whether a connection that sends nothing is lost or its server merely slow."""
+
+    def interval_s(self) -> float:
+        """Return how long to wait before asking."""
+        ...
+
+    async def is_silent(self) -> bool:
+        """Tell whether to give the connection up."""
+        ...
+
+    async def on_first_byte(self) -> None:
+        """Take notice of the answer's first byte."""
+        ...
+
+
 class HttpClientConnection:
     """One connection to one server; one exchange at a time."""
 
@@ -54,7 +71,6 @@
         self._sock: Any = None
         self._http = h11.Connection(h11.CLIENT)
         self._phase = ExchangePhase.CONNECT
-        self.last_answer_at_s = 0.0
 
     @property
     def peer(self) -> str:
@@ -67,21 +83,34 @@
             return False
         return not is_closed_by_peer(self._sock)
 
+    async def connect(self, timeout_s: float) -> Result[None, ExchangeError]:
+        """Open the connection; ``exchange`` does it by itself where this was not called."""
+        try:
+            async with curio.timeout_after(timeout_s):
+                self._sock = await connect(self._host, self._port)
+        except curio.TaskTimeout:
+            return Error(await self._failed("no connection in time", timed_out=True))
+        except OSError as error:
+            return Error(await self._failed(str(error)))
+        return Ok(None)
+
     async def exchange(
-        self, request: HttpRequest, timeout_s: float
+        self, request: HttpRequest, timeout_s: float, silence: SilenceWatch | None = None
     ) -> Result[HttpResponse, ExchangeError]:
-        """Send a request and read the whole answer. On any error the connection is closed."""
+        """Send a request and read the whole answer. On any error the connection is closed.
+
+        ``silence`` is asked while no byte of the answer arrives.
+        """
         try:
             async with curio.timeout_after(timeout_s):
-                response = await self._exchange(request)
+                response = await self._exchange(request, silence)
         except curio.TaskTimeout:
-            return await self._failed("the time for the exchange ran out", timed_out=True)
+            return Error(await self._failed("the time ran out", timed_out=True))
         except (OSError, h11.ProtocolError) as error:
-            return await self._failed(str(error) or type(error).__name__)
+            return Error(await self._failed(str(error) or type(error).__name__))
         except BaseException:
             await self.close()
             raise
-        self.last_answer_at_s = await curio.clock()
         return Ok(response)
 
     async def close(self) -> None:
@@ -90,7 +119,7 @@
         if sock is not None:
             await sock.close()
 
-    async def _exchange(self, request: HttpRequest) -> HttpResponse:
+    async def _exchange(self, request: HttpRequest, silence: SilenceWatch | None) -> HttpResponse:
         if self._sock is None:
             self._phase = ExchangePhase.CONNECT
             self._sock = await connect(self._host, self._port)
@@ -98,6 +127,8 @@
         data = self._encode(request)
         self._phase = ExchangePhase.SENT
         await self._sock.sendall(data)
+        if silence is not None:
+            await self._wait_for_answer(silence)
         response = await self._read_response()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
@@ -105,6 +136,19 @@
             await self.close()
         return response
 
+    async def _wait_for_answer(self, silence: SilenceWatch) -> None:
+        while True:
+            try:
+                async with curio.timeout_after(silence.interval_s()):
+                    data = await self._sock.recv(RECEIVE_SIZE_BYTES)
+            except curio.TaskTimeout:
+                if await silence.is_silent():
+                    raise ConnectionResetError("the connection went silent") from None
+                continue
+            await silence.on_first_byte()
+            self._http.receive_data(data)
+            return
+
     def _encode(self, request: HttpRequest) -> bytes:
         headers = [(b"host", self.peer.encode()), *request.headers]
         headers.append((b"content-length", str(len(request.body)).encode()))
@@ -140,11 +184,7 @@
                 case _:
                     continue
 
-    async def _failed(
-        self, detail: str, *, timed_out: bool = False
-    ) -> Result[HttpResponse, ExchangeError]:
+    async def _failed(self, detail: str, *, timed_out: bool = False) -> ExchangeError:
         await self.close()
-        error = ExchangeError(
-            f"exchange: {self._phase.value}", self.peer, detail, self._phase, timed_out
-        )
-        return Error(error)
+        step = f"exchange: {self._phase.value}"
+        return ExchangeError(step, self.peer, detail, self._phase, timed_out)
--- a/src/siskinward/transport/http_messages.py
+++ b/src/siskinward/transport/http_messages.py
@@ -17,6 +17,7 @@
     headers: Headers = ()
     body: bytes = b""
     peer: str = ""
+    peer_port: int = 0
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header line called ``name`` (lower case)."""
--- a/src/siskinward/transport/http_server.py
+++ b/src/siskinward/transport/http_server.py
@@ -64,7 +64,7 @@
             while True:
                 sock, address = await listener.accept()
                 self._tasks.discard_ended()
-                await self._tasks.spawn(self._serve_connection, sock, str(address[0]))
+                await self._tasks.spawn(self._serve_connection, sock, address)
 
     def begin_shutdown(self) -> None:
         """Answer what comes, with ``Connection: close``, so that callers move away."""
@@ -81,8 +81,8 @@
         """Cut off what is still open."""
         await self._tasks.cancel()
 
-    async def _serve_connection(self, sock: Any, peer: str) -> None:
-        connection = _ServerConnection(self._settings, sock, peer)
+    async def _serve_connection(self, sock: Any, address: tuple[str, int]) -> None:
+        connection = _ServerConnection(self._settings, sock, address)
         self._connections[id(connection)] = connection
         try:
             async with sock:
@@ -129,10 +129,10 @@
 
 
 class _ServerConnection:
-    def __init__(self, settings: HttpServerSettings, sock: Any, peer: str) -> None:
+    def __init__(self, settings: HttpServerSettings, sock: Any, address: tuple[str, int]) -> None:
         self._settings = settings
         self._sock = sock
-        self._peer = peer
+        self._address = address
         self._http = h11.Connection(h11.SERVER, settings.header_limit_bytes)
 
     async def read_request(self) -> HttpRequest | None:
@@ -148,7 +148,8 @@
             target=head.target.decode("ascii"),
             headers=tuple(head.headers),
             body=body,
-            peer=self._peer,
+            peer=self._address[0],
+            peer_port=self._address[1],
         )
 
     async def _read_body(self) -> bytes:
--- a/src/siskinward/transport/platform_client.py
+++ b/src/siskinward/transport/platform_client.py
@@ -23,6 +23,7 @@
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import VmName
 from siskinward.transport.connection_pool import ConnectionPool
+from siskinward.transport.connection_pool import PoolSettings
 from siskinward.transport.http_messages import HttpRequest
 
 if TYPE_CHECKING:
@@ -40,7 +41,7 @@
 
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
-        self.pool = ConnectionPool(settings.host, settings.port, CONNECTION_LIMIT)
+        self.pool = ConnectionPool(PoolSettings(settings.host, settings.port, CONNECTION_LIMIT))
 
     async def read(self, keys: tuple[str, ...]) -> Result[tuple[Row, ...], StepError]:
         """Read several rows at one point in time."""
--- a/tests/daemon/test_node_faults.py
+++ b/tests/daemon/test_node_faults.py
@@ -20,6 +20,7 @@
 HEADERS = ((b"authorization", b"Bearer demo-alpha"),)
 CRASH_HEADERS = (*HEADERS, (b"content-type", b"text/plain"))
 IN_FORCE_LIMIT_S = 5.0
+SERVICE_TIMEOUT_S = 3.0
 
 
 def refusal(response: HttpResponse | None) -> tuple[int, str, str]:
@@ -232,6 +233,23 @@
     deployment.run(body)
 
 
+def test_silent_connections_are_replaced_while_new_ones_work(
+    deployment: SmallDeployment,
+) -> None:
+    async def body() -> None:
+        for _ in range(20):
+            await deployment.get("vm-a", "/open/x")
+        for target in deployment.targets.values():
+            target.silent_ports |= target.seen_ports
+        for _ in range(5):
+            start_s = await curio.clock()
+            response = await deployment.get("vm-a", "/open/x")
+            assert response is not None and response.status == 200
+            assert await curio.clock() - start_s < SERVICE_TIMEOUT_S
+
+    deployment.run(body)
+
+
 @pytest.mark.parametrize("state", ["crashed", "shedding"])
 def test_read_at_a_broken_target_is_served_elsewhere(
     deployment: SmallDeployment, state: str
