--- /dev/null
+++ b/benchmarks/_shares_fleet.py
@@ -0,0 +1,254 @@
+"""Share objects of a whole fleet behind a delay queue, for the measurement of shares."""
+
+from __future__ import annotations
+
+import heapq
+from time import perf_counter
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgpack
+from attrs import asdict
+from attrs import define
+from attrs import field
+from attrs import frozen
+
+from siskinward.coordination.events import Send
+from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.shares import AccountTokens
+from siskinward.coordination.shares import MintHolders
+from siskinward.coordination.shares import Refused
+from siskinward.coordination.shares import ShareSettings
+from siskinward.coordination.shares import Spent
+from siskinward.coordination.shares import TokenMint
+from siskinward.coordination.shares import TokenWallet
+from siskinward.coordination.shares import Wait
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import RegionName
+from siskinward.state.identifiers import VmName
+from siskinward.state.objects import ClientAccount
+from siskinward.state.objects import Configuration
+from siskinward.state.objects import FailureDomain
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TIMER_INTERVAL_S = 0.02
+DETECTION_S = 1.0
+TAKEOVER_S = 2.0
+
+
+@frozen
+class Layout:
+    """Size and one-way latencies of a deployment."""
+
+    name: str
+    vms: int
+    domains: int
+    regions: int
+    same_domain_s: float
+    same_region_s: float
+    between_regions_s: float
+
+
+@define
+class Member:
+    """One VM."""
+
+    own: VmIdentity
+    region: RegionName
+    wallet: TokenWallet
+    mint: TokenMint
+    alive: bool = True
+
+
+@define
+class Tally:
+    """What was counted while measuring."""
+
+    offered: int = 0
+    refused: int = 0
+    refused_in_cut: int = 0
+    waits_s: list[float] = field(factory=list)
+    messages: int = 0
+    wire_bytes: int = 0
+    spends: int = 0
+    spend_cpu_s: float = 0.0
+    handled: int = 0
+    handle_cpu_s: float = 0.0
+    timer_cpu_s: float = 0.0
+
+
+def make_configuration(layout: Layout, accounts: list[ClientAccount]) -> Configuration:
+    """Return a configuration with failure domains dealt out to regions in turn."""
+    domains = {
+        DomainName(f"domain{number:02}"): RegionName(f"region{number % layout.regions}")
+        for number in range(layout.domains)
+    }
+    return Configuration(
+        failure_domains={name: FailureDomain(name, region) for name, region in domains.items()},
+        client_accounts={account.name: account for account in accounts},
+    )
+
+
+class ShareFleet:
+    """All wallets and mints, driven by one event queue."""
+
+    def __init__(
+        self, layout: Layout, accounts: list[ClientAccount], settings: ShareSettings
+    ) -> None:
+        self.layout = layout
+        self.settings = settings
+        self.configuration = make_configuration(layout, accounts)
+        self.now_s = 0.0
+        self.tally = Tally()
+        self.cut: DomainName | None = None
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._waiting: dict[tuple[VmName, int], tuple[float, bool]] = {}
+        self.members = [self._member(number) for number in range(layout.vms)]
+        self.by_name = {member.own.vm: member for member in self.members}
+        self.holders: dict[DomainName, VmName] = {}
+        for member in self.members:
+            self.holders.setdefault(member.own.failure_domain, member.own.vm)
+        for member in self.members:
+            self._start(member)
+
+    def at(self, time_s: float, action: Callable[[], None]) -> None:
+        """Schedule an action."""
+        self._sequence += 1
+        heapq.heappush(self._events, (time_s, self._sequence, action))
+
+    def run_until(self, end_s: float) -> None:
+        """Carry out all actions up to ``end_s``."""
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, action = heapq.heappop(self._events)
+            action()
+        self.now_s = end_s
+
+    def offer(self, account: ClientAccount, number: int, *, counted: bool) -> None:
+        """Offer one request at a VM, or at the next live one."""
+        while not self.members[number].alive:
+            number = (number + 1) % len(self.members)
+        member = self.members[number]
+        started = perf_counter()
+        outcome = member.wallet.reserve(AccountTokens(account.name), 1, self.now_s)
+        self.tally.spend_cpu_s += perf_counter() - started
+        self.tally.spends += 1
+        self.tally.offered += counted
+        match outcome:
+            case Wait():
+                self._waiting[member.own.vm, outcome.reservation] = (self.now_s, counted)
+            case Refused():
+                self._refuse(member, counted)
+            case Spent():
+                pass
+        self._carry(member, member.wallet.take_effects())
+
+    def kill(self, number: int) -> None:
+        """Kill a VM; another VM of its domain takes its mint over, if there is one."""
+        victim = self.members[number]
+        victim.alive = False
+        domain = victim.own.failure_domain
+        if self.holders.get(domain) != victim.own.vm:
+            return
+        peers = [
+            member
+            for member in self.members
+            if member.alive and member.own.failure_domain == domain
+        ]
+        self.at(self.now_s + DETECTION_S, lambda: self._tell_holder(domain, None))
+        if peers:
+            self.at(self.now_s + TAKEOVER_S, lambda: self._take_over(peers[0]))
+
+    def _take_over(self, member: Member) -> None:
+        member.mint.on_grant(True, 2, self.now_s)
+        self._tell_holder(member.own.failure_domain, member.own.vm)
+
+    def _tell_holder(self, domain: DomainName, vm: VmName | None) -> None:
+        self.holders.pop(domain, None)
+        if vm is not None:
+            self.holders[domain] = vm
+        for member in self.members:
+            effects = member.wallet.on_peers(MintHolders(dict(self.holders)), self.now_s)
+            self._carry(member, effects)
+
+    def _member(self, number: int) -> Member:
+        domains = list(self.configuration.failure_domains.values())
+        domain = domains[number % len(domains)]
+        own = VmIdentity(VmName(f"vm{number:03}"), domain.name, IncarnationId("1"))
+        wallet = TokenWallet(self.settings, own)
+        return Member(own, domain.region, wallet, TokenMint(self.settings, own))
+
+    def _start(self, member: Member) -> None:
+        member.wallet.on_accounts(self.configuration, 0.0)
+        member.wallet.on_peers(MintHolders(dict(self.holders)), 0.0)
+        member.mint.on_accounts(self.configuration, 0.0)
+        if self.holders[member.own.failure_domain] == member.own.vm:
+            member.mint.on_grant(True, 1, 0.0)
+        # Timers of different VMs are not in step.
+        offset_s = TIMER_INTERVAL_S * (int(member.own.vm[2:]) * 37 % 100) / 100
+        self.at(offset_s, lambda: self._tick(member))
+
+    def _tick(self, member: Member) -> None:
+        if not member.alive:
+            return
+        started = perf_counter()
+        effects = member.wallet.on_timer(self.now_s)
+        member.mint.on_timer(self.now_s)
+        self.tally.timer_cpu_s += perf_counter() - started
+        self._settle(member)
+        self._carry(member, effects)
+        self.at(self.now_s + TIMER_INTERVAL_S, lambda: self._tick(member))
+
+    def _carry(self, member: Member, effects: list[Any]) -> None:
+        for effect in effects:
+            assert isinstance(effect, Send)
+            receiver = self.by_name[effect.to]
+            if receiver is not member:
+                self.tally.messages += 1
+                self.tally.wire_bytes += _wire_size(effect.message)
+            due_s = self.now_s + self._latency_s(member, receiver)
+            self.at(due_s, self._delivery(member, receiver, effect.message))
+
+    def _delivery(self, sender: Member, receiver: Member, message: Any) -> Callable[[], None]:
+        def deliver() -> None:
+            domains = {sender.own.failure_domain, receiver.own.failure_domain}
+            if not receiver.alive or (len(domains) > 1 and self.cut in domains):
+                return
+            started = perf_counter()
+            effects = receiver.mint.on_message(message, sender.own, self.now_s)
+            effects += receiver.wallet.on_message(message, sender.own, self.now_s)
+            self.tally.handle_cpu_s += perf_counter() - started
+            self.tally.handled += 1
+            self._settle(receiver)
+            self._carry(receiver, effects)
+
+        return deliver
+
+    def _settle(self, member: Member) -> None:
+        for settlement in member.wallet.take_settlements():
+            since_s, counted = self._waiting.pop((member.own.vm, settlement.reservation))
+            if not isinstance(settlement.outcome, Spent):
+                self._refuse(member, counted)
+            elif counted:
+                self.tally.waits_s.append(self.now_s - since_s)
+
+    def _refuse(self, member: Member, counted: bool) -> None:
+        self.tally.refused += counted
+        if member.own.failure_domain == self.cut:
+            self.tally.refused_in_cut += counted
+
+    def _latency_s(self, sender: Member, receiver: Member) -> float:
+        if sender is receiver:
+            return 0.0
+        if sender.own.failure_domain == receiver.own.failure_domain:
+            return self.layout.same_domain_s
+        if sender.region == receiver.region:
+            return self.layout.same_region_s
+        return self.layout.between_regions_s
+
+
+def _wire_size(message: Any) -> int:
+    return len(msgpack.packb([type(message).__name__, asdict(message)]))
--- a/src/siskinward/coordination/shares/_purse.py
+++ b/src/siskinward/coordination/shares/_purse.py
@@ -60,6 +60,8 @@
     pending: Pending | None = None
     consumed_at_s: float | None = None
     recalled: bool = False
+    queued: bool = False
+    """Whether the mint keeps a place in its queue for this wallet."""
 
     def estimate_micro(self, now_s: float) -> int:
         """Return the most that the mint can have by now, returns from other wallets aside."""
@@ -88,6 +90,7 @@
         expires_s = self.pending.sent_s + settings.holding_s
         if answer.granted_micro < self.pending.request.wanted_micro:
             self.prefetch_after_s = now_s + settings.backoff_s
+        self.queued = answer.granted_micro < self.pending.request.needed_micro
         self.pending = None
         self.left_micro = answer.left_micro
         self.left_at_s = now_s
@@ -116,16 +119,35 @@
     origins: dict[DomainName, Origin]
     demand: DemandEstimate
     waiters: deque[Waiter] = field(factory=deque)
+    waiting_micro: int = 0
+    """What the waiters need in all."""
 
     @property
     def held_micro(self) -> int:
         """Return what is held of all mints."""
         return sum(origin.held_micro for origin in self.origins.values())
 
-    @property
-    def waiting_micro(self) -> int:
-        """Return what the waiters need."""
-        return sum(waiter.amount_micro for waiter in self.waiters)
+    def add_waiter(self, waiter: Waiter) -> None:
+        """Queue a reservation."""
+        self.waiters.append(waiter)
+        self.waiting_micro += waiter.amount_micro
+
+    def remove_waiter(self, waiter: Waiter) -> None:
+        """Take a reservation out of the queue."""
+        self.waiters.remove(waiter)
+        self.waiting_micro -= waiter.amount_micro
+
+    def clear_waiters(self) -> list[Waiter]:
+        """Empty the queue and return what was in it."""
+        waiters = list(self.waiters)
+        self.waiters.clear()
+        self.waiting_micro = 0
+        return waiters
+
+    def has_room(self, settings: ShareSettings) -> bool:
+        """Return whether another waiter can still be served in time by the whole fleet."""
+        in_time = self.limit.rate_micro_per_s * settings.wait_s + self.limit.burst_micro
+        return self.waiting_micro < in_time and len(self.waiters) < settings.waiters_limit
 
     @property
     def is_idle(self) -> bool:
@@ -157,7 +179,9 @@
         return sum(origin.drop_expired(now_s) for origin in self.origins.values())
 
     def target_micro(self, now_s: float, settings: ShareSettings) -> int:
-        """Return how much to hold for the demand to come."""
+        """Return how much to hold for the demand to come; nothing once demand has paused."""
+        if now_s - self.demand.last_demand_s > settings.idle_return_s:
+            return 0
         expected = int(self._demand_micro_per_s(now_s) * settings.prefetch_s)
         return min(expected, self.limit.burst_micro // PREFETCH_BURST_DIVISOR)
 
--- a/src/siskinward/coordination/shares/_supply.py
+++ b/src/siskinward/coordination/shares/_supply.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from siskinward.coordination.events import Effect
@@ -17,6 +18,10 @@
     from siskinward.state.identifiers import VmName
 
 
+LOW_FULLNESS = 0.5
+"""Fraction of its burst below which a mint is spared by prefetch."""
+
+
 class Supply:
     """Decides which mint to ask for what; queues the messages in ``effects``."""
 
@@ -52,7 +57,7 @@
         needed = max(needed - in_flight, 0)
         quantum = purse.limit.quantum_micro
         askable = [origin for origin in purse.origins.values() if self._may_ask(origin, now_s)]
-        askable.sort(key=lambda origin: (origin.distance, -origin.estimate_micro(now_s)))
+        askable.sort(key=lambda origin: self._preference(origin, needed, now_s))
         for origin in askable:
             if missing < quantum:
                 return
@@ -73,6 +78,17 @@
             if origin.pending is None:
                 self.send(purse, origin, now_s, needed_micro=needed, wanted_micro=needed)
 
+    def _preference(self, origin: Origin, needed: int, now_s: float) -> tuple[float, float]:
+        """Order mints: near ones for needs, and for prefetch unless they run low.
+
+        Prefetch from the fullest mint keeps the nearest for needs, and keeps the others from
+        reaching their burst, where accrual stops.
+        """
+        fullness = origin.estimate_micro(now_s) / origin.part.burst_micro
+        if not needed and fullness < LOW_FULLNESS:
+            return (math.inf, -fullness)
+        return (origin.distance, -fullness)
+
     def _may_ask(self, origin: Origin, now_s: float) -> bool:
         if origin.pending is not None or now_s < origin.not_before_s:
             return False
@@ -87,7 +103,10 @@
         consumed_at_s = origin.consumed_at_s
         reports = consumed_at_s is not None and now_s - consumed_at_s >= self._settings.report_s
         renews = origin.held_micro > 0 and origin.expires_s - now_s < self._settings.holding_s / 2
-        if returned or reports or renews:
+        leaves_queue = origin.queued and not purse.waiters
+        if returned:
+            origin.prefetch_after_s = now_s + self._settings.backoff_s
+        if returned or reports or renews or leaves_queue:
             self.send(purse, origin, now_s, returned_micro=returned)
 
     def _returnable(self, purse: Purse, origin: Origin, now_s: float) -> int:
--- /dev/null
+++ b/src/siskinward/coordination/shares/_want_queue.py
@@ -0,0 +1,55 @@
+"""Order in which a mint serves wallets whose requests fell short."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+if TYPE_CHECKING:
+    from siskinward.state.identifiers import VmName
+
+
+@define
+class _Want:
+    """What a wallet still needs, and until when its reservations wait."""
+
+    needed_micro: int
+    expires_s: float
+
+
+class WantQueue:
+    """First come, first served: tokens are kept back for wallets that asked earlier."""
+
+    def __init__(self) -> None:
+        self._wants: dict[VmName, _Want] = {}
+
+    def ahead_of(self, vm: VmName, now_s: float) -> int:
+        """Return what wallets before ``vm`` need; all of them if it is not queued."""
+        ahead_micro = 0
+        for queued, want in list(self._wants.items()):
+            if want.expires_s <= now_s:
+                del self._wants[queued]
+            elif queued == vm:
+                break
+            else:
+                ahead_micro += want.needed_micro
+        return ahead_micro
+
+    def update(self, vm: VmName, needed_micro: int, expires_s: float) -> None:
+        """Set what ``vm`` still needs; it keeps its place and its first expiry."""
+        if needed_micro <= 0:
+            self._wants.pop(vm, None)
+            return
+        want = self._wants.setdefault(vm, _Want(needed_micro, expires_s))
+        want.needed_micro = needed_micro
+
+    def covered_by(self, available_micro: int) -> list[VmName]:
+        """Return the wallets that ``available_micro`` serves, wholly or in part, in order."""
+        covered = []
+        for vm, want in self._wants.items():
+            if available_micro <= 0:
+                break
+            covered.append(vm)
+            available_micro -= want.needed_micro
+        return covered
--- a/src/siskinward/coordination/shares/ledger.py
+++ b/src/siskinward/coordination/shares/ledger.py
@@ -109,14 +109,17 @@
         self._holders[holder] = _Holder(request.serial, request.held_micro, 0, expires_s)
         return True
 
-    def grant(self, holder: HolderId, *, needed_micro: int, wanted_micro: int) -> int:
+    def grant(
+        self, holder: HolderId, *, needed_micro: int, wanted_micro: int, reserved_micro: int
+    ) -> int:
         """Move tokens to a wallet whose request was just received.
 
-        Prefetch takes at most half of what the needs leave, so that one wallet never empties
-        the mint for traffic that may not come.
+        ``reserved_micro`` stays for wallets that asked earlier. Prefetch takes at most half of what
+        the needs leave, so that one wallet never empties the mint for traffic that may not come.
         """
-        needed = self._whole(min(needed_micro, self.available_micro))
-        prefetch_limit = (self.available_micro - needed) // 2
+        usable_micro = max(self.available_micro - reserved_micro, 0)
+        needed = self._whole(min(needed_micro, usable_micro))
+        prefetch_limit = (usable_micro - needed) // 2
         prefetch = self._whole(min(max(wanted_micro - needed_micro, 0), prefetch_limit))
         granted = needed + prefetch
         record = self._holders[holder]
--- a/src/siskinward/coordination/shares/mint.py
+++ b/src/siskinward/coordination/shares/mint.py
@@ -5,10 +5,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from attrs import define
-from attrs import field
-
 from siskinward.coordination.events import Send
+from siskinward.coordination.shares._want_queue import WantQueue
 from siskinward.coordination.shares.ledger import HolderId
 from siskinward.coordination.shares.ledger import MintLedger
 from siskinward.coordination.shares.ledger import empty_ledger
@@ -19,7 +17,6 @@
 from siskinward.coordination.shares.messages import TokenRefusal
 from siskinward.coordination.shares.messages import TokenRequest
 from siskinward.coordination.shares.messages import TokensAvailable
-from siskinward.state.identifiers import VmName
 
 if TYPE_CHECKING:
     from siskinward.coordination.events import Effect
@@ -27,21 +24,13 @@
     from siskinward.coordination.shares.keys import ResourceKey
     from siskinward.coordination.shares.limits import Limit
     from siskinward.coordination.shares.settings import ShareSettings
+    from siskinward.state.identifiers import VmName
     from siskinward.state.objects import Configuration
 
 RECALL_FANOUT = 8
 RECALL_INTERVAL_S = 0.01
 
 
-@define
-class _Shortage:
-    """Wallets whose last request fell short, with what they still need."""
-
-    needed_micro: dict[VmName, int] = field(factory=dict)
-    resets_at_s: float = 0.0
-    recall_at_s: float = 0.0
-
-
 class TokenMint:
     """Mints tokens while this VM holds its failure domain's mint grant.
 
@@ -55,7 +44,8 @@
         self._own = own
         self._limits: dict[ResourceKey, Limit] = {}
         self._ledgers: dict[ResourceKey, MintLedger] = {}
-        self._shortages: dict[ResourceKey, _Shortage] = {}
+        self._queues: dict[ResourceKey, WantQueue] = {}
+        self._recall_at_s: dict[ResourceKey, float] = {}
         self._may_use = False
         self._epoch = 0
         self._closed_epoch = 0
@@ -134,19 +124,23 @@
         if not ledger.receive(holder, request, expires_s):
             return self._answer_again(ledger, holder, request, sender)
         returned_micro = ledger.available_micro - before_micro
+        queue = self._queues.setdefault(request.key, WantQueue())
+        ahead_micro = queue.ahead_of(sender.vm, now_s)
         granted = ledger.grant(
-            holder, needed_micro=request.needed_micro, wanted_micro=request.wanted_micro
+            holder,
+            needed_micro=request.needed_micro,
+            wanted_micro=request.wanted_micro,
+            reserved_micro=ahead_micro,
         )
         missing_micro = request.needed_micro - granted
-        shortage = self._shortage(request.key, now_s)
-        shortage.needed_micro.pop(sender.vm, None)
+        queue.update(sender.vm, missing_micro, now_s + self._settings.wait_s)
         effects: list[Effect] = []
         if returned_micro > 0:
-            effects += self._wake(request.key, shortage, ledger.available_micro)
+            effects += self._wake(request.key, queue, ledger.available_micro)
+        retry_after_s = 0.0
         if missing_micro > 0:
-            shortage.needed_micro[sender.vm] = missing_micro
             effects += self._recall(request.key, ledger, holder, now_s)
-        retry_after_s = self._retry_after_s(ledger, shortage) if missing_micro > 0 else 0.0
+            retry_after_s = self._retry_after_s(ledger, ahead_micro + missing_micro)
         answer = TokenAnswer(
             request.key, request.serial, granted, ledger.available_micro, retry_after_s
         )
@@ -161,39 +155,25 @@
         answer = TokenAnswer(request.key, request.serial, granted, ledger.available_micro, 0.0)
         return [Send(sender.vm, answer)]
 
-    def _shortage(self, key: ResourceKey, now_s: float) -> _Shortage:
-        shortage = self._shortages.setdefault(key, _Shortage())
-        if now_s >= shortage.resets_at_s:
-            shortage.needed_micro.clear()
-            shortage.resets_at_s = now_s + self._settings.backoff_limit_s
-        return shortage
-
-    def _wake(self, key: ResourceKey, shortage: _Shortage, available_micro: int) -> list[Effect]:
-        effects: list[Effect] = []
-        for vm, needed_micro in list(shortage.needed_micro.items()):
-            if available_micro <= 0:
-                break
-            available_micro -= needed_micro
-            del shortage.needed_micro[vm]
-            effects.append(Send(vm, TokensAvailable(key)))
-        return effects
+    def _wake(self, key: ResourceKey, queue: WantQueue, available_micro: int) -> list[Effect]:
+        return [Send(vm, TokensAvailable(key)) for vm in queue.covered_by(available_micro)]
 
     def _recall(
         self, key: ResourceKey, ledger: MintLedger, asking: HolderId, now_s: float
     ) -> list[Effect]:
-        shortage = self._shortages[key]
-        if now_s < shortage.recall_at_s:
+        if now_s < self._recall_at_s.get(key, now_s):
             return []
-        shortage.recall_at_s = now_s + RECALL_INTERVAL_S
+        self._recall_at_s[key] = now_s + RECALL_INTERVAL_S
         return [
             Send(vm, TokenRecall(key)) for vm in ledger.holders_to_recall(asking, RECALL_FANOUT)
         ]
 
-    def _retry_after_s(self, ledger: MintLedger, shortage: _Shortage) -> float:
+    def _retry_after_s(self, ledger: MintLedger, queued_micro: int) -> float:
+        """Return when accrual will have served the queue up to the asking wallet."""
         rate = ledger.part.rate_micro_per_s
         if rate <= 0:
             return self._settings.backoff_limit_s
-        queued_s = (sum(shortage.needed_micro.values()) - ledger.available_micro) / rate
+        queued_s = (queued_micro - ledger.available_micro) / rate
         return min(max(queued_s, self._settings.backoff_s), self._settings.backoff_limit_s)
 
     def _on_handover(self, message: MintHandover, sender: VmIdentity, now_s: float) -> None:
@@ -215,7 +195,7 @@
                 ledger.adopt(state, now_s, now_s + self._settings.settling_s)
 
     def _start_ledgers(self, now_s: float) -> None:
-        self._shortages.clear()
+        self._queues.clear()
         self._ledgers.clear()
         for key, limit in self._limits.items():
             self._start_ledger(key, limit, now_s)
--- a/src/siskinward/coordination/shares/wallet.py
+++ b/src/siskinward/coordination/shares/wallet.py
@@ -85,14 +85,14 @@
         if not purse.waiters and purse.take(amount_micro, now_s):
             self._supply.refill(purse, now_s)
             return Spent()
-        if len(purse.waiters) >= self._settings.waiters_limit:
+        if not purse.has_room(self._settings):
             return Refused(self.retry_after_s(key, now_s))
         self._reservation += 1
         waiter = Waiter(self._reservation, amount_micro, now_s + self._settings.wait_s)
-        purse.waiters.append(waiter)
+        purse.add_waiter(waiter)
         self._supply.refill(purse, now_s)
         if self._supply.next_attempt_s(purse, now_s) > waiter.deadline_s:
-            purse.waiters.pop()
+            purse.remove_waiter(waiter)
             return Refused(self.retry_after_s(key, now_s))
         return Wait(waiter.reservation, waiter.deadline_s)
 
@@ -103,7 +103,7 @@
             return
         for waiter in purse.waiters:
             if waiter.reservation == reservation:
-                purse.waiters.remove(waiter)
+                purse.remove_waiter(waiter)
                 return
 
     def retry_after_s(self, key: ResourceKey, now_s: float) -> float:
@@ -175,9 +175,8 @@
         self._closed = True
         for purse in self._active.values():
             purse.drop_expired(now_s)
-            for waiter in purse.waiters:
+            for waiter in purse.clear_waiters():
                 self._settlements.append(Settlement(waiter.reservation, Refused(0.0)))
-            purse.waiters.clear()
             for origin in purse.origins.values():
                 if origin.is_idle:
                     continue
@@ -233,7 +232,7 @@
             purse.origins[domain] = origin
 
     def _drop(self, purse: Purse, now_s: float) -> None:
-        for waiter in purse.waiters:
+        for waiter in purse.clear_waiters():
             self._settlements.append(Settlement(waiter.reservation, Refused(0.0)))
         self.dropped_micro += purse.held_micro
         self._purses.pop(purse.key, None)
@@ -266,7 +265,8 @@
                 origin.not_before_s = now_s + answer.retry_after_s
         self._settle(purse, now_s)
         self._supply.refill(purse, now_s)
-        self._supply.maintain(purse, origin, now_s)
+        for other in purse.origins.values():
+            self._supply.maintain(purse, other, now_s)
 
     def _settle(self, purse: Purse, now_s: float) -> None:
         while purse.waiters:
@@ -277,5 +277,5 @@
                 outcome = Spent()
             else:
                 return
-            purse.waiters.popleft()
+            purse.remove_waiter(waiter)
             self._settlements.append(Settlement(waiter.reservation, outcome))
