--- a/src/siskinward/coordination/shares/_demand.py
+++ b/src/siskinward/coordination/shares/_demand.py
@@ -4,6 +4,8 @@
 
 from math import exp
 
+STOPPED_AFTER_UNITS = 5.0
+
 
 class DemandEstimate:
     """Units per second, averaged over ``window_s``."""
@@ -26,3 +28,8 @@
         if elapsed_s <= 0:
             return self._rate_per_s
         return self._rate_per_s * exp(-elapsed_s / self._window_s)
+
+    def has_stopped(self, now_s: float) -> bool:
+        """Return whether several units were due since the last one, but none came."""
+        silent_s = now_s - self.last_demand_s
+        return silent_s * self.rate_per_s(now_s) > STOPPED_AFTER_UNITS
--- a/src/siskinward/coordination/shares/_supply.py
+++ b/src/siskinward/coordination/shares/_supply.py
@@ -118,7 +118,7 @@
         if now_s - purse.demand.last_demand_s > settings.idle_return_s:
             keep = 0
         elif origin.recalled:
-            keep = purse.low_water_micro(now_s, settings)
+            keep = 0 if purse.demand.has_stopped(now_s) else purse.low_water_micro(now_s, settings)
         elif held > 2 * max(target, purse.limit.quantum_micro):
             keep = target
         else:
--- a/src/siskinward/coordination/shares/ledger.py
+++ b/src/siskinward/coordination/shares/ledger.py
@@ -56,7 +56,7 @@
         self._part = part
         self._next_part: MintPart | None = None
         self._next_part_at_s = 0.0
-        self._quantum_micro = quantum_micro
+        self.quantum_micro = quantum_micro
         self._settles_at_s = settles_at_s
         self._accrued_to_ns = _to_ns(max(now_s, settles_at_s))
         self._remainder = 0
@@ -141,7 +141,7 @@
         rich = [
             (record.held_micro, holder.vm)
             for holder, record in self._holders.items()
-            if holder != asking and record.held_micro >= self._quantum_micro
+            if holder != asking and record.held_micro >= self.quantum_micro
         ]
         rich.sort(reverse=True)
         return [vm for _, vm in rich[:limit]]
@@ -199,7 +199,7 @@
         self._scan_at_s = now_s + EXPIRY_SCAN_INTERVAL_S
 
     def _whole(self, amount_micro: int) -> int:
-        return amount_micro - amount_micro % self._quantum_micro
+        return amount_micro - amount_micro % self.quantum_micro
 
 
 def empty_ledger(*, quantum_micro: int, now_s: float) -> MintLedger:
--- a/src/siskinward/coordination/shares/mint.py
+++ b/src/siskinward/coordination/shares/mint.py
@@ -140,7 +140,7 @@
         retry_after_s = 0.0
         if missing_micro > 0:
             effects += self._recall(request.key, ledger, holder, now_s)
-            retry_after_s = self._retry_after_s(ledger, ahead_micro + missing_micro)
+            retry_after_s = self._retry_after_s(ledger, ahead_micro)
         answer = TokenAnswer(
             request.key, request.serial, granted, ledger.available_micro, retry_after_s
         )
@@ -168,12 +168,12 @@
             Send(vm, TokenRecall(key)) for vm in ledger.holders_to_recall(asking, RECALL_FANOUT)
         ]
 
-    def _retry_after_s(self, ledger: MintLedger, queued_micro: int) -> float:
-        """Return when accrual will have served the queue up to the asking wallet."""
+    def _retry_after_s(self, ledger: MintLedger, ahead_micro: int) -> float:
+        """Return when accrual will have reached the first quantum for the asking wallet."""
         rate = ledger.part.rate_micro_per_s
         if rate <= 0:
             return self._settings.backoff_limit_s
-        queued_s = (queued_micro - ledger.available_micro) / rate
+        queued_s = (ahead_micro + ledger.quantum_micro - ledger.available_micro) / rate
         return min(max(queued_s, self._settings.backoff_s), self._settings.backoff_limit_s)
 
     def _on_handover(self, message: MintHandover, sender: VmIdentity, now_s: float) -> None:
--- a/src/siskinward/coordination/shares/settings.py
+++ b/src/siskinward/coordination/shares/settings.py
@@ -14,7 +14,7 @@
     be paused for at most ``pause_bound_s`` between reading the clock and the end of a call.
     """
 
-    holding_s: float = 2.0
+    holding_s: float = 1.0
     pause_bound_s: float = 0.5
     growth_delay_s: float = 5.0
     wait_s: float = 0.25
