--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -177,7 +177,7 @@
         9: [(400.0, 200), (20.0, 10), (5.0, 5)],
         590: [(2000.0, 1000), (100.0, 50), (5.0, 5)],
     }
-    for layout in (ORGONAHAZ,):
+    for layout in (ORGONAHAZ, LIIT, TARGET):
         print(f"\n{layout.name}: refused wrongly, percent")
         print(
             "rate burst load case          shares  (waited p99 ms, messages/request)"
--- a/src/siskinward/coordination/shares/_purse.py
+++ b/src/siskinward/coordination/shares/_purse.py
@@ -90,7 +90,8 @@
         expires_s = self.pending.sent_s + settings.holding_s
         if answer.granted_micro < self.pending.request.wanted_micro:
             self.prefetch_after_s = now_s + settings.backoff_s
-        self.queued = answer.granted_micro < self.pending.request.needed_micro
+        request = self.pending.request
+        self.queued = request.queues and answer.granted_micro < request.needed_micro
         self.pending = None
         self.left_micro = answer.left_micro
         self.left_at_s = now_s
--- a/src/siskinward/coordination/shares/_supply.py
+++ b/src/siskinward/coordination/shares/_supply.py
@@ -148,12 +148,20 @@
             returned_micro=returned_micro,
             needed_micro=needed_micro,
             wanted_micro=wanted_micro,
+            queues=needed_micro > 0 and origin.domain == self._queue_domain(purse),
         )
         origin.consumed_at_s = None
         resend_at_s = now_s + self._settings.request_timeout_s
         origin.pending = Pending(holder, request, now_s, resend_at_s)
         self.effects.append(Send(holder, request))
 
+    def _queue_domain(self, purse: Purse) -> DomainName | None:
+        """Return the nearest failure domain whose mint can be asked."""
+        for origin in purse.origins.values():
+            if origin.domain in self.holders and origin.part.burst_micro > 0:
+                return origin.domain
+        return None
+
     def resend(self, origin: Origin, now_s: float) -> None:
         """Send an unanswered request again; give it up once its tokens would be too old."""
         pending = origin.pending
--- a/src/siskinward/coordination/shares/_want_queue.py
+++ b/src/siskinward/coordination/shares/_want_queue.py
@@ -16,6 +16,7 @@
 
     needed_micro: int
     expires_s: float
+    wake_at_s: float = 0.0
 
 
 class WantQueue:
@@ -44,12 +45,14 @@
         want = self._wants.setdefault(vm, _Want(needed_micro, expires_s))
         want.needed_micro = needed_micro
 
-    def covered_by(self, available_micro: int) -> list[VmName]:
-        """Return the wallets that ``available_micro`` serves, wholly or in part, in order."""
-        covered = []
+    def wake(self, available_micro: int, now_s: float, interval_s: float) -> list[VmName]:
+        """Return the wallets that ``available_micro`` serves, each once per interval."""
+        woken = []
         for vm, want in self._wants.items():
             if available_micro <= 0:
                 break
-            covered.append(vm)
             available_micro -= want.needed_micro
-        return covered
+            if now_s >= want.wake_at_s:
+                want.wake_at_s = now_s + interval_s
+                woken.append(vm)
+        return woken
--- a/src/siskinward/coordination/shares/messages.py
+++ b/src/siskinward/coordination/shares/messages.py
@@ -16,7 +16,8 @@
     Each request has a new ``serial``; a request is answered only after all answers to earlier ones
     were applied or given up, so ``held_micro`` covers everything that the wallet can still spend.
     ``returned_micro`` was deducted before sending. ``needed_micro`` serves requests that wait,
-    the rest of ``wanted_micro`` is prefetch.
+    the rest of ``wanted_micro`` is prefetch. ``queues`` asks for a place in the mint's queue if the
+    request falls short; a wallet queues at one mint only, as kept places hold tokens back.
     """
 
     key: ResourceKey
@@ -25,6 +26,7 @@
     returned_micro: int
     needed_micro: int
     wanted_micro: int
+    queues: bool
 
 
 @frozen
--- a/src/siskinward/coordination/shares/mint.py
+++ b/src/siskinward/coordination/shares/mint.py
@@ -119,11 +119,9 @@
             return [Send(sender.vm, refusal)]
         ledger.advance(now_s)
         holder = HolderId(sender.vm, sender.incarnation)
-        before_micro = ledger.available_micro
         expires_s = now_s + self._settings.settling_s
         if not ledger.receive(holder, request, expires_s):
             return self._answer_again(ledger, holder, request, sender)
-        returned_micro = ledger.available_micro - before_micro
         queue = self._queues.setdefault(request.key, WantQueue())
         ahead_micro = queue.ahead_of(sender.vm, now_s)
         granted = ledger.grant(
@@ -133,10 +131,9 @@
             reserved_micro=ahead_micro,
         )
         missing_micro = request.needed_micro - granted
-        queue.update(sender.vm, missing_micro, now_s + self._settings.wait_s)
-        effects: list[Effect] = []
-        if returned_micro > 0:
-            effects += self._wake(request.key, queue, ledger.available_micro)
+        queued_micro = missing_micro if request.queues else 0
+        queue.update(sender.vm, queued_micro, now_s + self._settings.wait_s)
+        effects = self._wake(request.key, queue, ledger, sender.vm, now_s)
         retry_after_s = 0.0
         if missing_micro > 0:
             effects += self._recall(request.key, ledger, holder, now_s)
@@ -155,8 +152,13 @@
         answer = TokenAnswer(request.key, request.serial, granted, ledger.available_micro, 0.0)
         return [Send(sender.vm, answer)]
 
-    def _wake(self, key: ResourceKey, queue: WantQueue, available_micro: int) -> list[Effect]:
-        return [Send(vm, TokensAvailable(key)) for vm in queue.covered_by(available_micro)]
+    def _wake(
+        self, key: ResourceKey, queue: WantQueue, ledger: MintLedger, asking: VmName, now_s: float
+    ) -> list[Effect]:
+        if ledger.available_micro < ledger.quantum_micro:
+            return []
+        woken = queue.wake(ledger.available_micro, now_s, self._settings.backoff_s)
+        return [Send(vm, TokensAvailable(key)) for vm in woken if vm != asking]
 
     def _recall(
         self, key: ResourceKey, ledger: MintLedger, asking: HolderId, now_s: float
