--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -1,7 +1,8 @@
 """Measures wrongful refusals, messages and processor time of conserved shares.
 
-Usage: ``PYTHONPATH=src python benchmarks/shares.py [refusals|cost] [seconds]``. Traffic that one
-exact central token bucket would refuse is left out beforehand, so each refusal is wrongful.
+Usage: ``PYTHONPATH=src python benchmarks/shares.py [orgonahaz|liit|target|cost] [seconds]``.
+Traffic that one exact central token bucket would refuse is left out beforehand, so each refusal is
+wrongful.
 """
 
 from __future__ import annotations
@@ -29,6 +30,7 @@
 ORGONAHAZ = Layout("9 VMs, 6 domains, 12 ms", 9, 6, 3, 0.0002, 0.0015, 0.012)
 LIIT = Layout("9 VMs, 6 domains, 20 ms", 9, 6, 3, 0.0002, 0.0005, 0.020)
 TARGET = Layout("590 VMs, 20 domains, 12 ms", 590, 20, 8, 0.0002, 0.0015, 0.012)
+LAYOUTS = {"orgonahaz": ORGONAHAZ, "liit": LIIT, "target": TARGET}
 WARM_UP_S = 8.0
 FAULT_AFTER_S = 2.0
 MOVE_INTERVAL_S = 0.5
@@ -169,7 +171,7 @@
     return 100.0 * refused / len(trace)
 
 
-def print_refusals(seconds: float) -> None:
+def print_refusals(layout: Layout, seconds: float) -> None:
     """Print wrongful refusals in percent, side by side."""
     shares = ShareSettings()
     home = ShareSettings(min_part_tokens=10**9)
@@ -177,30 +179,26 @@
         9: [(400.0, 200), (20.0, 10), (5.0, 5)],
         590: [(2000.0, 1000), (100.0, 50), (5.0, 5)],
     }
-    for layout in (ORGONAHAZ, LIIT, TARGET):
-        print(f"\n{layout.name}: refused wrongly, percent")
-        print(
-            "rate burst load case          shares  (waited p99 ms, messages/request)"
-            "     home  domain      VM"
-        )
-        for rate_per_s, burst in accounts[layout.vms]:
-            account = measured_account(rate_per_s, burst)
-            for load in (0.8, 1.5):
-                for case in CASES:
-                    trace = arrivals(account, load, seconds, placement(case, layout))
-                    ours = measure_shares(layout, account, case, trace, shares, seconds)
-                    one = measure_shares(layout, account, case, trace, home, seconds)
-                    per_domain = measure_static(
-                        layout, account, trace, layout.domains, shares.wait_s
-                    )
-                    per_vm = measure_static(layout, account, trace, layout.vms, shares.wait_s)
-                    print(
-                        f"{rate_per_s:4.0f} {burst:5} {load:4} {case:10} "
-                        f"{ours.refused_percent:9.2f}  ({ours.waited_percent:5.1f}% "
-                        f"{ours.wait_p99_ms:5.0f} ms {ours.messages_per_request:6.2f})"
-                        f"   {one.refused_percent:16.2f} {per_domain:7.2f} {per_vm:7.2f}",
-                        flush=True,
-                    )
+    print(f"\n{layout.name}: refused wrongly, percent")
+    print("rate burst load case       shares (waited, p99, messages/request)   home domain     VM")
+    for rate_per_s, burst in accounts[layout.vms]:
+        account = measured_account(rate_per_s, burst)
+        for load in (0.8, 1.5):
+            for case in CASES:
+                trace = arrivals(account, load, seconds, placement(case, layout))
+                ours = measure_shares(layout, account, case, trace, shares, seconds)
+                one = measure_shares(layout, account, case, trace, home, seconds)
+                parts = [
+                    measure_static(layout, account, trace, count, shares.wait_s)
+                    for count in (layout.domains, layout.vms)
+                ]
+                print(
+                    f"{rate_per_s:4.0f} {burst:5} {load:4} {case:10} {ours.refused_percent:6.2f} "
+                    f"({ours.waited_percent:5.1f}% {ours.wait_p99_ms:4.0f} ms "
+                    f"{ours.messages_per_request:6.2f}) {one.refused_percent:16.2f} "
+                    f"{parts[0]:6.2f} {parts[1]:6.2f}",
+                    flush=True,
+                )
 
 
 def print_cost(seconds: float) -> None:
@@ -243,8 +241,9 @@
     """Run the measurement named on the command line, or both."""
     which = sys.argv[1] if len(sys.argv) > 1 else "all"
     seconds = float(sys.argv[2]) if len(sys.argv) > 2 else 10.0
-    if which in ("refusals", "all"):
-        print_refusals(seconds)
+    for name, layout in LAYOUTS.items():
+        if which in (name, "all"):
+            print_refusals(layout, seconds)
     if which in ("cost", "all"):
         print_cost(min(seconds, 5.0))
 
--- a/src/siskinward/coordination/shares/_supply.py
+++ b/src/siskinward/coordination/shares/_supply.py
@@ -55,6 +55,8 @@
         in_flight = purse.in_flight_micro()
         missing = needed + max(purse.target_micro(now_s, self._settings) - spare, 0) - in_flight
         needed = max(needed - in_flight, 0)
+        if self._ask_nearest(purse, needed, missing, now_s):
+            return
         quantum = purse.limit.quantum_micro
         askable = [origin for origin in purse.origins.values() if self._may_ask(origin, now_s)]
         askable.sort(key=lambda origin: self._preference(origin, needed, now_s))
@@ -72,6 +74,19 @@
         if needed:
             self._probe(purse, askable, needed, now_s)
 
+    def _ask_nearest(self, purse: Purse, needed: int, missing: int, now_s: float) -> bool:
+        """Ask only the nearest mint if it covers what is missing; spares ordering the others."""
+        origin = next(iter(purse.origins.values()))
+        if missing < purse.limit.quantum_micro or not self._may_ask(origin, now_s):
+            return False
+        estimate = origin.estimate_micro(now_s)
+        if estimate < missing or (not needed and now_s < origin.prefetch_after_s):
+            return False
+        if not needed and estimate < LOW_FULLNESS * origin.part.burst_micro:
+            return False
+        self.send(purse, origin, now_s, needed_micro=needed, wanted_micro=missing)
+        return True
+
     def _probe(self, purse: Purse, askable: list[Origin], needed: int, now_s: float) -> None:
         """Ask mints that seem empty: they can recall tokens from other wallets."""
         for origin in askable:
