--- a/src/siskinward/coordination/shares/_supply.py
+++ b/src/siskinward/coordination/shares/_supply.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from siskinward.coordination.events import Effect
@@ -17,6 +18,10 @@
     from siskinward.state.identifiers import VmName
 
 
+LOW_FULLNESS = 0.5
+"""Fraction of its burst below which a mint is spared by prefetch."""
+
+
 class Supply:
     """Decides which mint to ask for what; queues the messages in ``effects``."""
 
@@ -50,9 +55,11 @@
         in_flight = purse.in_flight_micro()
         missing = needed + max(purse.target_micro(now_s, self._settings) - spare, 0) - in_flight
         needed = max(needed - in_flight, 0)
+        if self._ask_nearest(purse, needed, missing, now_s):
+            return
         quantum = purse.limit.quantum_micro
         askable = [origin for origin in purse.origins.values() if self._may_ask(origin, now_s)]
-        askable.sort(key=lambda origin: (origin.distance, -origin.estimate_micro(now_s)))
+        askable.sort(key=lambda origin: self._preference(origin, needed, now_s))
         for origin in askable:
             if missing < quantum:
                 return
@@ -67,12 +74,36 @@
         if needed:
             self._probe(purse, askable, needed, now_s)
 
+    def _ask_nearest(self, purse: Purse, needed: int, missing: int, now_s: float) -> bool:
+        """Ask only the nearest mint if it covers what is missing; spares ordering the others."""
+        origin = next(iter(purse.origins.values()))
+        if missing < purse.limit.quantum_micro or not self._may_ask(origin, now_s):
+            return False
+        estimate = origin.estimate_micro(now_s)
+        if estimate < missing or (not needed and now_s < origin.prefetch_after_s):
+            return False
+        if not needed and estimate < LOW_FULLNESS * origin.part.burst_micro:
+            return False
+        self.send(purse, origin, now_s, needed_micro=needed, wanted_micro=missing)
+        return True
+
     def _probe(self, purse: Purse, askable: list[Origin], needed: int, now_s: float) -> None:
         """Ask mints that seem empty: they can recall tokens from other wallets."""
         for origin in askable:
             if origin.pending is None:
                 self.send(purse, origin, now_s, needed_micro=needed, wanted_micro=needed)
 
+    def _preference(self, origin: Origin, needed: int, now_s: float) -> tuple[float, float]:
+        """Order mints: near ones for needs, and for prefetch unless they run low.
+
+        Prefetch from the fullest mint keeps the nearest for needs, and keeps the others from
+        reaching their burst, where accrual stops.
+        """
+        fullness = origin.estimate_micro(now_s) / origin.part.burst_micro
+        if not needed and fullness < LOW_FULLNESS:
+            return (math.inf, -fullness)
+        return (origin.distance, -fullness)
+
     def _may_ask(self, origin: Origin, now_s: float) -> bool:
         if origin.pending is not None or now_s < origin.not_before_s:
             return False
@@ -87,7 +118,10 @@
         consumed_at_s = origin.consumed_at_s
         reports = consumed_at_s is not None and now_s - consumed_at_s >= self._settings.report_s
         renews = origin.held_micro > 0 and origin.expires_s - now_s < self._settings.holding_s / 2
-        if returned or reports or renews:
+        leaves_queue = origin.queued and not purse.waiters
+        if returned:
+            origin.prefetch_after_s = now_s + self._settings.backoff_s
+        if returned or reports or renews or leaves_queue:
             self.send(purse, origin, now_s, returned_micro=returned)
 
     def _returnable(self, purse: Purse, origin: Origin, now_s: float) -> int:
@@ -99,7 +133,7 @@
         if now_s - purse.demand.last_demand_s > settings.idle_return_s:
             keep = 0
         elif origin.recalled:
-            keep = purse.low_water_micro(now_s, settings)
+            keep = 0 if purse.demand.has_stopped(now_s) else purse.low_water_micro(now_s, settings)
         elif held > 2 * max(target, purse.limit.quantum_micro):
             keep = target
         else:
@@ -129,12 +163,20 @@
             returned_micro=returned_micro,
             needed_micro=needed_micro,
             wanted_micro=wanted_micro,
+            queues=needed_micro > 0 and origin.domain == self._queue_domain(purse),
         )
         origin.consumed_at_s = None
         resend_at_s = now_s + self._settings.request_timeout_s
         origin.pending = Pending(holder, request, now_s, resend_at_s)
         self.effects.append(Send(holder, request))
 
+    def _queue_domain(self, purse: Purse) -> DomainName | None:
+        """Return the nearest failure domain whose mint can be asked."""
+        for origin in purse.origins.values():
+            if origin.domain in self.holders and origin.part.burst_micro > 0:
+                return origin.domain
+        return None
+
     def resend(self, origin: Origin, now_s: float) -> None:
         """Send an unanswered request again; give it up once its tokens would be too old."""
         pending = origin.pending
--- a/src/siskinward/coordination/shares/ledger.py
+++ b/src/siskinward/coordination/shares/ledger.py
@@ -56,7 +56,7 @@
         self._part = part
         self._next_part: MintPart | None = None
         self._next_part_at_s = 0.0
-        self._quantum_micro = quantum_micro
+        self.quantum_micro = quantum_micro
         self._settles_at_s = settles_at_s
         self._accrued_to_ns = _to_ns(max(now_s, settles_at_s))
         self._remainder = 0
@@ -109,14 +109,17 @@
         self._holders[holder] = _Holder(request.serial, request.held_micro, 0, expires_s)
         return True
 
-    def grant(self, holder: HolderId, *, needed_micro: int, wanted_micro: int) -> int:
+    def grant(
+        self, holder: HolderId, *, needed_micro: int, wanted_micro: int, reserved_micro: int
+    ) -> int:
         """Move tokens to a wallet whose request was just received.
 
-        Prefetch takes at most half of what the needs leave, so that one wallet never empties
-        the mint for traffic that may not come.
+        ``reserved_micro`` stays for wallets that asked earlier. Prefetch takes at most half of what
+        the needs leave, so that one wallet never empties the mint for traffic that may not come.
         """
-        needed = self._whole(min(needed_micro, self.available_micro))
-        prefetch_limit = (self.available_micro - needed) // 2
+        usable_micro = max(self.available_micro - reserved_micro, 0)
+        needed = self._whole(min(needed_micro, usable_micro))
+        prefetch_limit = (usable_micro - needed) // 2
         prefetch = self._whole(min(max(wanted_micro - needed_micro, 0), prefetch_limit))
         granted = needed + prefetch
         record = self._holders[holder]
@@ -138,7 +141,7 @@
         rich = [
             (record.held_micro, holder.vm)
             for holder, record in self._holders.items()
-            if holder != asking and record.held_micro >= self._quantum_micro
+            if holder != asking and record.held_micro >= self.quantum_micro
         ]
         rich.sort(reverse=True)
         return [vm for _, vm in rich[:limit]]
@@ -196,7 +199,7 @@
         self._scan_at_s = now_s + EXPIRY_SCAN_INTERVAL_S
 
     def _whole(self, amount_micro: int) -> int:
-        return amount_micro - amount_micro % self._quantum_micro
+        return amount_micro - amount_micro % self.quantum_micro
 
 
 def empty_ledger(*, quantum_micro: int, now_s: float) -> MintLedger:
