Make routing cheaper and forget silent places

Answers from a domain that was removed raised KeyError; they are dropped. Places that fell silent are forgotten by a timer.

--- a/src/siskinward/coordination/routing/_load_view.py
+++ b/src/siskinward/coordination/routing/_load_view.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import frozen
+
 from siskinward.coordination.routing._ramp import ramp_share
 
 if TYPE_CHECKING:
@@ -13,6 +15,14 @@
 MIN_BACKLOG = 0.5
 
 
+@frozen
+class LoadEstimate:
+    """Expected time until a request gets a slot, and expected requests for each slot."""
+
+    wait_s: float
+    utilisation: float
+
+
 class LoadView:
     """Own outstanding requests, what the place reported, and what requests there met.
 
@@ -64,17 +74,13 @@
         """Whether the place refused a request and asked to stay away for now."""
         return now_s < self._refused_until_s
 
-    def expected_wait_s(self, now_s: float) -> float:
-        """Expected time until a request sent now gets a slot."""
+    def estimate(self, now_s: float) -> LoadEstimate:
+        """What a request sent now should expect."""
         share = ramp_share(self._settings, up_since_s=self._up_since_s, now_s=now_s)
         slots = max(1.0, self.slots * share)
         backlog = self.outstanding + self._others_now(now_s)
-        return max(0.0, backlog + 1.0 - slots) * self.service_s / slots
-
-    def utilisation(self, now_s: float) -> float:
-        """Expected requests there per slot, to rank places where none needs to wait."""
-        share = ramp_share(self._settings, up_since_s=self._up_since_s, now_s=now_s)
-        return (self.outstanding + self._others_now(now_s)) / max(1.0, self.slots * share)
+        wait_s = max(0.0, backlog + 1.0 - slots) * self.service_s / slots
+        return LoadEstimate(wait_s, backlog / slots)
 
     def on_answer(self, *, took_s: float, predicted_s: float, wait_s: float, now_s: float) -> None:
         """Compare a finished request with its prediction; ``wait_s`` is what it waited there."""
--- a/src/siskinward/coordination/routing/router.py
+++ b/src/siskinward/coordination/routing/router.py
@@ -29,9 +29,10 @@
     from siskinward.state.objects import Configuration
 
 PEERS_PER_DOMAIN = 2
+NEAR_VMS_KEPT = 256
 
 
-@frozen
+@frozen(cache_hash=True)
 class Place:
     """Where a service runs: one owner VM of the own domain, or another failure domain."""
 
@@ -75,6 +76,7 @@
         self._views: dict[Place, LoadView] = {}
         self._places: dict[ServiceName, list[Place]] = {}
         self._vms: dict[DomainName, tuple[VmName, ...]] = {}
+        self._near_vms: dict[tuple[VmName, ...], tuple[VmName, ...]] = {}
         self._answer_bytes: dict[ServiceName, float] = {}
         self._closed_domains: frozenset[DomainName] = frozenset()
         self._leaving_vms: frozenset[VmName] = frozenset()
@@ -85,9 +87,17 @@
         self._links.set_configuration(configuration, now_s=now_s)
         self._latencies_s = domain_latencies_s(configuration, self._own.failure_domain)
         domains = configuration.failure_domains
-        for place in [place for place in self._views if place.failure_domain not in domains]:
-            del self._views[place]
-            self._places[place.service].remove(place)
+        self._forget([place for place in self._views if place.failure_domain not in domains])
+
+    def on_timer(self, now_s: float) -> None:
+        """Forget places that have been silent, such as VMs that were replaced."""
+        self._forget(
+            [
+                place
+                for place, view in self._views.items()
+                if not view.is_known(now_s) and view.outstanding == 0
+            ]
+        )
 
     def set_closed(self, *, domains: Iterable[DomainName], leaving_vms: Iterable[VmName]) -> None:
         """Set the domains (drained or unreachable) and VMs that get no new requests."""
@@ -135,8 +145,15 @@
         if not sendable:
             return RefusalReason.LINK_BUDGET
         open_places = [p for p in sendable if not self._views[p].is_backing_off(now_s)]
-        place = min(open_places or sendable, key=lambda place: self._rank(place, now_s))
-        return self._choice(place, excluded, size_bytes, now_s)
+        ranks = {place: self._rank(place, now_s) for place in open_places or sendable}
+        place = min(ranks, key=lambda place: ranks[place])
+        return Choice(
+            place=place,
+            vm=self._vm_at(place, excluded),
+            region=self._region_of(place.failure_domain),
+            predicted_s=ranks[place][0],
+            charged_bytes=size_bytes,
+        )
 
     def on_sent(self, choice: Choice, now_s: float) -> None:
         """Note that the request was handed to the chosen VM."""
@@ -157,8 +174,10 @@
 
         ``load`` is what the answering VM knew of the service in its failure domain.
         """
-        view = self._views[choice.place]
-        view.outstanding -= 1
+        view = self._views.get(choice.place)
+        if view is None:
+            return
+        view.outstanding = max(0, view.outstanding - 1)
         if load is not None:
             view.on_seen(load, now_s=now_s)
         network_s = 2.0 * self._latencies_s[choice.place.failure_domain]
@@ -178,8 +197,10 @@
         self, choice: Choice, *, retry_after_s: float, load: ServiceLoad | None, now_s: float
     ) -> None:
         """Note that the chosen VM refused the request."""
-        view = self._views[choice.place]
-        view.outstanding -= 1
+        view = self._views.get(choice.place)
+        if view is None:
+            return
+        view.outstanding = max(0, view.outstanding - 1)
         if load is not None:
             view.on_seen(load, now_s=now_s)
         view.on_refusal(retry_after_s=retry_after_s, now_s=now_s)
@@ -189,6 +210,11 @@
         backoff_s = self._settings.max_backoff_s
         self.on_refusal(choice, retry_after_s=backoff_s, load=None, now_s=now_s)
 
+    def _forget(self, places: Iterable[Place]) -> None:
+        for place in places:
+            del self._views[place]
+            self._places[place.service].remove(place)
+
     def _on_load(self, place: Place, load: ServiceLoad, sequence: int, now_s: float) -> None:
         view = self._views.get(place)
         if view is None:
@@ -233,21 +259,20 @@
         network_s = 0.0
         if place.owner != self._own.vm:
             network_s = 2.0 * self._latencies_s[place.failure_domain]
-        expected_s = network_s + view.expected_wait_s(now_s) + view.service_s
-        return expected_s, view.utilisation(now_s)
-
-    def _choice(
-        self, place: Place, excluded: Collection[VmName], size_bytes: int, now_s: float
-    ) -> Choice:
-        vms = self._open_vms(place, excluded)
-        near = peer_subset(self._own.vm, vms, count=PEERS_PER_DOMAIN)
-        return Choice(
-            place=place,
-            vm=self._random.choice(near),
-            region=self._region_of(place.failure_domain),
-            predicted_s=self._rank(place, now_s)[0],
-            charged_bytes=size_bytes,
-        )
+        estimate = view.estimate(now_s)
+        return network_s + estimate.wait_s + view.service_s, estimate.utilisation
+
+    def _vm_at(self, place: Place, excluded: Collection[VmName]) -> VmName:
+        """The owner, or one of the few VMs that this one keeps streams to."""
+        if place.owner is not None:
+            return place.owner
+        vms = tuple(self._open_vms(place, excluded))
+        near = self._near_vms.get(vms)
+        if near is None:
+            if len(self._near_vms) >= NEAR_VMS_KEPT:
+                self._near_vms.clear()
+            near = self._near_vms[vms] = peer_subset(self._own.vm, vms, count=PEERS_PER_DOMAIN)
+        return self._random.choice(near)
 
     def _region_of(self, domain: DomainName) -> RegionName:
         return self._configuration.failure_domains[domain].region
--- a/src/siskinward/coordination/routing/target_picker.py
+++ b/src/siskinward/coordination/routing/target_picker.py
@@ -40,6 +40,7 @@
         self._random = random
         self._views: dict[TargetName, _TargetView] = {}
         self._leaving: frozenset[TargetName] = frozenset()
+        self._mean_took_s = 0.0
 
     def set_leaving(self, targets: Iterable[TargetName]) -> None:
         """Set the targets that get no new work: draining, or leaving of their own accord."""
@@ -98,6 +99,8 @@
         if view.took_s is None:
             view.took_s = took_s
         view.took_s += self._settings.smoothing * (took_s - view.took_s)
+        known = [other.took_s for other in self._views.values() if other.took_s]
+        self._mean_took_s = sum(known) / len(known) if known else 0.0
 
     def on_failure(self, target: TargetName, now_s: float) -> None:
         """Note a request that the target failed, or a connection that it refused."""
@@ -111,7 +114,6 @@
     def _slowness(self, target: TargetName) -> float:
         """Recent time at the target against the mean of all, never below one."""
         view = self._views.get(target)
-        known = [other.took_s for other in self._views.values() if other.took_s]
-        if view is None or not view.took_s or not known:
+        if view is None or not view.took_s or self._mean_took_s <= 0.0:
             return 1.0
-        return max(1.0, view.took_s * len(known) / sum(known))
+        return max(1.0, view.took_s / self._mean_took_s)
--- a/tests/coordination/routing/test_router.py
+++ b/tests/coordination/routing/test_router.py
@@ -164,3 +164,35 @@
     # Two VMs in the region and two regions at the link: a quarter each, and one answer over.
     share_bytes_per_s = link_bits_per_s / 8 / 4
     assert sent_bytes and max(sent_bytes.values()) <= share_bytes_per_s * seconds + 4096
+
+
+def test_answers_of_a_removed_domain_are_dropped() -> None:
+    router = make_router()
+    router.set_closed(domains=DOMAINS[:1], leaving_vms=[])
+    choice = choose(router)
+    router.on_sent(choice, 0.0)
+    removed = choice.place.failure_domain
+    configuration = make_configuration()
+    del configuration.failure_domains[removed]
+    del configuration.vms[VmName(f"vm-{removed}")]
+    router.on_configuration(configuration, 0.0)
+    router.on_answer(choice, took_s=0.1, service_s=0.02, size_bytes=1, load=load(), now_s=0.1)
+    router.on_lost(choice, 0.1)
+    assert choose(router).place.failure_domain != removed
+
+
+def test_silent_places_are_forgotten_and_return_cold() -> None:
+    router = make_router(RoutingSettings(ramp_s=10.0))
+    silent_s = 2 * SETTINGS.report_lifetime_s + 1.0
+    router.on_timer(silent_s)
+    refusal = router.choose(LISTINGS, request_bytes=1, excluded=(), now_s=silent_s)
+    assert refusal is RefusalReason.NO_TARGET
+    report(router, DOMAINS[0], load(), now_s=silent_s)
+    report(router, DOMAINS[1], load(), now_s=silent_s)
+    sent: Counter[str] = Counter()
+    for _ in range(6):
+        choice = choose(router, now_s=silent_s)
+        router.on_sent(choice, silent_s)
+        sent[choice.place.failure_domain] += 1
+    # A warm place would take all of them into its six slots.
+    assert sent[DOMAINS[0]] >= 1 and sent[DOMAINS[1]] >= 1
