Count traffic between VMs by message class and direction

Cause: control bytes of a VM could not be read from outside. The counters siskinward_peer_bytes_total and siskinward_peer_messages_total give them.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,106 @@
+"""Measures what a VM spends on control at several sizes and works out the two-year size.
+
+Run as ``python benchmarks/capacity.py [DOMAINSxVMS ...]``; see docs/CAPACITY.md.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+from _capacity_fit import fit
+from _capacity_fleet import Fleet
+from _capacity_layout import Layout
+from _capacity_sample import RATE_NAMES
+from _capacity_sample import ROLES
+from _capacity_sample import sample
+
+if TYPE_CHECKING:
+    from _capacity_sample import FleetSample
+
+DEFAULT_LAYOUTS = ("2x5", "6x5", "2x15", "18x5", "4x23", "20x10")
+TARGET_DOMAINS, TARGET_VMS_PER_DOMAIN = 20, 29.5
+SETTLE_S = 15.0
+WINDOW_S = 15.0
+TOP_CLASSES = 6
+
+
+def parse_layout(text: str) -> Layout:
+    """Read DOMAINSxVMS, optionally followed by xTARGETS_PER_VM and xACCOUNTS."""
+    return Layout(*(int(part) for part in text.split("x")))
+
+
+def run(layout: Layout, window_s: float) -> FleetSample:
+    """Start a layout and measure one idle window."""
+    with Fleet(layout) as fleet:
+        time.sleep(SETTLE_S)
+        return sample(fleet, window_s)
+
+
+def print_sample(layout: Layout, measured: FleetSample) -> None:
+    """Print the roles' rates of one layout."""
+    print(f"\n{layout.vms} VMs: {layout}", flush=True)
+    print(f"  platform: {measured.reads_per_s:.1f} reads/s, {measured.writes_per_s:.1f} writes/s")
+    for role in ROLES:
+        rates = measured.roles[role]
+        values = " ".join(f"{name}={getattr(rates, name):.2f}" for name in RATE_NAMES)
+        print(f"  {role}: {values}")
+        top = sorted(
+            ((v, k) for k, v in rates.by_class.items() if k[0] == "bytes"), reverse=True
+        )
+        for value, (_, direction, message) in top[:TOP_CLASSES]:
+            count = rates.by_class["messages", direction, message]
+            print(f"      {message} {direction}: {value:.0f} B/s in {count:.1f} messages/s")
+
+
+def terms(domains: float, vms_per_domain: float) -> list[float]:
+    """Return the terms of the fit: constant, VMs of the own domain, domains, all VMs."""
+    return [1.0, vms_per_domain, domains, domains * vms_per_domain]
+
+
+def print_fit(samples: dict[Layout, FleetSample]) -> None:
+    """Print each role's slopes and the value that they give at the two-year size."""
+    rows = [terms(layout.domains, layout.vms_per_domain) for layout in samples]
+    target = terms(TARGET_DOMAINS, TARGET_VMS_PER_DOMAIN)
+    print("\nfit: constant + a * VMs of the own domain + b * domains + c * all VMs")
+    for role in ROLES:
+        for name in RATE_NAMES:
+            values = [getattr(measured.roles[role], name) for measured in samples.values()]
+            factors = fit(rows, values)
+            worked_out = sum(f * t for f, t in zip(factors, target, strict=True))
+            numbers = ", ".join(f"{factor:.4g}" for factor in factors)
+            print(f"  {role} {name}: {numbers} -> {worked_out:.1f}")
+
+
+def main() -> None:
+    """Measure the layouts, one at a time."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("layouts", nargs="*", default=DEFAULT_LAYOUTS)
+    parser.add_argument("--window-s", type=float, default=WINDOW_S)
+    parser.add_argument("--json", help="Also write the samples to this file.")
+    arguments = parser.parse_args()
+    samples = {}
+    for layout in map(parse_layout, arguments.layouts):
+        samples[layout] = run(layout, arguments.window_s)
+        print_sample(layout, samples[layout])
+    if len(samples) >= len(terms(0, 0)):
+        print_fit(samples)
+    if arguments.json:
+        with open(arguments.json, "w", encoding="utf-8") as file:
+            json.dump([{"layout": attrs.asdict(k), **_plain(v)} for k, v in samples.items()], file)
+
+
+def _plain(measured: FleetSample) -> dict[str, object]:
+    roles = {
+        role: {name: getattr(rates, name) for name in RATE_NAMES}
+        for role, rates in measured.roles.items()
+    }
+    reads, writes = measured.reads_per_s, measured.writes_per_s
+    return {"roles": roles, "reads_per_s": reads, "writes_per_s": writes}
+
+
+if __name__ == "__main__":
+    main()
--- a/src/siskinward/daemon/metrics.py
+++ b/src/siskinward/daemon/metrics.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from siskinward.coordination.outcomes import RefusalReason
     from siskinward.coordination.outcomes import RetryReason
+    from siskinward.transport.traffic import Direction
 
 LATENCY_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
@@ -58,6 +59,30 @@
             ("failure_domain",),
             registry=registry,
         )
+        self.peer_messages = Counter(
+            "siskinward_peer_messages",
+            "Messages between VMs, by class and direction.",
+            ("message", "direction"),
+            registry=registry,
+        )
+        self.peer_bytes = Counter(
+            "siskinward_peer_bytes",
+            "Bytes of messages between VMs, by class and direction.",
+            ("message", "direction"),
+            registry=registry,
+        )
+        self._traffic: dict[tuple[type, Direction], tuple[Counter, Counter]] = {}
+
+    def count_traffic(self, message_type: type, direction: Direction, size_bytes: int) -> None:
+        """Count one message between VMs."""
+        counters = self._traffic.get((message_type, direction))
+        if counters is None:
+            labels = (message_type.__name__, direction.value)
+            counters = (self.peer_messages.labels(*labels), self.peer_bytes.labels(*labels))
+            self._traffic[message_type, direction] = counters
+        messages, size = counters
+        messages.inc()
+        size.inc(size_bytes)
 
     def count_refusal(self, reason: RefusalReason, service: str = "", account: str = "") -> None:
         """Count one refusal."""
--- a/src/siskinward/daemon/node_parts.py
+++ b/src/siskinward/daemon/node_parts.py
@@ -82,7 +82,9 @@
     secret = settings.peers.shared_secret.encode()
     metrics = NodeMetrics()
     platform = PlatformClient(settings.platform)
-    hub = PeerHub(PeerSettings(own, secret), create_codec(), on_message, on_error)
+    hub = PeerHub(
+        PeerSettings(own, secret), create_codec(), on_message, on_error, metrics.count_traffic
+    )
     router = PartRouter(EffectRunner(hub, platform))
     ledger = SlotLedger(AdmissionSettings())
     authority = Authority(own, ledger, now_s)
--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -20,6 +20,8 @@
 from siskinward.transport.peer_link import PeerLink
 from siskinward.transport.sockets import connect
 from siskinward.transport.task_set import TaskSet
+from siskinward.transport.traffic import Direction
+from siskinward.transport.traffic import ignore_traffic
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -29,6 +31,7 @@
     from siskinward.protocol.codec import MessageCodec
     from siskinward.state.identifiers import VmName
     from siskinward.transport.peer_link import PeerSettings
+    from siskinward.transport.traffic import TrafficCounter
 
 OUTBOX_LIMIT_MESSAGES = 4096
 PING_INTERVAL_S = 0.5
@@ -54,16 +57,17 @@
         codec: MessageCodec,
         on_message: Callable[[Any, VmIdentity], Awaitable[None]],
         on_error: Callable[[StepError], None],
+        on_traffic: TrafficCounter = ignore_traffic,
     ) -> None:
         self._settings = settings
         self._codec = codec
         self._on_message = on_message
         self._on_error = on_error
+        self._on_traffic = on_traffic
         self._addresses: dict[VmName, PeerAddress] = {}
         self._outgoing: dict[VmName, _OutgoingLink] = {}
         self._incoming = TaskSet()
         self.dropped_count = 0
-        self.sent_bytes = 0
 
     def set_address(self, vm: VmName, address: PeerAddress) -> None:
         """Learn or change where a VM accepts streams."""
@@ -89,7 +93,7 @@
         if link.outbox.full():
             self.dropped_count += 1
             return False
-        self.sent_bytes += len(frame)
+        self._on_traffic(type(message), Direction.OUT, len(frame))
         await link.outbox.put(frame)
         return True
 
@@ -112,13 +116,15 @@
         previous = self._outgoing.get(to)
         if previous is not None and previous.task is not None:
             await previous.task.cancel(blocking=False)
-        link = _OutgoingLink(self._settings, self._codec, to, address, self._on_error)
+        link = _OutgoingLink(
+            self._settings, self._codec, to, address, self._on_error, self._on_traffic
+        )
         self._outgoing[to] = link
         link.task = await curio.spawn(link.run, daemon=True)
         return link
 
     async def _serve_link(self, sock: Any, peer: str) -> None:
-        link = PeerLink(sock, self._codec, peer)
+        link = PeerLink(sock, self._codec, peer, self._on_traffic)
         async with sock:
             result = await link.handshake(self._settings, is_initiator=False)
             if result.is_error():
@@ -148,11 +154,13 @@
         to: VmName,
         address: PeerAddress,
         on_error: Callable[[StepError], None],
+        on_traffic: TrafficCounter,
     ) -> None:
         self._settings = settings
         self._codec = codec
         self._to = to
         self._on_error = on_error
+        self._on_traffic = on_traffic
         self._pong_at_s = 0.0
         self.address = address
         self.outbox = curio.Queue(OUTBOX_LIMIT_MESSAGES)
@@ -172,7 +180,8 @@
         async with curio.timeout_after(CONNECT_TIMEOUT_S):
             sock = await connect(self.address.host, self.address.port)
         async with sock:
-            link = PeerLink(sock, self._codec, f"{self.address.host}:{self.address.port}")
+            peer = f"{self.address.host}:{self.address.port}"
+            link = PeerLink(sock, self._codec, peer, self._on_traffic)
             result = await link.handshake(self._settings, is_initiator=True)
             if result.is_error():
                 raise SiskinwardError(result.error)
@@ -204,7 +213,9 @@
         while await curio.clock() - self._pong_at_s < SILENCE_LIMIT_S:
             serial += 1
             if not self.outbox.full():
-                await self.outbox.put(self._codec.encode(Ping(serial)))
+                frame = self._codec.encode(Ping(serial))
+                self._on_traffic(Ping, Direction.OUT, len(frame))
+                await self.outbox.put(frame)
             await curio.sleep(PING_INTERVAL_S)
 
     async def _read_pongs(self, link: PeerLink) -> None:
--- a/src/siskinward/transport/peer_link.py
+++ b/src/siskinward/transport/peer_link.py
@@ -21,11 +21,14 @@
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.errors import StepError
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+from siskinward.transport.traffic import Direction
+from siskinward.transport.traffic import ignore_traffic
 
 if TYPE_CHECKING:
     from expression import Result
 
     from siskinward.protocol.codec import MessageCodec
+    from siskinward.transport.traffic import TrafficCounter
 
 HANDSHAKE_TIMEOUT_S = 2.0
 
@@ -41,10 +44,17 @@
 class PeerLink:
     """Reads and writes messages on a stream whose other side has proved the secret."""
 
-    def __init__(self, sock: Any, codec: MessageCodec, address: str) -> None:
+    def __init__(
+        self,
+        sock: Any,
+        codec: MessageCodec,
+        address: str,
+        on_traffic: TrafficCounter = ignore_traffic,
+    ) -> None:
         self._sock = sock
         self._codec = codec
         self._unpacker = codec.unpacker()
+        self._on_traffic = on_traffic
         self.address = address
 
     async def handshake(
@@ -84,7 +94,9 @@
 
     async def write(self, message: Any) -> None:
         """Send one message."""
-        await self._sock.sendall(self._codec.encode(message))
+        frame = self._codec.encode(message)
+        self._on_traffic(type(message), Direction.OUT, len(frame))
+        await self._sock.sendall(frame)
 
     async def write_frames(self, frames: list[bytes]) -> None:
         """Send messages that are encoded already, in one write."""
@@ -93,9 +105,13 @@
     async def read(self) -> Any:
         """Read one message. Raises ``SiskinwardError`` on a broken one, ``OSError`` at the end."""
         while True:
+            start = self._unpacker.tell()
             frame = self._next_frame()
             if frame is not None:
-                return self._decode(frame)
+                message = self._decode(frame)
+                size_bytes = self._unpacker.tell() - start
+                self._on_traffic(type(message), Direction.IN, size_bytes)
+                return message
             data = await self._sock.recv(RECEIVE_SIZE_BYTES)
             if not data:
                 raise ConnectionResetError("the peer closed the link")
