Ping links only after messages, and end links that stay idle

Cause: every link opened by the first probes was pinged twice a second for good, so a VM of 30 held 22 links and exchanged 180 pings and pongs a second (67 % of its messages). Now a link is pinged after messages only, ends when idle, and a peer that is gone is given up.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -48,9 +48,7 @@
         rates = measured.roles[role]
         values = " ".join(f"{name}={getattr(rates, name):.2f}" for name in RATE_NAMES)
         print(f"  {role}: {values}")
-        top = sorted(
-            ((v, k) for k, v in rates.by_class.items() if k[0] == "bytes"), reverse=True
-        )
+        top = sorted(((v, k) for k, v in rates.by_class.items() if k[0] == "bytes"), reverse=True)
         for value, (_, direction, message) in top[:TOP_CLASSES]:
             count = rates.by_class["messages", direction, message]
             print(f"      {message} {direction}: {value:.0f} B/s in {count:.1f} messages/s")
--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -1,8 +1,9 @@
 """Links to all other VMs: one outgoing stream per peer, any number of incoming ones.
 
-Messages are sent on the outgoing stream and received on incoming ones. A ping on each outgoing
-stream finds connections that went silent; messages queued meanwhile may be lost, as the decision
-objects expect.
+Messages are sent on the outgoing stream and received on incoming ones. A ping after messages on
+an outgoing stream finds connections that went silent; messages queued meanwhile may be lost, as
+the decision objects expect. A stream without messages ends, so that a VM pays only for the peers
+that it talks to.
 """
 
 from __future__ import annotations
@@ -34,8 +35,6 @@
     from siskinward.transport.traffic import TrafficCounter
 
 OUTBOX_LIMIT_MESSAGES = 4096
-PING_INTERVAL_S = 0.5
-SILENCE_LIMIT_S = 2.0
 RECONNECT_DELAY_S = 0.3
 CONNECT_TIMEOUT_S = 1.0
 
@@ -69,6 +68,11 @@
         self._incoming = TaskSet()
         self.dropped_count = 0
 
+    @property
+    def link_count(self) -> int:
+        """Number of outgoing links."""
+        return len(self._outgoing)
+
     def set_address(self, vm: VmName, address: PeerAddress) -> None:
         """Learn or change where a VM accepts streams."""
         self._addresses[vm] = address
@@ -89,6 +93,7 @@
         link = self._outgoing.get(to)
         if link is None or link.address != address:
             link = await self._open(to, address)
+        link.is_used = True
         frame = self._codec.encode(message)
         if link.outbox.full():
             self.dropped_count += 1
@@ -120,9 +125,14 @@
             self._settings, self._codec, to, address, self._on_error, self._on_traffic
         )
         self._outgoing[to] = link
-        link.task = await curio.spawn(link.run, daemon=True)
+        link.task = await curio.spawn(self._run_link, link, daemon=True)
         return link
 
+    async def _run_link(self, link: _OutgoingLink) -> None:
+        await link.run()
+        if self._outgoing.get(link.to) is link:
+            del self._outgoing[link.to]
+
     async def _serve_link(self, sock: Any, peer: str) -> None:
         link = PeerLink(sock, self._codec, peer, self._on_traffic)
         async with sock:
@@ -158,23 +168,34 @@
     ) -> None:
         self._settings = settings
         self._codec = codec
-        self._to = to
+        self.to = to
         self._on_error = on_error
         self._on_traffic = on_traffic
-        self._pong_at_s = 0.0
+        self._serial = 0
+        self._unanswered_since_s: float | None = None
+        self._used_at_s = 0.0
+        self.is_used = True
         self.address = address
         self.outbox = curio.Queue(OUTBOX_LIMIT_MESSAGES)
         self.task: Any = None
 
     async def run(self) -> None:
-        while True:
+        """Keep the link up until it has been idle for long."""
+        while not self._is_idle(await curio.clock()):
             try:
                 await self._run_once()
             except SiskinwardError as error:
                 self._on_error(error.error)
             except (OSError, curio.TaskTimeout):
                 pass
-            await curio.sleep(RECONNECT_DELAY_S)
+            if not self._is_idle(await curio.clock()):
+                await curio.sleep(RECONNECT_DELAY_S)
+
+    def _is_idle(self, now_s: float) -> bool:
+        if self.is_used:
+            self.is_used = False
+            self._used_at_s = now_s
+        return now_s - self._used_at_s >= self._settings.idle_limit_s
 
     async def _run_once(self) -> None:
         async with curio.timeout_after(CONNECT_TIMEOUT_S):
@@ -186,7 +207,8 @@
             if result.is_error():
                 raise SiskinwardError(result.error)
             self._check_peer(result.ok)
-            self._pong_at_s = await curio.clock()
+            self._unanswered_since_s = None
+            self.is_used = True
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(self._write, link)
                 await group.spawn(self._ping)
@@ -195,9 +217,9 @@
                 raise group.exception
 
     def _check_peer(self, identity: VmIdentity) -> None:
-        if identity.vm == self._to:
+        if identity.vm == self.to:
             return
-        detail = f"expected VM {self._to}, found {identity.vm}"
+        detail = f"expected VM {self.to}, found {identity.vm}"
         peer = f"{self.address.host}:{self.address.port}"
         raise SiskinwardError(StepError("handshake", peer, detail))
 
@@ -209,15 +231,26 @@
             await link.write_frames(frames)
 
     async def _ping(self) -> None:
-        serial = 0
-        while await curio.clock() - self._pong_at_s < SILENCE_LIMIT_S:
-            serial += 1
-            if not self.outbox.full():
-                frame = self._codec.encode(Ping(serial))
-                self._on_traffic(Ping, Direction.OUT, len(frame))
-                await self.outbox.put(frame)
-            await curio.sleep(PING_INTERVAL_S)
+        """Ask for a sign of life after messages; end when there is none, or nothing to send."""
+        while True:
+            now_s = await curio.clock()
+            since_s = self._unanswered_since_s
+            if since_s is not None and now_s - since_s >= self._settings.silence_limit_s:
+                return
+            if self.is_used and not self.outbox.full():
+                self._unanswered_since_s = now_s if since_s is None else since_s
+                await self._send_ping()
+            if self._is_idle(now_s):
+                return
+            await curio.sleep(self._settings.ping_interval_s)
+
+    async def _send_ping(self) -> None:
+        self._serial += 1
+        frame = self._codec.encode(Ping(self._serial))
+        self._on_traffic(Ping, Direction.OUT, len(frame))
+        await self.outbox.put(frame)
 
     async def _read_pongs(self, link: PeerLink) -> None:
-        while isinstance(await link.read(), Pong):
-            self._pong_at_s = await curio.clock()
+        while isinstance(message := await link.read(), Pong):
+            is_last = message.serial == self._serial
+            self._unanswered_since_s = None if is_last else await curio.clock()
--- a/src/siskinward/transport/peer_link.py
+++ b/src/siskinward/transport/peer_link.py
@@ -35,10 +35,18 @@
 
 @frozen
 class PeerSettings:
-    """Who this VM is towards other VMs, and the secret that all VMs of a deployment share."""
+    """Who this VM is towards other VMs, and the secret that all VMs of a deployment share.
+
+    A link that has carried messages is pinged every ``ping_interval_s`` until a pong came back,
+    counts as broken after ``silence_limit_s`` without one, and ends after ``idle_limit_s``
+    without messages.
+    """
 
     own: VmIdentity
     shared_secret: bytes
+    ping_interval_s: float = 1.0
+    silence_limit_s: float = 2.0
+    idle_limit_s: float = 6.0
 
 
 class PeerLink:
