Pack load reports in rows and send them once a second

Cause: at 20 domains of 30 VMs a bulletin was 23,476 bytes, because each load carried its field names and each summary the names of its domain's VMs; two children each half second make 94 KB/s against 14 KB/s. Membership already tells the VMs, so summaries leave them out; rows carry values only.

--- a/src/siskinward/coordination/summaries/__init__.py
+++ b/src/siskinward/coordination/summaries/__init__.py
@@ -5,6 +5,7 @@
 from siskinward.coordination.summaries._exchange import OwnReport
 from siskinward.coordination.summaries._exchange import SummaryExchange
 from siskinward.coordination.summaries._exchange import SummarySettings
-from siskinward.coordination.summaries.messages import DomainSummary
+from siskinward.coordination.summaries.reports import DomainSummary
+from siskinward.coordination.summaries.reports import OwnerReport
 
-__all__ = ["DomainSummary", "OwnReport", "SummaryExchange", "SummarySettings"]
+__all__ = ["DomainSummary", "OwnerReport", "OwnReport", "SummaryExchange", "SummarySettings"]
--- a/src/siskinward/coordination/summaries/_exchange.py
+++ b/src/siskinward/coordination/summaries/_exchange.py
@@ -15,9 +15,14 @@
 
 from siskinward.coordination.events import Send
 from siskinward.coordination.routing import ServiceLoad
+from siskinward.coordination.summaries._packing import pack_reports
+from siskinward.coordination.summaries._packing import unpack_reports
 from siskinward.coordination.summaries.messages import Bulletin
-from siskinward.coordination.summaries.messages import DomainSummary
-from siskinward.coordination.summaries.messages import OwnerReport
+from siskinward.coordination.summaries.messages import DomainNotice
+from siskinward.coordination.summaries.messages import OwnerNotice
+from siskinward.coordination.summaries.reports import DomainSummary
+from siskinward.coordination.summaries.reports import OwnerReport
+from siskinward.coordination.summaries.reports import Reports
 from siskinward.state.identifiers import VmName
 
 if TYPE_CHECKING:
@@ -37,7 +42,7 @@
 class SummarySettings:
     """How often reports are sent, and how long they are passed on."""
 
-    interval_s: float = 0.5
+    interval_s: float = 1.0
     lifetime_s: float = 3.0
 
 
@@ -89,30 +94,42 @@
         self._take_owner(own, now_s)
         root = self._root(now_s)
         if root != self._own.vm:
-            effects: list[Effect] = [Send(root, own)]
+            effects: list[Effect] = [Send(root, OwnerNotice(pack_reports(Reports((own,)))))]
         else:
             effects = self._bulletins(self._bulletin(now_s), now_s)
-        summary = self._summary(report, now_s)
-        partners = self._membership.paired_relays(now_s)
-        return effects + [Send(member.identity.vm, summary) for member in partners]
+        return effects + self._domain_notices(report, now_s)
 
     def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> list[Effect]:
         """Take a report, a summary or a bulletin."""
+        reports = unpack_reports(message.content)
+        if reports is None:
+            return []
+        is_own_domain = sender.failure_domain == self._own.failure_domain
         match message:
-            case OwnerReport() if sender.failure_domain == self._own.failure_domain:
-                self._take_owner(message, now_s)
-            case DomainSummary() if sender.failure_domain == message.failure_domain:
-                self._take_domain(message, now_s)
-            case Bulletin() if sender.failure_domain == self._own.failure_domain:
-                return self._on_bulletin(message, now_s)
+            case OwnerNotice() if is_own_domain:
+                self._take_owners(reports, now_s)
+            case DomainNotice() if not is_own_domain:
+                for summary in reports.domains:
+                    if summary.failure_domain == sender.failure_domain:
+                        self._take_domain(summary, now_s)
+            case Bulletin() if is_own_domain:
+                self._take_owners(reports, now_s)
+                for summary in reports.domains:
+                    self._take_domain(summary, now_s)
+                return self._bulletins(message, now_s)
         return []
 
-    def _on_bulletin(self, message: Bulletin, now_s: float) -> list[Effect]:
-        for owner in message.owners:
-            self._take_owner(owner, now_s)
-        for summary in message.domains:
-            self._take_domain(summary, now_s)
-        return self._bulletins(message, now_s)
+    def _domain_notices(self, report: OwnReport, now_s: float) -> list[Effect]:
+        partners = self._membership.paired_relays(now_s)
+        if not partners:
+            return []
+        summary = self._summary(report, now_s)
+        notice = DomainNotice(pack_reports(Reports(domains=(summary,))))
+        return [Send(member.identity.vm, notice) for member in partners]
+
+    def _take_owners(self, reports: Reports, now_s: float) -> None:
+        for report in reports.owners:
+            self._take_owner(report, now_s)
 
     def _take_owner(self, report: OwnerReport, now_s: float) -> None:
         known, _ = self._owners.get(report.vm, (None, 0.0))
@@ -137,19 +154,17 @@
             if self._is_recent(at_s, now_s):
                 for load in owner.loads:
                     totals[load.service].append(load)
-        live = self._membership.live_vms(self._own.failure_domain, now_s)
         return DomainSummary(
             failure_domain=self._own.failure_domain,
             holder=report.holder,
             epoch=report.epoch,
             sequence=self._sequence,
-            vms=tuple(member.identity.vm for member in live if not member.leaving),
             loads=tuple(_total(service, loads) for service, loads in totals.items()),
         )
 
     def _bulletin(self, now_s: float) -> Bulletin:
         owners = [item for item, at_s in self._owners.values() if self._is_recent(at_s, now_s)]
-        return Bulletin(tuple(owners), tuple(self.summaries(now_s)))
+        return Bulletin(pack_reports(Reports(tuple(owners), tuple(self.summaries(now_s)))))
 
     def _bulletins(self, bulletin: Bulletin, now_s: float) -> list[Effect]:
         names = self._tree(now_s)
--- a/src/siskinward/coordination/summaries/messages.py
+++ b/src/siskinward/coordination/summaries/messages.py
@@ -1,42 +1,29 @@
-"""Messages of the summary exchange."""
+"""Messages of the summary exchange. Their contents are packed by ``pack_reports``."""
 
 from __future__ import annotations
 
 from attrs import frozen
 
-from siskinward.coordination.routing import ServiceLoad
-from siskinward.state.identifiers import DomainName
-from siskinward.state.identifiers import VmName
-
 
 @frozen
-class OwnerReport:
-    """Load of the targets that ``vm`` owns; the sequence grows within one incarnation."""
+class OwnerNotice:
+    """One owner's report, for the root relay of its failure domain."""
 
-    vm: VmName
-    incarnation: str
-    sequence: int
-    loads: tuple[ServiceLoad, ...]
+    content: bytes
 
 
 @frozen
-class DomainSummary:
-    """What other failure domains need to know: the grant's holder, open VMs and their load."""
+class DomainNotice:
+    """One failure domain's summary, for a relay of another one."""
 
-    failure_domain: DomainName
-    holder: VmName
-    epoch: int
-    sequence: int
-    vms: tuple[VmName, ...]
-    loads: tuple[ServiceLoad, ...]
+    content: bytes
 
 
 @frozen
 class Bulletin:
     """From the root relay down its failure domain: all owners' loads and other domains."""
 
-    owners: tuple[OwnerReport, ...]
-    domains: tuple[DomainSummary, ...]
+    content: bytes
 
 
-MESSAGES: tuple[type, ...] = (OwnerReport, DomainSummary, Bulletin)
+MESSAGES: tuple[type, ...] = (OwnerNotice, DomainNotice, Bulletin)
--- a/src/siskinward/daemon/cluster.py
+++ b/src/siskinward/daemon/cluster.py
@@ -56,6 +56,11 @@
         """Return the live VMs of the own failure domain, this one included."""
         return self.membership.live_vms(self._own.failure_domain, now_s)
 
+    def open_vms(self, domain: DomainName, now_s: float) -> tuple[VmName, ...]:
+        """Return the live VMs of a failure domain that are not leaving."""
+        members = self.membership.live_vms(domain, now_s)
+        return tuple(member.identity.vm for member in members if not member.leaving)
+
     def live_identities(self, now_s: float) -> list[VmIdentity]:
         """Return the live VMs of all heard failure domains, this one included."""
         found = [self._own]
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -162,6 +162,7 @@
 
     async def _on_members(self, now_s: float) -> None:
         parts = self._parts
+        self._steering.on_members(now_s)
         members = parts.cluster.domain_members(now_s)
         await parts.router.run(parts.authority, parts.authority.on_members(members, now_s))
         await parts.desk.on_members(parts.cluster.live_identities(now_s), now_s)
--- a/src/siskinward/daemon/steering.py
+++ b/src/siskinward/daemon/steering.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from siskinward.coordination.events import Effect
-    from siskinward.coordination.summaries.messages import OwnerReport
+    from siskinward.coordination.summaries import OwnerReport
     from siskinward.daemon.node_parts import NodeParts
     from siskinward.daemon.serving_state import ServingState
     from siskinward.state.identifiers import DomainName
@@ -38,6 +38,7 @@
         self._state: ServingState | None = None
         self._router: Router | None = None
         self._holders: dict[DomainName, VmName] = {}
+        self._summaries: dict[DomainName, DomainSummary] = {}
         self._told_holders: dict[DomainName, VmName] = {}
         self._reported_leaving: frozenset[TargetName] = frozenset()
         self._exchange = SummaryExchange(
@@ -67,6 +68,11 @@
         else:
             self._router.on_configuration(state.configuration, now_s)
 
+    def on_members(self, now_s: float) -> None:
+        """Tell the router the VMs of the failure domains whose load is known."""
+        for summary in self._summaries.values():
+            self._tell_domain(summary, now_s)
+
     def on_target_states(self, leaving: frozenset[TargetName]) -> None:
         """Take the targets that say themselves that they are leaving."""
         self._reported_leaving = leaving
@@ -105,9 +111,16 @@
     def _on_domain(self, summary: DomainSummary, now_s: float) -> None:
         if summary.holder:
             self._holders[summary.failure_domain] = summary.holder
-        if self._router is not None:
-            load = DomainLoad(summary.failure_domain, summary.sequence, summary.vms, summary.loads)
-            self._router.on_domain_load(load, now_s)
+        self._summaries[summary.failure_domain] = summary
+        self._tell_domain(summary, now_s)
+
+    def _tell_domain(self, summary: DomainSummary, now_s: float) -> None:
+        if self._router is None:
+            return
+        domain = summary.failure_domain
+        vms = self._parts.cluster.open_vms(domain, now_s)
+        load = DomainLoad(domain, summary.sequence, vms, summary.loads)
+        self._router.on_domain_load(load, now_s)
 
     def _on_owner(self, report: OwnerReport, now_s: float) -> None:
         if self._router is None:
