--- a/src/siskinward/console/application.py
+++ b/src/siskinward/console/application.py
@@ -13,6 +13,7 @@
 from siskinward.console.commands.key import key
 from siskinward.console.commands.node import node
 from siskinward.console.commands.publish import publish
+from siskinward.console.commands.replay import replay
 from siskinward.console.commands.show import show
 from siskinward.console.commands.standin import standin
 from siskinward.console.commands.vms import vms
@@ -32,5 +33,6 @@
 main.add_command(history)
 main.add_command(key)
 main.add_command(publish)
+main.add_command(replay)
 main.add_command(show)
 main.add_command(vms)
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -44,11 +45,16 @@
 class Node:
     """One entry VM."""
 
-    def __init__(self, settings: NodeSettings, now_s: float) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        now_s: float,
+        random_bytes: Callable[[int], bytes] = os.urandom,
+    ) -> None:
         self._settings = settings
         self._state: ServingState | None = None
         self._is_leaving = False
-        parts = create_parts(settings, self._on_message, self._on_error, now_s)
+        parts = create_parts(settings, self._on_message, self._on_error, now_s, random_bytes)
         self.parts = parts
         self.metrics = parts.metrics
         self._steering = Steering(parts)
--- a/src/siskinward/daemon/node_parts.py
+++ b/src/siskinward/daemon/node_parts.py
@@ -83,9 +83,10 @@
     on_message: Callable[[Any, VmIdentity], Awaitable[None]],
     on_error: Callable[[StepError], None],
     now_s: float,
+    random_bytes: Callable[[int], bytes] = os.urandom,
 ) -> NodeParts:
     """Build the parts of one process, under a new incarnation."""
-    incarnation = IncarnationId(os.urandom(INCARNATION_SIZE_BYTES).hex())
+    incarnation = IncarnationId(random_bytes(INCARNATION_SIZE_BYTES).hex())
     own = VmIdentity(settings.node.vm, settings.node.failure_domain, incarnation)
     secret = settings.peers.shared_secret.encode()
     metrics = NodeMetrics()
@@ -99,7 +100,7 @@
     wallet = TokenWallet(ShareSettings(), own)
     gate = AccountGate(wallet, router)
     desk = TicketDesk(own, TicketBook(TicketSettings(), own, secret), router)
-    source = random.Random(os.urandom(INCARNATION_SIZE_BYTES))
+    source = random.Random(random_bytes(INCARNATION_SIZE_BYTES))
     picker = TargetPicker(RoutingSettings(), source)
     quarantine = QuarantineDesk(own, Quarantine(QUARANTINE_SETTINGS, own), router)
     local = LocalService(
--- a/src/siskinward/standins/deployment.py
+++ b/src/siskinward/standins/deployment.py
@@ -93,6 +93,7 @@
     _platform_port: int = 0
     _tasks: list[Any] = field(factory=list)
     _publish_count: int = 0
+    _start_count: int = 0
 
     async def start(self) -> None:
         """Start everything and wait until all targets are owned and mints have settled."""
@@ -119,7 +120,9 @@
     async def start_vm(self, name: str) -> None:
         """Start a new process of a VM."""
         vm = self.configuration.vms[VmName(name)]
-        node = Node(self._node_settings(vm), await curio.clock())
+        self._start_count += 1
+        source = random.Random(self.settings.seed * 1000 + self._start_count)
+        node = Node(self._node_settings(vm), await curio.clock(), source.randbytes)
         stop = curio.Event()
         running = _RunningVm(node, None, stop, curio.Event())
         await running.resumed.set()
--- /dev/null
+++ b/src/siskinward/standins/replay/__init__.py
@@ -0,0 +1,21 @@
+"""Replay of recorded traces against stated outcomes."""
+
+from __future__ import annotations
+
+from siskinward.standins.replay._expectations import BrokenOutcome
+from siskinward.standins.replay._expectations import check_outcomes
+from siskinward.standins.replay._expectations import load_expectations
+from siskinward.standins.replay._runner import ReplayResult
+from siskinward.standins.replay._runner import replay
+from siskinward.standins.replay._trace import Trace
+from siskinward.standins.replay._trace import load_trace
+
+__all__ = [
+    "BrokenOutcome",
+    "ReplayResult",
+    "Trace",
+    "check_outcomes",
+    "load_expectations",
+    "load_trace",
+    "replay",
+]
