--- a/src/siskinward/standins/replay/_runner.py
+++ b/src/siskinward/standins/replay/_runner.py
@@ -57,7 +57,11 @@
 async def replay(trace: Trace, configuration: Configuration) -> ReplayResult:
     """Run a trace on the kernel's clock, paused or real."""
     line = trace.deployment
-    settings = DeploymentSettings(seed=line.seed, service_time_s=line.service_time_ms / MS_PER_S)
+    settings = DeploymentSettings(
+        seed=line.seed,
+        service_time_s=line.service_time_ms / MS_PER_S,
+        cold_requests=line.cold_requests,
+    )
     deployment = Deployment(settings, configuration)
     await deployment.start()
     try:
--- a/src/siskinward/standins/replay/_trace.py
+++ b/src/siskinward/standins/replay/_trace.py
@@ -28,6 +28,7 @@
     configuration: str
     seed: int = 1
     service_time_ms: float = 20.0
+    cold_requests: int = 0
     duration_s: float = 20.0
 
 
