Let idle connections make room at a pool's limit

Cause: reads of the platform took only connections proven alive within 1 s and kept the others for 30 s; after 8 of them the pool refused, and a VM that was cut off from its peers called itself isolated for 5 s although the platform answered. Conclusion: the connection proven alive longest ago is closed first.

--- a/src/siskinward/coordination/connections.py
+++ b/src/siskinward/coordination/connections.py
@@ -223,6 +223,15 @@
             for connection in self._connections.values()
         )
 
+    def oldest_idle(self) -> int | None:
+        """The idle connection that was proven alive longest ago, to make room for a new one."""
+        idle = [
+            (connection.proof_at_s, connection_id)
+            for connection_id, connection in self._connections.items()
+            if connection.exchange is None
+        ]
+        return min(idle)[1] if idle else None
+
     def idle_expired(self, now_s: float) -> list[int]:
         """Idle connections too old for any use."""
         limit_s = self._settings.idle_limit_s
--- a/src/siskinward/standins/caller.py
+++ b/src/siskinward/standins/caller.py
@@ -85,7 +85,7 @@
         self.tickets: dict[str, str] = {}
         self._routes = list(configuration.routes.values())
         self._weights = [_weight(configuration, route) for route in self._routes]
-        self._lookups: dict[str, _CachedLookup] = {}
+        self._lookups: dict[tuple[str, str], _CachedLookup] = {}
         self._pools: dict[tuple[str, int], ConnectionPool] = {}
 
     async def run(self, until_s: float) -> None:
@@ -121,12 +121,12 @@
 
     async def _attempts(self, request: CallerRequest) -> HttpResponse | None:
         for _ in range(ATTEMPT_LIMIT):
-            lookup = await self._lookup(request.route)
+            lookup = await self._lookup(request)
             ticket = self._ticket(request, lookup)
             response = await self._attempt(request, lookup, ticket)
             if response is not None:
                 return response
-            self._lookups.pop(request.route.service, None)
+            self._lookups.pop((request.route.service, request.vm), None)
             await curio.sleep(RESEND_DELAY_S)
         return None
 
@@ -161,21 +161,25 @@
         )
         return None if result.is_error() else result.ok
 
-    async def _lookup(self, route: Route) -> _CachedLookup:
-        cached = self._lookups.get(route.service)
+    async def _lookup(self, request: CallerRequest) -> _CachedLookup:
+        route = request.route
+        key = (route.service, request.vm)
+        cached = self._lookups.get(key)
         now_s = await curio.clock()
         needs_ticket = not route.idempotent
         is_fresh = cached is not None and now_s < cached.expires_at_s
         if cached is not None and is_fresh and (cached.tickets or not needs_ticket):
             return cached
-        fresh = await self._ask_any_vm(route, TICKETS_PER_LOOKUP if needs_ticket else 0)
-        self._lookups[route.service] = fresh
+        vms = [self._vms[request.vm]] if request.vm else self._seeds
+        asked = self._rng.sample(vms, len(vms))
+        fresh = await self._ask(asked, route, TICKETS_PER_LOOKUP if needs_ticket else 0)
+        self._lookups[key] = fresh
         return fresh
 
-    async def _ask_any_vm(self, route: Route, tickets: int) -> _CachedLookup:
+    async def _ask(self, vms: list[tuple[str, int]], route: Route, tickets: int) -> _CachedLookup:
         target = f"/lookup?service={route.service}&client={self._load.client_address}"
         request = HttpRequest("GET", f"{target}&tickets={tickets}")
-        for host, port in self._rng.sample(self._seeds, len(self._seeds)):
+        for host, port in vms:
             pool = self._pool(host, port)
             result = await pool.exchange(request, LOOKUP_TIMEOUT_S, needs_recent_proof=True)
             if result.is_ok() and result.ok.status == 200:
--- a/src/siskinward/transport/connection_pool.py
+++ b/src/siskinward/transport/connection_pool.py
@@ -112,6 +112,9 @@
 
     async def _open_new(self, timeout_s: float) -> Result[int, ExchangeError]:
         settings = self.settings
+        oldest_id = self._connections.oldest_idle()
+        if self.open_count >= settings.connection_limit and oldest_id is not None:
+            await self._discard(oldest_id)
         if self.open_count >= settings.connection_limit:
             detail = f"all {settings.connection_limit} connections are in use"
             peer = f"{settings.host}:{settings.port}"
--- a/tests/daemon/test_node_faults.py
+++ b/tests/daemon/test_node_faults.py
@@ -151,6 +151,19 @@
     deployment.run(body)
 
 
+def test_booking_whose_home_is_cut_off_is_told_at_once(deployment: SmallDeployment) -> None:
+    async def body() -> None:
+        tickets = await deployment.tickets("vm-a", 4)
+        deployment.cut_domains = {"a"}
+        for seconds in (0.0, 2.0, 6.0, 10.0):
+            await curio.sleep(seconds)
+            status, reason, _ = refusal(await deployment.book("vm-b", tickets.pop()))
+            assert (status, reason) == (503, "claim-unavailable")
+        assert deployment.booking_runs() == []
+
+    deployment.run(body)
+
+
 def test_isolated_domain_refuses_keys_that_nobody_vouches_for(
     deployment: SmallDeployment,
 ) -> None:
