--- a/src/siskinward/coordination/grants/_machine.py
+++ b/src/siskinward/coordination/grants/_machine.py
@@ -84,10 +84,12 @@
         self._next_announce_s = now_s
         return self.announce(self._settings.announce_interval_s, now_s)
 
-    def validate(self, record: GrantRecord, now_s: float) -> list[Effect]:
+    def validate(
+        self, record: GrantRecord, now_s: float, *, contested: bool = False
+    ) -> list[Effect]:
         """Stop using the grant until the platform, or all peers, confirm the record."""
         request_id = self.link.next_request_id()
-        self.state = Validating(record, request_id, request_id, now_s)
+        self.state = Validating(record, request_id, request_id, now_s, contested)
         query = GrantQuery(self.link.grant, record.epoch, request_id)
         return [self.link.read(request_id), *self.link.to_peers(query)]
 
@@ -126,8 +128,13 @@
             return []
         match self.state:
             case Holding(own) | Waiting(own):
-                return self.validate(own, now_s)
-        return []
+                return self.validate(own, now_s, contested=True)
+            case Validating() as state:
+                self.state = evolve(state, contested=True)
+                return []
+        # Only a sender that names itself is answered, so that followers do not answer each other.
+        claims_itself = record.incarnation == sender.incarnation
+        return [Send(sender.vm, self.link.notice(self.newest))] if claims_itself else []
 
     def on_vouch(self, query_id: int, sender: VmIdentity, now_s: float) -> list[Effect]:
         """Count a peer that knows of no newer holder."""
@@ -156,8 +163,8 @@
                 return self._on_row(answer, now_s)
             case Holding(own) if answer.request_id == self._verify_id:
                 return self._on_verified(self._take(answer), own)
-            case Validating(own, request_id=request_id) if request_id == answer.request_id:
-                return self._on_validated(self._take(answer), own, now_s)
+            case Validating(request_id=request_id) as state if request_id == answer.request_id:
+                return self._on_validated(self._take(answer), state, now_s)
         return []
 
     def on_read_failed(self, answer: RowFailed, now_s: float) -> list[Effect]:
@@ -220,10 +227,13 @@
             return [Send(newest.vm, link.notice(newest))]
         if not link.is_candidate():
             return []
-        claim = link.own_record(newest.epoch + 1)
-        request_id = link.next_request_id()
-        self.state = Claiming(claim, request_id, now_s, from_vacant=newest.vacant)
-        return [link.write(claim, request_id)]
+        return self._claim(newest.epoch + 1, now_s, from_vacant=newest.vacant)
+
+    def _claim(self, epoch: int, now_s: float, *, from_vacant: bool) -> list[Effect]:
+        claim = self.link.own_record(epoch)
+        request_id = self.link.next_request_id()
+        self.state = Claiming(claim, request_id, now_s, from_vacant)
+        return [self.link.write(claim, request_id)]
 
     def _on_verified(self, record: GrantRecord, own: GrantRecord) -> list[Effect]:
         if record == own:
@@ -235,9 +245,13 @@
         self.state = Following()
         return []
 
-    def _on_validated(self, record: GrantRecord, own: GrantRecord, now_s: float) -> list[Effect]:
-        if record == own or record.epoch < own.epoch:
-            return self.wait(own, now_s)
-        self.newest = record
-        self.state = Following()
-        return []
+    def _on_validated(self, record: GrantRecord, state: Validating, now_s: float) -> list[Effect]:
+        own = state.record
+        if record != own and record.epoch >= own.epoch:
+            self.newest = record
+            self.state = Following()
+            return []
+        if state.contested:
+            # A higher epoch settles it for the peers that know the other holder.
+            return self._claim(own.epoch + 1, now_s, from_vacant=False)
+        return self.wait(own, now_s)
--- a/src/siskinward/coordination/grants/_states.py
+++ b/src/siskinward/coordination/grants/_states.py
@@ -51,12 +51,14 @@
     """Was stalled or contradicted; asks the platform, and the peers while it is away.
 
     ``query_id`` is fixed for the whole validation, ``request_id`` names the latest read.
+    ``contested`` says that a peer knows another holder of the same epoch.
     """
 
     record: GrantRecord
     query_id: int
     request_id: int
     asked_s: float
+    contested: bool = False
     platform_away: bool = False
     vouchers: frozenset[IncarnationId] = frozenset()
 
--- a/src/siskinward/coordination/membership/_membership.py
+++ b/src/siskinward/coordination/membership/_membership.py
@@ -180,7 +180,8 @@
         if not self.is_relay(now_s):
             # The sender takes this VM for a relay; the digest names the present ones.
             return [Send(sender.vm, self._domain.digest())]
-        if self._remote.direct.id_from(sender.failure_domain, sender.vm) != digest_id:
+        held_id = self._remote.direct.id_from(sender.failure_domain, sender.vm)
+        if not held_id or held_id != digest_id:
             return [Send(sender.vm, DigestRequest())]
         self._remote.direct.beat(sender.failure_domain, sender.vm, now_s)
         return []
--- a/tests/coordination/grants/test_grants_failures.py
+++ b/tests/coordination/grants/test_grants_failures.py
@@ -12,6 +12,9 @@
 from grant_world import World
 
 from siskinward.coordination.grants._record import decode_record
+from siskinward.coordination.grants.messages import GrantNotice
+from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import VmName
 
 if TYPE_CHECKING:
     from siskinward.coordination.grants import GrantRecord
@@ -173,6 +176,21 @@
     assert only_user(world) != old
 
 
+@pytest.mark.parametrize("index", [0, 1])
+def test_two_records_of_one_epoch_are_settled(world: World, index: int) -> None:
+    """A follower knows another holder of the epoch that the successor is given."""
+    old = only_user(world)
+    followers = [node for node in world.nodes.values() if node is not old]
+    ghost = GrantNotice("account/x", old.participant.epoch + 1, VmName("vm9"), IncarnationId("g"))
+    follower = followers[index]
+    follower.participant.on_message(ghost, followers[1 - index].identity, world.now_s)
+    world.release(old.name)
+    world.run(TAKEOVER_S + SILENCE_S, lambda: at_most_one(world))
+    new = only_user(world)
+    world.run(TAKEOVER_S, lambda: None if world.users() == [new] else pytest.fail("gap"))
+    assert {node.participant.holder for node in followers} == {new.name}
+
+
 def test_cut_inside_the_domain_breaks_the_assumption(world: World) -> None:
     """Cuts are assumed to run between failure domains.
 
