--- a/tests/coordination/test_freshness.py
+++ b/tests/coordination/test_freshness.py
@@ -5,6 +5,8 @@
 import pytest
 from version_net import Net
 
+from siskinward.coordination.events import ReadRow
+from siskinward.coordination.events import RowRead
 from siskinward.coordination.freshness import Connected
 from siskinward.coordination.freshness import FreshnessSettings
 from siskinward.coordination.freshness import Isolated
@@ -86,3 +88,15 @@
     net.objects.clear()
     net.run(NOTICED_S)
     assert isinstance(net.standing("a0"), Isolated)
+
+
+def test_freshness_counts_a_read_from_when_it_was_asked() -> None:
+    net = settled()
+    vm = net.vms["a0"]
+    net.platform_group = None
+    net.run(NOTICED_S)
+    clock_s = net.now_s + vm.skew_s
+    (poll,) = [e for e in vm.replica.on_timer(clock_s + 2.0) if isinstance(e, ReadRow)]
+    late_s = clock_s + 2.0 + BOUND_S - 1.0
+    vm.replica.on_table_answer(RowRead(poll.row, poll.request_id, *net.row), late_s)
+    assert vm.replica.standing(late_s) == Connected(late_s - clock_s - 2.0)
