--- a/src/siskinward/coordination/shares/_supply.py
+++ b/src/siskinward/coordination/shares/_supply.py
@@ -18,6 +18,7 @@
     from siskinward.state.identifiers import VmName
 
 
+PROBE_FANOUT = 3
 LOW_FULLNESS = 0.5
 """Fraction of its burst below which a mint is spared by prefetch."""
 
@@ -89,9 +90,9 @@
 
     def _probe(self, purse: Purse, askable: list[Origin], needed: int, now_s: float) -> None:
         """Ask mints that seem empty: they can recall tokens from other wallets."""
-        for origin in askable:
-            if origin.pending is None:
-                self.send(purse, origin, now_s, needed_micro=needed, wanted_micro=needed)
+        unasked = [origin for origin in askable if origin.pending is None]
+        for origin in unasked[:PROBE_FANOUT]:
+            self.send(purse, origin, now_s, needed_micro=needed, wanted_micro=needed)
 
     def _preference(self, origin: Origin, needed: int, now_s: float) -> tuple[float, float]:
         """Order mints: near ones for needs, and for prefetch unless they run low.
--- a/src/siskinward/coordination/shares/_want_queue.py
+++ b/src/siskinward/coordination/shares/_want_queue.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from siskinward.state.identifiers import VmName
 
+CONTENTION_WINDOW_S = 0.5
+
 
 @define
 class _Want:
@@ -24,6 +26,19 @@
 
     def __init__(self) -> None:
         self._wants: dict[VmName, _Want] = {}
+        self._short: set[VmName] = set()
+        self._short_before: set[VmName] = set()
+        self._rotate_at_s = 0.0
+
+    def contenders(self, vm: VmName, now_s: float) -> int:
+        """Note that ``vm`` fell short and return how many other wallets did of late."""
+        if now_s >= self._rotate_at_s:
+            is_recent = now_s < self._rotate_at_s + CONTENTION_WINDOW_S
+            self._short_before = self._short if is_recent else set()
+            self._short = set()
+            self._rotate_at_s = now_s + CONTENTION_WINDOW_S
+        self._short.add(vm)
+        return max(len(self._short), len(self._short_before)) - 1
 
     def ahead_of(self, vm: VmName, now_s: float) -> int:
         """Return what wallets before ``vm`` need; all of them if it is not queued."""
--- a/src/siskinward/coordination/shares/mint.py
+++ b/src/siskinward/coordination/shares/mint.py
@@ -152,6 +152,10 @@
         retry_after_s = 0.0
         if missing_micro > 0:
             effects += self._recall(request.key, ledger, holder, now_s)
+            if not request.queues:
+                # Without a place in the queue, each contender is likely to come first.
+                contenders = queue.contenders(sender.vm, now_s)
+                ahead_micro = max(ahead_micro, contenders * ledger.quantum_micro)
             retry_after_s = self._retry_after_s(ledger, ahead_micro)
         answer = TokenAnswer(
             request.key, request.serial, granted, ledger.available_micro, retry_after_s
