--- a/src/siskinward/coordination/tickets/_hand_over.py
+++ b/src/siskinward/coordination/tickets/_hand_over.py
@@ -9,7 +9,7 @@
 from siskinward.coordination.events import Effect
 from siskinward.coordination.events import Send
 from siskinward.coordination.events import VmIdentity
-from siskinward.coordination.tickets._states import TicketRecord
+from siskinward.coordination.tickets._ticket_record import record_of
 from siskinward.coordination.tickets.messages import HandOverNoted
 from siskinward.coordination.tickets.messages import HandOverPart
 
@@ -47,7 +47,7 @@
     ) -> list[Effect]:
         """Cut the home's records into parts and send them."""
         states = records.of_home(home.incarnation)
-        rows = [TicketRecord(key.serial, state) for key, state in states]
+        rows = [record_of(key.serial, state) for key, state in states]
         size = self._settings.hand_over_records
         chunks = [tuple(rows[at : at + size]) for at in range(0, len(rows), size)] or [()]
         dropped = records.dropped_serial(home.incarnation)
--- a/src/siskinward/coordination/tickets/_home_role.py
+++ b/src/siskinward/coordination/tickets/_home_role.py
@@ -18,6 +18,7 @@
 from siskinward.coordination.tickets._states import New
 from siskinward.coordination.tickets._states import Role
 from siskinward.coordination.tickets._states import Running
+from siskinward.coordination.tickets._ticket_record import state_of
 from siskinward.coordination.tickets.messages import ClaimCopy
 from siskinward.coordination.tickets.messages import ClaimFinished
 from siskinward.coordination.tickets.messages import ClaimGranted
@@ -135,7 +136,7 @@
         for part in parts:
             for record in part.records:
                 key = RecordKey(home.incarnation, record.serial)
-                self.keeper.records.put(key, record.state, now_s)
+                self.keeper.records.put(key, state_of(record), now_s)
 
     def _elsewhere(self, ticket: Ticket, claim: Claim) -> Effect:
         successor = self._successors.get(ticket.home.incarnation)
--- a/src/siskinward/coordination/tickets/_states.py
+++ b/src/siskinward/coordination/tickets/_states.py
@@ -100,14 +100,6 @@
 TicketState = New | Claimed | Running | Done | Evicted | Lost | NeverRuns
 
 
-@frozen
-class TicketRecord:
-    """A ticket's state with its serial, as handed over to a domain peer."""
-
-    serial: int
-    state: TicketState
-
-
 def claim_of(state: TicketState) -> Claim | None:
     """The claim that a state records."""
     match state:
--- a/src/siskinward/coordination/tickets/messages.py
+++ b/src/siskinward/coordination/tickets/messages.py
@@ -9,8 +9,8 @@
 from siskinward.coordination.tickets._states import Claim
 from siskinward.coordination.tickets._states import NotRunScope
 from siskinward.coordination.tickets._states import Role
-from siskinward.coordination.tickets._states import TicketRecord
 from siskinward.coordination.tickets._ticket import Ticket
+from siskinward.coordination.tickets._ticket_record import TicketRecord
 from siskinward.state.identifiers import IncarnationId
 
 
