--- a/src/siskinward/coordination/tickets/_keeper.py
+++ b/src/siskinward/coordination/tickets/_keeper.py
@@ -98,8 +98,10 @@
         return effects
 
     def expire(self, now_s: float) -> None:
-        """Drop records past their lifetime."""
+        """Drop records past their lifetime, and who waited for them."""
         self.records.expire(now_s)
+        for key in [key for key in self._waiters if key not in self.records]:
+            del self._waiters[key]
 
     def _record_outcome(self, key: RecordKey, message: ClaimFinished, now_s: float) -> None:
         self.records.put(key, finished_state(message.claim, message.outcome), now_s)
--- a/src/siskinward/coordination/tickets/_records.py
+++ b/src/siskinward/coordination/tickets/_records.py
@@ -52,6 +52,9 @@
     def __len__(self) -> int:
         return len(self._states)
 
+    def __contains__(self, key: RecordKey) -> bool:
+        return key in self._states
+
     @property
     def kept_bytes(self) -> int:
         """Bytes of the answers kept at present."""
--- a/tests/coordination/tickets/test_tickets_book.py
+++ b/tests/coordination/tickets/test_tickets_book.py
@@ -15,8 +15,11 @@
 from siskinward.coordination.tickets import NotRunScope
 from siskinward.coordination.tickets import TicketBook
 from siskinward.coordination.tickets import TicketSettings
+from siskinward.coordination.tickets import TicketStep
 from siskinward.coordination.tickets import read_ticket
 from siskinward.coordination.tickets import write_ticket
+from siskinward.coordination.tickets.messages import ClaimGranted
+from siskinward.coordination.tickets.messages import ClaimSettled
 from siskinward.coordination.tickets.messages import HandOverPart
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
@@ -24,6 +27,7 @@
 from siskinward.state.identifiers import VmName
 
 SECRET = b"deployment secret"
+EXCHANGE_S = 100.0
 AGENCY = AccountName("agency")
 
 
@@ -117,6 +121,51 @@
     assert step == AnswerCaller("old", refusal, NotRunScope.SEND)
 
 
+def test_copy_bars_unclaimed_ticket_of_silent_home_and_says_so() -> None:
+    settings = TicketSettings()
+    home, copy = lone_book(), TicketBook(settings, identity("copy"), SECRET)
+    home.on_members([identity("home"), identity("copy")], 0.0)
+    ticket = home.mint(0.0)
+    copy.begin("first", ticket, AGENCY, "print", 60.0, 0.0)
+    steps = copy.on_timer(settings.ask_timeout_s)
+    refusal = NotRun(RefusalReason.PEER_LOST, settings.retry_after_s)
+    assert AnswerCaller("first", refusal, NotRunScope.REQUEST) in steps
+    late = home.begin("second", ticket, AGENCY, "print", 60.0, 1.0)
+    replies = _exchange(copy, late, identity("home"))
+    assert _exchange(home, replies, identity("copy")) == [
+        AnswerCaller("second", refusal, NotRunScope.REQUEST)
+    ]
+
+
+def test_copy_neither_grants_nor_vouches_once_records_were_dropped() -> None:
+    settings = TicketSettings()
+    home, copy = lone_book(), TicketBook(settings, identity("copy"), SECRET)
+    home.on_members([identity("home"), identity("copy")], 0.0)
+    ticket = home.mint(0.0)
+    claim = home.begin("first", ticket, AGENCY, "print", 60.0, 0.0)
+    (granted,) = _exchange(copy, claim, identity("home"))
+    copy.on_timer(EXCHANGE_S + settings.record_lifetime_s + 1.0)
+    (again,) = _exchange(copy, claim, identity("home"))
+    assert isinstance(granted, Send) and isinstance(again, Send)
+    assert isinstance(granted.message, ClaimGranted)
+    assert isinstance(again.message, ClaimSettled)
+    assert again.message.scope is NotRunScope.SEND
+
+
+def test_hand_over_repeated_late_does_not_bring_back_old_records() -> None:
+    home, peer = lone_book(), TicketBook(TicketSettings(), identity("peer"), SECRET)
+    ticket = home.mint(0.0)
+    steps = home.hand_over(identity("peer"), 0.0)
+    _exchange(peer, steps, identity("home"))
+    run(peer, "first", ticket, b"booked")
+    _exchange(peer, steps, identity("home"))
+    (step,) = peer.begin("again", ticket, AGENCY, "print", 60.0, 1.0)
+    assert isinstance(step, AnswerCaller)
+    peer.hand_over(identity("third"), 2.0)
+    _exchange(peer, steps, identity("home"))
+    assert not peer._home.holds(read_ticket(ticket, SECRET).ok)
+
+
 def test_hand_over_in_parts_keeps_answers_and_needs_every_part() -> None:
     settings = TicketSettings(hand_over_records=2)
     home, peer = lone_book(settings), TicketBook(settings, identity("peer"), SECRET)
@@ -142,3 +191,11 @@
 
 def _holds_role(book: TicketBook, ticket: str) -> bool:
     return book._home.holds(read_ticket(ticket, SECRET).ok)
+
+
+def _exchange(book: TicketBook, steps: list[TicketStep], sender: VmIdentity) -> list[TicketStep]:
+    replies: list[TicketStep] = []
+    for step in steps:
+        if isinstance(step, Send):
+            replies += book.on_message(step.message, sender, EXCHANGE_S)
+    return replies
--- a/tests/coordination/tickets/test_tickets_interleavings.py
+++ b/tests/coordination/tickets/test_tickets_interleavings.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from search import Fate
-from search import HandOver
-from search import Scenario
 from search import Search
-from search import ViolationError
+from search_model import Fate
+from search_model import HandOver
+from search_model import Scenario
+from search_model import ViolationError
 
 from siskinward.coordination.events import Effect
 from siskinward.coordination.events import Send
--- a/tests/coordination/tickets/test_tickets_key_interleavings.py
+++ b/tests/coordination/tickets/test_tickets_key_interleavings.py
@@ -7,17 +7,17 @@
 import pytest
 from attrs import evolve
 from attrs import frozen
-from search import LOST
-from search import SECRET
-from search import SHED
-from search import Begin
-from search import Fate
-from search import Finish
-from search import Tick
-from search import ViolationError
-from search import clone
-from search import freeze
-from search import identity
+from search_model import LOST
+from search_model import SECRET
+from search_model import SHED
+from search_model import Begin
+from search_model import Fate
+from search_model import Finish
+from search_model import Tick
+from search_model import ViolationError
+from search_model import clone
+from search_model import freeze
+from search_model import identity
 
 from siskinward.coordination.events import ReadRow
 from siskinward.coordination.events import RowFailed
