--- a/src/siskinward/coordination/connections.py
+++ b/src/siskinward/coordination/connections.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from attrs import evolve
 from attrs import frozen
 
@@ -13,11 +15,13 @@
 
 @frozen
 class ConnectionSettings:
-    """Time-outs; the adaptive time-out is the smoothed latency plus a multiple of its deviation."""
+    """Time-outs and the weights of the adaptive one, see ``AdaptiveTimeout``."""
 
     silence_least_s: float = 0.05
     silence_limit_s: float = 5.0
     deviation_multiple: float = 4.0
+    longest_multiple: float = 2.0
+    recent_latencies: int = 128
     latency_gain: float = 0.125
     deviation_gain: float = 0.25
     proof_lifetime_s: float = 1.0
@@ -66,15 +70,21 @@
 
 
 class AdaptiveTimeout:
-    """Time-out of an exchange from the latencies seen, as in RFC 6298."""
+    """Time-out of an exchange from the latencies seen.
+
+    The longer of the smoothed latency plus a multiple of its deviation, as in RFC 6298, and a
+    multiple of the longest recent latency: service times spread more than network round trips.
+    """
 
     def __init__(self, settings: ConnectionSettings) -> None:
         self._settings = settings
         self._latency_s: float | None = None
         self._deviation_s = 0.0
+        self._recent_s: deque[float] = deque(maxlen=settings.recent_latencies)
 
     def on_latency(self, latency_s: float) -> None:
         """Take the time from a request's last byte to its answer's first."""
+        self._recent_s.append(latency_s)
         if self._latency_s is None:
             self._latency_s = latency_s
             self._deviation_s = latency_s / 2.0
@@ -90,8 +100,10 @@
         settings = self._settings
         if self._latency_s is None:
             return settings.silence_limit_s
-        timeout_s = self._latency_s + settings.deviation_multiple * self._deviation_s
-        return min(max(timeout_s, settings.silence_least_s), settings.silence_limit_s)
+        smoothed_s = self._latency_s + settings.deviation_multiple * self._deviation_s
+        longest_s = settings.longest_multiple * max(self._recent_s)
+        timeout_s = max(smoothed_s, longest_s, settings.silence_least_s)
+        return min(timeout_s, settings.silence_limit_s)
 
 
 class ExchangeTable:
@@ -210,18 +222,13 @@
 
     def suspects(self, now_s: float) -> list[int]:
         """Connections whose answer is overdue while a newer connection has answered since."""
-        return [
-            connection_id
-            for connection_id, connection in self._connections.items()
-            if self._is_overdue(connection, now_s) and self._newer_answered(connection)
-        ]
+        overdue = self._overdue(now_s)
+        return [one for one in overdue if self._newer_answered(self._connections[one])]
 
     def needs_probe(self, now_s: float) -> bool:
         """Whether an answer is overdue and only a new connection can tell silence from load."""
-        return any(
-            self._is_overdue(connection, now_s) and not self._newer_answered(connection)
-            for connection in self._connections.values()
-        )
+        overdue = self._overdue(now_s)
+        return any(not self._newer_answered(self._connections[one]) for one in overdue)
 
     def idle_expired(self, now_s: float) -> list[int]:
         """Idle connections too old for any use."""
@@ -232,10 +239,15 @@
             if connection.exchange is None and now_s - connection.proof_at_s > limit_s
         ]
 
-    def _is_overdue(self, connection: _Connection, now_s: float) -> bool:
-        if connection.exchange is None or connection.answer_begun:
-            return False
-        return now_s - connection.sent_at_s > self._timeout.timeout_s
+    def _overdue(self, now_s: float) -> list[int]:
+        sent_before_s = now_s - self._timeout.timeout_s
+        return [
+            connection_id
+            for connection_id, connection in self._connections.items()
+            if connection.exchange is not None
+            and not connection.answer_begun
+            and connection.sent_at_s < sent_before_s
+        ]
 
     def _newer_answered(self, connection: _Connection) -> bool:
         # A connect alone would not do: it succeeds at a target that is merely slow.
