Wire admission through leaves, cancellations and silence

A leaving VM was not told of a new assigner, so its targets rested until their leases lapsed. Requests never sent no longer count against their target. Silent places are forgotten.

--- a/src/siskinward/coordination/routing/router.py
+++ b/src/siskinward/coordination/routing/router.py
@@ -211,6 +211,12 @@
             view.on_seen(load, now_s=now_s)
         view.on_refusal(retry_after_s=retry_after_s, now_s=now_s)
 
+    def on_abandoned(self, choice: Choice) -> None:
+        """Note that nobody waits for the request any more; it tells nothing of the place."""
+        view = self._views.get(choice.place)
+        if view is not None:
+            view.outstanding = max(0, view.outstanding - 1)
+
     def on_lost(self, choice: Choice, now_s: float) -> None:
         """Note that the stream to the chosen VM broke, or that it did not answer in time."""
         backoff_s = self._settings.max_backoff_s
--- a/src/siskinward/daemon/authority.py
+++ b/src/siskinward/daemon/authority.py
@@ -56,9 +56,10 @@
     def on_members(self, members: tuple[Member, ...], now_s: float) -> list[Effect]:
         """Take the live VMs of the own failure domain."""
         self._members = members
-        staying = [member.identity for member in members if not member.leaving]
+        # A leaving VM has to hear of a new assigner, or it could not give its targets back.
+        live = [member.identity for member in members]
         effects = self.grant.on_members(members, now_s)
-        return effects + self.ownership.on_members(staying or [self._own], now_s)
+        return effects + self.ownership.on_members(live or [self._own], now_s)
 
     def on_timer(self, now_s: float) -> list[Effect]:
         """Drive the grant, tell its standing, then drive what hangs on it."""
--- a/src/siskinward/daemon/dispatcher.py
+++ b/src/siskinward/daemon/dispatcher.py
@@ -96,12 +96,16 @@
         assert self.router is not None
         start_s = await curio.clock()
         self.router.on_sent(choice, start_s)
-        if choice.vm == self._own_vm:
-            result = await self._local.run(work)
-        else:
-            self._metrics.forwarded.labels(choice.place.failure_domain).inc()
-            may_forward = choice.place.owner is None
-            result = await self.forwarder.forward(choice.vm, work, may_forward=may_forward)
+        try:
+            if choice.vm == self._own_vm:
+                result = await self._local.run(work)
+            else:
+                self._metrics.forwarded.labels(choice.place.failure_domain).inc()
+                may_forward = choice.place.owner is None
+                result = await self.forwarder.forward(choice.vm, work, may_forward=may_forward)
+        except curio.CancelledError:
+            self.router.on_abandoned(choice)
+            raise
         self._tell_router(choice, work, result, start_s, await curio.clock())
         return result
 
--- a/src/siskinward/daemon/local_service.py
+++ b/src/siskinward/daemon/local_service.py
@@ -16,6 +16,7 @@
 from siskinward.coordination.dispatch import Lost
 from siskinward.coordination.dispatch import Offer
 from siskinward.coordination.dispatch import Started
+from siskinward.coordination.dispatch import Unsent
 from siskinward.coordination.outcomes import Answered
 from siskinward.coordination.outcomes import NotRun
 from siskinward.coordination.outcomes import RefusalReason
@@ -145,7 +146,7 @@
             return WorkResult(started)
         others = self._take_others(started.slot, permit, await curio.clock())
         if others is None:
-            await self._finish(dispatcher, started, Failed())
+            await self._finish(dispatcher, started, Unsent())
             return WorkResult(NotRun(RefusalReason.QUARANTINED, NO_TARGET_RETRY_AFTER_S))
         self._quarantine.started(permit, started.slot.target)
         try:
@@ -186,7 +187,7 @@
     async def _abandon(self, dispatcher: Dispatcher, request_id: int) -> None:
         """Forget a request that waits, or give back the slot that it has just been given."""
         if not dispatcher.cancel(request_id):
-            progress = dispatcher.finish(request_id, Failed(), await curio.clock())
+            progress = dispatcher.finish(request_id, Unsent(), await curio.clock())
             await self._deliver(progress)
 
     def _excluded(self, work: Work, permit: Permit, now_s: float) -> frozenset[TargetName]:
--- a/src/siskinward/daemon/steering.py
+++ b/src/siskinward/daemon/steering.py
@@ -83,6 +83,7 @@
             return []
         drained = draining_targets(self._state.configuration, time.time())
         self._parts.picker.set_leaving(drained | self._reported_leaving)
+        self._router.on_timer(now_s)
         self._router.set_closed(
             domains=self.closed_domains, leaving_vms=self._parts.cluster.leaving_vms(now_s)
         )
