--- a/src/siskinward/daemon/dispatcher.py
+++ b/src/siskinward/daemon/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 import curio
 from attrs import evolve
@@ -10,6 +11,7 @@
 from siskinward.coordination.outcomes import Answered
 from siskinward.coordination.outcomes import NotRun
 from siskinward.coordination.outcomes import RefusalReason
+from siskinward.coordination.outcomes import RetryReason
 from siskinward.coordination.outcomes import Unknown
 from siskinward.coordination.retries import GiveUp
 from siskinward.coordination.retries import RequestProgress
@@ -17,6 +19,7 @@
 
 if TYPE_CHECKING:
     from siskinward.coordination.outcomes import Outcome
+    from siskinward.coordination.retries import HedgePolicy
     from siskinward.coordination.routing import Choice
     from siskinward.coordination.routing import Router
     from siskinward.daemon.forwarder import Forwarder
@@ -24,7 +27,9 @@
     from siskinward.daemon.metrics import NodeMetrics
     from siskinward.daemon.retry_desk import RetryDesk
     from siskinward.daemon.work import Work
+    from siskinward.state.identifiers import ServiceName
     from siskinward.state.identifiers import VmName
+    from siskinward.state.objects import Service
 
 NO_TARGET_RETRY_AFTER_S = 0.5
 
@@ -39,6 +44,7 @@
         self._local = local
         self._retries = retries
         self._metrics = metrics
+        self.services: dict[ServiceName, Service] = {}
         self.router: Router | None = None
         self.forwarder: Forwarder | None = None
 
@@ -58,11 +64,12 @@
         ledger.on_first_attempt()
         progress = RequestProgress(work.is_idempotent, work.deadline_s)
         excluded_vms: set[VmName] = set()
+        result: WorkResult | None = None
         while True:
             choice = await self._choose(work, excluded_vms, within_domain=within_domain)
             if isinstance(choice, RefusalReason):
-                return _unplaced(choice, progress)
-            result = await self._attempt(choice, work)
+                return _unplaced(choice, progress, result)
+            result = await self._attempt_hedged(choice, work, progress)
             if isinstance(result.outcome, Answered):
                 return result
             now_s = await curio.clock()
@@ -91,6 +98,40 @@
             within_domain=within_domain,
         )
 
+    async def _attempt_hedged(
+        self, choice: Choice, work: Work, progress: RequestProgress
+    ) -> WorkResult:
+        """Run an attempt; where it is slow and a hedge is allowed, run a second beside it."""
+        service = self.services.get(work.service)
+        if service is None or not service.hedged or progress.failures:
+            return await self._attempt(choice, work)
+        start_s = await curio.clock()
+        policy = self._retries.hedge_policy(service)
+        results = curio.Queue()
+        await curio.spawn(self._attempt_into, results, choice, work, daemon=True)
+        result = await _first_result(results, policy.hedge_after_s(progress))
+        if result is None and await self._may_hedge(policy, work, progress):
+            second = await self._choose(work, {choice.vm}, within_domain=False)
+            if not isinstance(second, RefusalReason):
+                self._metrics.count_retry(RetryReason.HEDGE, work.service)
+                await curio.spawn(self._attempt_into, results, second, work, daemon=True)
+                result = await results.get()
+                if not isinstance(result.outcome, Answered):
+                    result = await results.get()
+        if result is None:
+            result = await results.get()
+        if isinstance(result.outcome, Answered):
+            policy.on_latency(await curio.clock() - start_s)
+        return result
+
+    async def _may_hedge(self, policy: HedgePolicy, work: Work, progress: RequestProgress) -> bool:
+        ledger = self._retries.ledger(work.service)
+        return policy.may_hedge(progress, ledger, await curio.clock())
+
+    async def _attempt_into(self, results: Any, choice: Choice, work: Work) -> None:
+        # The slower of two attempts runs to its end: its slot is in use either way.
+        await results.put(await self._attempt(choice, work))
+
     async def _attempt(self, choice: Choice, work: Work) -> WorkResult:
         assert self.forwarder is not None
         assert self.router is not None
@@ -133,7 +174,24 @@
                 self.router.on_refusal(choice, retry_after_s=0.0, load=result.load, now_s=now_s)
 
 
-def _unplaced(reason: RefusalReason, progress: RequestProgress) -> WorkResult:
+async def _first_result(results: Any, timeout_s: float | None) -> WorkResult | None:
+    """Wait for a result; None when it takes longer than ``timeout_s``."""
+    if timeout_s is None:
+        first: WorkResult = await results.get()
+        return first
+    try:
+        async with curio.timeout_after(timeout_s):
+            found: WorkResult = await results.get()
+    except curio.TaskTimeout:
+        return None
+    return found
+
+
+def _unplaced(
+    reason: RefusalReason, progress: RequestProgress, previous: WorkResult | None
+) -> WorkResult:
     if progress.may_have_run:
         return WorkResult(Unknown(reason))
+    if previous is not None and isinstance(previous.outcome, NotRun):
+        return previous
     return WorkResult(NotRun(reason, NO_TARGET_RETRY_AFTER_S))
--- a/src/siskinward/daemon/steering.py
+++ b/src/siskinward/daemon/steering.py
@@ -60,6 +60,7 @@
     def on_configuration(self, state: ServingState, now_s: float) -> None:
         """Apply a configuration; the first one creates the router."""
         self._state = state
+        self._parts.dispatcher.services = state.configuration.services
         if self._router is None:
             self._router = Router(
                 RoutingSettings(), self._parts.own, state.configuration, self._parts.random
