--- a/src/siskinward/coordination/shares/settings.py
+++ b/src/siskinward/coordination/shares/settings.py
@@ -27,7 +27,7 @@
     backoff_limit_s: float = 1.0
     demand_window_s: float = 0.5
     waiters_limit: int = 4096
-    min_part_tokens: int = 5
+    min_part_tokens: int = 10
     retry_rate_per_s: float = 20.0
     retry_burst_tokens: int = 40
     link_burst_s: float = 0.1
