--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -1,6 +1,6 @@
 """Measures wrongful refusals, messages and processor time of conserved shares.
 
-Usage: ``PYTHONPATH=src python benchmarks/shares.py [orgonahaz|liit|target|cost] [seconds]``.
+Usage: ``PYTHONPATH=src python benchmarks/shares.py [orgonahaz|liit|target|cost|hot] [seconds]``.
 Traffic that one exact central token bucket would refuse is left out beforehand, so each refusal is
 wrongful.
 """
@@ -238,6 +238,29 @@
     )
 
 
+def print_hot_spend() -> None:
+    """Print the processor time of a spend where the wallet mostly holds tokens."""
+    for domains in (1, 20):
+        print_hot_spend_row(domains)
+
+
+def print_hot_spend_row(domains: int) -> None:
+    """Let one VM spend a fifth of a large account's rate."""
+    layout = Layout("", domains, domains, 1, 0.0002, 0.0015, 0.012)
+    account = measured_account(5000.0 * domains, 2500 * domains)
+    fleet = ShareFleet(layout, [account], ShareSettings())
+    for arrival in arrivals(account, 0.2, 2.0, placement("one VM", layout)):
+        fleet.at(arrival.time_s, lambda: fleet.offer(account, 0, counted=True))
+    fleet.run_until(WARM_UP_S + 2.0)
+    tally = fleet.tally
+    waited = 100.0 * len(tally.waits_s) / tally.offered
+    print(
+        f"{domains} domains, {tally.offered / 2.0:.0f} spends/s on one VM: "
+        f"{1e6 * tally.spend_cpu_s / tally.spends:.1f} us a spend, {waited:.2f} % waited, "
+        f"{tally.messages / 2.0:.1f} messages/s"
+    )
+
+
 def main() -> None:
     """Run the measurement named on the command line, or both."""
     which = sys.argv[1] if len(sys.argv) > 1 else "all"
@@ -247,6 +270,8 @@
             print_refusals(layout, seconds)
     if which in ("cost", "all"):
         print_cost(min(seconds, 5.0))
+    if which in ("hot", "all"):
+        print_hot_spend()
 
 
 if __name__ == "__main__":
