--- a/src/siskinward/coordination/shares/_supply.py
+++ b/src/siskinward/coordination/shares/_supply.py
@@ -17,7 +17,6 @@
     from siskinward.state.identifiers import DomainName
     from siskinward.state.identifiers import VmName
 
-
 PROBE_FANOUT = 3
 LOW_FULLNESS = 0.5
 """Fraction of its burst below which a mint is spared by prefetch."""
@@ -77,8 +76,10 @@
 
     def _ask_nearest(self, purse: Purse, needed: int, missing: int, now_s: float) -> bool:
         """Ask only the nearest mint if it covers what is missing; spares ordering the others."""
-        origin = next(iter(purse.origins.values()))
-        if missing < purse.limit.quantum_micro or not self._may_ask(origin, now_s):
+        origin = next(iter(purse.origins.values()), None)
+        if origin is None or missing < purse.limit.quantum_micro:
+            return False
+        if not self._may_ask(origin, now_s):
             return False
         estimate = origin.estimate_micro(now_s)
         if estimate < missing or (not needed and now_s < origin.prefetch_after_s):
--- a/tests/coordination/shares/test_shares_limits.py
+++ b/tests/coordination/shares/test_shares_limits.py
@@ -13,6 +13,7 @@
 from shares_fleet import make_configuration
 
 from siskinward.coordination.shares import LinkBytes
+from siskinward.coordination.shares import Refused
 from siskinward.coordination.shares import ResourceKey
 from siskinward.coordination.shares import RetryTokens
 from siskinward.coordination.shares import ShareSettings
@@ -69,6 +70,15 @@
     assert most <= 0.05 * SHARE_UNITS * MICRO_PER_UNIT
 
 
+def test_limit_without_mints_refuses() -> None:
+    link = Link("nowhere", RegionName("empty"), RegionName("r-d1"), 8e6, 12.0)
+    configuration = evolve(make_configuration(), links={link.name: link})
+    fleet = Fleet(Random(1), configuration=configuration)
+    wallet = next(iter(fleet.nodes.values())).wallet
+    assert not wallet.spend(LinkBytes(link.name), 1, fleet.now_s)
+    assert isinstance(wallet.reserve(LinkBytes(link.name), 1, fleet.now_s), Refused)
+
+
 def test_link_bytes_are_minted_in_the_sending_region() -> None:
     limit = limits_of(full_configuration(), SETTINGS)[LINK]
     assert limit.domains == ("d0",)
