--- a/src/siskinward/coordination/retries/_hedging.py
+++ b/src/siskinward/coordination/retries/_hedging.py
@@ -36,8 +36,12 @@
             return None
         return self._quantile_s
 
-    def may_hedge(self, progress: RequestProgress, ledger: RetryLedger, now_s: float) -> bool:
-        """Whether to hedge now; pays for the hedge."""
+    def may_hedge(
+        self, progress: RequestProgress, ledger: RetryLedger, now_s: float, *, queued: int
+    ) -> bool:
+        """Whether to hedge now; pays for the hedge. None is made while requests are ``queued``."""
+        if queued:
+            return False
         if self.hedge_after_s(progress) is None or progress.failures:
             return False
         if progress.deadline_s - now_s < self._settings.least_time_left_s:
--- a/tests/coordination/retries/test_retries_policy.py
+++ b/tests/coordination/retries/test_retries_policy.py
@@ -107,9 +107,10 @@
     ledger = RetryLedger(RetrySettings(ledger_limit_tokens=1.0))
     assert policy.hedge_after_s(booking) is None
     assert policy.hedge_after_s(read) == (0.2 if hedged else None)
-    assert not policy.may_hedge(booking, ledger, 0.0)
-    assert policy.may_hedge(read, ledger, 0.0) is hedged
-    assert not policy.may_hedge(read, ledger, 0.0)
+    assert not policy.may_hedge(booking, ledger, 0.0, queued=0)
+    assert not policy.may_hedge(read, ledger, 0.0, queued=1)
+    assert policy.may_hedge(read, ledger, 0.0, queued=0) is hedged
+    assert not policy.may_hedge(read, ledger, 0.0, queued=0)
 
 
 def test_pacer_spreads_callers_and_never_calls_them_early() -> None:
