--- a/src/siskinward/coordination/quarantine/_quarantine.py
+++ b/src/siskinward/coordination/quarantine/_quarantine.py
@@ -26,6 +26,7 @@
 from siskinward.state.identifiers import VmName
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Sequence
 
     from siskinward.coordination.events import VmIdentity
@@ -94,11 +95,13 @@
 
     def on_members(self, live: Sequence[VmIdentity], now_s: float) -> list[QuarantineStep]:
         """Take the live VMs of all failure domains."""
-        changed = set(self._live) != set(live)
+        newcomers = set(live) - set(self._live)
+        if set(self._live) == set(live):
+            return []
+        steps = self._tell_newcomers(newcomers, now_s)
         self._live = tuple(live) or (self._own,)
-        if changed:
-            self._owner.on_members_changed(now_s)
-        return []
+        self._owner.on_members_changed(now_s)
+        return steps
 
     def admit(
         self, attempt_id: str, fingerprint: str, now_s: float, *, held: bool = False
@@ -223,6 +226,17 @@
         others = [vm.vm for vm in self._live if vm.vm != self._own.vm]
         return [Send(vm, message) for vm in (self._own.vm, *others)]
 
+    def _tell_newcomers(
+        self, newcomers: Collection[VmIdentity], now_s: float
+    ) -> list[QuarantineStep]:
+        # The owner among the members so far tells what a fresh VM, or one cut off, has missed.
+        reports = [
+            SuspectReported(fingerprint, evolve(loss, alone=True))
+            for fingerprint, loss in self._suspects.losses(now_s)
+            if self.owner_of(fingerprint) == self._own.vm
+        ]
+        return [Send(vm.vm, report) for vm in newcomers for report in reports]
+
     def _deliver(self, steps: Sequence[QuarantineStep], now_s: float) -> list[QuarantineStep]:
         pending = list(steps)
         results: list[QuarantineStep] = []
--- a/src/siskinward/coordination/quarantine/_suspects.py
+++ b/src/siskinward/coordination/quarantine/_suspects.py
@@ -83,6 +83,12 @@
         if len(self._suspects) > settings.suspect_limit:
             del self._suspects[min(self._suspects, key=self._rank)]
 
+    def losses(self, now_s: float) -> list[tuple[str, TargetLoss]]:
+        """Every noted loss with its fingerprint."""
+        self.expire(now_s)
+        suspects = self._suspects.items()
+        return [(name, noted.loss) for name, suspect in suspects for noted in suspect.losses]
+
     def expire(self, now_s: float) -> None:
         """Drop expired suspects."""
         for fingerprint, suspect in list(self._suspects.items()):
--- a/tests/coordination/quarantine/test_quarantine_fleet.py
+++ b/tests/coordination/quarantine/test_quarantine_fleet.py
@@ -162,6 +162,26 @@
     assert [permit.alone for _, permit in fleet.permits] == [False] * len(fleet.vms)
 
 
+def test_quarantine_fresh_vm_learns_what_was_lost_before_it_started() -> None:
+    fleet = Fleet(3, QuarantineSettings(NO_HOLD_S), Random(1))
+    fleet.vms[VmName("vm-2")] = Quarantine(QuarantineSettings(NO_HOLD_S), identity(2))
+    members = [identity(number) for number in range(3)]
+    for vm in ("vm-0", "vm-1"):
+        fleet.vms[VmName(vm)].on_members(members[:2], 0.0)
+    for _ in range(TARGETS_LIMIT):
+        fleet.send(VmName("vm-0"), CRASH, SETTLED_S)
+        fleet.deliver(SETTLED_S)
+        assert run_crashing(fleet, SETTLED_S) == 1
+        fleet.deliver(SETTLED_S)
+    for vm, book in fleet.vms.items():
+        fleet.carry(vm, book.on_members(members, SETTLED_S + 10.0))
+    fleet.deliver(SETTLED_S + 10.0)
+    fleet.send(VmName("vm-2"), CRASH, SETTLED_S + 20.0)
+    fleet.deliver(SETTLED_S + 20.0)
+    assert fleet.permits == []
+    assert fleet.refused == 1
+
+
 def test_quarantine_same_loss_seen_by_two_vms_counts_once() -> None:
     fleet = Fleet(2, QuarantineSettings(NO_HOLD_S), Random(1))
     for vm in fleet.vms:
