--- a/src/siskinward/coordination/tickets/_attempts.py
+++ b/src/siskinward/coordination/tickets/_attempts.py
@@ -136,14 +136,17 @@
         self._store(attempt)
         return self._advance(attempt, now_s)
 
-    def on_moved(self, message: HomeMoved) -> list[TicketStep]:
-        """The home role moved: ask its successor."""
-        return [
-            self._request(attempt)
-            for attempt in self._attempts.values()
-            if attempt.ticket.home.incarnation == message.home
-            and isinstance(attempt.stage, AskingHome | AskingCopy)
-        ]
+    def on_moved(self, message: HomeMoved, now_s: float) -> list[TicketStep]:
+        """The home role moved: ask its successor, which does not know who waits."""
+        steps: list[TicketStep] = []
+        for attempt in list(self._attempts.values()):
+            asks = isinstance(attempt.stage, AskingHome | AskingCopy | Waiting)
+            if not asks or attempt.ticket.home.incarnation != message.home:
+                continue
+            next_at_s = now_s + self._settings.ask_timeout_s
+            self._store(evolve(attempt, stage=AskingHome(), next_at_s=next_at_s))
+            steps.append(self._request(attempt))
+        return steps
 
     def on_timer(self, now_s: float) -> list[TicketStep]:
         """Advance attempts whose time-out or deadline has passed; repeat unrecorded outcomes."""
--- a/src/siskinward/coordination/tickets/_book.py
+++ b/src/siskinward/coordination/tickets/_book.py
@@ -156,7 +156,7 @@
                 return []
             case HomeMoved():
                 self._moved[message.home] = message.successor
-                return self._attempts.on_moved(message)
+                return self._attempts.on_moved(message, now_s)
             case ClaimGranted() | ClaimPending() | ClaimSettled() | RoleGone():
                 return self._handle_reply(message, now_s)
         return []
