--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -167,15 +167,18 @@
                 await self.parts.cluster.on_vm_list(result.ok, await curio.clock())
             await curio.sleep(pace.next_delay_s(has_failed=result.is_error()))
 
-    async def _run_timer(self) -> None:
+    async def run_timer_once(self, now_s: float) -> None:
+        """Drive every part's timer; ``run`` does so each ``TIMER_INTERVAL_S``."""
         parts = self.parts
+        await parts.router.tick(now_s)
+        await parts.router.run(parts.gate, self._steering.on_timer(now_s))
+        await parts.local.on_timer(now_s)
+        await self._on_changes(now_s)
+
+    async def _run_timer(self) -> None:
         while True:
             await curio.sleep(TIMER_INTERVAL_S)
-            now_s = await curio.clock()
-            await parts.router.tick(now_s)
-            await parts.router.run(parts.gate, self._steering.on_timer(now_s))
-            await parts.local.on_timer(now_s)
-            await self._on_changes(now_s)
+            await self.run_timer_once(await curio.clock())
 
     async def _on_changes(self, now_s: float) -> None:
         closed_domains = self._steering.closed_domains
--- a/src/siskinward/daemon/steering.py
+++ b/src/siskinward/daemon/steering.py
@@ -30,6 +30,9 @@
     from siskinward.state.identifiers import VmName
 
 
+STEERING_INTERVAL_S = 0.25
+
+
 class Steering:
     """Turns summaries and the configuration into what the router, picker and wallet take."""
 
@@ -38,6 +41,7 @@
         self._state: ServingState | None = None
         self._router: Router | None = None
         self._holders: dict[DomainName, VmName] = {}
+        self._next_update_s = float("-inf")
         self._summaries: dict[DomainName, DomainSummary] = {}
         self._told_holders: dict[DomainName, VmName] = {}
         self._reported_leaving: frozenset[TargetName] = frozenset()
@@ -60,6 +64,7 @@
     def on_configuration(self, state: ServingState, now_s: float) -> None:
         """Apply a configuration; the first one creates the router."""
         self._state = state
+        self._next_update_s = now_s
         if self._router is None:
             self._router = Router(
                 RoutingSettings(), self._parts.own, state.configuration, self._parts.random
@@ -79,8 +84,10 @@
 
     def on_timer(self, now_s: float) -> list[Effect]:
         """Apply drains that have started and holders that have changed."""
-        if self._state is None or self._router is None:
+        if self._state is None or self._router is None or now_s < self._next_update_s:
             return []
+        # Its cost grows with all targets and VMs of the deployment.
+        self._next_update_s = now_s + STEERING_INTERVAL_S
         drained = draining_targets(self._state.configuration, time.time())
         self._parts.picker.set_leaving(drained | self._reported_leaving)
         self._router.set_closed(
