--- a/benchmarks/_capacity_fleet.py
+++ b/benchmarks/_capacity_fleet.py
@@ -78,10 +78,25 @@
         """Set faults of the platform."""
         call(PLATFORM_PORT, "/faults", json.dumps(faults).encode())
 
+    def publish(self, layout: Layout) -> None:
+        """Publish the configuration of ``layout`` in place of the one in force."""
+        configuration = Path(self._folder.name, "next.ini")
+        configuration.write_text(render_configuration(layout), encoding="utf-8")
+        self._publish(configuration, "--base", "1")
+
+    def start(self, vms: list[PlannedVm]) -> None:
+        """Start VMs again, all at once."""
+        for vm in vms:
+            settings = Path(self._folder.name, f"{vm.name}.ini")
+            self._nodes[vm.name] = _spawn("node", "--settings", str(settings))
+        self.vms += vms
+
     def kill(self, vms: list[PlannedVm]) -> None:
         """End VMs without a shutdown."""
         for vm in vms:
-            self._nodes.pop(vm.name).kill()
+            process = self._nodes.pop(vm.name)
+            process.kill()
+            process.wait(STOP_LIMIT_S)
         self.vms = [vm for vm in self.vms if vm not in vms]
 
     def _start(self) -> None:
@@ -98,10 +113,10 @@
             time.sleep(START_INTERVAL_S)
         self._wait_ready()
 
-    def _publish(self, configuration: Path) -> None:
+    def _publish(self, configuration: Path, *options: str) -> None:
         address = f"{HOST}:{PLATFORM_PORT}"
         for _ in range(50):
-            command = _command("publish", str(configuration), "--platform", address)
+            command = _command("publish", str(configuration), "--platform", address, *options)
             ended = subprocess.run(command, capture_output=True, check=False)
             if ended.returncode == 0:
                 return
--- a/benchmarks/_capacity_sample.py
+++ b/benchmarks/_capacity_sample.py
@@ -59,9 +59,9 @@
 
 @frozen
 class FleetSample:
-    """Mean rates of each role, and the platform's reads and writes a second."""
+    """Mean rates of each role that occurs, and the platform's reads and writes a second."""
 
-    roles: dict[str, VmRates]
+    roles: dict[str, VmRates | None]
     reads_per_s: float
     writes_per_s: float
 
@@ -130,9 +130,9 @@
     return found
 
 
-def _mean(rates: list[VmRates]) -> VmRates:
+def _mean(rates: list[VmRates]) -> VmRates | None:
     if not rates:
-        return VmRates(*[float("nan")] * len(RATE_NAMES))
+        return None
     classes = {key for rate in rates for key in rate.by_class}
     by_class = {k: statistics.fmean(r.by_class.get(k, 0.0) for r in rates) for k in classes}
     means = [statistics.fmean(getattr(rate, name) for rate in rates) for name in RATE_NAMES]
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -46,6 +46,8 @@
     print(f"  platform: {measured.reads_per_s:.1f} reads/s, {measured.writes_per_s:.1f} writes/s")
     for role in ROLES:
         rates = measured.roles[role]
+        if rates is None:
+            continue
         values = " ".join(f"{name}={getattr(rates, name):.2f}" for name in RATE_NAMES)
         print(f"  {role}: {values}")
         top = sorted(((v, k) for k, v in rates.by_class.items() if k[0] == "bytes"), reverse=True)
@@ -61,13 +63,18 @@
 
 def print_fit(samples: dict[Layout, FleetSample]) -> None:
     """Print each role's slopes and the value that they give at the two-year size."""
-    rows = [terms(layout.domains, layout.vms_per_domain) for layout in samples]
     target = terms(TARGET_DOMAINS, TARGET_VMS_PER_DOMAIN)
     print("\nfit: constant + a * VMs of the own domain + b * domains + c * all VMs")
     for role in ROLES:
         for name in RATE_NAMES:
-            values = [getattr(measured.roles[role], name) for measured in samples.values()]
-            factors = fit(rows, values)
+            points = [
+                (terms(layout.domains, layout.vms_per_domain), getattr(rates, name))
+                for layout, measured in samples.items()
+                if (rates := measured.roles[role]) is not None
+            ]
+            if len(points) < len(target):
+                continue
+            factors = fit([row for row, _ in points], [value for _, value in points])
             worked_out = sum(f * t for f, t in zip(factors, target, strict=True))
             numbers = ", ".join(f"{factor:.4g}" for factor in factors)
             print(f"  {role} {name}: {numbers} -> {worked_out:.1f}")
@@ -95,6 +102,7 @@
     roles = {
         role: {name: getattr(rates, name) for name in RATE_NAMES}
         for role, rates in measured.roles.items()
+        if rates is not None
     }
     reads, writes = measured.reads_per_s, measured.writes_per_s
     return {"roles": roles, "reads_per_s": reads, "writes_per_s": writes}
--- /dev/null
+++ b/benchmarks/capacity_outage.py
@@ -0,0 +1,93 @@
+"""Counts the platform's reads and writes in the minutes after an outage and after a lost domain.
+
+Run as ``python benchmarks/capacity_outage.py [DOMAINSxVMS]``. The platform's stand-in answers
+nothing for a while and then comes back, while a new version is published; then all VMs of one
+failure domain are killed, and started again at once.
+"""
+
+from __future__ import annotations
+
+import argparse
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+from _capacity_fleet import Fleet
+from capacity import parse_layout
+
+if TYPE_CHECKING:
+    from _capacity_layout import Layout
+
+DEFAULT_LAYOUT = "6x5"
+SETTLE_S = 10.0
+ORDINARY_S = 10.0
+OUTAGE_S = 20.0
+AFTERWARDS_S = 30.0
+STEP_S = 0.5
+
+
+def watch(fleet: Fleet, title: str, duration_s: float) -> None:
+    """Print the mean and the busiest second of a span, and the highest rate of a step."""
+    start = fleet.platform_counts()
+    steps: list[tuple[float, float]] = []
+    before, before_s = start, time.monotonic()
+    end_s = before_s + duration_s
+    while time.monotonic() < end_s:
+        time.sleep(STEP_S)
+        counts, now_s = fleet.platform_counts(), time.monotonic()
+        took_s = now_s - before_s
+        steps.append(
+            (
+                (counts["reads"] - before["reads"]) / took_s,
+                (counts["writes"] - before["writes"]) / took_s,
+            )
+        )
+        before, before_s = counts, now_s
+    reads, writes = zip(*steps, strict=True)
+    vms = fleet.layout.vms
+    print(
+        f"{title}: reads/s mean {sum(reads) / len(reads):.1f}, peak {max(reads):.1f} "
+        f"({max(reads) / vms:.2f} a VM); writes/s mean {sum(writes) / len(writes):.2f}, "
+        f"peak {max(writes):.1f}",
+        flush=True,
+    )
+
+
+def adoption_s(fleet: Fleet, version: int) -> float:
+    """Return the time until every VM reports ``version``."""
+    start_s = time.monotonic()
+    waiting = list(fleet.vms)
+    while waiting and time.monotonic() < start_s + AFTERWARDS_S:
+        waiting = [vm for vm in waiting if fleet.health(vm)["version"] < version]
+        time.sleep(0.05)
+    return time.monotonic() - start_s
+
+
+def measure(layout: Layout) -> None:
+    """Run the two bad minutes one after the other."""
+    with Fleet(layout) as fleet:
+        time.sleep(SETTLE_S)
+        print(f"{layout.vms} VMs: {layout}", flush=True)
+        watch(fleet, "ordinary", ORDINARY_S)
+        fleet.set_faults(is_out=True)
+        time.sleep(OUTAGE_S)
+        fleet.set_faults(is_out=False)
+        watch(fleet, "after the outage", AFTERWARDS_S)
+        fleet.publish(attrs.evolve(layout, accounts=layout.accounts + 1))
+        print(f"a change was in force on all VMs after {adoption_s(fleet, 2):.1f} s", flush=True)
+        lost = [vm for vm in fleet.vms if vm.domain == fleet.vms[0].domain]
+        fleet.kill(lost)
+        watch(fleet, "after a domain was lost", AFTERWARDS_S)
+        fleet.start(lost)
+        watch(fleet, "after its VMs came back at once", AFTERWARDS_S)
+
+
+def main() -> None:
+    """Measure one layout."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("layout", nargs="?", default=DEFAULT_LAYOUT)
+    measure(parse_layout(parser.parse_args().layout))
+
+
+if __name__ == "__main__":
+    main()
