--- a/src/siskinward/daemon/dispatcher.py
+++ b/src/siskinward/daemon/dispatcher.py
@@ -126,7 +126,10 @@
 
     async def _may_hedge(self, policy: HedgePolicy, work: Work, progress: RequestProgress) -> bool:
         ledger = self._retries.ledger(work.service)
-        return policy.may_hedge(progress, ledger, await curio.clock())
+        now_s = await curio.clock()
+        loads = self._local.loads(now_s)
+        queued_count = sum(load.waiting for load in loads if load.service == work.service)
+        return policy.may_hedge(progress, ledger, now_s, queued=queued_count)
 
     async def _attempt_into(self, results: Any, choice: Choice, work: Work) -> None:
         # The slower of two attempts runs to its end: its slot is in use either way.
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -15,6 +15,8 @@
 from siskinward.daemon.front import Front
 from siskinward.daemon.lookup import LookupService
 from siskinward.daemon.node_parts import create_parts
+from siskinward.daemon.poll_pace import PollPace
+from siskinward.daemon.poll_pace import PollSettings
 from siskinward.daemon.request_handler import RequestHandler
 from siskinward.daemon.steering import Steering
 from siskinward.daemon.target_watch import TargetWatch
@@ -36,7 +38,7 @@
     from siskinward.state.identifiers import DomainName
     from siskinward.state.settings import NodeSettings
 
-VM_LIST_INTERVAL_S = 5.0
+VM_LIST_POLL = PollSettings(interval_s=30.0, retry_s=2.0, backoff_limit_s=30.0)
 TIMER_INTERVAL_S = 0.05
 HAND_OVER_LIMIT_S = 5.0
 FLUSH_S = 0.2
@@ -158,21 +160,25 @@
         return is_free and not has_tickets and self.parts.forwarder.running_count == 0
 
     async def _run_vm_list(self) -> None:
+        pace = PollPace(VM_LIST_POLL, self.parts.random)
         while True:
             result = await self.parts.platform.list_vms()
             if result.is_ok():
                 await self.parts.cluster.on_vm_list(result.ok, await curio.clock())
-            await curio.sleep(VM_LIST_INTERVAL_S)
+            await curio.sleep(pace.next_delay_s(has_failed=result.is_error()))
 
-    async def _run_timer(self) -> None:
+    async def run_timer_once(self, now_s: float) -> None:
+        """Drive every part's timer; ``run`` does so each ``TIMER_INTERVAL_S``."""
         parts = self.parts
+        await parts.router.tick(now_s)
+        await parts.router.run(parts.gate, self._steering.on_timer(now_s))
+        await parts.local.on_timer(now_s)
+        await self._on_changes(now_s)
+
+    async def _run_timer(self) -> None:
         while True:
             await curio.sleep(TIMER_INTERVAL_S)
-            now_s = await curio.clock()
-            await parts.router.tick(now_s)
-            await parts.router.run(parts.gate, self._steering.on_timer(now_s))
-            await parts.local.on_timer(now_s)
-            await self._on_changes(now_s)
+            await self.run_timer_once(await curio.clock())
 
     async def _on_changes(self, now_s: float) -> None:
         closed_domains = self._steering.closed_domains
