Put the streams between VMs under TLS where the settings name the files

Cause: the settings took TLS paths and nothing used them. Conclusion: the shared secret is still proved inside, so a stolen certificate alone lets nobody in.

--- a/src/siskinward/daemon/node_parts.py
+++ b/src/siskinward/daemon/node_parts.py
@@ -44,6 +44,7 @@
 from siskinward.transport.peer_hub import PeerHub
 from siskinward.transport.peer_link import PeerSettings
 from siskinward.transport.platform_client import PlatformClient
+from siskinward.transport.tls import create_peer_tls
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -51,6 +52,7 @@
 
     from siskinward.state.errors import StepError
     from siskinward.state.settings import NodeSettings
+    from siskinward.transport.tls import PeerTls
 
 INCARNATION_SIZE_BYTES = 8
 QUARANTINE_SETTINGS = QuarantineSettings(hold_unproven_s=0.0)
@@ -92,7 +94,11 @@
     metrics = NodeMetrics()
     platform = PlatformClient(settings.platform)
     hub = PeerHub(
-        PeerSettings(own, secret), create_codec(), on_message, on_error, metrics.count_traffic
+        PeerSettings(own, secret, _peer_tls(settings)),
+        create_codec(),
+        on_message,
+        on_error,
+        metrics.count_traffic,
     )
     router = PartRouter(EffectRunner(hub, platform))
     ledger = SlotLedger(AdmissionSettings())
@@ -134,3 +140,11 @@
         forwarder=forwarder,
         random=source,
     )
+
+
+def _peer_tls(settings: NodeSettings) -> PeerTls | None:
+    peers = settings.peers
+    if peers.tls_certificate_path is None or peers.tls_key_path is None:
+        return None
+    assert peers.tls_ca_path is not None
+    return create_peer_tls(peers.tls_certificate_path, peers.tls_key_path, peers.tls_ca_path)
--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -21,6 +21,7 @@
 from siskinward.transport.peer_link import PeerLink
 from siskinward.transport.sockets import connect
 from siskinward.transport.task_set import TaskSet
+from siskinward.transport.tls import wrap
 from siskinward.transport.traffic import Direction
 from siskinward.transport.traffic import ignore_traffic
 
@@ -133,7 +134,20 @@
         if self._outgoing.get(link.to) is link:
             del self._outgoing[link.to]
 
+    async def _secured(self, sock: Any) -> Any:
+        tls = self._settings.tls
+        if tls is None:
+            return sock
+        async with curio.timeout_after(CONNECT_TIMEOUT_S):
+            return await wrap(sock, tls.server, is_server=True)
+
     async def _serve_link(self, sock: Any, peer: str) -> None:
+        try:
+            sock = await self._secured(sock)
+        except (OSError, curio.TaskTimeout) as error:
+            self._on_error(StepError("TLS handshake", peer, str(error)))
+            await sock.close()
+            return
         link = PeerLink(sock, self._codec, peer, self._on_traffic)
         async with sock:
             result = await link.handshake(self._settings, is_initiator=False)
@@ -200,6 +214,9 @@
     async def _run_once(self) -> None:
         async with curio.timeout_after(CONNECT_TIMEOUT_S):
             sock = await connect(self.address.host, self.address.port)
+            tls = self._settings.tls
+            if tls is not None:
+                sock = await wrap(sock, tls.client, is_server=False)
         async with sock:
             peer = f"{self.address.host}:{self.address.port}"
             link = PeerLink(sock, self._codec, peer, self._on_traffic)
--- a/src/siskinward/transport/peer_link.py
+++ b/src/siskinward/transport/peer_link.py
@@ -21,6 +21,7 @@
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.errors import StepError
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+from siskinward.transport.tls import PeerTls
 from siskinward.transport.traffic import Direction
 from siskinward.transport.traffic import ignore_traffic
 
@@ -44,6 +45,7 @@
 
     own: VmIdentity
     shared_secret: bytes
+    tls: PeerTls | None = None
     ping_interval_s: float = 1.0
     silence_limit_s: float = 2.0
     idle_limit_s: float = 6.0
--- a/tests/transport/test_peer_hub_strangers.py
+++ b/tests/transport/test_peer_hub_strangers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 import curio
@@ -15,6 +16,7 @@
 from siskinward.protocol.handshake import Hello
 from siskinward.protocol.handshake import compute_proof
 from siskinward.protocol.registry import create_codec
+from siskinward.state.errors import SiskinwardError
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
 from siskinward.state.identifiers import VmName
@@ -24,9 +26,14 @@
 from siskinward.transport.peer_link import PeerSettings
 from siskinward.transport.sockets import connect
 from siskinward.transport.sockets import listen
+from siskinward.transport.tls import PeerTls
+from siskinward.transport.tls import create_peer_tls
 
 HOST = "127.0.0.1"
 WAIT_LIMIT_S = 10.0
+TLS_FOLDER = Path(__file__).parents[1] / "fixtures" / "tls"
+CERTIFICATE = str(TLS_FOLDER / "certificate.pem")
+KEY = str(TLS_FOLDER / "key.pem")
 MESSAGE = ForwardReply(7, "incarnation")
 
 
@@ -43,13 +50,15 @@
     errors: list[str] = field(factory=list)
     hub: PeerHub | None = None
 
-    async def start(self, secret: bytes = b"secret", port: int = 0) -> None:
+    async def start(
+        self, secret: bytes = b"secret", port: int = 0, tls: PeerTls | None = None
+    ) -> None:
         async def on_message(message: Any, sender: VmIdentity) -> None:
             self.received.append((message, sender))
 
         listener = listen(HOST, port)
         self.port = listener._socket.getsockname()[1]
-        settings = PeerSettings(identity("receiver"), secret)
+        settings = PeerSettings(identity("receiver"), secret, tls)
         self.hub = PeerHub(
             settings, create_codec(), on_message, lambda error: self.errors.append(error.detail)
         )
@@ -62,13 +71,19 @@
                 await curio.sleep(0.005)
 
 
-async def send_from(receiver: Receiver, name: str, secret: bytes, to: str = "receiver") -> PeerHub:
+async def send_from(
+    receiver: Receiver,
+    name: str,
+    secret: bytes,
+    to: str = "receiver",
+    tls: PeerTls | None = None,
+) -> PeerHub:
     async def ignore(message: Any, sender: VmIdentity) -> None:
         return None
 
     errors = receiver.errors
     hub = PeerHub(
-        PeerSettings(identity(name), secret),
+        PeerSettings(identity(name), secret, tls),
         create_codec(),
         ignore,
         lambda error: errors.append(error.detail),
@@ -104,6 +119,36 @@
     curio.run(main)
 
 
+def test_peer_hub_delivers_under_tls() -> None:
+    async def main() -> None:
+        receiver = Receiver()
+        tls = create_peer_tls(CERTIFICATE, KEY, CERTIFICATE)
+        await receiver.start(tls=tls)
+        await send_from(receiver, "sender", b"secret", tls=tls)
+        await receiver.wait(receiver.received)
+        assert receiver.received == [(MESSAGE, identity("sender"))]
+
+    curio.run(main)
+
+
+def test_peer_hub_under_tls_refuses_a_plain_stream() -> None:
+    async def main() -> None:
+        receiver = Receiver()
+        await receiver.start(tls=create_peer_tls(CERTIFICATE, KEY, CERTIFICATE))
+        await send_from(receiver, "sender", b"secret")
+        await receiver.wait(receiver.errors)
+        assert receiver.received == []
+
+    curio.run(main)
+
+
+def test_peer_tls_names_the_files_it_cannot_load() -> None:
+    with pytest.raises(SiskinwardError) as caught:
+        create_peer_tls("absent.pem", KEY, CERTIFICATE)
+    assert caught.value.error.step == "load TLS files"
+    assert "absent.pem" in caught.value.error.peer
+
+
 def test_peer_hub_refuses_a_wrong_secret() -> None:
     async def main() -> None:
         receiver = Receiver()
