Add the commands that ask a VM: lookup and status

Cause: operators could ask a VM only by HTTP. Conclusion: a VM that is down ends the command with exit code 4 and the address.

--- /dev/null
+++ b/src/siskinward/console/_front.py
@@ -0,0 +1,42 @@
+"""Asks the front of a VM for JSON."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import click
+import curio
+
+from siskinward.console._errors import PlatformUnavailableError
+from siskinward.transport.http_client import HttpClientConnection
+from siskinward.transport.http_messages import HttpRequest
+
+TIMEOUT_S = 2.0
+
+vm_option = click.option(
+    "--vm", "address", default="127.0.0.1:17001", show_default=True, help="HOST:PORT of a front."
+)
+
+
+def ask_front(address: str, target: str) -> dict[str, Any]:
+    """Return the JSON answer of ``GET target``, whatever its status."""
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise click.UsageError(f"{address!r} is not HOST:PORT")
+    answer: dict[str, Any] = curio.run(_ask, host, int(port), target)
+    return answer
+
+
+async def _ask(host: str, port: int, target: str) -> dict[str, Any]:
+    connection = HttpClientConnection(host, port)
+    result = await connection.exchange(HttpRequest("GET", target), TIMEOUT_S)
+    await connection.close()
+    if result.is_error():
+        message = f"the VM at {host}:{port} does not answer: {result.error.detail}"
+        raise PlatformUnavailableError(message, "Ask another VM.")
+    try:
+        return dict(json.loads(result.ok.body))
+    except ValueError as error:
+        message = f"{host}:{port} did not answer as a VM does: {error}"
+        raise PlatformUnavailableError(message, "Check the address.") from error
--- a/src/siskinward/console/application.py
+++ b/src/siskinward/console/application.py
@@ -11,11 +11,13 @@
 from siskinward.console.commands.drain import drain
 from siskinward.console.commands.history import history
 from siskinward.console.commands.key import key
+from siskinward.console.commands.lookup import lookup
 from siskinward.console.commands.node import node
 from siskinward.console.commands.publish import publish
 from siskinward.console.commands.replay import replay
 from siskinward.console.commands.show import show
 from siskinward.console.commands.standin import standin
+from siskinward.console.commands.status import status
 from siskinward.console.commands.vms import vms
 
 
@@ -35,4 +37,6 @@
 main.add_command(publish)
 main.add_command(replay)
 main.add_command(show)
+main.add_command(lookup)
+main.add_command(status)
 main.add_command(vms)
