--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/mypy
 
 bench: setup
-	$(BIN)/siskinward measure
+	$(BIN)/siskinward measure examples/orgonahaz.ini examples/liit.ini --json measures.json --html measures.html
 
 wheel: setup
 	$(BIN)/python -m pip wheel --quiet --no-deps --no-build-isolation --wheel-dir dist .
--- a/src/siskinward/console/application.py
+++ b/src/siskinward/console/application.py
@@ -12,6 +12,7 @@
 from siskinward.console.commands.history import history
 from siskinward.console.commands.key import key
 from siskinward.console.commands.lookup import lookup
+from siskinward.console.commands.measure import measure
 from siskinward.console.commands.node import node
 from siskinward.console.commands.publish import publish
 from siskinward.console.commands.replay import replay
@@ -38,5 +39,6 @@
 main.add_command(replay)
 main.add_command(show)
 main.add_command(lookup)
+main.add_command(measure)
 main.add_command(status)
 main.add_command(vms)
--- /dev/null
+++ b/src/siskinward/measures/__init__.py
@@ -0,0 +1,21 @@
+"""The five measures of a deployment under load, beside a baseline in the same run."""
+
+from __future__ import annotations
+
+from siskinward.measures._load import LoadPlan
+from siskinward.measures._report import render_html
+from siskinward.measures._report import render_text
+from siskinward.measures._results import Measures
+from siskinward.measures._runs import MeasureSettings
+from siskinward.measures._runs import measure_baseline
+from siskinward.measures._runs import measure_system
+
+__all__ = [
+    "LoadPlan",
+    "MeasureSettings",
+    "Measures",
+    "measure_baseline",
+    "measure_system",
+    "render_html",
+    "render_text",
+]
--- /dev/null
+++ b/src/siskinward/measures/_load.py
@@ -0,0 +1,85 @@
+"""Load of a run: every client account in proportion to its rate."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from siskinward.state.objects import Access
+from siskinward.state.objects import Route
+from siskinward.state.objects import ServiceClass
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from siskinward.state.objects import Configuration
+
+OTHER_RATE_PER_S = 6.0
+
+
+@frozen
+class LoadPlan:
+    """Offered load: ``level`` times the read capacity, and a little of each other service."""
+
+    level: float
+    duration_s: float
+    service_time_s: float
+    seed: int = 1
+
+
+@frozen
+class PlannedRequest:
+    """A request of the plan, at a time from the start."""
+
+    at_s: float
+    account: str
+    route: Route
+
+
+def plan_requests(configuration: Configuration, plan: LoadPlan) -> Iterator[PlannedRequest]:
+    """Draw the requests of a run, in order of time; the same plan draws the same ones."""
+    rng = random.Random(plan.seed)
+    accounts = list(configuration.client_accounts.values())
+    weights = [account.rate_per_s for account in accounts]
+    routes = _keyed_routes(configuration)
+    rates = [_rate_per_s(configuration, route, plan) for route in routes]
+    at_s = 0.0
+    while True:
+        at_s += rng.expovariate(sum(rates))
+        if at_s >= plan.duration_s:
+            return
+        route = rng.choices(routes, rates)[0]
+        yield PlannedRequest(at_s, rng.choices(accounts, weights)[0].name, route)
+
+
+def read_slots(configuration: Configuration) -> int:
+    """Return the slots of the first read service, which the level refers to."""
+    service = _read_service(configuration)
+    groups = configuration.target_groups
+    targets = configuration.targets.values()
+    return sum(t.slots for t in targets if groups[t.group].service == service)
+
+
+def _read_service(configuration: Configuration) -> str:
+    services = configuration.services.values()
+    return next(s.name for s in services if s.service_class is ServiceClass.READ)
+
+
+def _keyed_routes(configuration: Configuration) -> list[Route]:
+    """Return one keyed route for each service: the one that does its main work."""
+    found: dict[str, Route] = {}
+    for route in configuration.routes.values():
+        if route.access is not Access.KEYED:
+            continue
+        known = found.get(route.service)
+        if known is None or (known.idempotent and not route.idempotent):
+            found[route.service] = route
+    return list(found.values())
+
+
+def _rate_per_s(configuration: Configuration, route: Route, plan: LoadPlan) -> float:
+    if route.service != _read_service(configuration):
+        return OTHER_RATE_PER_S
+    return plan.level * read_slots(configuration) / plan.service_time_s
--- /dev/null
+++ b/src/siskinward/measures/_runs.py
@@ -0,0 +1,257 @@
+"""Runs a plan through a deployment, and through callers that choose targets at random."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+from typing import Any
+
+import attrs
+import curio
+from attrs import define
+from attrs import field
+from attrs import frozen
+
+from siskinward.coordination.topology import domain_latencies_s
+from siskinward.measures._load import plan_requests
+from siskinward.measures._results import Measures
+from siskinward.measures._results import ServiceLatency
+from siskinward.standins.caller import AccountLoad
+from siskinward.standins.caller import CallerRequest
+from siskinward.standins.caller import CallerStandin
+from siskinward.standins.caller_record import CallerOutcome
+from siskinward.standins.caller_record import CallerRecord
+from siskinward.standins.deployment import Deployment
+from siskinward.standins.deployment import DeploymentSettings
+from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import TargetName
+from siskinward.state.objects import Configuration
+from siskinward.state.objects import Drain
+from siskinward.state.objects import DrainKind
+from siskinward.transport.connection_pool import ConnectionPool
+from siskinward.transport.connection_pool import PoolSettings
+from siskinward.transport.http_messages import HttpRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from siskinward.measures._load import LoadPlan
+    from siskinward.measures._load import PlannedRequest
+    from siskinward.state.objects import ClientAccount
+
+KEY_TEXT_PREFIX = "demo-"
+SAMPLE_S = 0.05
+BASELINE_ATTEMPT_LIMIT = 4
+BASELINE_CONNECTIONS = 64
+ALL_INSIDE_RATE_SHARE = 1.0
+
+
+@frozen
+class MeasureSettings:
+    """Name of the deployment in the results, and the part of a run after which a target drains."""
+
+    deployment: str
+    drain_after_share: float = 0.5
+
+
+async def measure_system(
+    settings: MeasureSettings, configuration: Configuration, plan: LoadPlan
+) -> Measures:
+    """Run the plan through real nodes on the kernel's clock."""
+    deployment = _create_deployment(configuration, plan)
+    await deployment.start()
+    try:
+        run = _Run(settings, deployment, plan)
+        callers = run.callers()
+
+        async def request(planned: PlannedRequest) -> None:
+            await callers[planned.account].request(CallerRequest(planned.route))
+
+        return await run.measure("siskinward", request, drains=True)
+    finally:
+        await deployment.stop()
+
+
+async def measure_baseline(
+    settings: MeasureSettings, configuration: Configuration, plan: LoadPlan
+) -> Measures:
+    """Run the plan through callers that pick targets at random and try others when shed."""
+    deployment = _create_deployment(configuration, plan)
+    await deployment.start_targets()
+    try:
+        run = _Run(settings, deployment, plan)
+        chooser = _RandomChooser(deployment.configuration, run.record, plan.seed)
+        return await run.measure("random choice", chooser.request, drains=False)
+    finally:
+        await deployment.stop()
+
+
+def _create_deployment(configuration: Configuration, plan: LoadPlan) -> Deployment:
+    settings = DeploymentSettings(seed=plan.seed, service_time_s=plan.service_time_s)
+    return Deployment(settings, configuration)
+
+
+@define
+class _RandomChooser:
+    configuration: Configuration
+    record: CallerRecord
+    seed: int
+    pools: dict[str, ConnectionPool] = field(factory=dict)
+    rng: random.Random = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+
+    async def request(self, planned: PlannedRequest) -> None:
+        start_s = await curio.clock()
+        status = await self._attempts(planned)
+        self.record.add(
+            CallerOutcome(
+                line=0,
+                account=planned.account,
+                service=planned.route.service,
+                ticket="",
+                start_s=start_s,
+                end_s=await curio.clock(),
+                status=status,
+                reason="" if status == 200 else "target-shed",
+                outcome="answered" if status == 200 else "not-run",
+            )
+        )
+
+    async def _attempts(self, planned: PlannedRequest) -> int:
+        service = planned.route.service
+        timeout_s = self.configuration.services[service].timeout_s
+        names = [
+            target.name
+            for target in self.configuration.targets.values()
+            if self.configuration.target_groups[target.group].service == service
+        ]
+        status = 0
+        for name in self.rng.sample(names, BASELINE_ATTEMPT_LIMIT):
+            await curio.sleep(2 * self._latency_s(planned.account, name))
+            request = HttpRequest(planned.route.methods[0], planned.route.path_prefix)
+            result = await self._pool(name).exchange(request, timeout_s, needs_recent_proof=False)
+            status = result.ok.status if result.is_ok() else 0
+            if status == 200:
+                return status
+        return status
+
+    def _latency_s(self, account: str, target_name: str) -> float:
+        """Return the one-way latency from the domain where the account's callers enter."""
+        configuration = self.configuration
+        target = configuration.targets[TargetName(target_name)]
+        domain = configuration.target_groups[target.group].failure_domain
+        number = list(configuration.client_accounts).index(AccountName(account))
+        blocks = list(configuration.client_blocks.values())
+        site = configuration.sites[blocks[number % len(blocks)].site]
+        return domain_latencies_s(configuration, site.failure_domain)[domain]
+
+    def _pool(self, name: str) -> ConnectionPool:
+        if name not in self.pools:
+            target = self.configuration.targets[TargetName(name)]
+            settings = PoolSettings(target.host, target.port, BASELINE_CONNECTIONS)
+            self.pools[name] = ConnectionPool(settings)
+        return self.pools[name]
+
+
+class _Run:
+    """One run: offers the plan, samples the slots, drains a target and sums up."""
+
+    def __init__(self, settings: MeasureSettings, deployment: Deployment, plan: LoadPlan) -> None:
+        self._settings = settings
+        self._deployment = deployment
+        self._plan = plan
+        self._free_shares: list[float] = []
+        self._drain_s = -1.0
+        self.record = CallerRecord(deployment.configuration)
+
+    def callers(self) -> dict[str, CallerStandin]:
+        """Return one caller for each client account."""
+        configuration = self._deployment.configuration
+        accounts = configuration.client_accounts.values()
+        return {
+            account.name: self._caller(account, number) for number, account in enumerate(accounts)
+        }
+
+    async def measure(
+        self, way: str, request: Callable[[PlannedRequest], Awaitable[None]], *, drains: bool
+    ) -> Measures:
+        """Offer the plan through ``request`` and return the figures."""
+        start_s = await curio.clock()
+        sampler = await curio.spawn(self._sample, daemon=True)
+        async with curio.TaskGroup() as group:
+            if drains:
+                await group.spawn(self._drain, start_s)
+            for planned in plan_requests(self._deployment.configuration, self._plan):
+                await curio.sleep(max(start_s + planned.at_s - await curio.clock(), 0.0))
+                await group.spawn(request, planned)
+        await sampler.cancel()
+        for failure in group.exceptions:
+            if failure is not None:
+                raise failure
+        return self._sum_up(way)
+
+    def _caller(self, account: ClientAccount, number: int) -> CallerStandin:
+        key_text = f"{KEY_TEXT_PREFIX}{account.name}"
+        blocks = list(self._deployment.configuration.client_blocks.values())
+        address = blocks[number % len(blocks)].prefix.partition("/")[0]
+        load = AccountLoad(account, key_text, account.rate_per_s, address)
+        rng = random.Random(self._plan.seed * 100 + number)
+        return CallerStandin(self._deployment.configuration, load, self.record, rng)
+
+    async def _sample(self) -> None:
+        targets = list(self._deployment.targets.values())
+        slots = sum(target.settings.slots for target in targets)
+        while True:
+            running_count = sum(target.running_count for target in targets)
+            self._free_shares.append(1.0 - running_count / slots)
+            await curio.sleep(SAMPLE_S)
+
+    async def _drain(self, start_s: float) -> None:
+        wait_s = self._plan.duration_s * self._settings.drain_after_share
+        await curio.sleep(max(start_s + wait_s - await curio.clock(), 0.0))
+        configuration = self._deployment.configuration
+        name = next(iter(configuration.targets))
+        drains = {**configuration.drains, "measure": Drain("measure", DrainKind.TARGET, name)}
+        await self._deployment.publish(attrs.evolve(configuration, drains=drains))
+        published_s = await curio.clock()
+        target = self._deployment.targets[name]
+        end_s = start_s + self._plan.duration_s
+        last_busy_s = published_s
+        while await curio.clock() < end_s:
+            if target.running_count:
+                last_busy_s = await curio.clock()
+            await curio.sleep(SAMPLE_S / 5)
+        self._drain_s = last_busy_s - published_s
+
+    def _sum_up(self, way: str) -> Measures:
+        record = self.record
+        record.count_inside()
+        tallies = list(record.accounts.items())
+        inside = [item for item in tallies if item[1].inside_count == item[1].offered_count]
+        worst = min(inside or tallies, key=lambda item: _served_share(item[1]))
+        inside_count = sum(tally.inside_count for _, tally in tallies)
+        wrongful_count = sum(tally.wrongful_count for _, tally in tallies)
+        samples = sorted(self._free_shares)
+        return Measures(
+            deployment=self._settings.deployment,
+            way=way,
+            level=self._plan.level,
+            latencies=tuple(
+                ServiceLatency(item.service, item.count, item.p50_ms, item.p99_ms, item.p999_ms)
+                for item in record.latencies()
+            ),
+            served_count=sum(tally.served_count for _, tally in tallies),
+            offered_count=sum(tally.offered_count for _, tally in tallies),
+            headroom=round(samples[len(samples) // 100], 3),
+            drain_s=round(self._drain_s, 2),
+            worst_served_account=worst[0],
+            worst_served_share=round(_served_share(worst[1]), 4),
+            wrongful_share=round(wrongful_count / max(inside_count, 1), 5),
+        )
+
+
+def _served_share(tally: Any) -> float:
+    return float(tally.served_count / max(tally.offered_count, 1))
--- a/src/siskinward/standins/deployment.py
+++ b/src/siskinward/standins/deployment.py
@@ -97,6 +97,15 @@
 
     async def start(self) -> None:
         """Start everything and wait until all targets are owned and mints have settled."""
+        await self.start_targets()
+        await self.publish(self.configuration)
+        for name in self.configuration.vms:
+            await self.start_vm(name)
+        await self.wait_until(self._is_settled)
+        await curio.sleep(MINT_SETTLING_S)
+
+    async def start_targets(self) -> None:
+        """Start the stand-ins only, on free ports."""
         ports = iter(_free_ports(1 + 2 * len(self.configuration.vms) + len(self._target_names())))
         self._platform_port = next(ports)
         self.configuration = _with_ports(self.configuration, ports)
@@ -104,11 +113,6 @@
         for number, name in enumerate(self._target_names()):
             await self._start_target(name, number)
         await curio.sleep(POLL_S)
-        await self.publish(self.configuration)
-        for name in self.configuration.vms:
-            await self.start_vm(name)
-        await self.wait_until(self._is_settled)
-        await curio.sleep(MINT_SETTLING_S)
 
     async def stop(self) -> None:
         """Stop everything at once."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,7 +21,7 @@
 def test_layer_imports_only_lower_layers(layer: str) -> None:
     allowed = set(LAYERS[LAYERS.index(layer) :])
     if layer == "console":
-        allowed |= {"standins"}
+        allowed |= {"standins", "measures"}
     for path in sorted((SOURCE / layer).rglob("*.py")):
         assert imported_layers(path) <= allowed, path.name
 
