Keep regions within their limits where requests start

Region limits were used for planning only; forwarded requests could exceed them. Each target carries its part of the limit, enforced by its owner, without any message.

--- a/src/siskinward/coordination/admission/__init__.py
+++ b/src/siskinward/coordination/admission/__init__.py
@@ -7,6 +7,7 @@
 from siskinward.coordination.admission.decisions import Popped
 from siskinward.coordination.admission.decisions import Queued
 from siskinward.coordination.admission.decisions import Refused
+from siskinward.coordination.admission.rate_shares import RateShares
 from siskinward.coordination.admission.service_queue import ServiceQueue
 from siskinward.coordination.admission.settings import AdmissionSettings
 from siskinward.coordination.admission.slot_ledger import Slot
@@ -18,6 +19,7 @@
     "Decision",
     "Popped",
     "Queued",
+    "RateShares",
     "Refused",
     "ServiceQueue",
     "Slot",
--- a/src/siskinward/coordination/admission/service_queue.py
+++ b/src/siskinward/coordination/admission/service_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 from siskinward.coordination.admission._fair_queue import Entry
@@ -37,6 +38,7 @@
         self._settings = settings
         self._capacity = 0
         self._used_by_others = 0
+        self._start_interval_s = 0.0
         self._running: set[int] = set()
         self._waiting: dict[int, Entry] = {}
         self._queues = {service_class: FairQueue() for service_class in CLASS_ORDER}
@@ -60,13 +62,15 @@
         """Mean of the recent service times."""
         return self._estimate.mean_s
 
-    def set_capacity(self, slots: int, *, free: int | None = None) -> None:
+    def set_capacity(self, slots: int, *, free: int | None = None, rate_per_s: float = inf) -> None:
         """Set how many requests may run at once; running ones are not cut off.
 
         ``free`` of the slots are open now, where others than this queue's requests use some, or
-        where its requests use slots that no longer count.
+        where its requests use slots that no longer count. At most ``rate_per_s`` requests are
+        expected to start, however many slots there are.
         """
         self._capacity = slots
+        self._start_interval_s = 1.0 / rate_per_s
         self._used_by_others = 0 if free is None else slots - free - len(self._running)
 
     def offer(
@@ -129,11 +133,16 @@
             self._estimate.observe(service_s)
         return True
 
+    @property
+    def _turn_s(self) -> float:
+        """Expected time between two starts while requests wait."""
+        return max(self.service_s / max(1, self._capacity), self._start_interval_s)
+
     def _has_free_slot(self) -> bool:
         return len(self._running) + self._used_by_others < self._capacity
 
     def _enqueue_or_refuse(self, entry: Entry, now_s: float) -> Decision:
-        wait_s = (self._ahead_of(entry) + 1) * self.service_s / self._capacity
+        wait_s = (self._ahead_of(entry) + 1) * self._turn_s
         late_s = now_s + wait_s - self._latest_start_s(entry)
         if late_s > 0:
             return self._refuse(entry, RefusalReason.QUEUE_LATE, late_s)
@@ -203,7 +212,7 @@
                 return self._settings.bulk_floor_share
 
     def _drain_s(self) -> float:
-        return len(self._waiting) * self.service_s / max(1, self._capacity)
+        return len(self._waiting) * self._turn_s
 
     def _enqueue(self, entry: Entry) -> None:
         self._waiting[entry.request_id] = entry
--- a/src/siskinward/coordination/dispatch.py
+++ b/src/siskinward/coordination/dispatch.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 from attrs import frozen
 
 from siskinward.coordination.admission import Admitted
 from siskinward.coordination.admission import Queued
+from siskinward.coordination.admission import RateShares
 from siskinward.coordination.admission import Refused
 from siskinward.coordination.admission import ServiceQueue
 from siskinward.coordination.admission import Slot
@@ -100,6 +102,7 @@
         self._ledger = ledger
         self._ownership = ownership
         self._picker = picker
+        self._shares = RateShares()
         self._slots: dict[TargetName, int] = {}
         self._offers: dict[int, Offer] = {}
         self._running: dict[int, Slot] = {}
@@ -113,6 +116,7 @@
             if groups[target.group].service == self._service.name
             and groups[target.group].failure_domain == domain
         }
+        self._shares.set_configuration(configuration, self._service.name, domain)
 
     def offer(self, offer: Offer, now_s: float) -> Progress:
         """Start, queue or refuse a request."""
@@ -205,13 +209,15 @@
         assert target is not None
         slot = self._ownership.take(target, deadline_s=offer.deadline_s, now_s=now_s)
         assert slot is not None
+        self._shares.start(target, now_s)
         self._running[offer.request_id] = slot
         return Started(offer.request_id, slot, admitted.waited_s)
 
     def _pick(
         self, targets: list[TargetName], excluded: Collection[TargetName], now_s: float
     ) -> TargetName | None:
-        return self._picker.pick(self._ledger, targets, excluded=excluded, now_s=now_s)
+        within_share = [name for name in targets if self._shares.may_start(name, now_s) >= 1.0]
+        return self._picker.pick(self._ledger, within_share, excluded=excluded, now_s=now_s)
 
     def _usable(self, now_s: float) -> list[TargetName]:
         return [name for name in self._ownership.usable_targets(now_s) if name in self._slots]
@@ -221,9 +227,16 @@
 
     def _update_capacity(self, now_s: float) -> None:
         targets = self._usable(now_s)
+        self._shares.retain(targets)
         open_slots = {target: self._open(target, now_s) for target in targets}
-        free = sum(
-            max(0, min(count - self._ledger.in_use(target), self._ledger.free(target)))
-            for target, count in open_slots.items()
+        self._queue.set_capacity(
+            sum(open_slots.values()),
+            free=sum(self._free(target, count, now_s) for target, count in open_slots.items()),
+            rate_per_s=self._shares.rate_per_s(targets) or inf,
         )
-        self._queue.set_capacity(sum(open_slots.values()), free=free)
+
+    def _free(self, target: TargetName, open_slots: int, now_s: float) -> int:
+        """Slots of a target that may be taken now, within its share of the region's limit."""
+        unused = open_slots - self._ledger.in_use(target)
+        startable = self._shares.may_start(target, now_s)
+        return max(0, int(min(unused, self._ledger.free(target), startable)))
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from random import Random
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -26,10 +27,13 @@
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import ServiceName
 from siskinward.state.identifiers import TargetName
 from siskinward.state.identifiers import VmName
 from siskinward.state.objects import Configuration
+from siskinward.state.objects import FailureDomain
+from siskinward.state.objects import RegionLimit
 from siskinward.state.objects import Service
 from siskinward.state.objects import ServiceClass
 from siskinward.state.objects import Target
@@ -147,3 +151,25 @@
     for _ in range(4):
         harness.pass_time(TIMEOUT_S / 4)
     assert set(harness.endings) == set(offered)
+
+
+def test_region_limit_holds_back_starts_and_tells_when_to_return() -> None:
+    harness = DispatchHarness()
+    limit_per_s = 20.0
+    limited = evolve(
+        CONFIGURATION,
+        failure_domains={DOMAIN: FailureDomain(DOMAIN, RegionName("harju"))},
+        region_limits={"r": RegionLimit("r", RegionName("harju"), SERVICE.name, limit_per_s)},
+    )
+    harness.dispatcher.set_configuration(limited, DOMAIN)
+    refusals = 0
+    steps_per_s, seconds = 100, 3
+    for request_id in range(steps_per_s * seconds):
+        harness.pass_time(1.0 / steps_per_s)
+        refusals += len(harness.offer(request_id).refused)
+        for running_id in list(harness.running):
+            del harness.running[running_id]
+            harness.note(harness.dispatcher.finish(running_id, Completed(0.001), harness.now_s))
+    started = len(harness.endings) - refusals
+    assert 0.8 * limit_per_s * seconds <= started <= limit_per_s * seconds
+    assert refusals > 0
