--- a/src/siskinward/coordination/membership/_digests.py
+++ b/src/siskinward/coordination/membership/_digests.py
@@ -39,6 +39,23 @@
     return hasher.digest()
 
 
+class _Ids:
+    """Ids of one digest per failure domain, and the id of them all."""
+
+    def __init__(self) -> None:
+        self._ids: dict[DomainName, bytes] = {}
+        self.view_id = b""
+
+    def put(self, domain: DomainName, digest: DomainDigest | None) -> None:
+        self._ids.pop(domain, None)
+        if digest is not None:
+            self._ids[domain] = digest_id(digest)
+        self.view_id = view_id(self.held()) if self._ids else b""
+
+    def held(self) -> tuple[HeldDigest, ...]:
+        return tuple(HeldDigest(name, self._ids[name]) for name in sorted(self._ids))
+
+
 @define
 class _Source:
     digest: DomainDigest
@@ -64,8 +81,7 @@
         self._timeout_s = timeout_s
         self._sources: dict[DomainName, dict[VmName, _Source]] = {}
         self.merged: dict[DomainName, DomainDigest] = {}
-        self._held: tuple[HeldDigest, ...] = ()
-        self.view_id = b""
+        self._ids = _Ids()
 
     def id_from(self, domain: DomainName, vm: VmName) -> bytes:
         """Return the id of the digest held from ``vm``, or an empty one."""
@@ -102,9 +118,14 @@
             for source in sources.values():
                 source.heard_s = min(source.heard_s + gap_s, now_s)
 
+    @property
+    def view_id(self) -> bytes:
+        """Id of all merged digests; empty if there are none."""
+        return self._ids.view_id
+
     def held(self) -> tuple[HeldDigest, ...]:
         """Return the ids of the merged digests."""
-        return self._held
+        return self._ids.held()
 
     def _remerge(self, domain: DomainName) -> bool:
         sources = self._sources[domain]
@@ -114,10 +135,7 @@
             self.merged[domain] = new
         if new == old:
             return False
-        self._held = tuple(
-            HeldDigest(name, digest_id(self.merged[name])) for name in sorted(self.merged)
-        )
-        self.view_id = view_id(self._held) if self._held else b""
+        self._ids.put(domain, new)
         return True
 
 
@@ -126,28 +144,26 @@
 
     def __init__(self) -> None:
         self.digests: dict[DomainName, DomainDigest] = {}
-        self._held: tuple[HeldDigest, ...] = ()
-        self.view_id = b""
+        self._ids = _Ids()
 
     def store(self, digest: DomainDigest) -> None:
         """Keep a digest."""
         self.digests[digest.failure_domain] = digest
-        self._refresh()
+        self._ids.put(digest.failure_domain, digest)
 
     def drop(self, domain: DomainName) -> None:
         """Forget a failure domain that the relay no longer hears."""
         self.digests.pop(domain, None)
-        self._refresh()
+        self._ids.put(domain, None)
+
+    @property
+    def view_id(self) -> bytes:
+        """Id of all digests; empty if there are none."""
+        return self._ids.view_id
 
     def held(self) -> tuple[HeldDigest, ...]:
         """Return the ids of the digests."""
-        return self._held
-
-    def _refresh(self) -> None:
-        self._held = tuple(
-            HeldDigest(name, digest_id(self.digests[name])) for name in sorted(self.digests)
-        )
-        self.view_id = view_id(self._held) if self._held else b""
+        return self._ids.held()
 
 
 def merged_members(domain: DomainName, digests: Iterable[DomainDigest]) -> tuple[Member, ...]:
--- a/src/siskinward/coordination/membership/_membership.py
+++ b/src/siskinward/coordination/membership/_membership.py
@@ -159,10 +159,10 @@
                 effects += self._on_view_id(view_id, sender.vm)
             case DomainDigest():
                 self._remote.relayed_by(sender.vm).store(message)
-                self._remote_changed()
+                self._refresh((message.failure_domain,))
             case DomainSilent(domain):
                 self._remote.relayed_by(sender.vm).drop(domain)
-                self._remote_changed()
+                self._refresh((domain,))
             case ViewRequest(held):
                 effects += self._remote.answer(held, sender.vm)
         return effects
@@ -200,8 +200,9 @@
         return [Send(relay, ViewRequest(held.held()))]
 
     def _forget_relayed(self, relay: VmName) -> None:
-        if self._remote.relayed.pop(relay, None):
-            self._remote_changed()
+        view = self._remote.relayed.pop(relay, None)
+        if view is not None:
+            self._refresh(tuple(view.digests))
 
     def _expire(self, now_s: float) -> None:
         silent = self._domain.expire(now_s)
@@ -218,7 +219,7 @@
 
     def _note_change(self, domain: DomainName) -> None:
         self._changed_domains.add(domain)
-        self._remote_changed()
+        self._refresh((domain,))
 
     def _send_digests(self, now_s: float) -> list[Effect]:
         changed = self._own_changed or self._changed_domains
@@ -246,8 +247,8 @@
             effects += [Send(vm, message) for vm in self._domain.live_peers()]
         return effects
 
-    def _remote_changed(self) -> None:
-        self._remote.refresh()
+    def _refresh(self, domains: tuple[DomainName, ...]) -> None:
+        self._remote.refresh(domains)
         self._revision += 1
 
     def _view_id(self, now_s: float) -> bytes:
--- a/src/siskinward/coordination/membership/_remote.py
+++ b/src/siskinward/coordination/membership/_remote.py
@@ -16,6 +16,8 @@
 from siskinward.coordination.membership.messages import VmAddress
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from siskinward.coordination.membership._peers import Member
     from siskinward.coordination.membership._settings import MembershipSettings
     from siskinward.coordination.platform import ListedVm
@@ -61,7 +63,7 @@
             address = VmAddress(item.host, item.front_port, item.peer_port)
             self._contacts.setdefault(item.failure_domain, {})[item.vm] = address
         self._listed_leaving = frozenset(item.vm for item in listed if item.leaving)
-        self.refresh()
+        self.refresh(tuple(self._live))
 
     def relayed_by(self, relay: VmName) -> RelayedView:
         """Return what a relay of the own failure domain passed on."""
@@ -93,14 +95,15 @@
         """Discount a pause of the own process."""
         self.direct.excuse(gap_s, now_s)
 
-    def refresh(self) -> None:
-        """Recompute the live VMs after a change; what was heard directly wins."""
-        domains = set(self.direct.merged)
-        for view in self.relayed.values():
-            domains |= set(view.digests)
-        self._live = {domain: self._members(domain) for domain in sorted(domains)}
-        everyone = (member for members in self._live.values() for member in members)
-        self._addresses = {member.identity.vm: member.address for member in everyone}
+    def refresh(self, domains: Iterable[DomainName]) -> None:
+        """Recompute the live VMs of some failure domains; what was heard directly wins."""
+        for domain in domains:
+            for member in self._live.pop(domain, ()):
+                self._addresses.pop(member.identity.vm, None)
+            members = self._members(domain)
+            if members:
+                self._live[domain] = members
+            self._addresses.update((member.identity.vm, member.address) for member in members)
 
     def _members(self, domain: DomainName) -> tuple[Member, ...]:
         digests = [v.digests[domain] for v in self.relayed.values() if domain in v.digests]
