--- a/src/siskinward/coordination/quarantine/_quarantine.py
+++ b/src/siskinward/coordination/quarantine/_quarantine.py
@@ -121,6 +121,13 @@
         self._asking[attempt_id] = _Asking(fingerprint, owner, refuse_at_s)
         return self._deliver([Send(owner, PermitRequest(fingerprint, attempt_id))], now_s)
 
+    def may_start(self, attempt_id: str, now_s: float) -> bool:
+        """Whether a permitted attempt, after a wait in a queue, may still be dispatched."""
+        run = self._runs.get(attempt_id)
+        if run is None:
+            return False
+        return run.owner is not None or not self._suspects.is_suspect(run.fingerprint, now_s)
+
     def started(self, attempt_id: str, target: TargetName) -> None:
         """A permitted attempt was dispatched to a target."""
         self._runs[attempt_id] = evolve(self._runs[attempt_id], target=target)
--- a/tests/coordination/quarantine/test_quarantine_fleet.py
+++ b/tests/coordination/quarantine/test_quarantine_fleet.py
@@ -226,6 +226,18 @@
     assert Permit("second", alone=False) not in steps
 
 
+def test_quarantine_takes_back_permit_of_request_that_waited_in_a_queue() -> None:
+    fleet = Fleet(2, QuarantineSettings(NO_HOLD_S), Random(1))
+    for vm in fleet.vms:
+        fleet.send(vm, CRASH, SETTLED_S)
+    (first, permit), (second, queued) = fleet.permits
+    fleet.vms[first].started(permit.attempt_id, TargetName("organ-1"))
+    assert fleet.vms[second].may_start(queued.attempt_id, SETTLED_S)
+    fleet.carry(first, fleet.vms[first].target_lost(TargetName("organ-1"), SETTLED_S))
+    fleet.deliver(SETTLED_S)
+    assert not fleet.vms[second].may_start(queued.attempt_id, SETTLED_S)
+
+
 def test_quarantine_does_not_hold_proven_requests() -> None:
     fleet = Fleet(1, QuarantineSettings(0.020), Random(1))
     book = fleet.vms[VmName("vm-0")]
