Send pings along with messages instead of by themselves

Cause: inside a failure domain each heartbeat was followed by a ping in a frame, a write and a wake-up of its own. A ping now shares the write of a message; one follows by itself only when the messages since the last ping carried none.

--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -1,6 +1,6 @@
 """Links to all other VMs: one outgoing stream per peer, any number of incoming ones.
 
-Messages are sent on the outgoing stream and received on incoming ones. A ping after messages on
+Messages are sent on the outgoing stream and received on incoming ones. A ping with messages on
 an outgoing stream finds connections that went silent; messages queued meanwhile may be lost, as
 the decision objects expect. A stream without messages ends, so that a VM pays only for the peers
 that it talks to.
@@ -37,6 +37,7 @@
 
 OUTBOX_LIMIT_MESSAGES = 4096
 RECONNECT_DELAY_S = 0.3
+NO_MESSAGE = b""
 CONNECT_TIMEOUT_S = 1.0
 
 
@@ -187,6 +188,8 @@
         self._on_traffic = on_traffic
         self._serial = 0
         self._unanswered_since_s: float | None = None
+        self._pinged_at_s = float("-inf")
+        self._is_unproven = False
         self._used_at_s = 0.0
         self.is_used = True
         self.address = address
@@ -225,10 +228,10 @@
                 raise SiskinwardError(result.error)
             self._check_peer(result.ok)
             self._unanswered_since_s = None
-            self.is_used = True
+            self._pinged_at_s = float("-inf")
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(self._until_broken, self._write, link)
-                await group.spawn(self._ping)
+                await group.spawn(self._watch)
                 await group.spawn(self._until_broken, self._read_pongs, link)
 
     async def _until_broken(self, call: Callable[..., Awaitable[None]], link: PeerLink) -> None:
@@ -251,28 +254,37 @@
             frames = [await self.outbox.get()]
             while not self.outbox.empty():
                 frames.append(await self.outbox.get())
+            now_s = await curio.clock()
+            self._is_unproven = not self._is_ping_due(now_s)
+            if not self._is_unproven:
+                frames.append(self._make_ping(now_s))
             await link.write_frames(frames)
 
-    async def _ping(self) -> None:
-        """Ask for a sign of life after messages; end when there is none, or nothing to send."""
+    def _is_ping_due(self, now_s: float) -> bool:
+        return now_s - self._pinged_at_s >= self._settings.ping_interval_s
+
+    def _make_ping(self, now_s: float) -> bytes:
+        self._pinged_at_s = now_s
+        if self._unanswered_since_s is None:
+            self._unanswered_since_s = now_s
+        self._serial += 1
+        frame = self._codec.encode(Ping(self._serial))
+        self._on_traffic(Ping, Direction.OUT, len(frame))
+        return frame
+
+    async def _watch(self) -> None:
+        """End when the peer is silent or nothing is sent; let messages without a ping have one."""
         while True:
             now_s = await curio.clock()
             since_s = self._unanswered_since_s
             if since_s is not None and now_s - since_s >= self._settings.silence_limit_s:
                 return
-            if self.is_used and not self.outbox.full():
-                self._unanswered_since_s = now_s if since_s is None else since_s
-                await self._send_ping()
+            if self._is_unproven and self._is_ping_due(now_s) and not self.outbox.full():
+                await self.outbox.put(NO_MESSAGE)
             if self._is_idle(now_s):
                 return
             await curio.sleep(self._settings.ping_interval_s)
 
-    async def _send_ping(self) -> None:
-        self._serial += 1
-        frame = self._codec.encode(Ping(self._serial))
-        self._on_traffic(Ping, Direction.OUT, len(frame))
-        await self.outbox.put(frame)
-
     async def _read_pongs(self, link: PeerLink) -> None:
         while isinstance(message := await link.read(), Pong):
             is_last = message.serial == self._serial
--- a/src/siskinward/transport/peer_link.py
+++ b/src/siskinward/transport/peer_link.py
@@ -38,15 +38,15 @@
 class PeerSettings:
     """Who this VM is towards other VMs, and the secret that all VMs of a deployment share.
 
-    A link that has carried messages is pinged every ``ping_interval_s`` until a pong came back,
-    counts as broken after ``silence_limit_s`` without one, and ends after ``idle_limit_s``
-    without messages.
+    Messages carry a ping along, at most one each ``ping_interval_s``. A link counts as broken
+    ``silence_limit_s`` after a ping without a pong, and ends after ``idle_limit_s`` without
+    messages.
     """
 
     own: VmIdentity
     shared_secret: bytes
     tls: PeerTls | None = None
-    ping_interval_s: float = 1.0
+    ping_interval_s: float = 0.9
     silence_limit_s: float = 2.0
     idle_limit_s: float = 6.0
 
--- a/tests/transport/test_peer_hub_idle_links.py
+++ b/tests/transport/test_peer_hub_idle_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections import Counter
 from typing import Any
 
@@ -10,24 +11,29 @@
 from siskinward.coordination.events import VmIdentity
 from siskinward.protocol.forwarding import ForwardReply
 from siskinward.protocol.handshake import Ping
+from siskinward.protocol.handshake import Pong
 from siskinward.protocol.registry import create_codec
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
 from siskinward.state.identifiers import VmName
 from siskinward.transport.peer_hub import PeerAddress
 from siskinward.transport.peer_hub import PeerHub
+from siskinward.transport.peer_link import PeerLink
 from siskinward.transport.peer_link import PeerSettings
 from siskinward.transport.sockets import listen
 from siskinward.transport.traffic import Direction
 
 HOST = "127.0.0.1"
 MESSAGE = ForwardReply(7, "incarnation")
-PING_INTERVAL_S = 0.01
+PING_INTERVAL_S = 0.05
+SILENCE_LIMIT_S = 0.1
 IDLE_LIMIT_S = 0.2
 WAIT_LIMIT_S = 5.0
 
 
-def make_hub(name: str, received: list[Any], sent: Counter[type]) -> PeerHub:
+def make_hub(
+    name: str, received: list[Any], sent: Counter[type], idle_limit_s: float = IDLE_LIMIT_S
+) -> PeerHub:
     async def on_message(message: Any, sender: VmIdentity) -> None:
         received.append(message)
 
@@ -36,7 +42,11 @@
 
     own = VmIdentity(VmName(name), DomainName("d"), IncarnationId(f"{name}-1"))
     settings = PeerSettings(
-        own, b"secret", ping_interval_s=PING_INTERVAL_S, idle_limit_s=IDLE_LIMIT_S
+        own,
+        b"secret",
+        ping_interval_s=PING_INTERVAL_S,
+        silence_limit_s=SILENCE_LIMIT_S,
+        idle_limit_s=idle_limit_s,
     )
     return PeerHub(settings, create_codec(), on_message, lambda error: None, on_traffic)
 
@@ -81,3 +91,36 @@
         await sender.close()
 
     curio.run(main)
+
+
+def test_peer_hub_leaves_a_connection_that_went_silent_after_a_pong() -> None:
+    async def main() -> None:
+        listener = listen(HOST, 0)
+        port = listener._socket.getsockname()[1]
+        answered: list[Any] = []
+        own = VmIdentity(VmName("receiver"), DomainName("d"), IncarnationId("receiver-1"))
+
+        async def serve(sock: Any) -> None:
+            link = PeerLink(sock, create_codec(), "sender")
+            await link.handshake(PeerSettings(own, b"secret"), is_initiator=False)
+            with contextlib.suppress(OSError):
+                while True:
+                    message = await link.read()
+                    if isinstance(message, Ping) and not answered:
+                        answered.append(message)
+                        await link.write(Pong(message.serial))
+
+        sender = make_hub("sender", [], Counter(), idle_limit_s=WAIT_LIMIT_S)
+        sender.set_address(VmName("receiver"), PeerAddress(HOST, port))
+        await sender.send(VmName("receiver"), MESSAGE)
+        first, _ = await listener.accept()
+        await curio.spawn(serve, first, daemon=True)
+        await wait_until(lambda: answered)
+        await sender.send(VmName("receiver"), MESSAGE)
+        async with curio.timeout_after(WAIT_LIMIT_S):
+            second, _ = await listener.accept()
+        await second.close()
+        await sender.close()
+        await listener.close()
+
+    curio.run(main)
