Tell what a refusal vouches for, and ask the ticket before the token

Conclusion: refusals carry a scope and, where the ticket is spent, a fresh one; unproven requests are held for the longest one-way latency less the nearest caller's round trip.

--- a/src/siskinward/daemon/front.py
+++ b/src/siskinward/daemon/front.py
@@ -53,7 +53,10 @@
                 headers = ((b"content-type", CONTENT_TYPE_LATEST.encode()),)
                 return HttpResponse(200, headers, self._metrics.render())
             case _:
-                response = render_outcome(await self._handler.handle(request))
+                handled = await self._handler.handle(request)
+                response = render_outcome(
+                    handled.outcome, scope=handled.scope, fresh_ticket=handled.fresh_ticket
+                )
                 return HttpResponse(response.status, response.headers, response.body)
 
     async def _lookup(self, request: HttpRequest) -> HttpResponse:
--- a/src/siskinward/daemon/local_service.py
+++ b/src/siskinward/daemon/local_service.py
@@ -144,8 +144,11 @@
         started = await self._admit(dispatcher, work, permit)
         if isinstance(started, NotRun):
             return WorkResult(started)
-        others = self._take_others(started.slot, permit, await curio.clock())
-        if others is None:
+        now_s = await curio.clock()
+        others = self._take_others(started.slot, permit, now_s)
+        if others is None or not self._quarantine.may_start(permit, now_s):
+            for slot in others or ():
+                self._ledger.release(slot)
             await self._finish(dispatcher, started, Unsent())
             return WorkResult(NotRun(RefusalReason.QUARANTINED, NO_TARGET_RETRY_AFTER_S))
         self._quarantine.started(permit, started.slot.target)
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -213,6 +213,7 @@
         now_s = await curio.clock()
         await parts.cluster.on_configuration(state, now_s)
         parts.local.apply(state)
+        parts.quarantine.on_configuration(state.configuration)
         self._lookups.on_configuration(state)
         self._lookups.on_live_vms(parts.cluster.live_vms(now_s), self._closed_domains)
         self._steering.on_configuration(state, now_s)
--- a/src/siskinward/daemon/quarantine_desk.py
+++ b/src/siskinward/daemon/quarantine_desk.py
@@ -13,6 +13,7 @@
 from siskinward.coordination.quarantine import Hold
 from siskinward.coordination.quarantine import Permit
 from siskinward.coordination.quarantine import Refuse
+from siskinward.coordination.quarantine import hold_for_s
 from siskinward.daemon.waiter import Waiter
 
 if TYPE_CHECKING:
@@ -22,9 +23,12 @@
     from siskinward.coordination.quarantine import Quarantine
     from siskinward.daemon.part_router import PartRouter
     from siskinward.state.identifiers import TargetName
+    from siskinward.state.objects import Configuration
 
 ANSWER_LIMIT_S = 1.0
 RETRY_AFTER_S = 0.2
+HOLD_MARGIN_S = 0.001
+MS_PER_S = 1000.0
 
 
 class QuarantineDesk:
@@ -37,6 +41,21 @@
         self._numbers = itertools.count(1)
         self._waiters: dict[str, Waiter[Permit | Refuse | Hold]] = {}
 
+    def on_configuration(self, configuration: Configuration) -> None:
+        """Hold unproven requests long enough for a report to overtake a caller's resend."""
+        regions = configuration.regions.values()
+        inside_ms = max((region.domain_latency_ms for region in regions), default=0.0)
+        between_ms = max(
+            (link.one_way_latency_ms for link in configuration.links.values()), default=0.0
+        )
+        client_ms = min((region.client_latency_ms for region in regions), default=0.0)
+        hold_s = hold_for_s((inside_ms + between_ms) / MS_PER_S, 2 * client_ms / MS_PER_S)
+        self._quarantine.set_hold(hold_s + HOLD_MARGIN_S if hold_s > 0 else 0.0)
+
+    def may_start(self, permit: Permit, now_s: float) -> bool:
+        """Tell whether a permitted request may still run after its wait in the queue."""
+        return self._quarantine.may_start(permit.attempt_id, now_s)
+
     async def admit(self, fingerprint: str, now_s: float) -> Permit | NotRun:
         """Wait for the permission to run a request."""
         attempt_id = f"{self._own.incarnation}/{next(self._numbers)}"
--- a/src/siskinward/daemon/request_handler.py
+++ b/src/siskinward/daemon/request_handler.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 import curio
-from attrs import evolve
 
 from siskinward.coordination.fingerprints import fingerprint_of
 from siskinward.coordination.freshness import Isolated
@@ -13,6 +12,8 @@
 from siskinward.coordination.outcomes import NotRun
 from siskinward.coordination.outcomes import RefusalReason
 from siskinward.coordination.outcomes import Unknown
+from siskinward.coordination.tickets import NotRunScope
+from siskinward.daemon.work import Handled
 from siskinward.daemon.work import Work
 from siskinward.protocol.caller_http import contains_key
 from siskinward.protocol.caller_http import parse_caller_headers
@@ -59,7 +60,7 @@
         self._dispatcher = dispatcher
         self._metrics = metrics
 
-    async def handle(self, request: HttpRequest) -> Outcome:
+    async def handle(self, request: HttpRequest) -> Handled:
         """Return the outcome of one request; counts it by reason."""
         start_s = await curio.clock()
         state = self._current_state()
@@ -68,24 +69,24 @@
         route = state.routes.match(request.method, path_of(request.target))
         if route is None:
             return self._refused(RefusalReason.NO_ROUTE)
-        outcome, account = await self._checked(request, state, route, start_s)
-        self._count(outcome, route, account, await curio.clock() - start_s)
-        return outcome
+        handled, account = await self._checked(request, state, route, start_s)
+        self._count(handled.outcome, route, account, await curio.clock() - start_s)
+        return handled
 
     async def _checked(
         self, request: HttpRequest, state: ServingState, route: Route, start_s: float
-    ) -> tuple[Outcome, AccountName]:
+    ) -> tuple[Handled, AccountName]:
         service = state.configuration.services[route.service]
         parsed = parse_caller_headers(request.headers, service)
         if parsed.is_error():
-            return NotRun(parsed.error, SETTLED_RETRY_AFTER_S), OPEN_ACCOUNT
+            return _early_refusal(route, parsed.error), OPEN_ACCOUNT
         account = self._account(state, route, parsed.ok.key_text, start_s)
         if isinstance(account, NotRun):
-            return account, OPEN_ACCOUNT
+            return _early_refusal(route, account.reason, account.retry_after_s), OPEN_ACCOUNT
         headers = allowed_headers(request.headers)
         key_text = parsed.ok.key_text
         if key_text and contains_key(request.target, headers, request.body, key_text):
-            return NotRun(RefusalReason.KEY_EXPOSED, SETTLED_RETRY_AFTER_S), account
+            return _early_refusal(route, RefusalReason.KEY_EXPOSED), account
         work = Work(
             service=route.service,
             client_account=account,
@@ -93,24 +94,26 @@
             target_path=request.target,
             headers=headers,
             body=request.body,
-            run_id=parsed.ok.idempotency_key,
+            run_id=None if route.idempotent else parsed.ok.idempotency_key,
             fingerprint=fingerprint_of(
                 account, route.name, request.method, request.target, request.body
             ),
             is_idempotent=route.idempotent,
             deadline_s=start_s + parsed.ok.deadline_s,
         )
-        return await self._admitted(work, route), account
-
-    async def _admitted(self, work: Work, route: Route) -> Outcome:
-        now_s = await curio.clock()
-        if route.access is Access.KEYED:
-            refusal = await self._gate.admit(work.client_account, now_s)
-            if refusal is not None:
-                return refusal
+        return await self._run(work, route), account
+
+    async def _run(self, work: Work, route: Route) -> Handled:
+        dispatch = self._dispatcher.run if route.access is Access.OPEN else self._dispatch_paid
         if route.idempotent:
-            return await self._dispatcher.run(evolve(work, run_id=None))
-        return await self._desk.run(work, self._dispatcher.run, now_s)
+            return Handled(await dispatch(work))
+        # The ticket comes before the token: a resend is answered from what is known of the first.
+        return await self._desk.run(work, dispatch, await curio.clock())
+
+    async def _dispatch_paid(self, work: Work) -> Outcome:
+        """Spend a token of the client account, then dispatch."""
+        refusal = await self._gate.admit(work.client_account, await curio.clock())
+        return await self._dispatcher.run(work) if refusal is None else refusal
 
     def _account(
         self, state: ServingState, route: Route, key_text: str | None, now_s: float
@@ -130,9 +133,9 @@
 
     def _refused(
         self, reason: RefusalReason, retry_after_s: float = SETTLED_RETRY_AFTER_S
-    ) -> NotRun:
+    ) -> Handled:
         self._metrics.count_refusal(reason)
-        return NotRun(reason, retry_after_s)
+        return Handled(NotRun(reason, retry_after_s))
 
     def _count(
         self, outcome: Outcome, route: Route, account: AccountName, latency_s: float
@@ -148,3 +151,11 @@
                 self._metrics.count_refusal(reason, route.service, account)
         self._metrics.requests.labels(route.service, account, label).inc()
         self._metrics.latency_s.labels(route.service).observe(latency_s)
+
+
+def _early_refusal(
+    route: Route, reason: RefusalReason, retry_after_s: float = SETTLED_RETRY_AFTER_S
+) -> Handled:
+    """Refuse before the ticket book was asked: an earlier send of the request may have run."""
+    scope = None if route.idempotent else NotRunScope.SEND
+    return Handled(NotRun(reason, retry_after_s), scope)
--- a/src/siskinward/daemon/ticket_desk.py
+++ b/src/siskinward/daemon/ticket_desk.py
@@ -11,7 +11,9 @@
 from siskinward.coordination.outcomes import Unknown
 from siskinward.coordination.tickets import AnswerCaller
 from siskinward.coordination.tickets import Dispatch
+from siskinward.coordination.tickets import NotRunScope
 from siskinward.daemon.waiter import Waiter
+from siskinward.daemon.work import Handled
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -48,10 +50,11 @@
         work: Work,
         dispatch: Callable[[Work], Awaitable[Outcome]],
         now_s: float,
-    ) -> Outcome:
+    ) -> Handled:
         """Dispatch ``work`` if the book allows it; else return what the book knows."""
         if work.run_id is None:
-            return NotRun(RefusalReason.TICKET_REQUIRED, RETRY_AFTER_S)
+            refusal = NotRun(RefusalReason.TICKET_REQUIRED, RETRY_AFTER_S)
+            return self._handled(refusal, NotRunScope.REQUEST, now_s)
         attempt_id = f"{self._own.incarnation}-{next(self._attempt_numbers)}"
         waiter = Waiter[Dispatch | AnswerCaller]()
         self._waiters[attempt_id] = waiter
@@ -65,11 +68,12 @@
             del self._waiters[attempt_id]
         match decision:
             case Dispatch():
-                return await self._dispatch(attempt_id, work, dispatch)
-            case AnswerCaller(outcome=outcome):
-                return outcome
+                outcome = await self._dispatch(attempt_id, work, dispatch)
+                return self._handled(outcome, NotRunScope.REQUEST, now_s)
+            case AnswerCaller(outcome=outcome, scope=scope):
+                return self._handled(outcome, scope, now_s)
             case None:
-                return Unknown(RefusalReason.CLAIM_UNAVAILABLE)
+                return Handled(Unknown(RefusalReason.CLAIM_UNAVAILABLE))
 
     def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> Sequence[Any]:
         """Hand a message to the book."""
@@ -104,6 +108,13 @@
         """Whether a begun hand-over is complete."""
         return self._book.is_handed_over
 
+    def _handled(self, outcome: Outcome, scope: NotRunScope, now_s: float) -> Handled:
+        """A request that never ran has spent its ticket: its caller needs another."""
+        if not isinstance(outcome, NotRun):
+            return Handled(outcome)
+        fresh = self._book.mint(now_s) if scope is NotRunScope.REQUEST else ""
+        return Handled(outcome, scope, fresh)
+
     async def _dispatch(
         self, attempt_id: str, work: Work, dispatch: Callable[[Work], Awaitable[Outcome]]
     ) -> Outcome:
--- a/src/siskinward/daemon/work.py
+++ b/src/siskinward/daemon/work.py
@@ -6,6 +6,7 @@
 
 from siskinward.coordination.outcomes import Outcome
 from siskinward.coordination.routing import ServiceLoad
+from siskinward.coordination.tickets import NotRunScope
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import ServiceName
 from siskinward.state.identifiers import TargetName
@@ -37,6 +38,19 @@
         return len(self.target_path) + headers_bytes + len(self.body)
 
 
+@frozen
+class Handled:
+    """The final outcome of a caller's request.
+
+    ``scope`` tells what a ``NotRun`` vouches for where the request may have been sent before;
+    ``fresh_ticket`` is given where the request's own ticket is spent.
+    """
+
+    outcome: Outcome
+    scope: NotRunScope | None = None
+    fresh_ticket: str = ""
+
+
 @frozen
 class WorkResult:
     """What became of an attempt; ``lost_targets`` failed while they ran it.
--- a/src/siskinward/protocol/caller_http.py
+++ b/src/siskinward/protocol/caller_http.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from expression import Result
 
+    from siskinward.coordination.tickets import NotRunScope
     from siskinward.state.objects import Service
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -111,26 +112,33 @@
     return urlsplit(target).path if "://" in target else target.partition("?")[0]
 
 
-def render_outcome(outcome: Outcome) -> CallerResponse:
-    """Return the HTTP answer that tells an outcome."""
+def render_outcome(
+    outcome: Outcome, *, scope: NotRunScope | None = None, fresh_ticket: str = ""
+) -> CallerResponse:
+    """Return the HTTP answer that tells an outcome.
+
+    ``scope`` ``send`` says that this send did not run while an earlier one may have.
+    """
     match outcome:
         case Answered():
             return CallerResponse(outcome.status, outcome.headers, outcome.body)
         case NotRun(reason, retry_after_s):
-            return _refusal(reason, "not-run", retry_after_s)
+            content: dict[str, object] = {"refused": reason.value, "outcome": "not-run"}
+            content["retry_after_ms"] = math.ceil(retry_after_s * MS_PER_S)
+            if scope is not None:
+                content["scope"] = scope.value
+            if fresh_ticket:
+                content["ticket"] = fresh_ticket
+            retry_after = (b"retry-after", str(math.ceil(retry_after_s)).encode())
+            return _refusal(reason, content, (retry_after,))
         case Unknown(reason):
-            return _refusal(reason, "unknown", None)
+            return _refusal(reason, {"refused": reason.value, "outcome": "unknown"}, ())
 
 
-def _refusal(reason: RefusalReason, outcome: str, retry_after_s: float | None) -> CallerResponse:
-    content: dict[str, object] = {"refused": reason.value, "outcome": outcome}
-    headers: list[tuple[bytes, bytes]] = [(b"content-type", b"application/json")]
-    if retry_after_s is not None:
-        content["retry_after_ms"] = math.ceil(retry_after_s * MS_PER_S)
-        headers.append((b"retry-after", str(math.ceil(retry_after_s)).encode()))
+def _refusal(reason: RefusalReason, content: dict[str, object], headers: Headers) -> CallerResponse:
     status = STATUS_BY_REASON.get(reason, DEFAULT_STATUS)
     body = json.dumps(content).encode() + b"\n"
-    return CallerResponse(status, tuple(headers), body)
+    return CallerResponse(status, ((b"content-type", b"application/json"), *headers), body)
 
 
 def _is_key_allowed(value: bytes) -> bool:
--- a/src/siskinward/protocol/codec.py
+++ b/src/siskinward/protocol/codec.py
@@ -14,6 +14,7 @@
 import msgpack
 from attrs import frozen
 from cattrs.errors import BaseValidationError
+from cattrs.errors import ForbiddenExtraKeysError
 from cattrs.preconf.msgpack import make_converter
 from expression import Error
 from expression import Ok
@@ -26,6 +27,15 @@
     from expression import Result
 
 FRAME_LIMIT_BYTES = 24 * 1024 * 1024
+STRUCTURE_ERRORS = (
+    AttributeError,
+    BaseValidationError,
+    ForbiddenExtraKeysError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 
 @frozen
@@ -78,7 +88,7 @@
                 for field, value in zip(self._fields_of(message_type), values, strict=True)
             }
             return Ok(message_type(**arguments))
-        except (BaseValidationError, ValueError, TypeError, KeyError, AttributeError) as error:
+        except STRUCTURE_ERRORS as error:
             detail = f"{message_type.__name__}: {error}"
             return Error(StepError("decode message", peer, detail))
 
--- a/src/siskinward/standins/caller_record.py
+++ b/src/siskinward/standins/caller_record.py
@@ -136,11 +136,11 @@
         return [_summary(name, histogram) for name, histogram in sorted(self._histograms.items())]
 
     def _is_inside(self, outcome: CallerOutcome) -> bool:
-        if outcome.account == OPEN_ROUTES:
+        limits = self._configuration.client_accounts.get(AccountName(outcome.account))
+        if limits is None:
             return True
         bucket = self._buckets.get(outcome.account)
         if bucket is None:
-            limits = self._configuration.client_accounts[AccountName(outcome.account)]
             burst = float(limits.burst_tokens)
             bucket = _ExactBucket(limits.rate_per_s, burst, burst, outcome.start_s)
             self._buckets[outcome.account] = bucket
--- a/tests/daemon/test_node_faults.py
+++ b/tests/daemon/test_node_faults.py
@@ -151,6 +151,47 @@
     deployment.run(body)
 
 
+def test_booking_refused_for_its_rate_never_ran_and_names_a_fresh_ticket(
+    deployment: SmallDeployment,
+) -> None:
+    async def body() -> None:
+        tickets = await deployment.tickets("vm-a", 60) + await deployment.tickets("vm-a", 60)
+        tasks = [await curio.spawn(deployment.book, "vm-a", ticket) for ticket in tickets]
+        responses = [await task.join() for task in tasks]
+        refused = [
+            (ticket, json.loads(response.body))
+            for ticket, response in zip(tickets, responses, strict=True)
+            if response.status == 429
+        ]
+        served_count = sum(response.status == 200 for response in responses)
+        assert refused and served_count + len(refused) == len(tickets)
+        runs = {run_id for t in deployment.targets.values() for run_id in t.runs_by_id}
+        for ticket, content in refused:
+            assert (content["outcome"], content["scope"]) == ("not-run", "request")
+            assert ticket not in runs
+        await curio.sleep(IN_FORCE_LIMIT_S)
+        again = await deployment.book("vm-b", refused[0][1]["ticket"])
+        assert again is not None and again.status == 200
+
+    deployment.run(body)
+
+
+def test_resend_with_a_withdrawn_key_vouches_for_this_send_only(
+    deployment: SmallDeployment,
+) -> None:
+    async def body() -> None:
+        (ticket,) = await deployment.tickets("vm-a", 1)
+        await deployment.book("vm-a", ticket)
+        await deployment.withdraw_keys("alpha")
+        await curio.sleep(IN_FORCE_LIMIT_S)
+        again = await deployment.book("vm-a", ticket)
+        assert again is not None
+        content = json.loads(again.body)
+        assert (content["refused"], content["scope"]) == ("key-unknown", "send")
+
+    deployment.run(body)
+
+
 def test_booking_whose_home_is_cut_off_is_told_at_once(deployment: SmallDeployment) -> None:
     async def body() -> None:
         tickets = await deployment.tickets("vm-a", 4)
