--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,8 @@
 	$(BIN)/python -m pytest
 
 lint: setup
-	$(BIN)/black --check --quiet src tests benchmarks
-	$(BIN)/ruff check src tests benchmarks
+	$(BIN)/black --check --quiet src tests benchmarks examples
+	$(BIN)/ruff check src tests benchmarks examples
 
 types: setup
 	$(BIN)/mypy
--- /dev/null
+++ b/examples/embedding.py
@@ -0,0 +1,101 @@
+"""Holds client accounts to their rate over three VMs, with the share parts alone.
+
+The network is a list; the time is a number. Run as ``python examples/embedding.py``.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from siskinward.coordination.events import Send
+from siskinward.coordination.events import VmIdentity
+from siskinward.coordination.shares import AccountTokens
+from siskinward.coordination.shares import MintHolders
+from siskinward.coordination.shares import ShareSettings
+from siskinward.coordination.shares import TokenMint
+from siskinward.coordination.shares import TokenWallet
+from siskinward.state.configuration import parse_configuration
+from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import VmName
+
+DOMAIN = DomainName("one")
+STEP_S = 0.01
+SETTLED_S = 10.0
+CONFIGURATION = """
+[region north]
+[failure-domain one]
+region = north
+[client-account reader]
+rate_per_s = 20
+burst_tokens = 20
+"""
+
+
+def identity(name: str) -> VmIdentity:
+    """Return the identity of one VM of the only failure domain."""
+    return VmIdentity(VmName(name), DOMAIN, IncarnationId(f"{name}-1"))
+
+
+class Fleet:
+    """Three wallets and one mint; every message arrives one step later."""
+
+    def __init__(self) -> None:
+        configuration = parse_configuration(CONFIGURATION, "embedding").ok
+        self.vms = [identity(name) for name in ("a", "b", "c")]
+        self.mint = TokenMint(ShareSettings(), self.vms[0])
+        self.wallets = {vm.vm: TokenWallet(ShareSettings(), vm) for vm in self.vms}
+        self.inbox: list[tuple[VmIdentity, VmName, Any]] = []
+        self.now_s = 0.0
+        self.mint.on_accounts(configuration, self.now_s)
+        for vm in self.vms:
+            wallet = self.wallets[vm.vm]
+            self._queue(vm, wallet.on_accounts(configuration, self.now_s))
+            holders = MintHolders({DOMAIN: self.vms[0].vm})
+            self._queue(vm, wallet.on_peers(holders, self.now_s))
+
+    def step(self) -> None:
+        """Advance the time by one step and deliver what was queued before it."""
+        self.now_s += STEP_S
+        delivered, self.inbox = self.inbox, []
+        for sender, to, message in delivered:
+            receiver = next(vm for vm in self.vms if vm.vm == to)
+            effects = self.wallets[to].on_message(message, sender, self.now_s)
+            if receiver == self.vms[0]:
+                effects = effects + self.mint.on_message(message, sender, self.now_s)
+            self._queue(receiver, effects)
+        self.mint.on_grant(True, 1, self.now_s)
+        self._queue(self.vms[0], self.mint.on_timer(self.now_s))
+        for vm in self.vms:
+            self._queue(vm, self.wallets[vm.vm].on_timer(self.now_s))
+
+    def spend(self, vm: VmIdentity) -> bool:
+        """Try to spend one token of the account at one VM."""
+        wallet = self.wallets[vm.vm]
+        spent = wallet.spend(AccountTokens(AccountName("reader")), 1, self.now_s)
+        self._queue(vm, wallet.take_effects())
+        return spent
+
+    def _queue(self, sender: VmIdentity, effects: list[Any]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    self.inbox.append((sender, to, message))
+
+
+def run(duration_s: float) -> int:
+    """Ask for far more than the rate at all VMs in turn; return how many tokens were spent."""
+    fleet = Fleet()
+    while fleet.now_s < SETTLED_S:
+        fleet.step()
+    spent_count = 0
+    step_count = round(duration_s / STEP_S)
+    for number in range(step_count):
+        fleet.step()
+        spent_count += fleet.spend(fleet.vms[number % len(fleet.vms)])
+    return spent_count
+
+
+if __name__ == "__main__":
+    print(f"{run(10.0)} tokens spent in 10 s at 20 a second with a burst of 20")
