--- a/src/siskinward/standins/caller.py
+++ b/src/siskinward/standins/caller.py
@@ -29,7 +29,7 @@
     from siskinward.transport.http_messages import HttpResponse
 
 CLASS_WEIGHTS = {ServiceClass.READ: 6.0, ServiceClass.ORDER: 2.0, ServiceClass.BULK: 1.0}
-CONNECTION_LIMIT = 64
+CONNECTION_LIMIT = 4096
 LOOKUP_TIMEOUT_S = 1.0
 REQUEST_TIMEOUT_S = 5.0
 ATTEMPT_LIMIT = 4
