--- a/src/siskinward/coordination/shares/mint.py
+++ b/src/siskinward/coordination/shares/mint.py
@@ -34,7 +34,8 @@
 class TokenMint:
     """Mints tokens while this VM holds its failure domain's mint grant.
 
-    The embedding program calls ``on_grant`` with the grant's standing before each ``on_timer``.
+    The embedding program calls ``on_grant`` with the grant's standing before each ``on_timer``, and
+    reads the clock for ``on_message`` after the message was received, never before.
     The mint stops by itself after a stall longer than the pause bound, until the next
     ``on_grant``.
     """
