--- a/src/siskinward/coordination/shares/_purse.py
+++ b/src/siskinward/coordination/shares/_purse.py
@@ -89,7 +89,8 @@
         assert self.pending is not None
         expires_s = self.pending.sent_s + settings.holding_s
         if answer.granted_micro < self.pending.request.wanted_micro:
-            self.prefetch_after_s = now_s + settings.backoff_s
+            pause_s = settings.backoff_s if answer.granted_micro else settings.wait_s
+            self.prefetch_after_s = now_s + pause_s
         request = self.pending.request
         self.queued = request.queues and answer.granted_micro < request.needed_micro
         self.pending = None
