Drive each timer once, and keep one local delivery for tickets and quarantine

Cause: the mint and the assigner were driven twice a tick, and the delivery of a part's messages to its own VM stood twice.

--- a/src/siskinward/coordination/quarantine/_quarantine.py
+++ b/src/siskinward/coordination/quarantine/_quarantine.py
@@ -11,6 +11,7 @@
 
 from siskinward.coordination.events import Effect
 from siskinward.coordination.events import Send
+from siskinward.coordination.local_delivery import deliver_locally
 from siskinward.coordination.outcomes import NotRun
 from siskinward.coordination.outcomes import RefusalReason
 from siskinward.coordination.quarantine._permits import PermitOwner
@@ -249,15 +250,7 @@
         return [Send(vm.vm, report) for vm in newcomers for report in reports]
 
     def _deliver(self, steps: Sequence[QuarantineStep], now_s: float) -> list[QuarantineStep]:
-        pending = list(steps)
-        results: list[QuarantineStep] = []
-        while pending:
-            step = pending.pop(0)
-            if isinstance(step, Send) and step.to == self._own.vm:
-                pending += self._handle(step.message, self._own, now_s)
-            else:
-                results.append(step)
-        return results
+        return deliver_locally(steps, self._own, self._handle, now_s)
 
     def _refusal(self, attempt_id: str, retry_after_s: float) -> Refuse:
         return Refuse(attempt_id, NotRun(RefusalReason.QUARANTINED, retry_after_s))
--- a/src/siskinward/coordination/tickets/_book.py
+++ b/src/siskinward/coordination/tickets/_book.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from siskinward.coordination.events import Send
+from siskinward.coordination.local_delivery import deliver_locally
 from siskinward.coordination.outcomes import NotRun
 from siskinward.coordination.outcomes import RefusalReason
 from siskinward.coordination.tickets._attempts import TicketAttempts
@@ -178,15 +179,7 @@
                 return self._attempts.on_gone(message, now_s)
 
     def _deliver_local(self, steps: Sequence[TicketStep], now_s: float) -> list[TicketStep]:
-        pending = list(steps)
-        results: list[TicketStep] = []
-        while pending:
-            step = pending.pop(0)
-            if isinstance(step, Send) and step.to == self._own.vm:
-                pending += self._handle(step.message, self._own, now_s)
-            else:
-                results.append(step)
-        return results
+        return deliver_locally(steps, self._own, self._handle, now_s)
 
     def _home_of(self, ticket: Ticket) -> VmIdentity:
         if self._home.holds(ticket):
--- a/src/siskinward/daemon/metrics.py
+++ b/src/siskinward/daemon/metrics.py
@@ -24,20 +24,32 @@
     def __init__(self) -> None:
         registry = CollectorRegistry()
         self._registry = registry
-        self.requests = Counter(
-            "siskinward_requests",
+        self._traffic: dict[tuple[type, Direction], tuple[Counter, Counter]] = {}
+        self.requests = self._counter(
+            "requests",
             "Requests by service, client account and outcome.",
-            ("service", "client_account", "outcome"),
-            registry=registry,
+            "service",
+            "client_account",
+            "outcome",
         )
-        self.refusals = Counter(
-            "siskinward_refusals",
+        self.refusals = self._counter(
+            "refusals",
             "Refused requests by reason, service and client account.",
-            ("reason", "service", "client_account"),
-            registry=registry,
+            "reason",
+            "service",
+            "client_account",
+        )
+        self.retries = self._counter("retries", "Retries by reason.", "reason", "service")
+        self.lookups = self._counter("lookups", "Look-ups answered.")
+        self.errors = self._counter("errors", "Failed steps towards peers.", "step")
+        self.forwarded = self._counter(
+            "forwarded", "Requests forwarded to another VM.", "failure_domain"
         )
-        self.retries = Counter(
-            "siskinward_retries", "Retries by reason.", ("reason", "service"), registry=registry
+        self.peer_messages = self._counter(
+            "peer_messages", "Messages between VMs.", "message", "direction"
+        )
+        self.peer_bytes = self._counter(
+            "peer_bytes", "Bytes of messages between VMs.", "message", "direction"
         )
         self.latency_s = Histogram(
             "siskinward_latency_seconds",
@@ -46,32 +58,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
-        self.lookups = Counter("siskinward_lookups", "Look-ups answered.", registry=registry)
-        self.errors = Counter(
-            "siskinward_errors", "Failed steps towards peers.", ("step",), registry=registry
-        )
         self.configuration_version = Gauge(
             "siskinward_configuration_version", "Version in force.", registry=registry
         )
-        self.forwarded = Counter(
-            "siskinward_forwarded",
-            "Requests forwarded to another VM, by failure domain.",
-            ("failure_domain",),
-            registry=registry,
-        )
-        self.peer_messages = Counter(
-            "siskinward_peer_messages",
-            "Messages between VMs, by class and direction.",
-            ("message", "direction"),
-            registry=registry,
-        )
-        self.peer_bytes = Counter(
-            "siskinward_peer_bytes",
-            "Bytes of messages between VMs, by class and direction.",
-            ("message", "direction"),
-            registry=registry,
-        )
-        self._traffic: dict[tuple[type, Direction], tuple[Counter, Counter]] = {}
+
+    def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
+        return Counter(f"siskinward_{name}", help_text, labels, registry=self._registry)
 
     def count_traffic(self, message_type: type, direction: Direction, size_bytes: int) -> None:
         """Count one message between VMs."""
--- a/src/siskinward/daemon/node_parts.py
+++ b/src/siskinward/daemon/node_parts.py
@@ -93,13 +93,8 @@
     secret = settings.peers.shared_secret.encode()
     metrics = NodeMetrics()
     platform = PlatformClient(settings.platform)
-    hub = PeerHub(
-        PeerSettings(own, secret, _peer_tls(settings)),
-        create_codec(),
-        on_message,
-        on_error,
-        metrics.count_traffic,
-    )
+    peers = PeerSettings(own, secret, _peer_tls(settings))
+    hub = PeerHub(peers, create_codec(), on_message, on_error, metrics.count_traffic)
     router = PartRouter(EffectRunner(hub, platform))
     ledger = SlotLedger(AdmissionSettings())
     authority = Authority(own, ledger, now_s)
@@ -116,12 +111,7 @@
     forwarder = Forwarder(own, hub, dispatcher.run_forwarded)
     dispatcher.forwarder = forwarder
     cluster = Cluster(own, settings.node, hub, router, now_s)
-    router.register(authority, grant_messages.MESSAGES)
-    router.register(authority.mint, MINT_MESSAGES)
-    router.register(authority.ownership, OWNERSHIP_MESSAGES)
-    router.register(gate, WALLET_MESSAGES)
-    router.register(desk, ticket_messages.MESSAGES)
-    router.register(quarantine, quarantine_messages.MESSAGES)
+    _register(router, authority, gate, desk, quarantine)
     return NodeParts(
         own=own,
         metrics=metrics,
@@ -142,6 +132,21 @@
     )
 
 
+def _register(
+    router: PartRouter,
+    authority: Authority,
+    gate: AccountGate,
+    desk: TicketDesk,
+    quarantine: QuarantineDesk,
+) -> None:
+    router.register(authority, grant_messages.MESSAGES)
+    router.register(authority.mint, MINT_MESSAGES, has_timer=False)
+    router.register(authority.ownership, OWNERSHIP_MESSAGES, has_timer=False)
+    router.register(gate, WALLET_MESSAGES)
+    router.register(desk, ticket_messages.MESSAGES)
+    router.register(quarantine, quarantine_messages.MESSAGES)
+
+
 def _peer_tls(settings: NodeSettings) -> PeerTls | None:
     peers = settings.peers
     if peers.tls_certificate_path is None or peers.tls_key_path is None:
--- a/src/siskinward/daemon/part_router.py
+++ b/src/siskinward/daemon/part_router.py
@@ -35,9 +35,14 @@
         self._parts: list[Part] = []
         self._part_by_type: dict[type, Part] = {}
 
-    def register(self, part: Part, message_types: tuple[type, ...]) -> None:
-        """Add a part with the message classes that it takes; a part may be added twice."""
-        if part not in self._parts:
+    def register(
+        self, part: Part, message_types: tuple[type, ...], *, has_timer: bool = True
+    ) -> None:
+        """Add a part with the message classes that it takes.
+
+        Without ``has_timer`` another part drives its timer.
+        """
+        if has_timer:
             self._parts.append(part)
         for message_type in message_types:
             self._part_by_type[message_type] = part
