Record callers' requests as traces

Cause: replay needs traces of real traffic. Conclusion: sends under one ticket share a label; bodies are left out.

--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -115,7 +115,7 @@
     def _create_server(self) -> HttpServer:
         parts = self.parts
         limits = self._settings.limits
-        handler = RequestHandler(
+        self.handler = RequestHandler(
             lambda: self._state,
             self._replica.standing,
             parts.gate,
@@ -123,7 +123,7 @@
             parts.dispatcher,
             parts.metrics,
         )
-        front = Front(handler, self._lookups, parts.metrics, self._health)
+        front = Front(self.handler, self._lookups, parts.metrics, self._health)
         settings = HttpServerSettings(limits.header_bytes, limits.body_bytes, limits.idle_timeout_s)
         return HttpServer(settings, front.handle, parts.metrics.count_refusal)
 
--- a/src/siskinward/daemon/request_handler.py
+++ b/src/siskinward/daemon/request_handler.py
@@ -31,6 +31,7 @@
     from siskinward.daemon.account_gate import AccountGate
     from siskinward.daemon.dispatcher import Dispatcher
     from siskinward.daemon.metrics import NodeMetrics
+    from siskinward.daemon.recorder import Recorder
     from siskinward.daemon.serving_state import ServingState
     from siskinward.daemon.ticket_desk import TicketDesk
     from siskinward.state.objects import Route
@@ -59,6 +60,7 @@
         self._desk = desk
         self._dispatcher = dispatcher
         self._metrics = metrics
+        self.recorder: Recorder | None = None
 
     async def handle(self, request: HttpRequest) -> Handled:
         """Return the outcome of one request; counts it by reason."""
@@ -101,6 +103,8 @@
             is_idempotent=route.idempotent,
             deadline_s=start_s + parsed.ok.deadline_s,
         )
+        if self.recorder is not None:
+            self.recorder.record(work, request.peer, start_s)
         return await self._run(work, route), account
 
     async def _run(self, work: Work, route: Route) -> Handled:
--- a/tests/daemon/test_node_path.py
+++ b/tests/daemon/test_node_path.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import io
 import json
+from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
 
 import curio
 import pytest
 
+from siskinward.daemon.recorder import Recorder
+from siskinward.standins.replay._trace import parse_trace
+
 if TYPE_CHECKING:
     from conftest import SmallDeployment
 
@@ -87,3 +92,27 @@
     target = deployment.targets["listings-a-1"]
     object.__setattr__(target.settings, "service_time_s", 0.6)
     return await deployment.get("vm-a", "/listings/x", "alpha")
+
+
+def test_node_records_a_trace_without_keys(deployment: SmallDeployment) -> None:
+    file = io.StringIO()
+
+    async def body() -> None:
+        node = deployment.vms["vm-a"].node
+        node.handler.recorder = Recorder(file, await curio.clock())
+        await deployment.get("vm-a", "/listings/x", "alpha")
+        await deployment.get("vm-a", "/open/x")
+        (ticket,) = await deployment.tickets("vm-a", 1)
+        await deployment.book("vm-a", ticket)
+        assert ticket not in file.getvalue()
+
+    deployment.run(body)
+    trace = parse_trace(file.getvalue(), Path("recorded.jsonl")).ok
+    recorded = [(line.event.account, line.event.service) for line in trace.lines]
+    assert recorded == [
+        ("alpha", "listings"),
+        ("(open routes)", "listings"),
+        ("alpha", "bookings"),
+    ]
+    assert trace.lines[2].event.ticket
+    assert "demo-" not in file.getvalue()
