Move drained callers in steps under the shift cap

Look-ups left out a drained failure domain at once, so that a drain of half the callers moved all of them within one interval. VMs now count look-ups of cells, one VM plans, and each step is put in force by compare-and-set of one row that all VMs follow.

--- /dev/null
+++ b/src/siskinward/coordination/demand/reports.py
@@ -0,0 +1,87 @@
+"""Demand of cells and capacity for each service, and their compact form."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgpack
+from attrs import field
+from attrs import frozen
+
+from siskinward.coordination.planner import Cell
+from siskinward.state.identifiers import ServiceName
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MILLI = 1000
+
+
+@frozen
+class ServiceDemand:
+    """Look-ups a second of each cell, and what the owned targets can serve a second."""
+
+    service: ServiceName
+    capacity_per_s: float
+    demands: dict[Cell, float] = field(factory=dict)
+
+
+def sum_demands(reports: Iterable[tuple[ServiceDemand, ...]]) -> tuple[ServiceDemand, ...]:
+    """Add up reports, service by service."""
+    capacities: dict[ServiceName, float] = defaultdict(float)
+    demands: dict[ServiceName, dict[Cell, float]] = defaultdict(lambda: defaultdict(float))
+    for report in reports:
+        for item in report:
+            capacities[item.service] += item.capacity_per_s
+            for cell, amount in item.demands.items():
+                demands[item.service][cell] += amount
+    return tuple(
+        ServiceDemand(service, capacity, dict(demands[service]))
+        for service, capacity in capacities.items()
+    )
+
+
+def pack_demands(report: tuple[ServiceDemand, ...]) -> bytes:
+    """Return the bytes of a report; rates are rounded to thousandths."""
+    rows = []
+    for item in report:
+        sites: dict[str, list[int]] = defaultdict(list)
+        for cell, amount in item.demands.items():
+            sites[cell.site] += [cell.bucket, round(amount * MILLI)]
+        rows.append([item.service, round(item.capacity_per_s * MILLI), sites])
+    packed: bytes = msgpack.packb(rows)
+    return packed
+
+
+def unpack_demands(content: bytes) -> tuple[ServiceDemand, ...] | None:
+    """Return the report in ``content``, or None if it is malformed."""
+    try:
+        return tuple(_unpack_row(row) for row in msgpack.unpackb(content))
+    except (ValueError, TypeError, msgpack.UnpackException):
+        return None
+
+
+def _unpack_row(row: Any) -> ServiceDemand:
+    match row:
+        case [str() as service, int() as capacity, dict() as sites] if capacity >= 0:
+            demands: dict[Cell, float] = {}
+            for site, values in sites.items():
+                for bucket, amount in zip(values[::2], values[1::2], strict=True):
+                    demands[_cell(site, bucket)] = _rate(amount)
+            return ServiceDemand(ServiceName(service), capacity / MILLI, demands)
+        case _:
+            raise ValueError("malformed demand")
+
+
+def _cell(site: Any, bucket: Any) -> Cell:
+    if not isinstance(site, str) or not isinstance(bucket, int):
+        raise ValueError("malformed cell")
+    return Cell(site, bucket)
+
+
+def _rate(amount: Any) -> float:
+    if not isinstance(amount, int) or amount < 0:
+        raise ValueError("malformed rate")
+    return amount / MILLI
--- a/src/siskinward/coordination/lookup.py
+++ b/src/siskinward/coordination/lookup.py
@@ -49,6 +49,7 @@
     ttl_s: float
     map_version: int
     assignment_version: int
+    cell: Cell | None = None
 
 
 class LookupTable:
@@ -65,6 +66,8 @@
         self._client_map: ClientMap | None = None
         self._assignments: dict[ServiceName, Assignment] = {}
         self._live: dict[DomainName, tuple[VmEndpoint, ...]] = {}
+        self._draining: frozenset[DomainName] = frozenset()
+        self._closed: frozenset[DomainName] = frozenset()
         self._answers: dict[tuple[ServiceName, ClientLocation | None], LookupAnswer] = {}
         self.set_configuration(configuration)
 
@@ -101,6 +104,18 @@
         }
         self._answers.clear()
 
+    def set_drains(self, draining: frozenset[DomainName], closed: frozenset[DomainName]) -> None:
+        """Set the failure domains that are being drained, and those whose time is over.
+
+        A draining domain is named only to cells that are still there, a closed one to nobody as
+        long as another domain has live VMs.
+        """
+        if (draining, closed) == (self._draining, self._closed):
+            return
+        self._draining = draining
+        self._closed = closed
+        self._answers.clear()
+
     def answer(self, address: str, service: ServiceName) -> LookupAnswer:
         """The VMs that a caller at ``address`` should use for ``service``."""
         location = None if self._client_map is None else self._client_map.locate(address)
@@ -113,7 +128,7 @@
         assignment = self._assignments.get(service)
         vms: list[VmEndpoint] = []
         offset = 0 if location is None else location.bucket
-        for domain in self._domains(assignment, location):
+        for domain in self._open_domains(self._domains(assignment, location), location):
             live = self._live.get(domain, ())
             start = offset % len(live) if live else 0
             vms.extend(live[start:] + live[:start])
@@ -123,7 +138,20 @@
             ttl_s=self._settings.ttl_s,
             map_version=0 if self._client_map is None else self._client_map.version,
             assignment_version=0 if assignment is None else assignment.version,
+            cell=None if location is None else Cell(location.site, location.bucket),
+        )
+
+    def _open_domains(
+        self, domains: tuple[DomainName, ...], location: ClientLocation | None
+    ) -> tuple[DomainName, ...]:
+        """Leave out drained domains: all for callers without a cell, else all but the first."""
+        kept = domains[:1] if location is not None else ()
+        found = tuple(
+            name
+            for name in domains
+            if name not in self._closed and (name in kept or name not in self._draining)
         )
+        return found if any(self._live.get(name) for name in found) else domains
 
     def _domains(
         self, assignment: Assignment | None, location: ClientLocation | None
--- /dev/null
+++ b/src/siskinward/coordination/shift_board.py
@@ -0,0 +1,133 @@
+"""The published assignments of all services: one pointer row, written by compare-and-set."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+from expression import Error
+from expression import Ok
+
+from siskinward.coordination.events import WriteOutcome
+from siskinward.coordination.planner import Assignment
+from siskinward.coordination.planner import Cell
+from siskinward.coordination.planner import CellRoute
+from siskinward.coordination.platform import RowWrite
+from siskinward.coordination.publishing import ConfigurationPointer
+from siskinward.coordination.publishing import decode_pointer
+from siskinward.coordination.publishing import encode_pointer
+from siskinward.state.errors import StepError
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import ServiceName
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from expression import Result
+
+    from siskinward.coordination.platform import ObjectStore
+    from siskinward.coordination.platform import PlatformTable
+
+ASSIGNMENT_ROW = "shift-assignment"
+
+Assignments = dict[ServiceName, Assignment]
+
+
+@frozen
+class PublishedShift:
+    """The assignments in force, and the row version that the next ones must build on."""
+
+    row_version: int
+    pointer: ConfigurationPointer
+    assignments: Assignments
+
+
+class ShiftBoard:
+    """Reads and writes the assignments.
+
+    A step is accepted only if the row is still as it was read, so of two planners one at most
+    gets its step accepted. After any error the row has to be read again.
+    """
+
+    def __init__(self, table: PlatformTable, objects: ObjectStore) -> None:
+        self._table = table
+        self._objects = objects
+
+    async def read(self) -> Result[PublishedShift, StepError]:
+        """Read the assignments in force."""
+        rows = await self._table.read((ASSIGNMENT_ROW,))
+        if rows.is_error():
+            return Error(rows.error)
+        row = rows.ok[0]
+        pointer = decode_pointer(row)
+        if pointer.is_error():
+            return Error(pointer.error)
+        if row.version == 0:
+            return Ok(PublishedShift(0, pointer.ok, {}))
+        content = await self._objects.get(pointer.ok.content_hash)
+        if content.is_error():
+            return Error(content.error)
+        return decode_assignments(content.ok).map(
+            lambda assignments: PublishedShift(row.version, pointer.ok, assignments)
+        )
+
+    async def write(
+        self, base: PublishedShift, assignments: Mapping[ServiceName, Assignment], planner: str
+    ) -> Result[PublishedShift, StepError]:
+        """Put assignments in force in place of ``base``; on an error they may yet take effect."""
+        stored = await self._objects.put(encode_assignments(assignments))
+        if stored.is_error():
+            return Error(stored.error)
+        pointer = ConfigurationPointer(
+            version=base.pointer.version + 1,
+            content_hash=stored.ok,
+            publish_id=planner,
+            previous_hash=base.pointer.content_hash,
+            published_at_s=0.0,
+        )
+        write = RowWrite(ASSIGNMENT_ROW, base.row_version, encode_pointer(pointer))
+        written = await self._table.transact((write,))
+        if written.is_error():
+            return Error(written.error)
+        if written.ok.outcome is not WriteOutcome.APPLIED:
+            return Error(StepError("write assignment", ASSIGNMENT_ROW, "another step came first"))
+        return Ok(PublishedShift(base.row_version + 1, pointer, dict(assignments)))
+
+
+def encode_assignments(assignments: Mapping[ServiceName, Assignment]) -> bytes:
+    """Return the content of assignments; equal ones have equal contents."""
+    lines = []
+    for service, assignment in sorted(assignments.items()):
+        lines.append(json.dumps([service, assignment.version]))
+        for cell, route in sorted(assignment.routes.items()):
+            names = [route.domain, route.domain_backup, route.region_backup]
+            lines.append(json.dumps([cell.site, cell.bucket, *names]))
+    return "\n".join(lines).encode()
+
+
+def decode_assignments(content: bytes) -> Result[Assignments, StepError]:
+    """Return the assignments of a content."""
+    found: Assignments = {}
+    routes: dict[Cell, CellRoute] = {}
+    try:
+        for line in content.decode().splitlines():
+            match json.loads(line):
+                case [str() as name, int() as version]:
+                    routes = {}
+                    service = ServiceName(name)
+                    found[service] = Assignment(service, version, routes)
+                case [str() as site, int() as bucket, str() as domain, backup, other]:
+                    route = CellRoute(DomainName(domain), _name(backup), _name(other))
+                    routes[Cell(site, bucket)] = route
+                case _:
+                    raise ValueError("malformed line")
+    except ValueError as error:
+        return Error(StepError("decode assignment", ASSIGNMENT_ROW, str(error)))
+    return Ok(found)
+
+
+def _name(value: object) -> DomainName | None:
+    if value is None or isinstance(value, str):
+        return None if value is None else DomainName(value)
+    raise ValueError("malformed failure domain")
--- a/src/siskinward/daemon/cluster.py
+++ b/src/siskinward/daemon/cluster.py
@@ -48,6 +48,10 @@
         """All configured failure domains."""
         return frozenset(self._domains)
 
+    def heard_domains(self, now_s: float) -> frozenset[DomainName]:
+        """The own failure domain and the others that are heard."""
+        return self.membership.heard_domains(now_s) | {self._own.failure_domain}
+
     def live_vms(self, now_s: float) -> list[Vm]:
         """Return the live VMs of all heard failure domains that are not leaving."""
         found = [] if self._is_leaving else [_vm(self._own, self._own_address)]
--- a/src/siskinward/daemon/lookup.py
+++ b/src/siskinward/daemon/lookup.py
@@ -21,6 +21,8 @@
     from collections.abc import Iterable
 
     from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.planner import Assignment
+    from siskinward.coordination.planner import Cell
     from siskinward.daemon.metrics import NodeMetrics
     from siskinward.daemon.serving_state import ServingState
     from siskinward.state.identifiers import DomainName
@@ -47,11 +49,14 @@
         settings: LookupSettings,
         mint_tickets: Callable[[int, float], list[str]],
         metrics: NodeMetrics,
+        on_lookup: Callable[[ServiceName, Cell], None],
     ) -> None:
         self._own = own
         self._settings = settings
         self._mint_tickets = mint_tickets
         self._metrics = metrics
+        self._on_lookup = on_lookup
+        self._assignments: dict[ServiceName, Assignment] = {}
         self._state: ServingState | None = None
         self._table: LookupTable | None = None
         self._blocks: dict[str, ClientBlock] = {}
@@ -61,6 +66,8 @@
         self._state = state
         if self._table is None:
             self._table = LookupTable(self._settings, self._own, state.configuration)
+            for assignment in self._assignments.values():
+                self._table.set_assignment(assignment)
         else:
             self._table.set_configuration(state.configuration)
         blocks = state.configuration.client_blocks
@@ -71,14 +78,23 @@
             if built.is_ok():
                 self._table.set_client_map(built.ok)
 
-    def on_live_vms(self, live: Iterable[Vm], closed_domains: frozenset[DomainName]) -> None:
-        """Take the VMs to name; those of closed domains are named only when no other is left."""
+    def on_assignment(self, assignment: Assignment) -> None:
+        """Take a newer assignment of a service's cells."""
+        self._assignments[assignment.service] = assignment
+        if self._table is not None:
+            self._table.set_assignment(assignment)
+
+    def on_drains(self, draining: frozenset[DomainName], closed: frozenset[DomainName]) -> None:
+        """Take the failure domains that are drained, and those whose drain's time is over."""
+        if self._table is not None:
+            self._table.set_drains(draining, closed)
+
+    def on_live_vms(self, live: Iterable[Vm]) -> None:
+        """Take the VMs to name."""
         if self._table is None:
             return
-        vms = list(live)
-        named = [vm for vm in vms if vm.failure_domain not in closed_domains] or vms
         by_domain: dict[DomainName, list[VmEndpoint]] = defaultdict(list)
-        for vm in named:
+        for vm in live:
             by_domain[vm.failure_domain].append(VmEndpoint(vm.name, vm.host, vm.front_port))
         self._table.set_live_vms(by_domain, ())
 
@@ -96,6 +112,8 @@
         except ValueError:
             return _refusal(400, "malformed")
         found = self._table.answer(address, service)
+        if found.cell is not None:
+            self._on_lookup(service, found.cell)
         content: dict[str, object] = {
             "vms": [{"vm": vm.name, "host": vm.host, "port": vm.port} for vm in found.vms],
             "ttl_s": found.ttl_s,
--- a/src/siskinward/daemon/metrics.py
+++ b/src/siskinward/daemon/metrics.py
@@ -47,6 +47,20 @@
             registry=registry,
         )
         self.lookups = Counter("siskinward_lookups", "Look-ups answered.", registry=registry)
+        self.shift_steps = Counter(
+            "siskinward_shift_steps", "Steps of planned shifts in force.", registry=registry
+        )
+        self.shift_conflicts = Counter(
+            "siskinward_shift_conflicts",
+            "Steps of planned shifts that were not accepted, or not in time.",
+            registry=registry,
+        )
+        self.shift_freezes = Counter(
+            "siskinward_shift_freezes",
+            "Steps of planned shifts not taken, by reason.",
+            ("reason",),
+            registry=registry,
+        )
         self.errors = Counter(
             "siskinward_errors", "Failed steps towards peers.", ("step",), registry=registry
         )
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -11,10 +11,12 @@
 
 from siskinward.coordination.lookup import LookupSettings
 from siskinward.coordination.version_messages import MESSAGES as VERSION_MESSAGES
+from siskinward.daemon.assignment_replica import AssignmentReplica
 from siskinward.daemon.configuration_replica import ConfigurationReplica
 from siskinward.daemon.front import Front
 from siskinward.daemon.lookup import LookupService
 from siskinward.daemon.node_parts import create_parts
+from siskinward.daemon.planning import Planning
 from siskinward.daemon.poll_pace import PollPace
 from siskinward.daemon.poll_pace import PollSettings
 from siskinward.daemon.request_handler import RequestHandler
@@ -35,7 +37,6 @@
 
     from siskinward.coordination.events import VmIdentity
     from siskinward.daemon.serving_state import ServingState
-    from siskinward.state.identifiers import DomainName
     from siskinward.state.settings import NodeSettings
 
 VM_LIST_POLL = PollSettings(interval_s=30.0, retry_s=2.0, backoff_limit_s=30.0)
@@ -60,6 +61,7 @@
         self.parts = parts
         self.metrics = parts.metrics
         self._steering = Steering(parts)
+        self._planning = Planning(parts, self._steering, settings.limits.look_up_ttl_s, now_s)
         self._watch = TargetWatch(parts.local.usable_targets, self._steering.on_target_states)
         self._replica = ConfigurationReplica(
             parts.own,
@@ -76,8 +78,12 @@
             LookupSettings(ttl_s=settings.limits.look_up_ttl_s),
             parts.desk.mint,
             parts.metrics,
+            self._planning.exchange.count,
         )
-        self._closed_domains: frozenset[DomainName] = frozenset()
+        self._assignments = AssignmentReplica(
+            parts, self._lookups.on_assignment, self._on_error, now_s
+        )
+        parts.router.register(self._assignments, VERSION_MESSAGES)
         self._server = self._create_server()
 
     async def run(self) -> None:
@@ -100,6 +106,7 @@
                 await group.spawn(self._run_vm_list)
                 await group.spawn(self._run_timer)
                 await group.spawn(self._watch.run)
+                await group.spawn(self._planning.run)
                 await group.spawn(self._serve_until, wait_for_stop)
             if group.exception is not None:
                 raise group.exception
@@ -133,7 +140,7 @@
         self._is_leaving = True
         now_s = await curio.clock()
         await parts.cluster.leave(now_s)
-        self._lookups.on_live_vms(parts.cluster.live_vms(now_s), self._closed_domains)
+        self._lookups.on_live_vms(parts.cluster.live_vms(now_s))
         await curio.sleep(self._settings.limits.look_up_ttl_s)
         self._server.begin_shutdown()
         await self._hand_over()
@@ -181,14 +188,11 @@
             await self.run_timer_once(await curio.clock())
 
     async def _on_changes(self, now_s: float) -> None:
-        closed_domains = self._steering.closed_domains
-        has_drained = closed_domains != self._closed_domains
-        self._closed_domains = closed_domains
-        has_members = self.parts.cluster.refresh_addresses(now_s)
-        if has_members:
+        steering = self._steering
+        self._lookups.on_drains(steering.draining_domains, steering.closed_domains)
+        if self.parts.cluster.refresh_addresses(now_s):
             await self._on_members(now_s)
-        if has_members or has_drained:
-            self._lookups.on_live_vms(self.parts.cluster.live_vms(now_s), closed_domains)
+            self._lookups.on_live_vms(self.parts.cluster.live_vms(now_s))
 
     async def _on_members(self, now_s: float) -> None:
         parts = self.parts
@@ -197,7 +201,8 @@
         await parts.router.run(parts.authority, parts.authority.on_members(members, now_s))
         await parts.desk.on_members(parts.cluster.live_identities(now_s), now_s)
         await parts.quarantine.on_members(parts.cluster.live_identities(now_s), now_s)
-        self._replica.on_membership(parts.cluster.membership, parts.cluster.known_domains, now_s)
+        for replica in (self._replica, self._assignments):
+            replica.on_membership(parts.cluster.membership, parts.cluster.known_domains, now_s)
         for vm in parts.cluster.departed(now_s):
             await parts.forwarder.on_vm_lost(vm)
 
@@ -214,8 +219,9 @@
         await parts.cluster.on_configuration(state, now_s)
         parts.local.apply(state)
         self._lookups.on_configuration(state)
-        self._lookups.on_live_vms(parts.cluster.live_vms(now_s), self._closed_domains)
+        self._lookups.on_live_vms(parts.cluster.live_vms(now_s))
         self._steering.on_configuration(state, now_s)
+        self._planning.on_configuration(state)
         effects = parts.authority.on_configuration(state.configuration, now_s)
         await parts.router.run(parts.authority, effects)
         await parts.router.run(parts.gate, parts.wallet.on_accounts(state.configuration, now_s))
@@ -244,6 +250,7 @@
             "grant_epoch": parts.authority.epoch,
             "owned_targets": len(parts.local.usable_targets(now_s)),
             "standing": type(self._replica.standing(now_s)).__name__,
+            "shifts": self._planning.progress(now_s),
             "version": 0 if self._state is None else self._state.version,
         }
 
--- a/src/siskinward/daemon/part_router.py
+++ b/src/siskinward/daemon/part_router.py
@@ -28,19 +28,19 @@
 
 
 class PartRouter:
-    """Hands each message to the part that registered its class."""
+    """Hands each message to the parts that registered its class."""
 
     def __init__(self, runner: EffectRunner) -> None:
         self._runner = runner
         self._parts: list[Part] = []
-        self._part_by_type: dict[type, Part] = {}
+        self._parts_by_type: dict[type, list[Part]] = {}
 
     def register(self, part: Part, message_types: tuple[type, ...]) -> None:
-        """Add a part with the message classes that it takes; a part may be added twice."""
+        """Add a part with the message classes that it takes; several parts may take a class."""
         if part not in self._parts:
             self._parts.append(part)
         for message_type in message_types:
-            self._part_by_type[message_type] = part
+            self._parts_by_type.setdefault(message_type, []).append(part)
 
     async def clock(self) -> float:
         """Return the time that parts are driven with."""
@@ -48,11 +48,10 @@
 
     async def deliver(self, message: Any, sender: VmIdentity) -> bool:
         """Hand over a message; False when no part takes its class."""
-        part = self._part_by_type.get(type(message))
-        if part is None:
-            return False
-        await self.run(part, part.on_message(message, sender, await curio.clock()))
-        return True
+        parts = self._parts_by_type.get(type(message), ())
+        for part in parts:
+            await self.run(part, part.on_message(message, sender, await curio.clock()))
+        return bool(parts)
 
     async def tick(self, now_s: float) -> None:
         """Drive every part's timer."""
--- /dev/null
+++ b/src/siskinward/daemon/planning.py
@@ -0,0 +1,189 @@
+"""Takes the steps of planned shifts on the VM that plans, and publishes them."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import curio
+
+from siskinward.coordination.demand import DemandExchange
+from siskinward.coordination.demand import DemandRoute
+from siskinward.coordination.demand import DemandSettings
+from siskinward.coordination.demand import messages as demand_messages
+from siskinward.coordination.planner import Assignment
+from siskinward.coordination.planner import Frozen
+from siskinward.coordination.planner import PlannerSettings
+from siskinward.coordination.planner import ShiftPlanner
+from siskinward.coordination.shift_board import ShiftBoard
+from siskinward.state.drains import draining_domains
+from siskinward.state.drains import started_drains
+from siskinward.state.identifiers import VmName
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from siskinward.coordination.planner import Cell
+    from siskinward.coordination.planner import Move
+    from siskinward.coordination.shift_board import Assignments
+    from siskinward.coordination.shift_board import PublishedShift
+    from siskinward.daemon.node_parts import NodeParts
+    from siskinward.daemon.serving_state import ServingState
+    from siskinward.daemon.steering import Steering
+    from siskinward.state.identifiers import DomainName
+    from siskinward.state.identifiers import ServiceName
+
+STEP_INTERVAL_S = 5.0
+WRITE_LIMIT_S = 2.0
+RESERVES_INTERVAL_S = 60.0
+FROZEN_PLATFORM = "platform"
+FROZEN_MEASURING = "measuring"
+
+
+class Planning:
+    """Drives a planner for each service while this VM is the one that plans.
+
+    Whenever a step was not accepted in time the planners are forgotten, and new ones wait for a
+    whole window, since it is not known when that step takes effect.
+    """
+
+    def __init__(
+        self, parts: NodeParts, steering: Steering, look_up_ttl_s: float, now_s: float
+    ) -> None:
+        self._parts = parts
+        self._steering = steering
+        self._settings = PlannerSettings(answer_ttl_s=look_up_ttl_s)
+        self._board = ShiftBoard(parts.platform, parts.platform)
+        self._state: ServingState | None = None
+        self._base: PublishedShift | None = None
+        self._planners: dict[ServiceName, ShiftPlanner] = {}
+        self._written_at_s = float("-inf")
+        self.exchange = DemandExchange(
+            DemandSettings(), parts.own, self._route, self._capacities, now_s
+        )
+        parts.router.register(self.exchange, demand_messages.MESSAGES)
+
+    def on_configuration(self, state: ServingState) -> None:
+        """Take a configuration."""
+        self._state = state
+        for planner in self._planners.values():
+            planner.on_configuration(state.configuration)
+
+    def progress(self, now_s: float) -> dict[str, dict[str, float]]:
+        """What is left of each drain, by service, as far as this VM plans."""
+        return {
+            service: {item.name: item.remaining_per_s for item in planner.progress(now_s)}
+            for service, planner in self._planners.items()
+        }
+
+    async def run(self) -> None:
+        """Take a step every ``STEP_INTERVAL_S``."""
+        while True:
+            await curio.sleep(STEP_INTERVAL_S)
+            await self.step()
+
+    async def step(self) -> None:
+        """Plan and publish one step if this VM plans."""
+        state = self._state
+        now_s = await curio.clock()
+        if state is None or self._route(now_s).planner != self._parts.own.vm:
+            self._forget()
+            return
+        demands = self.exchange.demands()
+        if demands is None:
+            self._parts.metrics.shift_freezes.labels(FROZEN_MEASURING).inc()
+            return
+        base = self._base or await self._read()
+        if base is None:
+            self._parts.metrics.shift_freezes.labels(FROZEN_PLATFORM).inc()
+            return
+        now_s = await curio.clock()
+        self._feed(state, base, demands, now_s)
+        assignments, moves = self._take_steps(base, now_s)
+        if assignments == base.assignments:
+            return
+        # Without moves only reserved shares differ, which need not be published at once.
+        if moves or now_s - self._written_at_s >= RESERVES_INTERVAL_S:
+            await self._write(base, assignments, now_s)
+
+    def _route(self, now_s: float) -> DemandRoute:
+        holder = self._parts.authority.holder
+        domain = self._planning_domain(now_s)
+        if domain == self._parts.own.failure_domain:
+            return DemandRoute(holder, holder)
+        return DemandRoute(holder, self._steering.holder_of(domain) if domain else VmName(""))
+
+    def _planning_domain(self, now_s: float) -> DomainName | None:
+        if self._state is None:
+            return None
+        configuration = self._state.configuration
+        heard = self._parts.cluster.heard_domains(now_s)
+        found = [name for name in configuration.failure_domains if name in heard]
+        drained = draining_domains(configuration, time.time())
+        return next((name for name in found if name not in drained), next(iter(found), None))
+
+    def _capacities(self, now_s: float) -> dict[ServiceName, float]:
+        found: dict[ServiceName, float] = {}
+        if self._state is not None:
+            found = dict.fromkeys(self._state.configuration.services, 0.0)
+        for load in self._parts.local.loads(now_s):
+            found[load.service] = load.slots / load.service_s if load.service_s > 0 else 0.0
+        return found
+
+    async def _read(self) -> PublishedShift | None:
+        result = await self._board.read()
+        if result.is_ok():
+            self._base = result.ok
+            self._planners = {}
+        return self._base
+
+    def _feed(
+        self,
+        state: ServingState,
+        base: PublishedShift,
+        demands: Mapping[ServiceName, Mapping[Cell, float]],
+        now_s: float,
+    ) -> None:
+        configuration = state.configuration
+        drains = started_drains(configuration, time.time())
+        capacities = self.exchange.domain_capacities(now_s)
+        for service in configuration.services:
+            planner = self._planners.get(service)
+            if planner is None:
+                known = base.assignments.get(service, Assignment(service, 0))
+                planner = ShiftPlanner(self._settings, service, configuration, known, now_s)
+                self._planners[service] = planner
+            planner.on_drains(drains)
+            if demands.get(service):
+                planner.on_demand(demands[service], now_s)
+            for domain, by_service in capacities.items():
+                planner.on_capacity(domain, by_service.get(service, 0.0), now_s)
+
+    def _take_steps(self, base: PublishedShift, now_s: float) -> tuple[Assignments, list[Move]]:
+        metrics = self._parts.metrics
+        moves: list[Move] = []
+        assignments = dict(base.assignments)
+        for service, planner in self._planners.items():
+            result = planner.step(now_s)
+            if isinstance(result, Frozen):
+                metrics.shift_freezes.labels(result.reason.value).inc()
+            elif result.assignment.routes:
+                assignments[service] = result.assignment
+                moves.extend(result.moves)
+        return assignments, moves
+
+    async def _write(self, base: PublishedShift, assignments: Assignments, now_s: float) -> None:
+        metrics = self._parts.metrics
+        written = await self._board.write(base, assignments, str(self._parts.own.incarnation))
+        took_s = await curio.clock() - now_s
+        if written.is_error() or took_s > WRITE_LIMIT_S:
+            metrics.shift_conflicts.inc()
+            self._forget()
+            return
+        metrics.shift_steps.inc()
+        self._base = written.ok
+        self._written_at_s = now_s
+
+    def _forget(self) -> None:
+        self._base = None
+        self._planners = {}
--- a/src/siskinward/daemon/steering.py
+++ b/src/siskinward/daemon/steering.py
@@ -16,9 +16,11 @@
 from siskinward.coordination.summaries import SummaryExchange
 from siskinward.coordination.summaries import SummarySettings
 from siskinward.coordination.summaries import messages as summary_messages
-from siskinward.state.drains import draining_domains
 from siskinward.state.drains import draining_targets
+from siskinward.state.drains import emptied_domains
+from siskinward.state.drains import started_drains
 from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import VmName
 
 if TYPE_CHECKING:
     from siskinward.coordination.events import Effect
@@ -27,7 +29,8 @@
     from siskinward.daemon.serving_state import ServingState
     from siskinward.state.identifiers import DomainName
     from siskinward.state.identifiers import TargetName
-    from siskinward.state.identifiers import VmName
+    from siskinward.state.objects import Configuration
+    from siskinward.state.objects import Drain
 
 
 STEERING_INTERVAL_S = 0.25
@@ -45,6 +48,9 @@
         self._summaries: dict[DomainName, DomainSummary] = {}
         self._told_holders: dict[DomainName, VmName] = {}
         self._reported_leaving: frozenset[TargetName] = frozenset()
+        self._drains_from_s: dict[Drain, float] = {}
+        self.draining_domains: frozenset[DomainName] = frozenset()
+        self.closed_domains: frozenset[DomainName] = frozenset()
         self._exchange = SummaryExchange(
             SummarySettings(),
             parts.own,
@@ -54,12 +60,9 @@
         )
         parts.router.register(self._exchange, summary_messages.MESSAGES)
 
-    @property
-    def closed_domains(self) -> frozenset[DomainName]:
-        """Failure domains under a drain that has started."""
-        if self._state is None:
-            return frozenset()
-        return draining_domains(self._state.configuration, time.time())
+    def holder_of(self, domain: DomainName) -> VmName:
+        """The newest known grant holder of a failure domain; empty if nobody is known."""
+        return self._holders.get(domain, VmName(""))
 
     def on_configuration(self, state: ServingState, now_s: float) -> None:
         """Apply a configuration; the first one creates the router."""
@@ -89,14 +92,34 @@
             return []
         # Its cost grows with all targets and VMs of the deployment.
         self._next_update_s = now_s + STEERING_INTERVAL_S
-        drained = draining_targets(self._state.configuration, time.time())
+        self._update_drains(self._state.configuration, now_s)
+        drained = draining_targets(self._state.configuration, time.time(), self.closed_domains)
         self._parts.picker.set_leaving(drained | self._reported_leaving)
         self._router.on_timer(now_s)
+        # A draining domain serves what callers still send to it, and takes nothing from others.
+        own = self._parts.own.failure_domain
         self._router.set_closed(
-            domains=self.closed_domains, leaving_vms=self._parts.cluster.leaving_vms(now_s)
+            domains=(self.draining_domains - {own}) | self.closed_domains,
+            leaving_vms=self._parts.cluster.leaving_vms(now_s),
         )
         return self._tell_holders(now_s)
 
+    def _update_drains(self, configuration: Configuration, now_s: float) -> None:
+        """Find the domains under drains, and those whose drain has had its time.
+
+        Without client blocks there are no cells to move in steps, so that a domain closes at once.
+        """
+        drains = started_drains(configuration, time.time())
+        self._drains_from_s = {drain: self._drains_from_s.get(drain, now_s) for drain in drains}
+        over = [
+            drain
+            for drain in drains
+            if not configuration.client_blocks
+            or now_s - self._drains_from_s[drain] >= drain.duration_s
+        ]
+        self.draining_domains = emptied_domains(configuration, drains)
+        self.closed_domains = emptied_domains(configuration, over)
+
     def _tell_holders(self, now_s: float) -> list[Effect]:
         authority = self._parts.authority
         if authority.holder:
--- a/src/siskinward/protocol/registry.py
+++ b/src/siskinward/protocol/registry.py
@@ -5,6 +5,7 @@
 from siskinward.coordination import ownership
 from siskinward.coordination import shares
 from siskinward.coordination import version_messages
+from siskinward.coordination.demand import messages as demand
 from siskinward.coordination.grants import messages as grants
 from siskinward.coordination.membership import messages as membership
 from siskinward.coordination.quarantine import messages as quarantine
@@ -16,6 +17,7 @@
 
 MESSAGES: tuple[type, ...] = (
     *handshake.MESSAGES,
+    *demand.MESSAGES,
     *forwarding.MESSAGES,
     *grants.MESSAGES,
     *membership.MESSAGES,
--- a/src/siskinward/state/drains.py
+++ b/src/siskinward/state/drains.py
@@ -8,6 +8,8 @@
 from siskinward.state.objects import DrainKind
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from siskinward.state.identifiers import DomainName
     from siskinward.state.identifiers import TargetName
     from siskinward.state.objects import Configuration
@@ -15,7 +17,12 @@
 
 def draining_domains(configuration: Configuration, wall_s: float) -> frozenset[DomainName]:
     """Return the failure domains under a drain that has started, their region's included."""
-    drains = _started(configuration, wall_s)
+    return emptied_domains(configuration, started_drains(configuration, wall_s))
+
+
+def emptied_domains(configuration: Configuration, drains: Iterable[Drain]) -> frozenset[DomainName]:
+    """Return the failure domains that drains empty, their region's included."""
+    drains = tuple(drains)
     names = {drain.subject for drain in drains if drain.kind is DrainKind.FAILURE_DOMAIN}
     regions = {drain.subject for drain in drains if drain.kind is DrainKind.REGION}
     return frozenset(
@@ -25,18 +32,20 @@
     )
 
 
-def draining_targets(configuration: Configuration, wall_s: float) -> frozenset[TargetName]:
-    """Return the targets that get no new work, those of draining failure domains included."""
-    drains = _started(configuration, wall_s)
+def draining_targets(
+    configuration: Configuration, wall_s: float, closed: frozenset[DomainName]
+) -> frozenset[TargetName]:
+    """Return the targets that get no new work, those of ``closed`` failure domains included."""
+    drains = started_drains(configuration, wall_s)
     names = {drain.subject for drain in drains if drain.kind is DrainKind.TARGET}
-    domains = draining_domains(configuration, wall_s)
     groups = configuration.target_groups
     return frozenset(
         target.name
         for target in configuration.targets.values()
-        if target.name in names or groups[target.group].failure_domain in domains
+        if target.name in names or groups[target.group].failure_domain in closed
     )
 
 
-def _started(configuration: Configuration, wall_s: float) -> list[Drain]:
+def started_drains(configuration: Configuration, wall_s: float) -> list[Drain]:
+    """Return the drains that have started."""
     return [drain for drain in configuration.drains.values() if drain.start_at_s <= wall_s]
--- /dev/null
+++ b/tests/coordination/test_shift_board.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+from fakes.memory_platform import Fault
+from fakes.memory_platform import MemoryPlatform
+
+from siskinward.coordination.planner import Assignment
+from siskinward.coordination.planner import Cell
+from siskinward.coordination.planner import CellRoute
+from siskinward.coordination.shift_board import ASSIGNMENT_ROW
+from siskinward.coordination.shift_board import ShiftBoard
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import ServiceName
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+LISTINGS = ServiceName("listings")
+NORTH, SOUTH = DomainName("north"), DomainName("south")
+
+
+def finished(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine that never waits."""
+    with pytest.raises(StopIteration) as stopped:
+        coroutine.send(None)
+    return stopped.value.value
+
+
+def step(version: int, domain: DomainName) -> dict[ServiceName, Assignment]:
+    routes = {Cell("site", 3): CellRoute(domain, SOUTH, None)}
+    return {LISTINGS: Assignment(LISTINGS, version, routes)}
+
+
+def test_of_two_planners_only_one_gets_its_step_accepted() -> None:
+    platform = MemoryPlatform()
+    boards = [ShiftBoard(platform, platform) for _ in range(2)]
+    bases = [finished(board.read()).ok for board in boards]
+    first = finished(boards[0].write(bases[0], step(1, NORTH), "first"))
+    second = finished(boards[1].write(bases[1], step(1, SOUTH), "second"))
+    assert first.is_ok() and second.is_error()
+    assert finished(boards[1].read()).ok.assignments == step(1, NORTH)
+    assert first.ok == finished(boards[1].read()).ok
+    assert finished(boards[0].write(first.ok, step(2, SOUTH), "first")).ok.pointer.version == 2
+
+
+def test_step_whose_answer_was_lost_is_not_followed_without_reading() -> None:
+    platform = MemoryPlatform(transact_faults=deque([Fault.ANSWER_LOST]))
+    board = ShiftBoard(platform, platform)
+    base = finished(board.read()).ok
+    assert finished(board.write(base, step(1, NORTH), "x")).is_error()
+    assert finished(board.write(base, step(1, SOUTH), "x")).is_error()
+    assert platform.rows[ASSIGNMENT_ROW][0] == 1
