Keep a drained domain open while cells are left there

Closing it when the drain's duration was over moved the rest of its callers at once. It now closes when its time is over and no cell is assigned to it. Test with a duration of one second, and of its targets.

--- /dev/null
+++ b/benchmarks/shift_messages.py
@@ -0,0 +1,46 @@
+"""Sizes of what planned shifts send: counts of cells, and the content of the assignments."""
+
+from __future__ import annotations
+
+from siskinward.coordination.demand.reports import ServiceDemand
+from siskinward.coordination.demand.reports import pack_demands
+from siskinward.coordination.planner import Assignment
+from siskinward.coordination.planner import Cell
+from siskinward.coordination.planner import CellRoute
+from siskinward.coordination.shift_board import encode_assignments
+from siskinward.state.client_map import BUCKETS
+from siskinward.state.content_delta import make_delta
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import ServiceName
+
+SITES = 120
+DOMAINS = 20
+SERVICES = 6
+REPORT_INTERVAL_S = 5.0
+
+
+def main() -> None:
+    """Print the bytes of a domain's report, and of an assignment with one moved domain."""
+    domains = [DomainName(f"domain-{number}") for number in range(DOMAINS)]
+    services = [ServiceName(f"service-{number}") for number in range(SERVICES)]
+    cells = [Cell(f"site-{site}", b) for site in range(SITES) for b in range(BUCKETS)]
+    own_count = len(cells) // DOMAINS
+    for label, count in (("its own cells", own_count), ("all cells", len(cells))):
+        demands = dict.fromkeys(cells[:count], 17.25)
+        report = tuple(ServiceDemand(service, 1234.5, demands) for service in services)
+        size_bytes = len(pack_demands(report))
+        per_s = DOMAINS * size_bytes / REPORT_INTERVAL_S
+        print(f"domain report of {label}: {size_bytes} bytes; {per_s:.0f} bytes/s to the planner")
+    homes = {
+        cell: CellRoute(domains[number * DOMAINS // len(cells)], domains[1], domains[2])
+        for number, cell in enumerate(cells)
+    }
+    moved = {c: CellRoute(domains[9], r.domain_backup) for c, r in list(homes.items())[:own_count]}
+    before = encode_assignments({name: Assignment(name, 1, homes) for name in services})
+    after = encode_assignments({name: Assignment(name, 2, homes | moved) for name in services})
+    delta = make_delta(before, after)
+    print(f"assignments: {len(before)} bytes; delta of a step: {len(delta.middle)} bytes")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/siskinward/coordination/lookup.py
+++ b/src/siskinward/coordination/lookup.py
@@ -105,7 +105,7 @@
         self._answers.clear()
 
     def set_drains(self, draining: frozenset[DomainName], closed: frozenset[DomainName]) -> None:
-        """Set the failure domains that are being drained, and those whose time is over.
+        """Set the failure domains that are being drained, and those that are done with.
 
         A draining domain is named only to cells that are still there, a closed one to nobody as
         long as another domain has live VMs.
--- a/src/siskinward/daemon/assignment_replica.py
+++ b/src/siskinward/daemon/assignment_replica.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from siskinward.coordination.freshness import FreshnessSettings
 from siskinward.coordination.shift_board import ASSIGNMENT_ROW
 from siskinward.coordination.shift_board import decode_assignments
 from siskinward.coordination.state_replica import StateReplica
@@ -23,27 +24,28 @@
     from siskinward.coordination.events import TableAnswer
     from siskinward.coordination.events import VmIdentity
     from siskinward.coordination.membership import Membership
-    from siskinward.coordination.planner import Assignment
+    from siskinward.coordination.shift_board import Assignments
     from siskinward.daemon.node_parts import NodeParts
     from siskinward.state.errors import StepError
     from siskinward.state.identifiers import DomainName
 
+BEAT_INTERVAL_S = 2.0
+
 
 class AssignmentReplica:
-    """Drives the replica of the assignments; ``on_assignment`` gets each service's new one."""
+    """Drives the replica of the assignments; ``on_assignments`` gets those of all services."""
 
     def __init__(
         self,
         parts: NodeParts,
-        on_assignment: Callable[[Assignment], None],
+        on_assignments: Callable[[Assignments], None],
         on_error: Callable[[StepError], None],
         now_s: float,
     ) -> None:
-        self._replica = StateReplica(
-            StateReplicaSettings(), parts.own, ASSIGNMENT_ROW, parts.random, now_s
-        )
+        settings = StateReplicaSettings(FreshnessSettings(beat_interval_s=BEAT_INTERVAL_S))
+        self._replica = StateReplica(settings, parts.own, ASSIGNMENT_ROW, parts.random, now_s)
         self._parts = parts
-        self._on_assignment = on_assignment
+        self._on_assignments = on_assignments
         self._on_error = on_error
 
     def on_membership(
@@ -87,5 +89,4 @@
         if assignments.is_error():
             self._on_error(assignments.error)
             return
-        for assignment in assignments.ok.values():
-            self._on_assignment(assignment)
+        self._on_assignments(assignments.ok)
--- a/src/siskinward/daemon/lookup.py
+++ b/src/siskinward/daemon/lookup.py
@@ -85,7 +85,7 @@
             self._table.set_assignment(assignment)
 
     def on_drains(self, draining: frozenset[DomainName], closed: frozenset[DomainName]) -> None:
-        """Take the failure domains that are drained, and those whose drain's time is over."""
+        """Take the failure domains under a drain, and those that are done with."""
         if self._table is not None:
             self._table.set_drains(draining, closed)
 
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -36,6 +36,7 @@
     from collections.abc import Callable
 
     from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.shift_board import Assignments
     from siskinward.daemon.serving_state import ServingState
     from siskinward.state.settings import NodeSettings
 
@@ -80,9 +81,7 @@
             parts.metrics,
             self._planning.exchange.count,
         )
-        self._assignments = AssignmentReplica(
-            parts, self._lookups.on_assignment, self._on_error, now_s
-        )
+        self._assignments = AssignmentReplica(parts, self._on_assignments, self._on_error, now_s)
         parts.router.register(self._assignments, VERSION_MESSAGES)
         self._server = self._create_server()
 
@@ -226,6 +225,12 @@
         await parts.router.run(parts.authority, effects)
         await parts.router.run(parts.gate, parts.wallet.on_accounts(state.configuration, now_s))
 
+    def _on_assignments(self, assignments: Assignments) -> None:
+        for assignment in assignments.values():
+            self._lookups.on_assignment(assignment)
+        routes = (route for found in assignments.values() for route in found.routes.values())
+        self._steering.on_assigned_domains(frozenset(route.domain for route in routes))
+
     async def _on_message(self, message: Any, sender: VmIdentity) -> None:
         match message:
             case ForwardRequest():
--- a/src/siskinward/daemon/steering.py
+++ b/src/siskinward/daemon/steering.py
@@ -48,6 +48,7 @@
         self._summaries: dict[DomainName, DomainSummary] = {}
         self._told_holders: dict[DomainName, VmName] = {}
         self._reported_leaving: frozenset[TargetName] = frozenset()
+        self._assigned_domains: frozenset[DomainName] | None = None
         self._drains_from_s: dict[Drain, float] = {}
         self.draining_domains: frozenset[DomainName] = frozenset()
         self.closed_domains: frozenset[DomainName] = frozenset()
@@ -82,6 +83,10 @@
         for summary in self._summaries.values():
             self._tell_domain(summary, now_s)
 
+    def on_assigned_domains(self, domains: frozenset[DomainName]) -> None:
+        """Take the failure domains to which cells of any service are assigned."""
+        self._assigned_domains = domains
+
     def on_target_states(self, leaving: frozenset[TargetName]) -> None:
         """Take the targets that say themselves that they are leaving."""
         self._reported_leaving = leaving
@@ -105,9 +110,10 @@
         return self._tell_holders(now_s)
 
     def _update_drains(self, configuration: Configuration, now_s: float) -> None:
-        """Find the domains under drains, and those whose drain has had its time.
+        """Find the domains under drains, and those that are done with.
 
-        Without client blocks there are no cells to move in steps, so that a domain closes at once.
+        A domain closes once its drain has had its time and no cell is left there. Without client
+        blocks there are no cells to move in steps, so that it closes at once.
         """
         drains = started_drains(configuration, time.time())
         self._drains_from_s = {drain: self._drains_from_s.get(drain, now_s) for drain in drains}
@@ -115,7 +121,11 @@
             drain
             for drain in drains
             if not configuration.client_blocks
-            or now_s - self._drains_from_s[drain] >= drain.duration_s
+            or (
+                now_s - self._drains_from_s[drain] >= drain.duration_s
+                and self._assigned_domains is not None
+                and not emptied_domains(configuration, (drain,)) & self._assigned_domains
+            )
         ]
         self.draining_domains = emptied_domains(configuration, drains)
         self.closed_domains = emptied_domains(configuration, over)
--- a/tests/daemon/test_planned_shift.py
+++ b/tests/daemon/test_planned_shift.py
@@ -95,16 +95,19 @@
             await curio.sleep(LOOK_UP_S)
 
 
-@pytest.mark.parametrize(("subject", "other"), [("a", "vm-b"), ("b", "vm-a")])
+@pytest.mark.parametrize(
+    ("subject", "other", "duration_s"),
+    [("a", "vm-b", 1.0), ("b", "vm-a", 2 * DRAINED_LIMIT_S)],
+)
 def test_drain_moves_callers_in_steps_under_the_cap(
-    shifting: SmallDeployment, subject: str, other: str
+    shifting: SmallDeployment, subject: str, other: str, duration_s: float
 ) -> None:
     async def body() -> None:
         callers = Callers(shifting)
         await curio.spawn(callers.run, daemon=True)
         await curio.sleep(MEASURED_S)
         assert callers.at(other) == len(CLIENTS) // 2
-        await drain(shifting, subject, 2 * DRAINED_LIMIT_S)
+        await drain(shifting, subject, duration_s)
         await wait_moved(callers, len(CLIENTS) // 2)
         assert callers.at(other) == len(CLIENTS)
         assert callers.largest_shift() <= SHARE_LIMIT
@@ -112,6 +115,31 @@
     shifting.run(body)
 
 
+def test_targets_of_a_drained_domain_serve_its_callers_until_the_shift_is_over(
+    shifting: SmallDeployment,
+) -> None:
+    async def runs_at_a(vm: str) -> int:
+        before = shifting.targets["listings-a-1"].served_count
+        for _ in range(10):
+            response = await shifting.get(vm, "/open/x")
+            assert response is not None and response.status == 200
+        return shifting.targets["listings-a-1"].served_count - before
+
+    async def body() -> None:
+        callers = Callers(shifting)
+        await curio.spawn(callers.run, daemon=True)
+        await curio.sleep(MEASURED_S)
+        await drain(shifting, "a", 1.0)
+        await wait_moved(callers, 1)
+        assert await runs_at_a("vm-a") > 0
+        assert await runs_at_a("vm-b") == 0
+        await wait_moved(callers, len(CLIENTS) // 2)
+        await curio.sleep(LOOK_UP_S)
+        assert await runs_at_a("vm-a") == 0
+
+    shifting.run(body)
+
+
 def test_steps_freeze_while_the_platform_is_away_and_go_on_after(
     shifting: SmallDeployment,
 ) -> None:
