--- a/src/siskinward/daemon/metrics.py
+++ b/src/siskinward/daemon/metrics.py
@@ -42,6 +42,13 @@
         self.retries = self._counter("retries", "Retries by reason.", "reason", "service")
         self.lookups = self._counter("lookups", "Look-ups answered.")
         self.errors = self._counter("errors", "Failed steps towards peers.", "step")
+        self.shift_steps = self._counter("shift_steps", "Steps of planned shifts in force.")
+        self.shift_conflicts = self._counter(
+            "shift_conflicts", "Steps of planned shifts that were not accepted, or not in time."
+        )
+        self.shift_freezes = self._counter(
+            "shift_freezes", "Steps of planned shifts not taken, by reason.", "reason"
+        )
         self.forwarded = self._counter(
             "forwarded", "Requests forwarded to another VM.", "failure_domain"
         )
