Doubt a version that cannot be read, and know the platform's place

Cause: a version whose content could not be parsed counted as in force, so a withdrawal in it could be missed; and the larger side of a cut took the platform for down. Conclusion: [platform] failure_domains names the domains beside the platform.

--- a/src/siskinward/daemon/configuration_replica.py
+++ b/src/siskinward/daemon/configuration_replica.py
@@ -7,6 +7,8 @@
 
 import curio
 
+from siskinward.coordination.freshness import FreshnessSettings
+from siskinward.coordination.freshness import Isolated
 from siskinward.coordination.publishing import CONFIGURATION_ROW
 from siskinward.coordination.state_replica import StateReplica
 from siskinward.coordination.state_replica import StateReplicaSettings
@@ -53,8 +55,10 @@
         on_error: Callable[[StepError], None],
         source: Random,
         now_s: float,
+        platform_domains: tuple[DomainName, ...] = (),
     ) -> None:
-        settings = StateReplicaSettings()
+        freshness = FreshnessSettings(platform_domains=frozenset(platform_domains))
+        settings = StateReplicaSettings(freshness=freshness)
         self._replica = StateReplica(settings, own, CONFIGURATION_ROW, source, now_s)
         self._store = store
         self._router = router
@@ -62,9 +66,12 @@
         self._on_error = on_error
         self._text = ""
         self._configuration: Configuration | None = None
+        self._unread_since_s: float | None = None
 
     def standing(self, now_s: float) -> Standing:
-        """Tell whether the version in force can be vouched for."""
+        """Tell whether the version in force can be vouched for; one that was not read cannot."""
+        if self._unread_since_s is not None:
+            return Isolated(self._unread_since_s)
         return self._replica.standing(now_s)
 
     def on_membership(
@@ -106,7 +113,9 @@
     async def _adopt(self, version: int, text: str) -> None:
         parsed = self._parse(version, text)
         if parsed is None:
+            self._unread_since_s = await self._router.clock()
             return
+        self._unread_since_s = None
         self._text = text
         self._configuration = parsed
         await self._on_adopted(create_serving_state(version, parsed))
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -72,6 +72,7 @@
             self._on_error,
             parts.random,
             now_s,
+            settings.platform.failure_domains,
         )
         parts.router.register(self._replica, VERSION_MESSAGES)
         self._lookups = LookupService(
--- a/src/siskinward/state/settings.py
+++ b/src/siskinward/state/settings.py
@@ -54,11 +54,16 @@
 
 @frozen
 class PlatformSettings:
-    """Section ``[platform]``: where the platform's services answer."""
+    """Section ``[platform]``: where the platform's services answer.
+
+    ``failure_domains`` are those beside the platform: while none of them is heard, a VM that cannot
+    reach the platform takes itself for cut off and not the platform for down.
+    """
 
     host: Host
     port: Port
     timeout_s: PositiveFloat = 1.0
+    failure_domains: tuple[DomainName, ...] = ()
 
 
 @frozen
--- a/tests/daemon/test_node_faults.py
+++ b/tests/daemon/test_node_faults.py
@@ -6,11 +6,13 @@
 from typing import TYPE_CHECKING
 
 import curio
+import msgpack
 import pytest
 
 from siskinward.state.errors import SiskinwardError
 from siskinward.transport.http_client import HttpClientConnection
 from siskinward.transport.http_messages import HttpRequest
+from siskinward.transport.platform_client import object_hash
 
 if TYPE_CHECKING:
     from conftest import SmallDeployment
@@ -241,6 +243,23 @@
     deployment.run(body)
 
 
+def test_version_that_cannot_be_read_is_not_vouched_for(deployment: SmallDeployment) -> None:
+    async def body() -> None:
+        content = b"[unknown kind]\n"
+        name = object_hash(content)
+        deployment.platform.objects[name] = content
+        row_version, value = deployment.platform.rows["configuration"]
+        pointer = {**msgpack.unpackb(value), "version": 99, "content_hash": name}
+        deployment.platform.rows["configuration"] = (row_version + 1, msgpack.packb(pointer))
+        await curio.sleep(IN_FORCE_LIMIT_S)
+        refused = await deployment.get("vm-a", "/listings/x", "alpha")
+        assert refusal(refused)[1] == "key-unvouched"
+        response = await deployment.get("vm-a", "/open/x")
+        assert response is not None and response.status == 200
+
+    deployment.run(body)
+
+
 def test_crash_request_costs_two_targets_at_most(deployment: SmallDeployment) -> None:
     async def body() -> None:
         for _ in range(6):
