Publish client blocks as a map of their own, and start from peers without the platform

Cause: 440,000 blocks as objects of the configuration took a VM 1,279 MB and a first parse of 56 s (benchmarks/capacity_blocks.py); settings named seeds that nothing used, so a VM started during an outage of the platform stayed empty. Conclusion: a small manifest spreads by push, VMs fetch maps or deltas from the store at times of their own; one driver serves every versioned state.

--- a/src/siskinward/console/application.py
+++ b/src/siskinward/console/application.py
@@ -7,6 +7,7 @@
 from siskinward import __version__
 from siskinward.console._exit_codes import EXIT_CODES_HELP
 from siskinward.console.commands.check import check
+from siskinward.console.commands.client_map import client_map
 from siskinward.console.commands.diff import diff
 from siskinward.console.commands.drain import drain
 from siskinward.console.commands.history import history
@@ -31,6 +32,7 @@
 main.add_command(node)
 main.add_command(standin)
 main.add_command(check)
+main.add_command(client_map)
 main.add_command(diff)
 main.add_command(drain)
 main.add_command(history)
--- a/src/siskinward/coordination/publisher.py
+++ b/src/siskinward/coordination/publisher.py
@@ -9,6 +9,7 @@
 from siskinward.coordination.configuration_reader import ConfigurationReader
 from siskinward.coordination.configuration_reader import PublishedConfiguration
 from siskinward.coordination.events import WriteOutcome
+from siskinward.coordination.map_publisher import MapPublisher
 from siskinward.coordination.publishing import CONFIGURATION_ROW
 from siskinward.coordination.publishing import Accepted
 from siskinward.coordination.publishing import ConfigurationPointer
@@ -90,6 +91,10 @@
         self._pause = pause
         self._settings = settings
 
+    def map_publisher(self) -> MapPublisher:
+        """Return the publisher of client maps on the same platform."""
+        return MapPublisher(self._table, self._objects)
+
     async def publish(
         self, configuration: Configuration, base: PublishedConfiguration, stamp: PublishStamp
     ) -> Publication:
--- a/src/siskinward/daemon/cluster.py
+++ b/src/siskinward/daemon/cluster.py
@@ -40,6 +40,7 @@
         self._last_live: set[VmName] = set()
         self._configured: dict[VmName, ListedVm] = {}
         self._listed: dict[VmName, ListedVm] = {}
+        self._seeds: dict[VmName, ListedVm] = {}
         self.membership = Membership(MembershipSettings(), own, address, now_s)
         router.register(self.membership, membership_messages.MESSAGES)
 
@@ -124,8 +125,15 @@
                 self._hub.set_address(member.identity.vm, address)
         return True
 
+    async def on_seed(self, identity: VmIdentity, address: PeerAddress, now_s: float) -> None:
+        """Take a VM that was found by its address; its front is learned from itself."""
+        self._seeds[identity.vm] = ListedVm(
+            identity.vm, identity.failure_domain, address.host, 0, address.port, False
+        )
+        await self._on_hints(now_s)
+
     async def _on_hints(self, now_s: float) -> None:
-        hints = {**self._configured, **self._listed}
+        hints = {**self._seeds, **self._configured, **self._listed}
         others = tuple(vm for vm in hints.values() if vm.vm != self._own.vm)
         for vm in others:
             if not self._hub.has_address(vm.vm):
--- a/src/siskinward/daemon/lookup.py
+++ b/src/siskinward/daemon/lookup.py
@@ -60,6 +60,8 @@
         self._state: ServingState | None = None
         self._table: LookupTable | None = None
         self._blocks: dict[str, ClientBlock] = {}
+        self._client_map: ClientMap | None = None
+        self._has_published_map = False
 
     def on_configuration(self, state: ServingState) -> None:
         """Take a configuration; the map is built anew only when its blocks changed."""
@@ -68,16 +70,25 @@
             self._table = LookupTable(self._settings, self._own, state.configuration)
             for assignment in self._assignments.values():
                 self._table.set_assignment(assignment)
+            if self._client_map is not None:
+                self._table.set_client_map(self._client_map)
         else:
             self._table.set_configuration(state.configuration)
         blocks = state.configuration.client_blocks
-        if blocks != self._blocks:
+        if blocks != self._blocks and not self._has_published_map:
             self._blocks = blocks
             pairs = [BlockSite(block.prefix, block.site) for block in blocks.values()]
             built = ClientMap.from_blocks(state.version, pairs)
             if built.is_ok():
                 self._table.set_client_map(built.ok)
 
+    def on_client_map(self, client_map: ClientMap) -> None:
+        """Take a published map; from then on it stands in place of the configuration's blocks."""
+        self._has_published_map = True
+        self._client_map = client_map
+        if self._table is not None:
+            self._table.set_client_map(client_map)
+
     def on_assignment(self, assignment: Assignment) -> None:
         """Take a newer assignment of a service's cells."""
         self._assignments[assignment.service] = assignment
--- /dev/null
+++ b/src/siskinward/daemon/map_replica.py
@@ -0,0 +1,94 @@
+"""Keeps this VM's client map up to date: the manifest from its peers, maps from the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+from expression import Ok
+
+from siskinward.coordination.freshness import FreshnessSettings
+from siskinward.coordination.map_manifest import MAP_ROW
+from siskinward.coordination.map_manifest import decode_delta
+from siskinward.coordination.map_manifest import decode_manifest
+from siskinward.coordination.state_replica import StateReplicaSettings
+from siskinward.daemon.replica_driver import ReplicaDriver
+from siskinward.state.client_map import ClientMap
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from expression import Result
+
+    from siskinward.coordination.map_manifest import DeltaReference
+    from siskinward.coordination.map_manifest import MapManifest
+    from siskinward.daemon.node_parts import NodeParts
+    from siskinward.state.errors import StepError
+
+BEAT_INTERVAL_S = 2.0
+FETCH_SPREAD_S = 1.0
+RETRY_S = 5.0
+
+
+class MapReplica:
+    """Follows the manifest; all VMs fetch within ``FETCH_SPREAD_S``, each at a time of its own.
+
+    A VM that holds one of the last maps fetches only the deltas since.
+    """
+
+    def __init__(
+        self,
+        parts: NodeParts,
+        on_map: Callable[[ClientMap], None],
+        on_error: Callable[[StepError], None],
+        now_s: float,
+    ) -> None:
+        settings = StateReplicaSettings(FreshnessSettings(beat_interval_s=BEAT_INTERVAL_S))
+        self.driver = ReplicaDriver(parts, settings, MAP_ROW, self._on_adopted, on_error, now_s)
+        self._store = parts.platform
+        self._random = parts.random
+        self._on_map = on_map
+        self._on_error = on_error
+        self._wanted: MapManifest | None = None
+        self._held: ClientMap | None = None
+
+    async def _on_adopted(self, version: int, content: bytes) -> None:
+        manifest = decode_manifest(content)
+        if manifest.is_error():
+            self._on_error(manifest.error)
+            return
+        self._wanted = manifest.ok
+        await curio.spawn(self._follow, manifest.ok, daemon=True)
+
+    async def _follow(self, manifest: MapManifest) -> None:
+        await curio.sleep(self._random.uniform(0.0, FETCH_SPREAD_S))
+        while self._wanted == manifest:
+            result = await self._fetch(manifest)
+            if result.is_ok():
+                self._held = result.ok
+                self._on_map(result.ok)
+                return
+            self._on_error(result.error)
+            await curio.sleep(RETRY_S * self._random.uniform(0.5, 1.5))
+
+    async def _fetch(self, manifest: MapManifest) -> Result[ClientMap, StepError]:
+        held = self._held
+        path = None if held is None else manifest.path_from(held.content_hash)
+        if held is not None and path is not None:
+            followed = await self._apply(held, path)
+            if followed.is_ok():
+                return followed
+        whole = await self._store.get(manifest.map_hash)
+        return whole.bind(ClientMap.from_bytes)
+
+    async def _apply(
+        self, client_map: ClientMap, path: Sequence[DeltaReference]
+    ) -> Result[ClientMap, StepError]:
+        for reference in path:
+            content = await self._store.get(reference.object_hash)
+            applied = content.bind(decode_delta).bind(client_map.apply)
+            if applied.is_error():
+                return applied
+            client_map = applied.ok
+        return Ok(client_map)
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -15,6 +15,7 @@
 from siskinward.daemon.configuration_replica import ConfigurationReplica
 from siskinward.daemon.front import Front
 from siskinward.daemon.lookup import LookupService
+from siskinward.daemon.map_replica import MapReplica
 from siskinward.daemon.node_parts import create_parts
 from siskinward.daemon.planning import Planning
 from siskinward.daemon.poll_pace import PollPace
@@ -28,6 +29,7 @@
 from siskinward.state.errors import StepError
 from siskinward.transport.http_server import HttpServer
 from siskinward.transport.http_server import HttpServerSettings
+from siskinward.transport.peer_hub import PeerAddress
 from siskinward.transport.sockets import listen
 from siskinward.transport.stop_signal import wait_for_stop_signal
 
@@ -43,6 +45,7 @@
 VM_LIST_POLL = PollSettings(interval_s=30.0, retry_s=2.0, backoff_limit_s=30.0)
 TIMER_INTERVAL_S = 0.05
 HAND_OVER_LIMIT_S = 5.0
+SEED_INTERVAL_S = 2.0
 FLUSH_S = 0.2
 
 
@@ -65,16 +68,9 @@
         self._planning = Planning(parts, self._steering, settings.limits.look_up_ttl_s, now_s)
         self._watch = TargetWatch(parts.local.usable_targets, self._steering.on_target_states)
         self._replica = ConfigurationReplica(
-            parts.own,
-            parts.platform,
-            parts.router,
-            self._on_adopted,
-            self._on_error,
-            parts.random,
-            now_s,
-            settings.platform.failure_domains,
+            parts, settings.platform.failure_domains, self._on_adopted, self._on_error, now_s
         )
-        parts.router.register(self._replica, VERSION_MESSAGES)
+        parts.router.register(self._replica.driver, VERSION_MESSAGES)
         self._lookups = LookupService(
             parts.own,
             LookupSettings(ttl_s=settings.limits.look_up_ttl_s),
@@ -84,6 +80,8 @@
         )
         self._assignments = AssignmentReplica(parts, self._on_assignments, self._on_error, now_s)
         parts.router.register(self._assignments, VERSION_MESSAGES)
+        self._maps = MapReplica(parts, self._lookups.on_client_map, self._on_error, now_s)
+        parts.router.register(self._maps.driver, VERSION_MESSAGES)
         self._server = self._create_server()
 
     async def run(self) -> None:
@@ -104,6 +102,7 @@
                 await group.spawn(self._server.serve, front)
                 await group.spawn(self.parts.hub.serve, peers)
                 await group.spawn(self._run_vm_list)
+                await group.spawn(self._find_seeds)
                 await group.spawn(self._run_timer)
                 await group.spawn(self._watch.run)
                 await group.spawn(self._planning.run)
@@ -166,6 +165,17 @@
         is_free = authority.grant.handed_over and authority.ownership.has_handed_over
         return is_free and not has_tickets and self.parts.forwarder.running_count == 0
 
+    async def _find_seeds(self) -> None:
+        """Look for other VMs by the settings' addresses until a configuration is known."""
+        while True:
+            for seed in self._settings.peers.seeds if self._state is None else ():
+                host, _, port = seed.rpartition(":")
+                address = PeerAddress(host, int(port))
+                identity = await self.parts.hub.identify(address)
+                if identity is not None:
+                    await self.parts.cluster.on_seed(identity, address, await curio.clock())
+            await curio.sleep(SEED_INTERVAL_S)
+
     async def _run_vm_list(self) -> None:
         pace = PollPace(VM_LIST_POLL, self.parts.random)
         while True:
@@ -201,7 +211,7 @@
         await parts.router.run(parts.authority, parts.authority.on_members(members, now_s))
         await parts.desk.on_members(parts.cluster.live_identities(now_s), now_s)
         await parts.quarantine.on_members(parts.cluster.live_identities(now_s), now_s)
-        for replica in (self._replica, self._assignments):
+        for replica in (self._replica.driver, self._assignments, self._maps.driver):
             replica.on_membership(parts.cluster.membership, parts.cluster.known_domains, now_s)
         for vm in parts.cluster.departed(now_s):
             await parts.forwarder.on_vm_lost(vm)
--- /dev/null
+++ b/src/siskinward/daemon/replica_driver.py
@@ -0,0 +1,88 @@
+"""Drives the replica of one versioned state: its messages, timers, table calls and objects."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+
+from siskinward.coordination.state_replica import StateReplica
+from siskinward.coordination.version_messages import Adopted
+from siskinward.coordination.version_messages import FetchObject
+from siskinward.coordination.version_messages import ObjectFailed
+from siskinward.coordination.version_messages import ObjectFetched
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from siskinward.coordination.events import TableAnswer
+    from siskinward.coordination.events import VmIdentity
+    from siskinward.coordination.freshness import Standing
+    from siskinward.coordination.membership import Membership
+    from siskinward.coordination.platform import ObjectStore
+    from siskinward.coordination.state_replica import StateReplicaSettings
+    from siskinward.daemon.node_parts import NodeParts
+    from siskinward.state.errors import StepError
+    from siskinward.state.identifiers import DomainName
+
+
+class ReplicaDriver:
+    """One versioned state on this VM; ``on_adopted`` gets version and content of each adoption."""
+
+    def __init__(
+        self,
+        parts: NodeParts,
+        settings: StateReplicaSettings,
+        row: str,
+        on_adopted: Callable[[int, bytes], Awaitable[None]],
+        on_error: Callable[[StepError], None],
+        now_s: float,
+    ) -> None:
+        self._replica = StateReplica(settings, parts.own, row, parts.random, now_s)
+        self._store: ObjectStore = parts.platform
+        self._router = parts.router
+        self._on_adopted = on_adopted
+        self._on_error = on_error
+
+    def standing(self, now_s: float) -> Standing:
+        """Tell whether the version in force can be vouched for."""
+        return self._replica.standing(now_s)
+
+    def on_membership(
+        self, membership: Membership, known: frozenset[DomainName], now_s: float
+    ) -> None:
+        """Take whom to exchange versions with; ``known`` are all configured failure domains."""
+        self._replica.on_membership(membership, known, now_s)
+
+    def on_message(self, message: Any, sender: VmIdentity, now_s: float) -> Sequence[Any]:
+        """Take a message of another VM."""
+        return self._replica.on_message(message, sender, now_s)
+
+    def on_timer(self, now_s: float) -> Sequence[Any]:
+        """Poll the platform and tell the peers when it is due."""
+        return self._replica.on_timer(now_s)
+
+    def on_table_answer(self, answer: TableAnswer, now_s: float) -> Sequence[Any]:
+        """Take the answer to a poll."""
+        return self._replica.on_table_answer(answer, now_s)
+
+    async def on_decision(self, decision: Any) -> None:
+        """Fetch a content, or put one in force."""
+        match decision:
+            case FetchObject(content_hash):
+                await curio.spawn(self._fetch, content_hash, daemon=True)
+            case Adopted(pointer=pointer, content=content):
+                await self._on_adopted(pointer.version, content)
+
+    async def _fetch(self, content_hash: str) -> None:
+        result = await self._store.get(content_hash)
+        answer: ObjectFetched | ObjectFailed = ObjectFailed(content_hash)
+        if result.is_ok():
+            answer = ObjectFetched(content_hash, result.ok)
+        else:
+            self._on_error(result.error)
+        now_s = await self._router.clock()
+        await self._router.run(self, self._replica.on_object(answer, now_s))
--- a/src/siskinward/standins/deployment.py
+++ b/src/siskinward/standins/deployment.py
@@ -90,7 +90,7 @@
     """Failure domains cut off from all other ones."""
     platformless_domains: set[str] = field(factory=set)
     """Failure domains cut off from the platform."""
-    _platform_port: int = 0
+    platform_port: int = 0
     _tasks: list[Any] = field(factory=list)
     _publish_count: int = 0
     _start_count: int = 0
@@ -107,9 +107,9 @@
     async def start_targets(self) -> None:
         """Start the stand-ins only, on free ports."""
         ports = iter(_free_ports(1 + 2 * len(self.configuration.vms) + len(self._target_names())))
-        self._platform_port = next(ports)
+        self.platform_port = next(ports)
         self.configuration = _with_ports(self.configuration, ports)
-        await self._spawn(self.platform.serve, HOST, self._platform_port)
+        await self._spawn(self.platform.serve, HOST, self.platform_port)
         for number, name in enumerate(self._target_names()):
             await self._start_target(name, number)
         await curio.sleep(POLL_S)
@@ -152,7 +152,7 @@
 
     async def publish(self, configuration: Configuration) -> None:
         """Publish a configuration as an operator does, merged over the one in force."""
-        client = PlatformClient(PlatformSettings(HOST, self._platform_port))
+        client = PlatformClient(PlatformSettings(HOST, self.platform_port))
         publisher = Publisher(client, client, curio.sleep, PublisherSettings())
         base = Configuration() if self._publish_count == 0 else self.configuration
         self._publish_count += 1
@@ -216,11 +216,15 @@
     def _node_settings(self, vm: Vm) -> NodeSettings:
         return NodeSettings(
             node=VmSettings(vm.name, vm.failure_domain, vm.host, vm.front_port, vm.peer_port),
-            platform=PlatformSettings(HOST, self._platform_port),
-            peers=PeerSettings(SHARED_SECRET),
+            platform=PlatformSettings(HOST, self.platform_port),
+            peers=PeerSettings(SHARED_SECRET, self._seeds(vm)),
             limits=LimitSettings(look_up_ttl_s=self.settings.look_up_ttl_s),
         )
 
+    def _seeds(self, vm: Vm) -> tuple[str, ...]:
+        others = (other for other in self.configuration.vms.values() if other.name != vm.name)
+        return tuple(f"{other.host}:{other.peer_port}" for other in others)
+
     def _intercept(self, vm: Vm, running: _RunningVm) -> None:
         """Put latency, cuts and pauses between a node and its messages and timers."""
         parts = running.node.parts
--- a/src/siskinward/state/client_map/_address.py
+++ b/src/siskinward/state/client_map/_address.py
@@ -4,6 +4,7 @@
 
 from enum import IntEnum
 from ipaddress import AddressValueError
+from ipaddress import IPv4Address
 from ipaddress import IPv6Address
 
 from attrs import frozen
@@ -68,3 +69,10 @@
     if address.ipv4_mapped is not None:
         return Family.IPV4, int(address.ipv4_mapped)
     return Family.IPV6, int(address) >> IPV6_LOW_BITS
+
+
+def format_prefix(family: Family, length: int, key: int) -> str:
+    """Text of the prefix whose leading ``length`` bits are ``key``."""
+    value = key << (FAMILY_BITS[family] - length)
+    address = IPv4Address(value) if family is Family.IPV4 else IPv6Address(value)
+    return f"{address}/{length}"
--- a/src/siskinward/state/client_map/client_map.py
+++ b/src/siskinward/state/client_map/client_map.py
@@ -16,6 +16,7 @@
 
 from siskinward.state.client_map._address import FAMILY_BITS
 from siskinward.state.client_map._address import Family
+from siskinward.state.client_map._address import format_prefix
 from siskinward.state.client_map._address import parse_address
 from siskinward.state.client_map._changes import collect_changes
 from siskinward.state.client_map._changes import read_tables
@@ -23,14 +24,15 @@
 from siskinward.state.client_map._length_index import LengthIndex
 from siskinward.state.client_map._length_index import length_bit
 from siskinward.state.client_map._prefix_table import PrefixTable
+from siskinward.state.client_map.delta import BlockSite
 from siskinward.state.client_map.delta import MapDelta
 from siskinward.state.client_map.delta import TableDelta
 from siskinward.state.errors import StepError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
-    from siskinward.state.client_map.delta import BlockSite
 
 HASH_BYTES = 32
 BUCKETS = 16
@@ -147,6 +149,12 @@
                 return ClientLocation(self._sites[probe.sites[position]], _bucket_of(family, value))
         return None
 
+    def blocks(self) -> Iterator[BlockSite]:
+        """The client blocks with their sites, by family, length and address."""
+        for (family, length), table in self._tables.items():
+            for key, site in zip(table.keys, table.sites, strict=True):
+                yield BlockSite(format_prefix(family, length, key), self._sites[site])
+
     def make_delta(
         self, version: int, assigned: Iterable[BlockSite], removed: Iterable[str]
     ) -> Result[MapDelta, StepError]:
--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -83,6 +83,22 @@
         """Tell whether the VM's address is known."""
         return vm in self._addresses
 
+    async def identify(self, address: PeerAddress) -> VmIdentity | None:
+        """Learn which VM accepts streams at an address; None if none proves the secret."""
+        try:
+            async with curio.timeout_after(CONNECT_TIMEOUT_S):
+                sock = await _connect(self._settings, address)
+        except (OSError, curio.TaskTimeout):
+            return None
+        link = PeerLink(sock, self._codec, f"{address.host}:{address.port}", self._on_traffic)
+        result = await link.handshake(self._settings, is_initiator=True)
+        await link.close()
+        if result.is_error():
+            self._on_error(result.error)
+            return None
+        self.set_address(result.ok.vm, address)
+        return result.ok
+
     async def send(self, to: VmName, message: Any) -> bool:
         """Queue a message; False when the peer is unknown or its queue is full."""
         if to == self._settings.own.vm:
@@ -216,10 +232,7 @@
 
     async def _run_once(self) -> None:
         async with curio.timeout_after(CONNECT_TIMEOUT_S):
-            sock = await connect(self.address.host, self.address.port)
-            tls = self._settings.tls
-            if tls is not None:
-                sock = await wrap(sock, tls.client, is_server=False)
+            sock = await _connect(self._settings, self.address)
         async with sock:
             peer = f"{self.address.host}:{self.address.port}"
             link = PeerLink(sock, self._codec, peer, self._on_traffic)
@@ -289,3 +302,10 @@
         while isinstance(message := await link.read(), Pong):
             is_last = message.serial == self._serial
             self._unanswered_since_s = None if is_last else await curio.clock()
+
+
+async def _connect(settings: PeerSettings, address: PeerAddress) -> Any:
+    sock = await connect(address.host, address.port)
+    if settings.tls is None:
+        return sock
+    return await wrap(sock, settings.tls.client, is_server=False)
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -44,6 +44,8 @@
         lines += [f"[target {service}-{domain}-1]", f"group = {service}-{domain}"]
         lines += ["host = 127.0.0.1", f"port = {20021 + number}", "slots = 3"]
         lines += ["connection_limit = 50"]
+    for domain in "ab":
+        lines += [f"[site site-{domain}]", f"failure_domain = {domain}"]
     for account in ("alpha", "beta"):
         lines += [f"[client-account {account}]", "rate_per_s = 50", "burst_tokens = 100"]
         if account == "beta":
