--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -8,7 +8,7 @@
 import argparse
 import json
 import time
-from typing import TYPE_CHECKING
+from pathlib import Path
 
 import attrs
 from _capacity_fit import fit
@@ -16,17 +16,16 @@
 from _capacity_layout import Layout
 from _capacity_sample import RATE_NAMES
 from _capacity_sample import ROLES
+from _capacity_sample import FleetSample
+from _capacity_sample import VmRates
 from _capacity_sample import sample
 
-if TYPE_CHECKING:
-    from _capacity_sample import FleetSample
-
 DEFAULT_LAYOUTS = ("2x5", "6x5", "2x15", "4x8", "18x5", "20x10")
 TARGET_DOMAINS, TARGET_VMS_PER_DOMAIN = 20, 29.5
 SETTLE_S = 12.0
 WINDOW_S = 15.0
 TOP_CLASSES = 6
-ALL_VMS_RATES = ("processor_percent", "memory_mb")
+ALL_VMS_RATES = ("memory_mb",)
 
 
 def parse_layout(text: str) -> Layout:
@@ -60,8 +59,8 @@
 def terms(name: str, domains: float, vms_per_domain: float) -> list[float]:
     """Return the terms of the fit of a rate.
 
-    They are a constant, the VMs of the own domain and the domains. Processor time and memory
-    depend on all VMs besides, whose objects the configuration holds.
+    They are a constant, the VMs of the own domain and the domains. Memory depends on all VMs
+    besides, whose objects the configuration and the membership hold.
     """
     found = [1.0, vms_per_domain, domains]
     if name in ALL_VMS_RATES:
@@ -94,15 +93,34 @@
     parser.add_argument("layouts", nargs="*", default=DEFAULT_LAYOUTS)
     parser.add_argument("--window-s", type=float, default=WINDOW_S)
     parser.add_argument("--json", help="Also write the samples to this file.")
+    parser.add_argument("--fit", nargs="+", help="Fit samples of files; the last one counts.")
     arguments = parser.parse_args()
+    if arguments.fit:
+        print_fit(_read_samples(arguments.fit))
+        return
     samples = {}
     for layout in map(parse_layout, arguments.layouts):
         samples[layout] = run(layout, arguments.window_s)
         print_sample(layout, samples[layout])
+        if arguments.json:
+            _write_samples(arguments.json, samples)
     print_fit(samples)
-    if arguments.json:
-        with open(arguments.json, "w", encoding="utf-8") as file:
-            json.dump([{"layout": attrs.asdict(k), **_plain(v)} for k, v in samples.items()], file)
+
+
+def _write_samples(path: str, samples: dict[Layout, FleetSample]) -> None:
+    rows = [{"layout": attrs.asdict(k), **_plain(v)} for k, v in samples.items()]
+    Path(path).write_text(json.dumps(rows), encoding="utf-8")
+
+
+def _read_samples(paths: list[str]) -> dict[Layout, FleetSample]:
+    samples = {}
+    for row in (row for path in paths for row in json.loads(Path(path).read_text())):
+        roles = {
+            role: VmRates(**row["roles"][role]) if role in row["roles"] else None for role in ROLES
+        }
+        sampled = FleetSample(roles, row["reads_per_s"], row["writes_per_s"])
+        samples[Layout(**row["layout"])] = sampled
+    return samples
 
 
 def _plain(measured: FleetSample) -> dict[str, object]:
