--- a/benchmarks/_capacity_fit.py
+++ b/benchmarks/_capacity_fit.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+SMALLEST_PIVOT = 1e-6
 
-def fit(rows: list[list[float]], values: list[float]) -> list[float]:
-    """Return the factors of the terms in ``rows`` that come nearest to ``values``."""
+
+def fit(rows: list[list[float]], values: list[float]) -> list[float] | None:
+    """Return the factors of the terms in ``rows`` that come nearest to ``values``.
+
+    None when the rows do not tell the terms apart.
+    """
     size = len(rows[0])
     matrix = [
         [sum(row[i] * row[j] for row in rows) for j in range(size)]
@@ -13,6 +18,8 @@
     ]
     for i in range(size):
         pivot = max(range(i, size), key=lambda k: abs(matrix[k][i]))
+        if abs(matrix[pivot][i]) < SMALLEST_PIVOT:
+            return None
         matrix[i], matrix[pivot] = matrix[pivot], matrix[i]
         for k in range(size):
             if k != i:
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -20,7 +20,7 @@
 from _capacity_sample import VmRates
 from _capacity_sample import sample
 
-DEFAULT_LAYOUTS = ("2x5", "6x5", "2x15", "4x8", "18x5", "20x10")
+DEFAULT_LAYOUTS = ("2x5", "6x5", "2x15", "4x8", "18x5", "20x10", "2x30")
 TARGET_DOMAINS, TARGET_VMS_PER_DOMAIN = 20, 29.5
 SETTLE_S = 12.0
 WINDOW_S = 15.0
@@ -79,9 +79,9 @@
                 if (rates := measured.roles[role]) is not None
             ]
             target = terms(name, TARGET_DOMAINS, TARGET_VMS_PER_DOMAIN)
-            if len(points) < len(target):
-                continue
             factors = fit([row for row, _ in points], [value for _, value in points])
+            if factors is None:
+                continue
             worked_out = sum(f * t for f, t in zip(factors, target, strict=True))
             numbers = ", ".join(f"{factor:.4g}" for factor in factors)
             print(f"  {role} {name}: {numbers} -> {worked_out:.1f}")
