--- a/benchmarks/shift_messages.py
+++ b/benchmarks/shift_messages.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from siskinward.coordination.assignment_content import encode_assignments
 from siskinward.coordination.demand.reports import ServiceDemand
 from siskinward.coordination.demand.reports import pack_demands
 from siskinward.coordination.planner import Assignment
 from siskinward.coordination.planner import Cell
 from siskinward.coordination.planner import CellRoute
-from siskinward.coordination.shift_board import encode_assignments
 from siskinward.state.client_map import BUCKETS
 from siskinward.state.content_delta import make_delta
 from siskinward.state.identifiers import DomainName
--- a/src/siskinward/coordination/demand/reports.py
+++ b/src/siskinward/coordination/demand/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from math import ceil
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -17,6 +18,7 @@
     from collections.abc import Iterable
 
 MILLI = 1000
+RATE_SCALE = 10
 
 
 @frozen
@@ -44,12 +46,12 @@
 
 
 def pack_demands(report: tuple[ServiceDemand, ...]) -> bytes:
-    """Return the bytes of a report; rates are rounded to thousandths."""
+    """Return the bytes of a report; rates are rounded up to tenths."""
     rows = []
     for item in report:
         sites: dict[str, list[int]] = defaultdict(list)
         for cell, amount in item.demands.items():
-            sites[cell.site] += [cell.bucket, round(amount * MILLI)]
+            sites[cell.site] += [cell.bucket, ceil(amount * RATE_SCALE)]
         rows.append([item.service, round(item.capacity_per_s * MILLI), sites])
     packed: bytes = msgpack.packb(rows)
     return packed
@@ -84,4 +86,4 @@
 def _rate(amount: Any) -> float:
     if not isinstance(amount, int) or amount < 0:
         raise ValueError("malformed rate")
-    return amount / MILLI
+    return amount / RATE_SCALE
--- a/src/siskinward/coordination/shift_board.py
+++ b/src/siskinward/coordination/shift_board.py
@@ -2,37 +2,34 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 
 from attrs import frozen
 from expression import Error
 from expression import Ok
 
+from siskinward.coordination.assignment_content import Assignments
+from siskinward.coordination.assignment_content import decode_assignments
+from siskinward.coordination.assignment_content import encode_assignments
 from siskinward.coordination.events import WriteOutcome
-from siskinward.coordination.planner import Assignment
-from siskinward.coordination.planner import Cell
-from siskinward.coordination.planner import CellRoute
 from siskinward.coordination.platform import RowWrite
 from siskinward.coordination.publishing import ConfigurationPointer
 from siskinward.coordination.publishing import decode_pointer
 from siskinward.coordination.publishing import encode_pointer
 from siskinward.state.errors import StepError
-from siskinward.state.identifiers import DomainName
-from siskinward.state.identifiers import ServiceName
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from expression import Result
 
+    from siskinward.coordination.planner import Assignment
     from siskinward.coordination.platform import ObjectStore
     from siskinward.coordination.platform import PlatformTable
+    from siskinward.state.identifiers import ServiceName
 
 ASSIGNMENT_ROW = "shift-assignment"
 
-Assignments = dict[ServiceName, Assignment]
-
 
 @frozen
 class PublishedShift:
@@ -93,41 +90,3 @@
         if written.ok.outcome is not WriteOutcome.APPLIED:
             return Error(StepError("write assignment", ASSIGNMENT_ROW, "another step came first"))
         return Ok(PublishedShift(base.row_version + 1, pointer, dict(assignments)))
-
-
-def encode_assignments(assignments: Mapping[ServiceName, Assignment]) -> bytes:
-    """Return the content of assignments; equal ones have equal contents."""
-    lines = []
-    for service, assignment in sorted(assignments.items()):
-        lines.append(json.dumps([service, assignment.version]))
-        for cell, route in sorted(assignment.routes.items()):
-            names = [route.domain, route.domain_backup, route.region_backup]
-            lines.append(json.dumps([cell.site, cell.bucket, *names]))
-    return "\n".join(lines).encode()
-
-
-def decode_assignments(content: bytes) -> Result[Assignments, StepError]:
-    """Return the assignments of a content."""
-    found: Assignments = {}
-    routes: dict[Cell, CellRoute] = {}
-    try:
-        for line in content.decode().splitlines():
-            match json.loads(line):
-                case [str() as name, int() as version]:
-                    routes = {}
-                    service = ServiceName(name)
-                    found[service] = Assignment(service, version, routes)
-                case [str() as site, int() as bucket, str() as domain, backup, other]:
-                    route = CellRoute(DomainName(domain), _name(backup), _name(other))
-                    routes[Cell(site, bucket)] = route
-                case _:
-                    raise ValueError("malformed line")
-    except ValueError as error:
-        return Error(StepError("decode assignment", ASSIGNMENT_ROW, str(error)))
-    return Ok(found)
-
-
-def _name(value: object) -> DomainName | None:
-    if value is None or isinstance(value, str):
-        return None if value is None else DomainName(value)
-    raise ValueError("malformed failure domain")
--- a/src/siskinward/daemon/assignment_replica.py
+++ b/src/siskinward/daemon/assignment_replica.py
@@ -7,9 +7,9 @@
 
 import curio
 
+from siskinward.coordination.assignment_content import decode_assignments
 from siskinward.coordination.freshness import FreshnessSettings
 from siskinward.coordination.shift_board import ASSIGNMENT_ROW
-from siskinward.coordination.shift_board import decode_assignments
 from siskinward.coordination.state_replica import StateReplica
 from siskinward.coordination.state_replica import StateReplicaSettings
 from siskinward.coordination.version_messages import Adopted
@@ -21,10 +21,10 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    from siskinward.coordination.assignment_content import Assignments
     from siskinward.coordination.events import TableAnswer
     from siskinward.coordination.events import VmIdentity
     from siskinward.coordination.membership import Membership
-    from siskinward.coordination.shift_board import Assignments
     from siskinward.daemon.node_parts import NodeParts
     from siskinward.state.errors import StepError
     from siskinward.state.identifiers import DomainName
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -35,8 +35,8 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from siskinward.coordination.assignment_content import Assignments
     from siskinward.coordination.events import VmIdentity
-    from siskinward.coordination.shift_board import Assignments
     from siskinward.daemon.serving_state import ServingState
     from siskinward.state.settings import NodeSettings
 
--- a/src/siskinward/daemon/planning.py
+++ b/src/siskinward/daemon/planning.py
@@ -23,9 +23,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from siskinward.coordination.assignment_content import Assignments
     from siskinward.coordination.planner import Cell
     from siskinward.coordination.planner import Move
-    from siskinward.coordination.shift_board import Assignments
     from siskinward.coordination.shift_board import PublishedShift
     from siskinward.daemon.node_parts import NodeParts
     from siskinward.daemon.serving_state import ServingState
--- a/tests/coordination/test_shift_board.py
+++ b/tests/coordination/test_shift_board.py
@@ -8,6 +8,8 @@
 from fakes.memory_platform import Fault
 from fakes.memory_platform import MemoryPlatform
 
+from siskinward.coordination.assignment_content import decode_assignments
+from siskinward.coordination.assignment_content import encode_assignments
 from siskinward.coordination.planner import Assignment
 from siskinward.coordination.planner import Cell
 from siskinward.coordination.planner import CellRoute
@@ -54,3 +56,19 @@
     assert finished(board.write(base, step(1, NORTH), "x")).is_error()
     assert finished(board.write(base, step(1, SOUTH), "x")).is_error()
     assert platform.rows[ASSIGNMENT_ROW][0] == 1
+
+
+def test_content_keeps_every_route() -> None:
+    routes = {
+        Cell("east", 0): CellRoute(NORTH, SOUTH, None),
+        Cell("east", 15): CellRoute(SOUTH),
+        Cell("west", 7): CellRoute(NORTH, None, SOUTH),
+    }
+    bookings = ServiceName("bookings")
+    found = step(7, SOUTH) | {bookings: Assignment(bookings, 2, routes)}
+    assert decode_assignments(encode_assignments(found)).ok == found
+
+
+@pytest.mark.parametrize("content", [b"", b"\x01", encode_assignments({})[:-1], b"\x93\x90\x91"])
+def test_malformed_content_is_an_error(content: bytes) -> None:
+    assert decode_assignments(content).is_error()
