--- a/src/siskinward/coordination/demand/_exchange.py
+++ b/src/siskinward/coordination/demand/_exchange.py
@@ -79,6 +79,7 @@
         self._route = route
         self._capacities = capacities
         self._counts: dict[ServiceName, dict[Cell, int]] = {}
+        self._request_counts: dict[ServiceName, int] = defaultdict(int)
         self._counted_from_s = now_s
         self._vms: dict[VmName, tuple[Report, float]] = {}
         self._domains: dict[DomainName, tuple[Report, float]] = {}
@@ -88,13 +89,22 @@
         """Count one look-up."""
         self._counts.setdefault(service, defaultdict(int))[cell] += 1
 
+    def count_request(self, service: ServiceName) -> None:
+        """Count one request that a caller sent to this VM."""
+        self._request_counts[service] += 1
+
     def demands(self) -> dict[ServiceName, dict[Cell, float]] | None:
-        """Mean demand of all cells; None until it was measured for the whole time."""
+        """Mean demand of all cells; None until it was measured for the whole time.
+
+        Look-ups tell how the demand is spread, requests how high it is.
+        """
         if len(self._sums) < self._settings.mean_count:
             return None
         count = len(self._sums)
         return {
-            item.service: {cell: amount / count for cell, amount in item.demands.items()}
+            item.service: {
+                cell: _scale(item) * amount / count for cell, amount in item.demands.items()
+            }
             for item in sum_demands(self._sums)
         }
 
@@ -143,11 +153,18 @@
         elapsed_s = now_s - self._counted_from_s
         capacities = self._capacities(now_s)
         counts, self._counts, self._counted_from_s = self._counts, {}, now_s
+        requests, self._request_counts = self._request_counts, defaultdict(int)
         return tuple(
             ServiceDemand(
                 service,
                 capacities.get(service, 0.0),
                 {cell: count / elapsed_s for cell, count in counts.get(service, {}).items()},
+                requests[service] / elapsed_s,
             )
-            for service in dict.fromkeys([*capacities, *counts])
+            for service in dict.fromkeys([*capacities, *counts, *requests])
         )
+
+
+def _scale(item: ServiceDemand) -> float:
+    lookups_per_s = sum(item.demands.values())
+    return max(1.0, item.requests_per_s / lookups_per_s) if lookups_per_s > 0 else 1.0
--- a/src/siskinward/coordination/demand/reports.py
+++ b/src/siskinward/coordination/demand/reports.py
@@ -23,24 +23,30 @@
 
 @frozen
 class ServiceDemand:
-    """Look-ups a second of each cell, and what the owned targets can serve a second."""
+    """Look-ups a second of each cell, and what the owned targets can serve a second.
+
+    ``requests_per_s`` counts those that callers sent; they keep the answers of look-ups for a while.
+    """
 
     service: ServiceName
     capacity_per_s: float
     demands: dict[Cell, float] = field(factory=dict)
+    requests_per_s: float = 0.0
 
 
 def sum_demands(reports: Iterable[tuple[ServiceDemand, ...]]) -> tuple[ServiceDemand, ...]:
     """Add up reports, service by service."""
     capacities: dict[ServiceName, float] = defaultdict(float)
+    requests: dict[ServiceName, float] = defaultdict(float)
     demands: dict[ServiceName, dict[Cell, float]] = defaultdict(lambda: defaultdict(float))
     for report in reports:
         for item in report:
             capacities[item.service] += item.capacity_per_s
+            requests[item.service] += item.requests_per_s
             for cell, amount in item.demands.items():
                 demands[item.service][cell] += amount
     return tuple(
-        ServiceDemand(service, capacity, dict(demands[service]))
+        ServiceDemand(service, capacity, dict(demands[service]), requests[service])
         for service, capacity in capacities.items()
     )
 
@@ -52,7 +58,8 @@
         sites: dict[str, list[int]] = defaultdict(list)
         for cell, amount in item.demands.items():
             sites[cell.site] += [cell.bucket, ceil(amount * RATE_SCALE)]
-        rows.append([item.service, round(item.capacity_per_s * MILLI), sites])
+        capacity = round(item.capacity_per_s * MILLI)
+        rows.append([item.service, capacity, ceil(item.requests_per_s * RATE_SCALE), sites])
     packed: bytes = msgpack.packb(rows)
     return packed
 
@@ -67,12 +74,13 @@
 
 def _unpack_row(row: Any) -> ServiceDemand:
     match row:
-        case [str() as service, int() as capacity, dict() as sites] if capacity >= 0:
+        case [str() as service, int() as capacity, requests, dict() as sites] if capacity >= 0:
             demands: dict[Cell, float] = {}
             for site, values in sites.items():
                 for bucket, amount in zip(values[::2], values[1::2], strict=True):
                     demands[_cell(site, bucket)] = _rate(amount)
-            return ServiceDemand(ServiceName(service), capacity / MILLI, demands)
+            requests_per_s = _rate(requests)
+            return ServiceDemand(ServiceName(service), capacity / MILLI, demands, requests_per_s)
         case _:
             raise ValueError("malformed demand")
 
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -128,6 +128,7 @@
             parts.desk,
             parts.dispatcher,
             parts.metrics,
+            self._planning.exchange.count_request,
         )
         front = Front(handler, self._lookups, parts.metrics, self._health)
         settings = HttpServerSettings(limits.header_bytes, limits.body_bytes, limits.idle_timeout_s)
--- a/src/siskinward/daemon/request_handler.py
+++ b/src/siskinward/daemon/request_handler.py
@@ -19,6 +19,7 @@
 from siskinward.protocol.caller_http import path_of
 from siskinward.protocol.target_http import allowed_headers
 from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import ServiceName
 from siskinward.state.objects import Access
 from siskinward.state.objects import WhenIsolated
 
@@ -51,6 +52,7 @@
         desk: TicketDesk,
         dispatcher: Dispatcher,
         metrics: NodeMetrics,
+        on_request: Callable[[ServiceName], None],
     ) -> None:
         self._current_state = current_state
         self._standing = standing
@@ -58,6 +60,7 @@
         self._desk = desk
         self._dispatcher = dispatcher
         self._metrics = metrics
+        self._on_request = on_request
 
     async def handle(self, request: HttpRequest) -> Outcome:
         """Return the outcome of one request; counts it by reason."""
@@ -147,4 +150,5 @@
                 label = "unknown"
                 self._metrics.count_refusal(reason, route.service, account)
         self._metrics.requests.labels(route.service, account, label).inc()
+        self._on_request(route.service)
         self._metrics.latency_s.labels(route.service).observe(latency_s)
--- a/tests/coordination/demand/test_demand_exchange.py
+++ b/tests/coordination/demand/test_demand_exchange.py
@@ -59,6 +59,16 @@
     assert net.exchanges["b1"].demands() is None
 
 
+def test_demand_is_raised_to_the_requests_that_callers_send() -> None:
+    net = Net()
+    for number in range(1, SETTINGS.mean_count + 1):
+        for _ in range(800):
+            net.exchanges["b2"].count_request(LISTINGS)
+        net.run(number * SETTINGS.interval_s)
+    rate = 800 / SETTINGS.interval_s
+    assert net.exchanges["a1"].demands() == {LISTINGS: {CELL: pytest.approx(rate)}}
+
+
 def test_silent_domain_keeps_its_demand_and_its_capacity_grows_old() -> None:
     net = Net()
     net.run(SETTINGS.interval_s)
@@ -70,6 +80,8 @@
     assert told[DomainName("b")].measured_s == SETTINGS.interval_s
 
 
-@pytest.mark.parametrize("content", [b"", b"\xc1", b"\x01", b"\x91\x93\xa1x\x01\x81\xa1s\x91\x01"])
+@pytest.mark.parametrize(
+    "content", [b"", b"\xc1", b"\x01", b"\x91\x94\xa1x\x01\x01\x81\xa1s\x91\x01"]
+)
 def test_malformed_report_is_left_out(content: bytes) -> None:
     assert unpack_demands(content) is None
