--- a/benchmarks/published_map.py
+++ b/benchmarks/published_map.py
@@ -28,17 +28,19 @@
     content = published.to_bytes()
     changed = [BlockSite(b.prefix, "site-new") for b in blocks[:: round(1 / CHANGED_SHARE)]]
     delta = encode_delta(published.make_delta(2, changed, ()).ok)
-    tracemalloc.start()
     start_s = time.perf_counter()
-    held = ClientMap.from_bytes(content).ok
+    ClientMap.from_bytes(content)
     read_s = time.perf_counter() - start_s
+    tracemalloc.start()
+    held = ClientMap.from_bytes(content).ok
     held_mb = tracemalloc.get_traced_memory()[0] / 2**20
     tracemalloc.stop()
     start_s = time.perf_counter()
     assert decode_delta(delta).bind(held.apply).is_ok()
     apply_s = time.perf_counter() - start_s
+    sizes = f"{len(content) / 1e6:5.2f} MB whole, {len(delta) / 1e3:6.1f} KB a delta"
     return (
-        f"{count:8} blocks: {len(content) / 1e6:5.2f} MB whole, {len(delta) / 1e3:6.1f} KB a delta; "
+        f"{count:8} blocks: {sizes}; "
         f"read {read_s * 1e3:6.1f} ms, delta {apply_s * 1e3:6.1f} ms, held {held_mb:5.1f} MB"
     )
 
--- a/src/siskinward/coordination/demand/_exchange.py
+++ b/src/siskinward/coordination/demand/_exchange.py
@@ -20,6 +20,7 @@
 from siskinward.coordination.demand.reports import sum_demands
 from siskinward.coordination.demand.reports import unpack_demands
 from siskinward.coordination.events import Send
+from siskinward.state.identifiers import ServiceName
 from siskinward.state.identifiers import VmName
 
 if TYPE_CHECKING:
@@ -30,7 +31,6 @@
     from siskinward.coordination.events import VmIdentity
     from siskinward.coordination.planner import Cell
     from siskinward.state.identifiers import DomainName
-    from siskinward.state.identifiers import ServiceName
 
 Report = tuple[ServiceDemand, ...]
 
@@ -39,9 +39,17 @@
 class DemandSettings:
     """Reports are sent every ``interval_s``; the mean of ``mean_count`` sums is the demand."""
 
-    interval_s: float = 5.0
-    lifetime_s: float = 12.0
-    mean_count: int = 6
+    interval_s: float = 10.0
+    lifetime_s: float = 22.0
+    mean_count: int = 3
+
+
+@frozen
+class DomainCapacity:
+    """What a failure domain can serve a second, and when it was told."""
+
+    capacities_per_s: dict[ServiceName, float]
+    measured_s: float
 
 
 @frozen
@@ -71,6 +79,7 @@
         self._route = route
         self._capacities = capacities
         self._counts: dict[ServiceName, dict[Cell, int]] = {}
+        self._request_counts: dict[ServiceName, int] = defaultdict(int)
         self._counted_from_s = now_s
         self._vms: dict[VmName, tuple[Report, float]] = {}
         self._domains: dict[DomainName, tuple[Report, float]] = {}
@@ -80,22 +89,30 @@
         """Count one look-up."""
         self._counts.setdefault(service, defaultdict(int))[cell] += 1
 
+    def count_request(self, service: ServiceName) -> None:
+        """Count one request that a caller sent to this VM."""
+        self._request_counts[service] += 1
+
     def demands(self) -> dict[ServiceName, dict[Cell, float]] | None:
-        """Mean demand of all cells; None until it was measured for the whole time."""
+        """Mean demand of all cells; None until it was measured for the whole time.
+
+        Look-ups tell how the demand is spread, requests how high it is.
+        """
         if len(self._sums) < self._settings.mean_count:
             return None
         count = len(self._sums)
         return {
-            item.service: {cell: amount / count for cell, amount in item.demands.items()}
+            item.service: {
+                cell: _scale(item) * amount / count for cell, amount in item.demands.items()
+            }
             for item in sum_demands(self._sums)
         }
 
-    def domain_capacities(self, now_s: float) -> dict[DomainName, dict[ServiceName, float]]:
-        """Capacity of the failure domains that reported lately."""
+    def domain_capacities(self) -> dict[DomainName, DomainCapacity]:
+        """Capacity of the failure domains that have reported."""
         return {
-            domain: {item.service: item.capacity_per_s for item in report}
+            domain: DomainCapacity({item.service: item.capacity_per_s for item in report}, at_s)
             for domain, (report, at_s) in self._domains.items()
-            if now_s - at_s <= self._settings.lifetime_s
         }
 
     def on_timer(self, now_s: float) -> list[Effect]:
@@ -136,11 +153,18 @@
         elapsed_s = now_s - self._counted_from_s
         capacities = self._capacities(now_s)
         counts, self._counts, self._counted_from_s = self._counts, {}, now_s
+        requests, self._request_counts = self._request_counts, defaultdict(int)
         return tuple(
             ServiceDemand(
                 service,
                 capacities.get(service, 0.0),
                 {cell: count / elapsed_s for cell, count in counts.get(service, {}).items()},
+                requests[service] / elapsed_s,
             )
-            for service in dict.fromkeys([*capacities, *counts])
+            for service in dict.fromkeys([*capacities, *counts, *requests])
         )
+
+
+def _scale(item: ServiceDemand) -> float:
+    lookups_per_s = sum(item.demands.values())
+    return max(1.0, item.requests_per_s / lookups_per_s) if lookups_per_s > 0 else 1.0
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -37,8 +37,8 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from siskinward.coordination.assignment_content import Assignments
     from siskinward.coordination.events import VmIdentity
-    from siskinward.coordination.shift_board import Assignments
     from siskinward.daemon.serving_state import ServingState
     from siskinward.state.settings import NodeSettings
 
@@ -128,6 +128,7 @@
             parts.desk,
             parts.dispatcher,
             parts.metrics,
+            self._planning.exchange.count_request,
         )
         front = Front(self.handler, self._lookups, parts.metrics, self._health)
         settings = HttpServerSettings(limits.header_bytes, limits.body_bytes, limits.idle_timeout_s)
--- a/tests/daemon/test_planned_shift.py
+++ b/tests/daemon/test_planned_shift.py
@@ -31,8 +31,7 @@
 
 
 def shift_text() -> str:
-    lines = ["[site site-a]", "failure_domain = a", "[site site-b]", "failure_domain = b"]
-    lines += ["[client-block block-a]", "prefix = 10.1.0.0/16", "site = site-a"]
+    lines = ["[client-block block-a]", "prefix = 10.1.0.0/16", "site = site-a"]
     lines += ["[client-block block-b]", "prefix = 10.2.0.0/16", "site = site-b"]
     lines += ["[shift-cap listings]", "service = listings", f"share_limit = {SHARE_LIMIT}"]
     lines += [f"interval_s = {INTERVAL_S}"]
