--- a/tests/coordination/shares/test_shares_conservation.py
+++ b/tests/coordination/shares/test_shares_conservation.py
@@ -159,7 +159,7 @@
 HOARD: Episode = ("none", 0, 0.2, 0.0, 0.0, 0.0)
 SPEND: Episode = ("none", 0, 0.001, 0.0, 0.0, 0.8)
 SCRIPTS: dict[str, list[Episode]] = {
-    "duplicated answers": [("none", 0, 0.02, 0.0, 0.3, 0.05), SPEND],
+    "duplicated answers": [("none", 0, 0.2, 0.0, 0.3, 0.0), SPEND],
     "takeover": [HOARD, ("take over", 0, 0.001, 0.0, 0.0, 0.0), SPEND],
     "former mint heard": [HOARD, ("take over", 0, 0.2, 0.0, 0.0, 0.0), HOARD, SPEND],
     "parts move": [HOARD, ("shrink", 0, 0.02, 0.0, 0.0, 0.0), SPEND],
