Tell silent connections from lost targets, and let a fresh VM wait for its first vouched version

Cause: a silent connection suspended its live target and made its request a suspect; a VM that had just started refused keys for 0.5 s; on a busy machine the paused clock ran ahead of bytes on loopback.

--- a/src/siskinward/coordination/dispatch.py
+++ b/src/siskinward/coordination/dispatch.py
@@ -63,7 +63,12 @@
 
 @frozen
 class Lost:
-    """The connection was lost; the target may go on until the slot's deadline."""
+    """The connection was lost; the target may go on until the slot's deadline.
+
+    ``target_answers`` says that the target is known to serve other connections.
+    """
+
+    target_answers: bool = False
 
 
 @frozen
@@ -153,9 +158,10 @@
                 self._ledger.release(slot)
                 self._picker.on_failure(slot.target, now_s)
                 self._queue.finished(request_id)
-            case Lost():
+            case Lost(target_answers=target_answers):
                 self._ledger.hold(slot, now_s=now_s)
-                self._picker.on_failure(slot.target, now_s)
+                if not target_answers:
+                    self._picker.on_failure(slot.target, now_s)
                 self._queue.finished(request_id)
             case Unsent():
                 self._ledger.release(slot)
--- a/src/siskinward/daemon/local_service.py
+++ b/src/siskinward/daemon/local_service.py
@@ -219,6 +219,7 @@
         target = started.slot.target
         outcome: Outcome = Unknown(RefusalReason.TARGET_LOST)
         is_loss = False
+        is_silent = False
         try:
             result = await self._pool(target).exchange(
                 _target_request(work, start_s),
@@ -227,14 +228,16 @@
             )
             if result.is_error():
                 outcome = _failed_outcome(result.error)
+                is_silent = result.error.is_silent
                 is_loss = isinstance(outcome, Unknown) and not result.error.timed_out
             else:
                 answer = result.ok
                 outcome = interpret_answer(answer.status, answer.headers, answer.body)
         finally:
             service_s = await curio.clock() - start_s
-            await self._finish(dispatcher, started, _ending(outcome, service_s))
-        return WorkResult(outcome, target, (target,) if is_loss else (), service_s)
+            await self._finish(dispatcher, started, _ending(outcome, service_s, is_silent))
+        lost = (target,) if is_loss and not is_silent else ()
+        return WorkResult(outcome, target, lost, service_s)
 
     async def _finish(self, dispatcher: Dispatcher, started: Started, ending: Ending) -> None:
         now_s = await curio.clock()
@@ -273,14 +276,14 @@
     return HttpRequest(work.method, work.target_path, headers, work.body)
 
 
-def _ending(outcome: Outcome, service_s: float) -> Ending:
+def _ending(outcome: Outcome, service_s: float, is_silent: bool) -> Ending:
     match outcome:
         case Answered():
             return Completed(service_s)
         case NotRun():
             return Failed()
         case Unknown():
-            return Lost()
+            return Lost(target_answers=is_silent)
 
 
 def _failed_outcome(error: ExchangeError) -> Outcome:
--- a/src/siskinward/daemon/request_handler.py
+++ b/src/siskinward/daemon/request_handler.py
@@ -41,6 +41,8 @@
 OPEN_ACCOUNT = AccountName("")
 SETTLED_RETRY_AFTER_S = 60.0
 STARTING_RETRY_AFTER_S = 1.0
+FIRST_VOUCH_WAIT_S = 1.5
+FIRST_VOUCH_POLL_S = 0.05
 
 
 class RequestHandler:
@@ -62,6 +64,7 @@
         self._desk = desk
         self._dispatcher = dispatcher
         self._metrics = metrics
+        self._has_been_vouched = False
         self.recorder: Recorder | None = None
         self._on_request = on_request
 
@@ -85,7 +88,7 @@
         parsed = parse_caller_headers(request.headers, service)
         if parsed.is_error():
             return _early_refusal(route, parsed.error), OPEN_ACCOUNT
-        account = self._account(state, route, parsed.ok.key_text, start_s)
+        account = await self._account(state, route, parsed.ok.key_text)
         if isinstance(account, NotRun):
             return _early_refusal(route, account.reason, account.retry_after_s), OPEN_ACCOUNT
         headers = allowed_headers(request.headers)
@@ -122,8 +125,8 @@
         refusal = await self._gate.admit(work.client_account, await curio.clock())
         return await self._dispatcher.run(work) if refusal is None else refusal
 
-    def _account(
-        self, state: ServingState, route: Route, key_text: str | None, now_s: float
+    async def _account(
+        self, state: ServingState, route: Route, key_text: str | None
     ) -> AccountName | NotRun:
         if route.access is Access.OPEN:
             return OPEN_ACCOUNT
@@ -133,11 +136,22 @@
         if account is None:
             return NotRun(RefusalReason.KEY_UNKNOWN, SETTLED_RETRY_AFTER_S)
         when_isolated = state.configuration.client_accounts[account].when_isolated
-        is_refused = when_isolated is WhenIsolated.REFUSE
-        if is_refused and isinstance(self._standing(now_s), Isolated):
+        if when_isolated is WhenIsolated.REFUSE and not await self._is_vouched():
             return NotRun(RefusalReason.KEY_UNVOUCHED, STARTING_RETRY_AFTER_S)
         return account
 
+    async def _is_vouched(self) -> bool:
+        """Tell whether keys can be vouched for; a process that has just started waits a moment."""
+        now_s = await curio.clock()
+        wait_until_s = now_s if self._has_been_vouched else now_s + FIRST_VOUCH_WAIT_S
+        while isinstance(self._standing(now_s), Isolated):
+            if now_s >= wait_until_s:
+                return False
+            await curio.sleep(FIRST_VOUCH_POLL_S)
+            now_s = await curio.clock()
+        self._has_been_vouched = True
+        return True
+
     def _refused(
         self, reason: RefusalReason, retry_after_s: float = SETTLED_RETRY_AFTER_S
     ) -> Handled:
--- a/src/siskinward/standins/paused_clock.py
+++ b/src/siskinward/standins/paused_clock.py
@@ -15,6 +15,7 @@
     from collections.abc import Iterator
 
 START_S = 1000.0
+DELIVERY_S = 0.00005
 
 
 class PausedClock:
@@ -41,6 +42,10 @@
     def select(self, timeout: float | None = None) -> list[Any]:
         """Return what is ready now; else let the time pass at once."""
         ready = super().select(0)
+        if not ready:
+            # On a busy machine the system may deliver bytes on loopback a moment later.
+            time.sleep(DELIVERY_S)
+            ready = super().select(0)
         if ready or timeout is None:
             return ready or super().select(None)
         self._clock.now_s += max(timeout, 0.0)
--- a/src/siskinward/transport/http_client.py
+++ b/src/siskinward/transport/http_client.py
@@ -9,6 +9,7 @@
 
 import curio
 import h11
+from attrs import evolve
 from attrs import frozen
 from expression import Error
 from expression import Ok
@@ -37,13 +38,21 @@
 
 @frozen
 class ExchangeError:
-    """A failed exchange. Only ``CONNECT`` and ``UNSENT`` prove that no byte left this VM."""
+    """A failed exchange. Only ``CONNECT`` and ``UNSENT`` prove that no byte left this VM.
+
+    ``is_silent`` says that the server answered on a newer connection meanwhile.
+    """
 
     step: str
     peer: str
     detail: str
     phase: ExchangePhase
     timed_out: bool = False
+    is_silent: bool = False
+
+
+class _SilentConnectionError(ConnectionResetError):
+    """The connection sends nothing while a newer one works."""
 
 
 class SilenceWatch(Protocol):
@@ -106,6 +115,8 @@
                 response = await self._exchange(request, silence)
         except curio.TaskTimeout:
             return Error(await self._failed("the time ran out", timed_out=True))
+        except _SilentConnectionError as error:
+            return Error(evolve(await self._failed(str(error)), is_silent=True))
         except (OSError, h11.ProtocolError) as error:
             return Error(await self._failed(str(error) or type(error).__name__))
         except BaseException:
@@ -143,7 +154,7 @@
                     data = await self._sock.recv(RECEIVE_SIZE_BYTES)
             except curio.TaskTimeout:
                 if await silence.is_silent():
-                    raise ConnectionResetError("the connection went silent") from None
+                    raise _SilentConnectionError("the connection went silent") from None
                 continue
             await silence.on_first_byte()
             self._http.receive_data(data)
