Move cells that went quiet out of drained domains

A cell without look-ups kept its last, stale demand and never moved, so that a drain with 1 of 32 callers in a quiet cell did not end (31 of 32 moved). It now counts next to nothing and moves.

--- a/src/siskinward/coordination/demand/reports.py
+++ b/src/siskinward/coordination/demand/reports.py
@@ -25,7 +25,7 @@
 class ServiceDemand:
     """Look-ups a second of each cell, and what the owned targets can serve a second.
 
-    ``requests_per_s`` counts those that callers sent; they keep the answers of look-ups for a while.
+    ``requests_per_s`` counts what callers sent; they keep the answers of look-ups for a while.
     """
 
     service: ServiceName
--- a/src/siskinward/daemon/planning.py
+++ b/src/siskinward/daemon/planning.py
@@ -36,6 +36,7 @@
 STEP_INTERVAL_S = 5.0
 WRITE_LIMIT_S = 2.0
 RESERVES_INTERVAL_S = 60.0
+QUIET_DEMAND_PER_S = 0.01
 FROZEN_PLATFORM = "platform"
 FROZEN_MEASURING = "measuring"
 
@@ -154,8 +155,9 @@
                 planner = ShiftPlanner(self._settings, service, configuration, known, now_s)
                 self._planners[service] = planner
             planner.on_drains(drains)
-            if demands.get(service):
-                planner.on_demand(demands[service], now_s)
+            # Cells without look-ups have next to no callers; at zero they would fit anywhere.
+            quiet = dict.fromkeys(planner.assignment.routes, QUIET_DEMAND_PER_S)
+            planner.on_demand({**quiet, **demands.get(service, {})}, now_s)
             for domain, told in capacities.items():
                 amount_per_s = told.capacities_per_s.get(service, 0.0)
                 planner.on_capacity(domain, amount_per_s, told.measured_s)
--- a/tests/daemon/test_planned_shift.py
+++ b/tests/daemon/test_planned_shift.py
@@ -46,10 +46,13 @@
         self._deployment = deployment
         self.first: dict[str, str] = {}
         self.moved_s: list[float] = []
+        self.quiet: frozenset[str] = frozenset()
 
     async def run(self) -> None:
         while True:
             for client in CLIENTS:
+                if client in self.quiet:
+                    continue
                 await self._look_up(client)
             await curio.sleep(LOOK_UP_S)
 
@@ -140,6 +143,23 @@
     shifting.run(body)
 
 
+def test_drain_ends_although_some_callers_went_quiet(shifting: SmallDeployment) -> None:
+    async def body() -> None:
+        callers = Callers(shifting)
+        await curio.spawn(callers.run, daemon=True)
+        await curio.sleep(MEASURED_S)
+        callers.quiet = frozenset(CLIENTS[:2])
+        await curio.sleep(MEASURED_S)
+        await drain(shifting, "a", 1.0)
+        await wait_moved(callers, len(CLIENTS) // 2 - len(callers.quiet))
+        await curio.sleep(2 * INTERVAL_S)
+        callers.quiet = frozenset()
+        await curio.sleep(2 * LOOK_UP_S)
+        assert callers.at("vm-b") == len(CLIENTS)
+
+    shifting.run(body)
+
+
 def test_steps_freeze_while_the_platform_is_away_and_go_on_after(
     shifting: SmallDeployment,
 ) -> None:
