--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -79,7 +79,7 @@
             self._planning.exchange.count,
         )
         self._assignments = AssignmentReplica(parts, self._on_assignments, self._on_error, now_s)
-        parts.router.register(self._assignments, VERSION_MESSAGES)
+        parts.router.register(self._assignments.driver, VERSION_MESSAGES)
         self._maps = MapReplica(parts, self._lookups.on_client_map, self._on_error, now_s)
         parts.router.register(self._maps.driver, VERSION_MESSAGES)
         self._server = self._create_server()
@@ -212,8 +212,10 @@
         await parts.router.run(parts.authority, parts.authority.on_members(members, now_s))
         await parts.desk.on_members(parts.cluster.live_identities(now_s), now_s)
         await parts.quarantine.on_members(parts.cluster.live_identities(now_s), now_s)
-        for replica in (self._replica.driver, self._assignments, self._maps.driver):
-            replica.on_membership(parts.cluster.membership, parts.cluster.known_domains, now_s)
+        for replica in (self._replica, self._assignments, self._maps):
+            replica.driver.on_membership(
+                parts.cluster.membership, parts.cluster.known_domains, now_s
+            )
         for vm in parts.cluster.departed(now_s):
             await parts.forwarder.on_vm_lost(vm)
 
