--- a/src/siskinward/console/commands/node.py
+++ b/src/siskinward/console/commands/node.py
@@ -16,6 +16,7 @@
 from siskinward.daemon.node import Node
 from siskinward.daemon.recorder import Recorder
 from siskinward.state.errors import SiskinwardError
+from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from siskinward.state.settings import NodeSettings
@@ -43,7 +44,7 @@
 
 
 async def _run_node(settings: NodeSettings, record: TextIO | None) -> None:
-    now_s = await curio.clock()
+    now_s = read_clock_s()
     running = Node(settings, now_s)
     if record is not None:
         running.handler.recorder = Recorder(record, now_s)
--- a/src/siskinward/daemon/dispatcher.py
+++ b/src/siskinward/daemon/dispatcher.py
@@ -16,6 +16,7 @@
 from siskinward.coordination.retries import GiveUp
 from siskinward.coordination.retries import RequestProgress
 from siskinward.daemon.work import WorkResult
+from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from siskinward.coordination.outcomes import Outcome
@@ -72,7 +73,7 @@
             result = await self._attempt_hedged(choice, work, progress)
             if isinstance(result.outcome, Answered):
                 return result
-            now_s = await curio.clock()
+            now_s = read_clock_s()
             decision = self._retries.decide(work.service, progress, result, now_s)
             if isinstance(decision, GiveUp):
                 return evolve(result, outcome=decision.outcome)
@@ -94,7 +95,7 @@
             work.service,
             request_bytes=work.size_bytes,
             excluded=excluded_vms,
-            now_s=await curio.clock(),
+            now_s=read_clock_s(),
             within_domain=within_domain,
         )
 
@@ -105,7 +106,7 @@
         service = self.services.get(work.service)
         if service is None or not service.hedged or progress.failures:
             return await self._attempt(choice, work)
-        start_s = await curio.clock()
+        start_s = read_clock_s()
         policy = self._retries.hedge_policy(service)
         results = curio.Queue()
         await curio.spawn(self._attempt_into, results, choice, work, daemon=True)
@@ -121,12 +122,12 @@
         if result is None:
             result = await results.get()
         if isinstance(result.outcome, Answered):
-            policy.on_latency(await curio.clock() - start_s)
+            policy.on_latency(read_clock_s() - start_s)
         return result
 
     async def _may_hedge(self, policy: HedgePolicy, work: Work, progress: RequestProgress) -> bool:
         ledger = self._retries.ledger(work.service)
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         loads = self._local.loads(now_s)
         queued_count = sum(load.waiting for load in loads if load.service == work.service)
         return policy.may_hedge(progress, ledger, now_s, queued=queued_count)
@@ -138,7 +139,7 @@
     async def _attempt(self, choice: Choice, work: Work) -> WorkResult:
         assert self.forwarder is not None
         assert self.router is not None
-        start_s = await curio.clock()
+        start_s = read_clock_s()
         self.router.on_sent(choice, start_s)
         try:
             if choice.vm == self._own_vm:
@@ -150,7 +151,7 @@
         except curio.CancelledError:
             self.router.on_abandoned(choice)
             raise
-        self._tell_router(choice, work, result, start_s, await curio.clock())
+        self._tell_router(choice, work, result, start_s, read_clock_s())
         return result
 
     def _tell_router(
--- a/src/siskinward/daemon/effect_runner.py
+++ b/src/siskinward/daemon/effect_runner.py
@@ -16,6 +16,7 @@
 from siskinward.coordination.events import WriteOutcome
 from siskinward.coordination.events import WriteRow
 from siskinward.coordination.platform import RowWrite
+from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -62,7 +63,7 @@
                 answer = await self._read(effect)
             case WriteRow():
                 answer = await self._write(effect)
-        await self.run(owner.on_table_answer(answer, await curio.clock()), owner)
+        await self.run(owner.on_table_answer(answer, read_clock_s()), owner)
 
     async def _read(self, effect: ReadRow) -> TableAnswer:
         result = await self._table.read((effect.row,))
--- a/src/siskinward/daemon/forwarder.py
+++ b/src/siskinward/daemon/forwarder.py
@@ -20,6 +20,7 @@
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import ServiceName
 from siskinward.state.identifiers import TargetName
+from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -53,7 +54,7 @@
     async def forward(self, vm: VmName, work: Work, *, may_forward: bool) -> WorkResult:
         """Send a request to another VM and wait for its outcome until the deadline."""
         correlation_id = next(self._correlation_ids)
-        time_left_s = work.deadline_s - await curio.clock()
+        time_left_s = work.deadline_s - read_clock_s()
         message = _forward_request(work, correlation_id, self._own, time_left_s)
         message = evolve(message, may_forward=may_forward)
         waiter = Waiter[ForwardReply]()
@@ -93,7 +94,7 @@
 
     async def _run(self, message: ForwardRequest, sender: VmIdentity) -> None:
         try:
-            work = _work(message, await curio.clock())
+            work = _work(message, read_clock_s())
             result = await self._run_forwarded(work, message.may_forward)
             await self._hub.send(sender.vm, _forward_reply(message, result))
         finally:
--- a/src/siskinward/daemon/front.py
+++ b/src/siskinward/daemon/front.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
-import curio
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from siskinward.protocol.caller_http import path_of
 from siskinward.protocol.caller_http import render_outcome
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpResponse
 
 if TYPE_CHECKING:
@@ -48,7 +48,7 @@
             case "/lookup":
                 return await self._lookup(request)
             case "/health":
-                return self._answer_health(await curio.clock())
+                return self._answer_health(read_clock_s())
             case "/metrics":
                 headers = ((b"content-type", CONTENT_TYPE_LATEST.encode()),)
                 return HttpResponse(200, headers, self._metrics.render())
--- a/src/siskinward/daemon/local_service.py
+++ b/src/siskinward/daemon/local_service.py
@@ -26,6 +26,7 @@
 from siskinward.protocol.target_http import interpret_answer
 from siskinward.protocol.target_http import target_headers
 from siskinward.state.objects import Service
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.connection_pool import ConnectionPool
 from siskinward.transport.connection_pool import PoolSettings
 from siskinward.transport.http_client import ExchangePhase
@@ -115,7 +116,7 @@
 
     async def run(self, work: Work) -> WorkResult:
         """Wait for a slot, run the request and return its outcome."""
-        permit = await self._quarantine.admit(work.fingerprint, await curio.clock())
+        permit = await self._quarantine.admit(work.fingerprint, read_clock_s())
         if isinstance(permit, NotRun):
             return WorkResult(permit)
         result = WorkResult(NotRun(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER_S))
@@ -129,7 +130,7 @@
         service = self._services.get(work.service)
         if service is None:
             return result
-        return evolve(result, load=service.dispatcher.load(await curio.clock()))
+        return evolve(result, load=service.dispatcher.load(read_clock_s()))
 
     async def on_timer(self, now_s: float) -> None:
         """Release held slots that are due and refuse what waits too long."""
@@ -144,7 +145,7 @@
         started = await self._admit(dispatcher, work, permit)
         if isinstance(started, NotRun):
             return WorkResult(started)
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         others = self._take_others(started.slot, permit, now_s)
         if others is None or not self._quarantine.may_start(permit, now_s):
             for slot in others or ():
@@ -159,7 +160,7 @@
                 self._ledger.release(slot)
 
     async def _admit(self, dispatcher: Dispatcher, work: Work, permit: Permit) -> Started | NotRun:
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         request_id = next(self._request_ids)
         waiter = Waiter[Started | Refused]()
         self._waiters[request_id] = waiter
@@ -190,7 +191,7 @@
     async def _abandon(self, dispatcher: Dispatcher, request_id: int) -> None:
         """Forget a request that waits, or give back the slot that it has just been given."""
         if not dispatcher.cancel(request_id):
-            progress = dispatcher.finish(request_id, Unsent(), await curio.clock())
+            progress = dispatcher.finish(request_id, Unsent(), read_clock_s())
             await self._deliver(progress)
 
     def _excluded(self, work: Work, permit: Permit, now_s: float) -> frozenset[TargetName]:
@@ -215,7 +216,7 @@
     async def _run_in_slot(
         self, dispatcher: Dispatcher, work: Work, started: Started
     ) -> WorkResult:
-        start_s = await curio.clock()
+        start_s = read_clock_s()
         target = started.slot.target
         outcome: Outcome = Unknown(RefusalReason.TARGET_LOST)
         is_loss = False
@@ -234,13 +235,13 @@
                 answer = result.ok
                 outcome = interpret_answer(answer.status, answer.headers, answer.body)
         finally:
-            service_s = await curio.clock() - start_s
+            service_s = read_clock_s() - start_s
             await self._finish(dispatcher, started, _ending(outcome, service_s, is_silent))
         lost = (target,) if is_loss and not is_silent else ()
         return WorkResult(outcome, target, lost, service_s)
 
     async def _finish(self, dispatcher: Dispatcher, started: Started, ending: Ending) -> None:
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         await self._deliver(dispatcher.finish(started.request_id, ending, now_s))
 
     async def _deliver(self, progress: Progress) -> None:
--- a/src/siskinward/daemon/lookup.py
+++ b/src/siskinward/daemon/lookup.py
@@ -6,7 +6,6 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-import curio
 from attrs import frozen
 
 from siskinward.coordination.lookup import LookupSettings
@@ -15,6 +14,7 @@
 from siskinward.state.client_map import BlockSite
 from siskinward.state.client_map import ClientMap
 from siskinward.state.identifiers import ServiceName
+from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -128,7 +128,7 @@
         content: dict[str, object] = {
             "vms": [{"vm": vm.name, "host": vm.host, "port": vm.port} for vm in found.vms],
             "ttl_s": found.ttl_s,
-            "tickets": self._mint_tickets(ticket_count, await curio.clock()),
+            "tickets": self._mint_tickets(ticket_count, read_clock_s()),
             "version": self._state.version,
         }
         return LookupAnswer(200, content)
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -27,6 +27,7 @@
 from siskinward.protocol.forwarding import ForwardRequest
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.errors import StepError
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_server import HttpServer
 from siskinward.transport.http_server import HttpServerSettings
 from siskinward.transport.peer_hub import PeerAddress
@@ -138,26 +139,26 @@
         parts = self.parts
         log_message("node:leaving", vm=parts.own.vm)
         self._is_leaving = True
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         await parts.cluster.leave(now_s)
         self._lookups.on_live_vms(parts.cluster.live_vms(now_s))
         await curio.sleep(self._settings.limits.look_up_ttl_s)
         self._server.begin_shutdown()
         await self._hand_over()
         await self._server.wait_drained(self._settings.limits.shutdown_timeout_s)
-        await parts.gate.close(await curio.clock())
+        await parts.gate.close(read_clock_s())
         await curio.sleep(FLUSH_S)
 
     async def _hand_over(self) -> None:
         """Give targets, mint, grant and tickets to peers while requests still finish."""
         parts = self.parts
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         await parts.router.run(parts.authority, parts.authority.leave(now_s))
         successor = parts.cluster.successor(now_s)
         if successor is not None:
             await parts.desk.hand_over(successor, now_s)
         deadline_s = now_s + HAND_OVER_LIMIT_S
-        while not self._is_handed_over(successor) and await curio.clock() < deadline_s:
+        while not self._is_handed_over(successor) and read_clock_s() < deadline_s:
             await curio.sleep(TIMER_INTERVAL_S)
 
     def _is_handed_over(self, successor: VmIdentity | None) -> bool:
@@ -174,7 +175,7 @@
                 address = PeerAddress(host, int(port))
                 identity = await self.parts.hub.identify(address)
                 if identity is not None:
-                    await self.parts.cluster.on_seed(identity, address, await curio.clock())
+                    await self.parts.cluster.on_seed(identity, address, read_clock_s())
             await curio.sleep(SEED_INTERVAL_S)
 
     async def _run_vm_list(self) -> None:
@@ -182,7 +183,7 @@
         while True:
             result = await self.parts.platform.list_vms()
             if result.is_ok():
-                await self.parts.cluster.on_vm_list(result.ok, await curio.clock())
+                await self.parts.cluster.on_vm_list(result.ok, read_clock_s())
             await curio.sleep(pace.next_delay_s(has_failed=result.is_error()))
 
     async def run_timer_once(self, now_s: float) -> None:
@@ -196,7 +197,7 @@
     async def _run_timer(self) -> None:
         while True:
             await curio.sleep(TIMER_INTERVAL_S)
-            await self.run_timer_once(await curio.clock())
+            await self.run_timer_once(read_clock_s())
 
     async def _on_changes(self, now_s: float) -> None:
         steering = self._steering
@@ -228,7 +229,7 @@
         parts = self.parts
         self._state = state
         parts.metrics.configuration_version.set(state.version)
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         await parts.cluster.on_configuration(state, now_s)
         parts.local.apply(state)
         parts.quarantine.on_configuration(state.configuration)
--- a/src/siskinward/daemon/part_router.py
+++ b/src/siskinward/daemon/part_router.py
@@ -6,7 +6,7 @@
 from typing import Any
 from typing import Protocol
 
-import curio
+from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -49,13 +49,13 @@
 
     async def clock(self) -> float:
         """Return the time that parts are driven with."""
-        return float(await curio.clock())
+        return read_clock_s()
 
     async def deliver(self, message: Any, sender: VmIdentity) -> bool:
         """Hand over a message; False when no part takes its class."""
         parts = self._parts_by_type.get(type(message), ())
         for part in parts:
-            await self.run(part, part.on_message(message, sender, await curio.clock()))
+            await self.run(part, part.on_message(message, sender, read_clock_s()))
         return bool(parts)
 
     async def tick(self, now_s: float) -> None:
--- a/src/siskinward/daemon/planning.py
+++ b/src/siskinward/daemon/planning.py
@@ -19,6 +19,7 @@
 from siskinward.state.drains import draining_domains
 from siskinward.state.drains import started_drains
 from siskinward.state.identifiers import VmName
+from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -86,7 +87,7 @@
     async def step(self) -> None:
         """Plan and publish one step if this VM plans."""
         state = self._state
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         if state is None or self._route(now_s).planner != self._parts.own.vm:
             self._forget()
             return
@@ -98,7 +99,7 @@
         if base is None:
             self._parts.metrics.shift_freezes.labels(FROZEN_PLATFORM).inc()
             return
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         self._feed(state, base, demands, now_s)
         assignments, moves = self._take_steps(base, now_s)
         if assignments == base.assignments:
@@ -178,7 +179,7 @@
     async def _write(self, base: PublishedShift, assignments: Assignments, now_s: float) -> None:
         metrics = self._parts.metrics
         written = await self._board.write(base, assignments, str(self._parts.own.incarnation))
-        took_s = await curio.clock() - now_s
+        took_s = read_clock_s() - now_s
         if written.is_error() or took_s > WRITE_LIMIT_S:
             metrics.shift_conflicts.inc()
             self._forget()
--- a/src/siskinward/daemon/quarantine_desk.py
+++ b/src/siskinward/daemon/quarantine_desk.py
@@ -15,6 +15,7 @@
 from siskinward.coordination.quarantine import Refuse
 from siskinward.coordination.quarantine import hold_for_s
 from siskinward.daemon.waiter import Waiter
+from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -62,7 +63,7 @@
         decision = await self._ask(attempt_id, fingerprint, now_s, held=False)
         if isinstance(decision, Hold):
             await curio.sleep(decision.for_s)
-            now_s = await curio.clock()
+            now_s = read_clock_s()
             decision = await self._ask(attempt_id, fingerprint, now_s, held=True)
         match decision:
             case Permit():
@@ -78,13 +79,13 @@
 
     async def finished(self, permit: Permit, *, ran: bool) -> None:
         """Note that the attempt ended without the loss of its target."""
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         steps = self._quarantine.finished(permit.attempt_id, ran=ran, now_s=now_s)
         await self._router.run(self, steps)
 
     async def target_lost(self, target: TargetName) -> None:
         """Note that a target was lost, with all that ran there."""
-        await self._router.run(self, self._quarantine.target_lost(target, await curio.clock()))
+        await self._router.run(self, self._quarantine.target_lost(target, read_clock_s()))
 
     async def on_members(self, live: Sequence[VmIdentity], now_s: float) -> None:
         """Take the live VMs of all failure domains."""
--- a/src/siskinward/daemon/request_handler.py
+++ b/src/siskinward/daemon/request_handler.py
@@ -23,6 +23,7 @@
 from siskinward.state.identifiers import ServiceName
 from siskinward.state.objects import Access
 from siskinward.state.objects import WhenIsolated
+from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,7 +71,7 @@
 
     async def handle(self, request: HttpRequest) -> Handled:
         """Return the outcome of one request; counts it by reason."""
-        start_s = await curio.clock()
+        start_s = read_clock_s()
         state = self._current_state()
         if state is None:
             return self._refused(RefusalReason.NO_CONFIGURATION, STARTING_RETRY_AFTER_S)
@@ -78,7 +79,7 @@
         if route is None:
             return self._refused(RefusalReason.NO_ROUTE)
         handled, account = await self._checked(request, state, route, start_s)
-        self._count(handled.outcome, route, account, await curio.clock() - start_s)
+        self._count(handled.outcome, route, account, read_clock_s() - start_s)
         return handled
 
     async def _checked(
@@ -118,11 +119,11 @@
         if route.idempotent:
             return Handled(await dispatch(work))
         # The ticket comes before the token: a resend is answered from what is known of the first.
-        return await self._desk.run(work, dispatch, await curio.clock())
+        return await self._desk.run(work, dispatch, read_clock_s())
 
     async def _dispatch_paid(self, work: Work) -> Outcome:
         """Spend a token of the client account, then dispatch."""
-        refusal = await self._gate.admit(work.client_account, await curio.clock())
+        refusal = await self._gate.admit(work.client_account, read_clock_s())
         return await self._dispatcher.run(work) if refusal is None else refusal
 
     async def _account(
@@ -142,13 +143,13 @@
 
     async def _is_vouched(self) -> bool:
         """Tell whether keys can be vouched for; a process that has just started waits a moment."""
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         wait_until_s = now_s if self._has_been_vouched else now_s + FIRST_VOUCH_WAIT_S
         while isinstance(self._standing(now_s), Isolated):
             if now_s >= wait_until_s:
                 return False
             await curio.sleep(FIRST_VOUCH_POLL_S)
-            now_s = await curio.clock()
+            now_s = read_clock_s()
         self._has_been_vouched = True
         return True
 
--- a/src/siskinward/daemon/target_watch.py
+++ b/src/siskinward/daemon/target_watch.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_client import HttpClientConnection
 from siskinward.transport.http_messages import HttpRequest
 
@@ -37,7 +38,7 @@
         """Watch until cancelled."""
         leaving: set[TargetName] = set()
         while True:
-            targets = self._owned_targets(await curio.clock())
+            targets = self._owned_targets(read_clock_s())
             leaving &= {target.name for target in targets}
             async with curio.TaskGroup() as group:
                 tasks = [await group.spawn(self._state_of, target) for target in targets]
--- a/src/siskinward/measures/_runs.py
+++ b/src/siskinward/measures/_runs.py
@@ -28,6 +28,7 @@
 from siskinward.state.objects import Configuration
 from siskinward.state.objects import Drain
 from siskinward.state.objects import DrainKind
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.connection_pool import ConnectionPool
 from siskinward.transport.connection_pool import PoolSettings
 from siskinward.transport.http_messages import HttpRequest
@@ -104,7 +105,7 @@
         self.rng = random.Random(self.seed)
 
     async def request(self, planned: PlannedRequest) -> None:
-        start_s = await curio.clock()
+        start_s = read_clock_s()
         status = await self._attempts(planned)
         self.record.add(
             CallerOutcome(
@@ -113,7 +114,7 @@
                 service=planned.route.service,
                 ticket="",
                 start_s=start_s,
-                end_s=await curio.clock(),
+                end_s=read_clock_s(),
                 status=status,
                 reason="" if status == 200 else "target-shed",
                 outcome="answered" if status == 200 else "not-run",
@@ -179,13 +180,13 @@
         self, way: str, request: Callable[[PlannedRequest], Awaitable[None]], *, drains: bool
     ) -> Measures:
         """Offer the plan through ``request`` and return the figures."""
-        start_s = await curio.clock()
+        start_s = read_clock_s()
         sampler = await curio.spawn(self._sample, daemon=True)
         async with curio.TaskGroup() as group:
             if drains:
                 await group.spawn(self._drain, start_s)
             for planned in plan_requests(self._deployment.configuration, self._plan):
-                await curio.sleep(max(start_s + planned.at_s - await curio.clock(), 0.0))
+                await curio.sleep(max(start_s + planned.at_s - read_clock_s(), 0.0))
                 await group.spawn(request, planned)
         await sampler.cancel()
         for failure in group.exceptions:
@@ -211,18 +212,18 @@
 
     async def _drain(self, start_s: float) -> None:
         wait_s = self._plan.duration_s * self._settings.drain_after_share
-        await curio.sleep(max(start_s + wait_s - await curio.clock(), 0.0))
+        await curio.sleep(max(start_s + wait_s - read_clock_s(), 0.0))
         configuration = self._deployment.configuration
         name = next(iter(configuration.targets))
         drains = {**configuration.drains, "measure": Drain("measure", DrainKind.TARGET, name)}
         await self._deployment.publish(attrs.evolve(configuration, drains=drains))
-        published_s = await curio.clock()
+        published_s = read_clock_s()
         target = self._deployment.targets[name]
         end_s = start_s + self._plan.duration_s
         last_busy_s = published_s
-        while await curio.clock() < end_s:
+        while read_clock_s() < end_s:
             if target.running_count:
-                last_busy_s = await curio.clock()
+                last_busy_s = read_clock_s()
             await curio.sleep(SAMPLE_S / 5)
         self._drain_s = last_busy_s - published_s
 
--- a/src/siskinward/standins/caller.py
+++ b/src/siskinward/standins/caller.py
@@ -17,6 +17,7 @@
 from siskinward.state.objects import ClientAccount
 from siskinward.state.objects import Route
 from siskinward.state.objects import ServiceClass
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.connection_pool import ConnectionPool
 from siskinward.transport.connection_pool import PoolSettings
 from siskinward.transport.http_messages import HttpRequest
@@ -91,7 +92,7 @@
     async def run(self, until_s: float) -> None:
         """Offer requests at the load's rate until the clock reads ``until_s``."""
         async with curio.TaskGroup() as group:
-            while await curio.clock() < until_s:
+            while read_clock_s() < until_s:
                 await group.spawn(self.request, CallerRequest(self._pick_route()))
                 await curio.sleep(self._rng.expovariate(self._load.rate_per_s))
         for failure in group.exceptions:
@@ -100,7 +101,7 @@
 
     async def request(self, request: CallerRequest) -> None:
         """Make one request, resent where the caller may, and record its final outcome."""
-        start_s = await curio.clock()
+        start_s = read_clock_s()
         route = request.route
         account = OPEN_ROUTES if route.access is Access.OPEN else self._load.account.name
         response = await self._attempts(request)
@@ -112,7 +113,7 @@
                 service=route.service,
                 ticket=request.ticket_label,
                 start_s=start_s,
-                end_s=await curio.clock(),
+                end_s=read_clock_s(),
                 status=0 if response is None else response.status,
                 reason=reason,
                 outcome=outcome,
@@ -165,7 +166,7 @@
         route = request.route
         key = (route.service, request.vm)
         cached = self._lookups.get(key)
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         needs_ticket = not route.idempotent
         is_fresh = cached is not None and now_s < cached.expires_at_s
         if cached is not None and is_fresh and (cached.tickets or not needs_ticket):
@@ -183,7 +184,7 @@
             pool = self._pool(host, port)
             result = await pool.exchange(request, LOOKUP_TIMEOUT_S, needs_recent_proof=True)
             if result.is_ok() and result.ok.status == 200:
-                return _parse_lookup(json.loads(result.ok.body), await curio.clock())
+                return _parse_lookup(json.loads(result.ok.body), read_clock_s())
         return _CachedLookup(0.0, [])
 
     def _pool(self, host: str, port: int) -> ConnectionPool:
--- a/src/siskinward/standins/demo_scenario.py
+++ b/src/siskinward/standins/demo_scenario.py
@@ -27,6 +27,7 @@
 from siskinward.state.configuration import diff_configurations
 from siskinward.state.objects import Drain
 from siskinward.state.objects import DrainKind
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_client import HttpClientConnection
 from siskinward.transport.http_messages import HttpRequest
 
@@ -108,7 +109,7 @@
     async def run(self) -> DemoReport:
         """Run the load and the steps; return what was seen."""
         await self._wait_until_ready()
-        start_s = await curio.clock()
+        start_s = read_clock_s()
         end_s = start_s + self._settings.duration_s
         async with curio.TaskGroup() as group:
             for number, account in enumerate(self._configuration.client_accounts.values()):
@@ -149,14 +150,14 @@
         keys = self._configuration.keys
         kept = {n: key for n, key in keys.items() if key.client_account != self._withdrawn}
         await self._publish(attrs.evolve(self._configuration, keys=kept))
-        self._withdrawn_at_s = await curio.clock()
+        self._withdrawn_at_s = read_clock_s()
         self._report_progress(f"withdrew the key of {self._withdrawn}")
 
     async def _drain_target(self) -> None:
         drain = Drain("demo-drain", DrainKind.TARGET, self._drained.name)
         drains = {**self._configuration.drains, drain.name: drain}
         await self._publish(attrs.evolve(self._configuration, drains=drains))
-        self._drained_at_s = await curio.clock()
+        self._drained_at_s = read_clock_s()
         self._report_progress(f"drains {self._drained.name}")
         await curio.sleep(IN_FORCE_LIMIT_S)
         report = await _get_json(self._drained.host, self._drained.port, "/load")
@@ -171,7 +172,7 @@
             raise RuntimeError(f"not published: {publication}")
 
     async def _progress(self, start_s: float, end_s: float) -> None:
-        while (now_s := await curio.clock()) < end_s:
+        while (now_s := read_clock_s()) < end_s:
             accounts = self._record.accounts.values()
             served_count = sum(tally.served_count for tally in accounts)
             refused_count = sum(tally.refused_count for tally in accounts)
@@ -256,7 +257,7 @@
 
 
 async def _sleep_until(time_s: float) -> None:
-    await curio.sleep(max(time_s - await curio.clock(), 0.0))
+    await curio.sleep(max(time_s - read_clock_s(), 0.0))
 
 
 async def _health(vm: Vm) -> dict[str, Any]:
--- a/src/siskinward/standins/deployment.py
+++ b/src/siskinward/standins/deployment.py
@@ -35,6 +35,7 @@
 from siskinward.state.settings import PeerSettings
 from siskinward.state.settings import PlatformSettings
 from siskinward.state.settings import VmSettings
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_client import ExchangeError
 from siskinward.transport.http_client import ExchangePhase
 from siskinward.transport.http_client import HttpClientConnection
@@ -126,7 +127,7 @@
         vm = self.configuration.vms[VmName(name)]
         self._start_count += 1
         source = random.Random(self.settings.seed * 1000 + self._start_count)
-        node = Node(self._node_settings(vm), await curio.clock(), source.randbytes)
+        node = Node(self._node_settings(vm), read_clock_s(), source.randbytes)
         stop = curio.Event()
         running = _RunningVm(node, None, stop, curio.Event())
         await running.resumed.set()
@@ -245,7 +246,7 @@
 
         async def tick_unless_paused(now_s: float) -> None:
             await running.resumed.wait()
-            await tick(await curio.clock())
+            await tick(read_clock_s())
 
         exchange = parts.platform.pool.exchange
 
--- a/src/siskinward/standins/platform.py
+++ b/src/siskinward/standins/platform.py
@@ -11,6 +11,7 @@
 from attrs import Factory
 from attrs import define
 
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.http_server import HttpServer
 from siskinward.transport.http_server import HttpServerSettings
@@ -46,7 +47,7 @@
 
     async def serve(self, host: str, port: int) -> None:
         """Serve until cancelled."""
-        self.listings.append((await curio.clock(), msgpack.packb([])))
+        self.listings.append((read_clock_s(), msgpack.packb([])))
         await HttpServer(HttpServerSettings(), self.handle).serve(listen(host, port))
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -81,7 +82,7 @@
                 self.read_count += 1
                 return HttpResponse(200, (), await self._listing())
             case "PUT", ["vms"]:
-                self.listings.append((await curio.clock(), request.body))
+                self.listings.append((read_clock_s(), request.body))
                 return HttpResponse(200)
             case _:
                 return HttpResponse(404)
@@ -113,7 +114,7 @@
 
     async def _listing(self) -> bytes:
         """Return the newest listing that is at least ``list_lag_s`` old."""
-        horizon_s = await curio.clock() - self.faults.list_lag_s
+        horizon_s = read_clock_s() - self.faults.list_lag_s
         while len(self.listings) > 1 and self.listings[1][0] <= horizon_s:
             self.listings.popleft()
         return self.listings[0][1]
--- a/src/siskinward/standins/replay/_runner.py
+++ b/src/siskinward/standins/replay/_runner.py
@@ -33,6 +33,7 @@
 from siskinward.state.objects import Configuration
 from siskinward.state.objects import Drain
 from siskinward.state.objects import DrainKind
+from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from siskinward.standins.replay._trace import Trace
@@ -65,7 +66,7 @@
     deployment = Deployment(settings, configuration)
     await deployment.start()
     try:
-        return await _Runner(trace, deployment, await curio.clock()).run()
+        return await _Runner(trace, deployment, read_clock_s()).run()
     finally:
         await deployment.stop()
 
@@ -155,7 +156,7 @@
         route = self._route(event.service, event.method, event.account)
         rng = random.Random(self._trace.deployment.seed * 1000 + number)
         async with curio.TaskGroup() as group:
-            while await curio.clock() - self._start_s < event.until_s:
+            while read_clock_s() - self._start_s < event.until_s:
                 request = CallerRequest(route, line=number, vm=event.vm)
                 await group.spawn(caller.request, request)
                 await curio.sleep(rng.expovariate(event.rate_per_s))
@@ -205,4 +206,4 @@
         ]
 
     async def _sleep_until(self, at_s: float) -> None:
-        await curio.sleep(max(self._start_s + at_s - await curio.clock(), 0.0))
+        await curio.sleep(max(self._start_s + at_s - read_clock_s(), 0.0))
--- a/src/siskinward/transport/connection_pool.py
+++ b/src/siskinward/transport/connection_pool.py
@@ -5,7 +5,6 @@
 import itertools
 from typing import TYPE_CHECKING
 
-import curio
 from attrs import frozen
 from expression import Error
 from expression import Ok
@@ -15,6 +14,7 @@
 from siskinward.coordination.connections import Reuse
 from siskinward.coordination.connections import TargetConnections
 from siskinward.state.identifiers import IncarnationId
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_client import ExchangeError
 from siskinward.transport.http_client import ExchangePhase
 from siskinward.transport.http_client import HttpClientConnection
@@ -82,7 +82,7 @@
         self, connection_id: int, request: HttpRequest, timeout_s: float
     ) -> Result[HttpResponse, ExchangeError]:
         connection = self._open[connection_id]
-        correlation = self._connections.sent(connection_id, await curio.clock())
+        correlation = self._connections.sent(connection_id, read_clock_s())
         watch = _PoolSilenceWatch(self, self._connections, connection_id)
         is_kept = False
         try:
@@ -90,7 +90,7 @@
             is_kept = result.is_ok() and connection.is_reusable()
         finally:
             if is_kept:
-                now_s = await curio.clock()
+                now_s = read_clock_s()
                 self._connections.answered(connection_id, correlation, now_s)
             else:
                 await self._discard(connection_id)
@@ -99,7 +99,7 @@
     async def _take(
         self, timeout_s: float, *, needs_recent_proof: bool
     ) -> Result[int, ExchangeError]:
-        now_s = await curio.clock()
+        now_s = read_clock_s()
         for connection_id in self._connections.idle_expired(now_s):
             await self._discard(connection_id)
         while True:
@@ -126,7 +126,7 @@
         if connected.is_error():
             await self._discard(connection_id)
             return Error(connected.error)
-        self._connections.opened(connection_id, await curio.clock())
+        self._connections.opened(connection_id, read_clock_s())
         return Ok(connection_id)
 
     async def _discard(self, connection_id: int) -> None:
@@ -150,11 +150,11 @@
         return self._connections.timeout_s
 
     async def is_silent(self) -> bool:
-        if self._connections.needs_probe(await curio.clock()):
+        if self._connections.needs_probe(read_clock_s()):
             await self._pool.probe()
-        is_suspect = self._connection_id in self._connections.suspects(await curio.clock())
+        is_suspect = self._connection_id in self._connections.suspects(read_clock_s())
         self._pool.silent_count += int(is_suspect)
         return is_suspect
 
     async def on_first_byte(self) -> None:
-        self._connections.answer_began(self._connection_id, await curio.clock())
+        self._connections.answer_began(self._connection_id, read_clock_s())
--- a/src/siskinward/transport/http_server.py
+++ b/src/siskinward/transport/http_server.py
@@ -11,6 +11,7 @@
 from attrs import frozen
 
 from siskinward.coordination.outcomes import RefusalReason
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
@@ -72,8 +73,8 @@
 
     async def wait_drained(self, limit_s: float) -> bool:
         """Wait until every connection has closed, at most ``limit_s``; True if it has."""
-        deadline_s = await curio.clock() + limit_s
-        while self._connections and await curio.clock() < deadline_s:
+        deadline_s = read_clock_s() + limit_s
+        while self._connections and read_clock_s() < deadline_s:
             await curio.sleep(DRAIN_POLL_S)
         return not self._connections
 
--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -18,6 +18,7 @@
 from siskinward.protocol.handshake import Pong
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.errors import StepError
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.peer_link import PeerLink
 from siskinward.transport.sockets import connect
 from siskinward.transport.task_set import TaskSet
@@ -214,14 +215,14 @@
 
     async def run(self) -> None:
         """Keep the link up until it has been idle for long."""
-        while not self._is_idle(await curio.clock()):
+        while not self._is_idle(read_clock_s()):
             try:
                 await self._run_once()
             except SiskinwardError as error:
                 self._on_error(error.error)
             except (OSError, curio.TaskTimeout):
                 pass
-            if not self._is_idle(await curio.clock()):
+            if not self._is_idle(read_clock_s()):
                 await curio.sleep(RECONNECT_DELAY_S)
 
     def _is_idle(self, now_s: float) -> bool:
@@ -267,7 +268,7 @@
             frames = [await self.outbox.get()]
             while not self.outbox.empty():
                 frames.append(await self.outbox.get())
-            now_s = await curio.clock()
+            now_s = read_clock_s()
             self._is_unproven = not self._is_ping_due(now_s)
             if not self._is_unproven:
                 frames.append(self._make_ping(now_s))
@@ -288,7 +289,7 @@
     async def _watch(self) -> None:
         """End when the peer is silent or nothing is sent; let messages without a ping have one."""
         while True:
-            now_s = await curio.clock()
+            now_s = read_clock_s()
             since_s = self._unanswered_since_s
             if since_s is not None and now_s - since_s >= self._settings.silence_limit_s:
                 return
@@ -301,7 +302,7 @@
     async def _read_pongs(self, link: PeerLink) -> None:
         while isinstance(message := await link.read(), Pong):
             is_last = message.serial == self._serial
-            self._unanswered_since_s = None if is_last else await curio.clock()
+            self._unanswered_since_s = None if is_last else read_clock_s()
 
 
 async def _connect(settings: PeerSettings, address: PeerAddress) -> Any:
