--- a/tests/console/test_configuration_commands.py
+++ b/tests/console/test_configuration_commands.py
@@ -158,7 +158,9 @@
 
 def commands_of(group: click.Group, path: tuple[str, ...] = ()) -> list[tuple[str, ...]]:
     found = []
-    for name, command in group.commands.items():
+    context = click.Context(group)
+    for name in group.list_commands(context):
+        command = group.get_command(context, name)
         found.append((*path, name))
         if isinstance(command, click.Group):
             found.extend(commands_of(command, (*path, name)))
