Name contents by one hash function, and raise a task group's failures in one place

Cause: a read of the whole change found the content hash written twice, the loop over a group's failures five times, and three constants that nothing used. Conclusion: behaviour unchanged.

--- a/src/siskinward/daemon/front.py
+++ b/src/siskinward/daemon/front.py
@@ -21,9 +21,6 @@
     from siskinward.daemon.request_handler import RequestHandler
     from siskinward.transport.http_messages import HttpRequest
 
-LOOKUP_PATH = "/lookup"
-HEALTH_PATH = "/health"
-METRICS_PATH = "/metrics"
 JSON_HEADERS = ((b"content-type", b"application/json"),)
 
 
--- a/src/siskinward/measures/_runs.py
+++ b/src/siskinward/measures/_runs.py
@@ -23,6 +23,7 @@
 from siskinward.standins.caller_record import CallerRecord
 from siskinward.standins.deployment import Deployment
 from siskinward.standins.deployment import DeploymentSettings
+from siskinward.standins.task_groups import raise_failures
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import TargetName
 from siskinward.state.objects import Configuration
@@ -189,9 +190,7 @@
                 await curio.sleep(max(start_s + planned.at_s - read_clock_s(), 0.0))
                 await group.spawn(request, planned)
         await sampler.cancel()
-        for failure in group.exceptions:
-            if failure is not None:
-                raise failure
+        raise_failures(group)
         return self._sum_up(way)
 
     def _caller(self, account: ClientAccount, number: int) -> CallerStandin:
--- a/src/siskinward/standins/caller.py
+++ b/src/siskinward/standins/caller.py
@@ -13,6 +13,7 @@
 
 from siskinward.standins.caller_record import OPEN_ROUTES
 from siskinward.standins.caller_record import CallerOutcome
+from siskinward.standins.task_groups import raise_failures
 from siskinward.state.objects import Access
 from siskinward.state.objects import ClientAccount
 from siskinward.state.objects import Route
@@ -95,9 +96,7 @@
             while read_clock_s() < until_s:
                 await group.spawn(self.request, CallerRequest(self._pick_route()))
                 await curio.sleep(self._rng.expovariate(self._load.rate_per_s))
-        for failure in group.exceptions:
-            if failure is not None:
-                raise failure
+        raise_failures(group)
 
     async def request(self, request: CallerRequest) -> None:
         """Make one request, resent where the caller may, and record its final outcome."""
--- a/src/siskinward/standins/demo_scenario.py
+++ b/src/siskinward/standins/demo_scenario.py
@@ -24,6 +24,7 @@
 from siskinward.standins.caller import AccountLoad
 from siskinward.standins.caller import CallerStandin
 from siskinward.standins.caller_record import CallerRecord
+from siskinward.standins.task_groups import raise_failures
 from siskinward.state.configuration import diff_configurations
 from siskinward.state.objects import Drain
 from siskinward.state.objects import DrainKind
@@ -116,7 +117,7 @@
                 await group.spawn(self._caller(account, number).run, end_s)
             await group.spawn(self._steps, start_s)
             await group.spawn(self._progress, start_s, end_s)
-        _raise_failures(group)
+        raise_failures(group)
         self._record.count_inside()
         report = DemoReport(self._record)
         report.promises = self._check(await self._target_reports())
@@ -250,12 +251,6 @@
     return prefix.partition("/")[0]
 
 
-def _raise_failures(group: Any) -> None:
-    for failure in group.exceptions:
-        if failure is not None:
-            raise failure
-
-
 async def _sleep_until(time_s: float) -> None:
     await curio.sleep(max(time_s - read_clock_s(), 0.0))
 
--- a/src/siskinward/standins/platform.py
+++ b/src/siskinward/standins/platform.py
@@ -11,11 +11,11 @@
 from attrs import Factory
 from attrs import define
 
+from siskinward.state.versions import content_hash_of
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.http_server import HttpServer
 from siskinward.transport.http_server import HttpServerSettings
-from siskinward.transport.platform_client import object_hash
 from siskinward.transport.sockets import listen
 
 if TYPE_CHECKING:
@@ -106,7 +106,7 @@
         return self.rows.get(key, (0, b""))[0]
 
     def _put(self, name: str, content: bytes) -> HttpResponse:
-        if object_hash(content) != name:
+        if content_hash_of(content) != name:
             return HttpResponse(400)
         self.write_count += 1
         self.objects[name] = content
--- a/src/siskinward/standins/replay/_runner.py
+++ b/src/siskinward/standins/replay/_runner.py
@@ -26,6 +26,7 @@
 from siskinward.standins.replay._trace import TargetState
 from siskinward.standins.replay._trace import VmEvent
 from siskinward.standins.target import TargetStandin
+from siskinward.standins.task_groups import raise_failures
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.errors import StepError
 from siskinward.state.identifiers import AccountName
@@ -84,9 +85,7 @@
         async with curio.TaskGroup() as group:
             for line in sorted(self._trace.lines, key=lambda item: item.event.at_s):
                 await group.spawn(self._run_line, line)
-        for failure in group.exceptions:
-            if failure is not None:
-                raise failure
+        raise_failures(group)
         await self._sleep_until(self._trace.deployment.duration_s)
         self._record.count_inside()
         self._record.rebase(self._start_s)
@@ -160,9 +159,7 @@
                 request = CallerRequest(route, line=number, vm=event.vm)
                 await group.spawn(caller.request, request)
                 await curio.sleep(rng.expovariate(event.rate_per_s))
-        for failure in group.exceptions:
-            if failure is not None:
-                raise failure
+        raise_failures(group)
 
     async def _drain(self, event: DrainStart) -> None:
         configuration = self._deployment.configuration
--- a/src/siskinward/transport/platform_client.py
+++ b/src/siskinward/transport/platform_client.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -22,6 +21,7 @@
 from siskinward.state.errors import StepError
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import VmName
+from siskinward.state.versions import content_hash_of
 from siskinward.transport.connection_pool import ConnectionPool
 from siskinward.transport.connection_pool import PoolSettings
 from siskinward.transport.http_messages import HttpRequest
@@ -65,7 +65,7 @@
 
     async def put(self, content: bytes) -> Result[str, StepError]:
         """Store an object and return its hash."""
-        content_hash = object_hash(content)
+        content_hash = content_hash_of(content)
         path = f"/objects/{content_hash}"
         return await self._call("put object", "PUT", path, content, lambda _: content_hash)
 
@@ -91,13 +91,8 @@
             return Error(StepError(step, peer, f"unreadable answer: {error}"))
 
 
-def object_hash(content: bytes) -> str:
-    """Return the name of an object: the hexadecimal BLAKE2b-256 hash of its content."""
-    return hashlib.blake2b(content, digest_size=32).hexdigest()
-
-
 def _checked_object(content: bytes, content_hash: str) -> bytes:
-    if object_hash(content) != content_hash:
+    if content_hash_of(content) != content_hash:
         raise ValueError("the content does not match its hash")
     return content
 
--- a/tests/daemon/test_node_faults.py
+++ b/tests/daemon/test_node_faults.py
@@ -10,9 +10,9 @@
 import pytest
 
 from siskinward.state.errors import SiskinwardError
+from siskinward.state.versions import content_hash_of
 from siskinward.transport.http_client import HttpClientConnection
 from siskinward.transport.http_messages import HttpRequest
-from siskinward.transport.platform_client import object_hash
 
 if TYPE_CHECKING:
     from conftest import SmallDeployment
@@ -246,7 +246,7 @@
 def test_version_that_cannot_be_read_is_not_vouched_for(deployment: SmallDeployment) -> None:
     async def body() -> None:
         content = b"[unknown kind]\n"
-        name = object_hash(content)
+        name = content_hash_of(content)
         deployment.platform.objects[name] = content
         row_version, value = deployment.platform.rows["configuration"]
         pointer = {**msgpack.unpackb(value), "version": 99, "content_hash": name}
