Keep each region's objects at its own targets, and each object at three targets at most

Objects belong to one region's callers (24 a region and kind). Ruled out: processor time (0.03 of a core); quotas (174 refusals).

--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -1,17 +1,19 @@
 """Chooses the target of a request.
 
-Answers skewed objects at high load: requests for one object go to the same target from every VM,
-where the object is warm. When that target is full by all VMs' counts, the next in the object's own
-order takes over, so that few targets warm up for one object.
+Answers skewed objects at loads that cold targets could not carry: requests for one object go to the
+same target from every VM, where the object is warm. When that target is full by all VMs' counts,
+the next in the object's own order takes over, and no more than a few targets serve one object.
 """
 
 from __future__ import annotations
 
+from statistics import median
 from typing import TYPE_CHECKING
 
 from attrs import frozen
 
 from siskinward.coordination.steering.hashing import rendezvous_score
+from siskinward.coordination.steering.locality import region_weights
 from siskinward.coordination.steering.targets import Target
 from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import ServiceName
@@ -27,15 +29,19 @@
 
 @frozen
 class PlacementSettings:
-    """How full targets may get.
+    """How far requests for one object spread.
 
-    ``first_depth`` and ``other_depth`` are requests beyond the slots, as a share of the slots: a
-    short wait where the object is warm costs less than a cold run elsewhere.
+    Only the first ``choices`` targets in an object's order serve it: beyond them, a cold run costs
+    more than it gains. ``first_depth`` and ``other_depth`` are requests beyond the slots, as a
+    share of the slots. A target that fails more than ``error_limit`` of what it gets, and
+    ``error_ratio`` times as much as the others, is tried with one request at a time.
     """
 
-    first_depth: float = 1.0
-    other_depth: float = 0.34
-    error_limit: float = 0.5
+    choices: int = 3
+    first_depth: float = 0.67
+    other_depth: float = 0.0
+    error_limit: float = 0.4
+    error_ratio: float = 2.0
 
 
 @frozen
@@ -72,11 +78,15 @@
     def __init__(
         self,
         settings: PlacementSettings,
+        region: RegionName,
+        regions: frozenset[RegionName],
         targets: TargetTable,
         gate: WarmupGate,
         random: Random,
     ) -> None:
         self._settings = settings
+        self._region = region
+        self._regions = regions
         self._targets = targets
         self._gate = gate
         self._random = random
@@ -87,9 +97,21 @@
         candidates = self._candidates(request, now_s)
         if not candidates:
             return NoTarget()
-        for choice, target in enumerate(self._ordered(request, candidates)):
-            if self._has_room(target, choice, now_s):
-                return Placed(target, choice)
+        warm_seen = 0
+        for target in self._ordered(request, candidates):
+            if target.is_cold(now_s):
+                if self._bears_cold_request(target, now_s):
+                    return Placed(target, warm_seen)
+                continue
+            if self._fails_more(target, candidates):
+                if target.in_flight == 0:
+                    return Placed(target, warm_seen)
+                continue
+            if self._has_room(target, warm_seen):
+                return Placed(target, warm_seen)
+            warm_seen += 1
+            if request.object_key and warm_seen >= self._settings.choices:
+                break
         return NoRoom()
 
     def note_sent(self, target: Target, now_s: float) -> None:
@@ -109,17 +131,30 @@
             shuffled = self._random.sample(candidates, len(candidates))
             return sorted(shuffled, key=lambda target: target.load / target.record.slots)
         key = f"{request.service}/{request.object_key}"
+        weights = region_weights(
+            self._targets.slots_by_region(request.service), self._regions, self._region
+        )
         return sorted(
-            candidates, key=lambda target: rendezvous_score(key, target.name), reverse=True
+            candidates,
+            key=lambda target: rendezvous_score(key, target.name)
+            * weights[target.region]
+            * target.record.slots,
+            reverse=True,
         )
 
-    def _has_room(self, target: Target, choice: int, now_s: float) -> bool:
+    def _bears_cold_request(self, target: Target, now_s: float) -> bool:
+        rate_per_s = self.warmup_rates_per_s.get(target.record.service, 0.0)
+        is_free = target.load < target.record.slots
+        return is_free and self._gate.may_send(target, rate_per_s, now_s)
+
+    def _fails_more(self, target: Target, candidates: list[Target]) -> bool:
+        if target.error_share <= self._settings.error_limit:
+            return False
+        typical = median(other.error_share for other in candidates)
+        return target.error_share > self._settings.error_ratio * typical
+
+    def _has_room(self, target: Target, choice: int) -> bool:
         slots = target.record.slots
-        if target.is_cold(now_s):
-            rate_per_s = self.warmup_rates_per_s.get(target.record.service, 0.0)
-            return target.load < slots and self._gate.may_send(target, rate_per_s, now_s)
-        if target.error_share > self._settings.error_limit:
-            return target.in_flight == 0
         depth = self._settings.first_depth if choice == 0 else self._settings.other_depth
         return target.load < slots + depth * slots
 
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -67,6 +67,10 @@
         """Requests at the target, from all VMs, as far as known."""
         return self.in_flight + self.elsewhere
 
+    def note_reported_load(self, requests: int) -> None:
+        """Take in the count that the target states in an answer, this VM's requests included."""
+        self.elsewhere = max(0, requests - self.in_flight)
+
 
 class TargetTable:
     """All targets, by name and by service."""
@@ -101,6 +105,15 @@
             if target.is_usable(now_s) and target.record.failure_domain not in self._evacuated
         ]
 
+    def slots_by_region(self, service: ServiceName) -> dict[RegionName, int]:
+        """Slots of a service's ready targets, those left alone for a moment included."""
+        slots: dict[RegionName, int] = {}
+        for target in self.of_service(service):
+            record = target.record
+            if record.is_ready and record.failure_domain not in self._evacuated:
+                slots[target.region] = slots.get(target.region, 0) + record.slots
+        return slots
+
     def put(self, record: TargetRecord, now_s: float) -> None:
         """Take in what a target says of itself."""
         known = self._targets.get(record.name)
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -268,6 +268,8 @@
             fields["route"] = job.route.name
             fields["account"] = job.account.name if job.account else None
             fields["service"] = job.service
+            object_key = arrival.request.header(self._headers.object_key) or b""
+            fields["object"] = object_key.decode("latin-1")
             fields["sends"] = job.sends
             fields["waited_ms"] = round(job.waited_s * 1000, 1)
         if reason is None:
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -68,6 +68,7 @@
         self.on_malformed = on_malformed
         self.is_leaving = False
         self._connections: set[_Connection] = set()
+        self._accepting: Any = None
 
     @property
     def connection_count(self) -> int:
@@ -80,15 +81,18 @@
         return sum(len(connection.exchanges) for connection in self._connections)
 
     async def serve(self, listener: Any) -> None:
-        """Accept connections until cancelled."""
+        """Accept connections until ``begin_shutdown`` or until cancelled."""
+        self._accepting = await curio.current_task()
         async with listener:
             while True:
                 sock, _ = await listener.accept()
                 await curio.spawn(self._serve_connection, sock, daemon=True)
 
     async def begin_shutdown(self) -> None:
-        """Close idle connections; close the others once they are answered."""
+        """Accept no more; close idle connections, and the others once they are answered."""
         self.is_leaving = True
+        if self._accepting is not None:
+            await self._accepting.cancel()
         for connection in list(self._connections):
             await connection.close_if_idle()
 
