Ask a target again that sheds although it has room, and believe the load that targets report

Cause: while kataloog's targets shed half of what they get with slots free (srv_grey shed all), each shed request moved to a target where its object was cold. Ruled out: full queues (reported load below the slots in the shed answers). Conclusion: kept, since a shed answer with free slots says nothing against the target's warmth.

--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -204,7 +204,10 @@
         finally:
             job.arrival.keeps_running = False
             await self._dispatcher.release(target)
-        job.tried.append(target.name)
+        if not (isinstance(result, NotRun) and result.reason is SendFailure.SHED):
+            # A target that sheds although it has room may take the request at the next try, and
+            # the object is warm there.
+            job.tried.append(target.name)
         match result:
             case Answered(response=response):
                 job.sends.append(f"{target.name}:{response.status}")
@@ -285,7 +288,7 @@
 
 def _reason_not_run(reason: SendFailure) -> Reason:
     match reason:
-        case SendFailure.SHED | SendFailure.MISDIRECTED:
+        case SendFailure.SHED | SendFailure.FULL | SendFailure.MISDIRECTED:
             return Reason.TARGETS_SHED
         case SendFailure.TIMEOUT:
             return Reason.TIMEOUT_UNSENT
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from siskinward.protocol.steering_headers import decode_load
 from siskinward.protocol.steering_headers import end_to_end
 from siskinward.state.identifiers import AccountName
 from siskinward.transport.clock import read_clock_s
@@ -29,6 +30,7 @@
     """Why a send brought no answer to pass on."""
 
     NOT_CONNECTED = "not-connected"
+    FULL = "target-full"
     SHED = "target-shed"
     MISDIRECTED = "target-replaced"
     LOST = "target-lost"
@@ -118,7 +120,13 @@
         if response.status == MISDIRECTED:
             targets.remove(target.name)
             return NotRun(SendFailure.MISDIRECTED)
+        load = decode_load(response.header(self._headers.load))
+        if load is not None:
+            target.note_reported_load(load.requests)
         if response.header(self._headers.not_run) is not None:
+            is_full = load is not None and load.requests >= load.slots
+            if is_full:
+                return NotRun(SendFailure.FULL)
             targets.on_error(target)
             return NotRun(SendFailure.SHED)
         expected = outgoing.request.header(self._headers.attempt_id)
--- a/src/siskinward/protocol/steering_headers.py
+++ b/src/siskinward/protocol/steering_headers.py
@@ -48,6 +48,23 @@
     warmup_left_ms: bytes
 
 
+@frozen
+class ReportedLoad:
+    """What a target states in its answers: requests that run or wait there, and its slots."""
+
+    requests: int
+    slots: int
+
+
+def decode_load(value: bytes | None) -> ReportedLoad | None:
+    """Decode ``running,waiting,slots``; None where that is not stated."""
+    parts = (value or b"").split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ReportedLoad(running + waiting, slots)
+
+
 def bearer_key(value: bytes | None) -> str | None:
     """Return the key of an ``Authorization`` field."""
     if value is None or not value.lower().startswith(BEARER):
