Probe targets that could not be reached, detect silent connections, and reload on SIGHUP

Cause: a target whose port refuses may have started again, cold, under the name it had; it was sent the full rate after its pause. A connection that went silent held its request until the route's timeout. SIGHUP was ignored. Ruled out: believing health answers (they may be false); only identity and warm-up time are taken.

--- a/src/siskinward/coordination/steering/account_shares.py
+++ b/src/siskinward/coordination/steering/account_shares.py
@@ -51,7 +51,7 @@
         self._settings = settings
         self._fleet = fleet
         self._started_s = started_s
-        self._scale = 1.0 + bounds.quota_overshoot * settings.overshoot_part
+        self.bounds = bounds
         self._buckets: dict[AccountName, _Bucket] = {}
         self._arrivals: dict[AccountName, float] = {}
         self._demand_per_s: dict[AccountName, float] = {}
@@ -108,7 +108,8 @@
             bucket = _Bucket(tokens, self._started_s, fraction)
             self._buckets[account.name] = bucket
         elapsed_s = max(0.0, now_s - bucket.refilled_at_s)
-        part = bucket.fraction * self._scale
+        overshoot = self.bounds.quota_overshoot * self._settings.overshoot_part
+        part = bucket.fraction * (1.0 + overshoot)
         capacity = account.burst_requests * part + self._settings.spare_requests
         tokens = bucket.tokens + account.rate_per_s * part * elapsed_s
         bucket.tokens = min(capacity, tokens)
--- a/src/siskinward/coordination/steering/retry_budget.py
+++ b/src/siskinward/coordination/steering/retry_budget.py
@@ -38,7 +38,7 @@
 
     def __init__(self, settings: RetrySettings, bounds: ServingBounds, fleet: Fleet) -> None:
         self._settings = settings
-        self._bounds = bounds
+        self.bounds = bounds
         self._fleet = fleet
         self._windows: dict[ServiceName, _ServiceWindow] = {}
 
@@ -60,13 +60,13 @@
         return self._allowed(window, now_s) - len(window.repeats)
 
     def _allowed(self, window: _ServiceWindow, now_s: float) -> float:
-        ratio = self._bounds.retry_ratio * self._settings.ratio_part
-        allowance = self._bounds.retry_slack_requests * self._settings.allowance_part
+        ratio = self.bounds.retry_ratio * self._settings.ratio_part
+        allowance = self.bounds.retry_slack_requests * self._settings.allowance_part
         return ratio * len(window.requests) + allowance / self._fleet.counted(now_s)
 
     def _window(self, service: ServiceName, now_s: float) -> _ServiceWindow:
         window = self._windows.setdefault(service, _ServiceWindow())
-        since_s = now_s - self._bounds.retry_window_s
+        since_s = now_s - self.bounds.retry_window_s
         for times in (window.requests, window.repeats):
             while times and times[0] <= since_s:
                 times.popleft()
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -48,6 +48,7 @@
     in_flight: int = 0
     elsewhere: int = 0
     lapses_at_s: float = inf
+    needs_probe: bool = False
 
     @property
     def name(self) -> TargetName:
@@ -184,10 +185,29 @@
         target.error_share += smoothing * (1.0 - target.error_share)
 
     def on_unreachable(self, target: Target, now_s: float) -> None:
-        """Note that the target could not be reached; it is left alone for a while."""
+        """Note that no connection could be opened.
+
+        The target is left alone for a while, and then probed: it may have started again, cold.
+        """
         self.on_error(target)
+        target.needs_probe = True
         if now_s < target.suspended_until_s:
             return
         pause_s = self._settings.suspend_s * 2.0**target.failures
         target.suspended_until_s = now_s + min(pause_s, self._settings.max_suspend_s)
         target.failures += 1
+
+    def due_for_probe(self, now_s: float) -> list[Target]:
+        """The targets whose pause is over and that have to prove that they can be reached."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.needs_probe and now_s >= target.suspended_until_s
+        ]
+
+    def on_reached(self, target: Target, warmup_left_s: float, now_s: float) -> None:
+        """Note that a probe reached the target, which said how long it stays cold."""
+        target.needs_probe = False
+        target.failures = 0
+        target.error_share = 0.0
+        target.cold_until_s = now_s + warmup_left_s if warmup_left_s > 0 else -inf
--- a/src/siskinward/daemon/entry/ports.py
+++ b/src/siskinward/daemon/entry/ports.py
@@ -54,8 +54,12 @@
         """Read what changed after a position, waiting for the first change."""
         ...
 
-    async def write_row(self, table: StoreTable, key: str, value: bytes | None) -> int:
-        """Write or, with None, remove one row."""
+    async def write_row(self, table: StoreTable, key: str, value: bytes) -> int:
+        """Write one row; returns its version."""
+        ...
+
+    async def remove_row(self, table: StoreTable, key: str, version: int) -> None:
+        """Remove one row if it still has ``version``."""
         ...
 
 
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import curio
+from attrs import evolve
 
 from siskinward.coordination.steering.fleet import VmState
 from siskinward.coordination.steering.rows import StoreTable
@@ -19,6 +21,7 @@
 from siskinward.daemon.entry.sender import Sender
 from siskinward.daemon.entry.steering import SteeringSettings
 from siskinward.daemon.entry.steering import create_steering
+from siskinward.daemon.entry.target_probes import TargetProbes
 from siskinward.protocol.heartbeats import encode_vm
 from siskinward.state.errors import SiskinwardError
 from siskinward.transport.clock import read_clock_s
@@ -28,7 +31,8 @@
 from siskinward.transport.peer_datagrams import PeerDatagrams
 from siskinward.transport.peer_rows import serve_rows
 from siskinward.transport.sockets import listen
-from siskinward.transport.stop_signal import wait_for_stop_signal
+from siskinward.transport.stop_signal import SIGNALS
+from siskinward.transport.stop_signal import watch_signals
 from siskinward.transport.target_pool import PoolLimits
 from siskinward.transport.target_pool import TargetPool
 from siskinward.transport.target_pool import close_idle_periodically
@@ -38,8 +42,9 @@
     from siskinward.state.serving import CallerLimits
     from siskinward.state.serving import EntrySettings
 
+SettingsReader = Callable[[], "EntrySettings"]
+
 REGISTRATION_RETRY_S = 1.0
-STARTUP_POLL_S = 0.05
 # Callers go on using a look-up answer for its lifetime.
 LEAVE_LINGER_S = 2.4
 # Before the platform ends the process for good, requests under way get this much of the grace.
@@ -51,8 +56,12 @@
 class EntryProcess:
     """One entry VM's process."""
 
-    def __init__(self, settings: EntrySettings, platform: Platform) -> None:
+    def __init__(
+        self, settings: EntrySettings, platform: Platform, read_again: SettingsReader
+    ) -> None:
         self._settings = settings
+        self._read_again = read_again
+        self._registration: int | None = None
         self._log = DecisionLog(LogSettings(), settings.vm)
         self._steering = create_steering(settings, SteeringSettings(), read_clock_s())
         self._store = platform.create_store(settings)
@@ -62,6 +71,7 @@
         handler = RequestHandler(
             self._steering, platform.headers, self._dispatcher, sender, self._log
         )
+        self._probes = TargetProbes(self._steering, platform.headers, self._pool, self._log)
         directory = Directory(self._steering, platform)
         self._front = FrontServer(handler.handle)
         self._lookups = FrontServer(directory.handle_lookup)
@@ -77,7 +87,6 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is under way."""
-        settings = self._settings
         self._log.write("start", {"incarnation": self._steering.fleet.own.incarnation})
         await self._spawn_servers()
         await curio.spawn(self._register, daemon=True)
@@ -86,8 +95,12 @@
         await curio.spawn(self._heartbeats.send_periodically, self._after_heartbeat, daemon=True)
         await curio.spawn(close_idle_periodically, self._pool, daemon=True)
         await curio.spawn(self._log.flush_periodically, daemon=True)
-        await wait_for_stop_signal()
-        await self._leave(read_clock_s() + settings.bounds.grace_s - GRACE_MARGIN_S)
+        await curio.spawn(self._probes.run, daemon=True)
+        with watch_signals(*SIGNALS, signal.SIGHUP) as watch:
+            while await watch.wait() == signal.SIGHUP:
+                self._reload()
+            grace_s = self._steering.entry.bounds.grace_s
+            await self._leave(read_clock_s() + grace_s - GRACE_MARGIN_S)
 
     async def _spawn_servers(self) -> None:
         settings = self._settings
@@ -106,7 +119,9 @@
         own = self._steering.fleet.own
         while True:
             try:
-                await self._store.write_row(StoreTable.VMS, own.vm, encode_vm(own))
+                self._registration = await self._store.write_row(
+                    StoreTable.VMS, own.vm, encode_vm(own)
+                )
             except SiskinwardError as error:
                 self._log.write("not-registered", {"error": str(error)})
                 await curio.sleep(REGISTRATION_RETRY_S)
@@ -115,6 +130,28 @@
                 return
             await curio.sleep(REGISTRATION_RETRY_S)
 
+    async def _deregister(self) -> None:
+        if self._registration is None:
+            return
+        vm = self._steering.fleet.own.vm
+        try:
+            await self._store.remove_row(StoreTable.VMS, vm, self._registration)
+        except SiskinwardError as error:
+            self._log.write("not-deregistered", {"error": str(error)})
+
+    def _reload(self) -> None:
+        """Take in the settings that may change while the process runs."""
+        try:
+            settings = self._read_again()
+        except SiskinwardError as error:
+            self._log.write("reload-failed", {"error": str(error)})
+            return
+        entry = self._steering.entry
+        self._steering.entry = evolve(entry, bounds=settings.bounds, peer_seeds=settings.peer_seeds)
+        self._steering.retries.bounds = settings.bounds
+        self._steering.shares.bounds = settings.bounds
+        self._log.write("reload", {"changed": settings != entry})
+
     async def _leave(self, deadline_s: float) -> None:
         self._log.write("stop", {"unanswered": self._front.unanswered_count})
         self._steering.fleet.state = VmState.LEAVING
@@ -122,6 +159,7 @@
         for _ in range(FAREWELL_HEARTBEATS):
             await self._heartbeats.send()
             await curio.sleep(FAREWELL_GAP_S)
+        await curio.spawn(self._deregister, daemon=True)
         await curio.sleep(LEAVE_LINGER_S)
         await self._front.begin_shutdown()
         is_done = await self._front.wait_answered(deadline_s - read_clock_s())
@@ -148,9 +186,8 @@
         self._front.limits = limits
 
 
-def run_entry(settings: EntrySettings, platform: Platform) -> None:
-    """Run an entry VM's process until it is told to stop."""
+def run_entry(read_settings: SettingsReader, platform: Platform) -> None:
+    """Run an entry VM's process until it is told to stop; raises what ``read_settings`` does."""
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    process = EntryProcess(settings, platform)
+    process = EntryProcess(read_settings(), platform, read_settings)
     curio.run(process.run)
--- /dev/null
+++ b/src/siskinward/daemon/entry/target_probes.py
@@ -0,0 +1,81 @@
+"""Asks targets that could not be reached whether they are back, before they get requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from siskinward.transport.clock import read_clock_s
+from siskinward.transport.http_messages import HttpRequest
+from siskinward.transport.outbound_connection import ExchangeFailedError
+
+if TYPE_CHECKING:
+    from siskinward.coordination.steering.targets import Target
+    from siskinward.daemon.entry.steering import Steering
+    from siskinward.protocol.steering_headers import SteeringHeaders
+    from siskinward.transport.decision_log import DecisionLog
+    from siskinward.transport.target_pool import TargetPool
+
+CHECK_INTERVAL_S = 0.1
+PROBE_TIMEOUT_S = 1.0
+MAX_CONCURRENT_PROBES = 8
+
+
+class TargetProbes:
+    """Probes by the service's health path.
+
+    Only whether the target answers, who it is and how long it stays cold is believed: its word on
+    its own health may be wrong either way.
+    """
+
+    def __init__(
+        self, steering: Steering, headers: SteeringHeaders, pool: TargetPool, log: DecisionLog
+    ) -> None:
+        self._steering = steering
+        self._headers = headers
+        self._pool = pool
+        self._log = log
+        self._probing: set[str] = set()
+
+    async def run(self) -> None:
+        """Probe what is due until cancelled."""
+        while True:
+            await curio.sleep(CHECK_INTERVAL_S)
+            for target in self._steering.targets.due_for_probe(read_clock_s()):
+                if target.name in self._probing or len(self._probing) >= MAX_CONCURRENT_PROBES:
+                    continue
+                self._probing.add(target.name)
+                await curio.spawn(self._probe, target, daemon=True)
+
+    async def _probe(self, target: Target) -> None:
+        try:
+            await self._judge(target)
+        finally:
+            self._probing.discard(target.name)
+
+    async def _judge(self, target: Target) -> None:
+        index = self._steering.index
+        service = index.configuration.services.get(target.record.service) if index else None
+        if service is None:
+            return
+        host = (b"host", target.record.address.encode())
+        request = HttpRequest("GET", service.health_path, (host,))
+        targets = self._steering.targets
+        try:
+            response = await self._pool.exchange(
+                target.record, request, PROBE_TIMEOUT_S, idempotent=True
+            )
+        except ExchangeFailedError as error:
+            targets.on_unreachable(target, read_clock_s())
+            self._log.write("target-unreached", {"target": target.name, "error": error.detail})
+            return
+        name = response.header(self._headers.target)
+        if name is not None and name != target.name.encode():
+            targets.remove(target.name)
+            self._log.write("target-replaced", {"target": target.name, "by": name.decode()})
+            return
+        warmup_ms = response.header(self._headers.warmup_left_ms) or b"0"
+        warmup_left_s = int(warmup_ms) / 1000.0 if warmup_ms.isdigit() else service.warmup_s
+        targets.on_reached(target, warmup_left_s, read_clock_s())
+        self._log.write("target-reached", {"target": target.name, "warmup_left_s": warmup_left_s})
--- a/src/siskinward/platform/_store.py
+++ b/src/siskinward/platform/_store.py
@@ -80,14 +80,18 @@
         rows = tuple(_decode_row(row) for row in answer["rows"])
         return Changes(rows, after, int(answer["ver"]))
 
-    async def write_row(self, table: StoreTable, key: str, value: bytes | None) -> int:
-        """Write or, with None, remove a row; returns its version; raises ``StoreError``."""
-        row_id = {"table": TABLE_NAMES[table], "part": PART, "key": key}
-        body: dict[str, Any] = {"precondition": [], "writes": [], "remove": []}
-        if value is None:
-            body["remove"].append(row_id)
-        else:
-            body["writes"].append({**row_id, "value": base64.b64encode(value).decode()})
+    async def write_row(self, table: StoreTable, key: str, value: bytes) -> int:
+        """Write a row; returns its version; raises ``StoreError``."""
+        row = {**_row_id(table, key), "value": base64.b64encode(value).decode()}
+        return await self._transact({"precondition": [], "writes": [row], "remove": []})
+
+    async def remove_row(self, table: StoreTable, key: str, version: int) -> None:
+        """Remove a row if it still has ``version``; raises ``StoreError``."""
+        row_id = _row_id(table, key)
+        condition = {**row_id, "ver": version}
+        await self._transact({"precondition": [condition], "writes": [], "remove": [row_id]})
+
+    async def _transact(self, body: dict[str, Any]) -> int:
         headers = (*self._headers(), (b"content-type", b"application/json"))
         request = HttpRequest("POST", "/v1/rows-tx", headers, json.dumps(body).encode())
         response = await self._exchange("rows-tx", request, CALL_TIMEOUT_S)
@@ -125,6 +129,10 @@
         return connection
 
 
+def _row_id(table: StoreTable, key: str) -> dict[str, str]:
+    return {"table": TABLE_NAMES[table], "part": PART, "key": key}
+
+
 def _decode_body(call: str, response: HttpResponse) -> dict[str, Any]:
     if response.status != 200:
         raise StoreError(call, f"status {response.status}")
--- a/src/siskinward/platform/entry.py
+++ b/src/siskinward/platform/entry.py
@@ -13,7 +13,6 @@
 def main() -> None:
     """Read the settings and run until told to stop."""
     try:
-        settings = read_settings()
+        run_entry(read_settings, PlatformAdapter())
     except WireError as error:
         sys.exit(f"siskinward: {error}; correct the settings file and start again")
-    run_entry(settings, PlatformAdapter())
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -21,6 +21,7 @@
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+from siskinward.transport.sockets import detect_silence
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -86,6 +87,7 @@
         async with listener:
             while True:
                 sock, _ = await listener.accept()
+                detect_silence(sock)
                 await curio.spawn(self._serve_connection, sock, daemon=True)
 
     async def begin_shutdown(self) -> None:
--- a/src/siskinward/transport/sockets.py
+++ b/src/siskinward/transport/sockets.py
@@ -9,6 +9,11 @@
 
 RECEIVE_SIZE_BYTES = 64 * 1024
 LISTEN_BACKLOG = 512
+# A connection that something on the way has lost track of shows itself after about 3 s.
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+UNACKNOWLEDGED_LIMIT_MS = 2500
 
 
 def listen(host: str, port: int) -> Any:
@@ -20,11 +25,21 @@
     return sock
 
 
+def detect_silence(sock: Any) -> None:
+    """Let the system probe an open connection, so that a silent one fails."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+
+
 async def connect(host: str, port: int) -> Any:
     """Open a connected curio socket without delayed small writes."""
     sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         await sock.connect((host, port))
+        detect_silence(sock)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     except BaseException:
         await sock.close()
