--- a/src/siskinward/coordination/steering/account_shares.py
+++ b/src/siskinward/coordination/steering/account_shares.py
@@ -23,14 +23,16 @@
 class ShareSettings:
     """``equal_part`` of a limit is divided equally; the rest follows demand.
 
-    A bucket starts with ``initial_fill`` of its burst when the process starts, since the VM's
-    predecessor may have used the rest. ``overshoot_part`` of the overshoot that the operators
-    tolerate makes up for shares that do not meet their demand.
+    A bucket starts with what its share earns in ``restart_s``, as long as a restart takes at least:
+    the VM's predecessor may have used the rest. ``overshoot_part`` of the overshoot that the
+    operators tolerate makes up for shares that do not meet their demand. A VM that has just
+    started takes its demand for the mean of the others' during ``settling_s``.
     """
 
     equal_part: float = 0.15
     overshoot_part: float = 0.5
-    initial_fill: float = 0.25
+    restart_s: float = 0.8
+    settling_s: float = 2.0
     demand_window_s: float = 1.0
     spare_requests: float = 1.0
 
@@ -74,6 +76,8 @@
             rate = self._demand_per_s.get(account, 0.0)
             self._demand_per_s[account] = rate + blend * (seen_per_s - rate)
         self._arrivals.clear()
+        if now_s - self._started_s < self._settings.settling_s:
+            self._assume_mean_demand(now_s)
         for account, bucket in self._buckets.items():
             bucket.fraction = self._fraction(account, now_s)
 
@@ -100,11 +104,18 @@
         rate = account.rate_per_s * (bucket.fraction if bucket else 1.0)
         return 1.0 / max(rate, 0.1)
 
+    def _assume_mean_demand(self, now_s: float) -> None:
+        heartbeats = self._fleet.heartbeats(now_s)
+        for account in {name for beat in heartbeats for name in beat.demand_per_s}:
+            others = sum(beat.demand_per_s.get(account, 0.0) for beat in heartbeats)
+            own = self._demand_per_s.get(account, 0.0)
+            self._demand_per_s[account] = max(own, others / len(heartbeats))
+
     def _refill(self, account: AccountPolicy, now_s: float) -> _Bucket:
         bucket = self._buckets.get(account.name)
         if bucket is None:
             fraction = self._fraction(account.name, now_s)
-            tokens = account.burst_requests * fraction * self._settings.initial_fill
+            tokens = account.rate_per_s * fraction * self._settings.restart_s
             bucket = _Bucket(tokens, self._started_s, fraction)
             self._buckets[account.name] = bucket
         elapsed_s = max(0.0, now_s - bucket.refilled_at_s)
