--- a/src/siskinward/coordination/steering/account_shares.py
+++ b/src/siskinward/coordination/steering/account_shares.py
@@ -29,7 +29,7 @@
     started takes its demand for the mean of the others' during ``settling_s``.
     """
 
-    equal_part: float = 0.15
+    equal_part: float = 0.05
     overshoot_part: float = 0.5
     restart_s: float = 0.8
     settling_s: float = 2.0
@@ -57,6 +57,7 @@
         self._buckets: dict[AccountName, _Bucket] = {}
         self._arrivals: dict[AccountName, float] = {}
         self._demand_per_s: dict[AccountName, float] = {}
+        self._published_per_s: dict[AccountName, float] = {}
         self._measured_at_s: float | None = None
 
     @property
@@ -70,6 +71,9 @@
         if previous_s is None or now_s <= previous_s:
             return
         elapsed_s = now_s - previous_s
+        # The others know this VM's demand as of the last heartbeat; dividing by a newer figure
+        # here would give more than the whole away while demand grows.
+        self._published_per_s = dict(self._demand_per_s)
         blend = min(1.0, elapsed_s / self._settings.demand_window_s)
         for account in set(self._arrivals) | set(self._demand_per_s):
             seen_per_s = self._arrivals.get(account, 0.0) / elapsed_s
@@ -131,7 +135,7 @@
         heartbeats = self._fleet.heartbeats(now_s)
         counted = max(self._fleet.counted(now_s), 1 + len(heartbeats))
         heard = 1 + len(heartbeats)
-        own = self._demand_per_s.get(account, 0.0)
+        own = self._published_per_s.get(account, 0.0)
         total = own + sum(beat.demand_per_s.get(account, 0.0) for beat in heartbeats)
         by_demand = own / total if total > 0 else 1.0 / heard
         equal_part = self._settings.equal_part
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -66,8 +66,9 @@
     """Pace of heartbeats.
 
     Each VM sends to all others, so the interval grows with their number beyond
-    ``full_pace_vms``. A VM that was heard before and has fallen silent keeps its part of divided
-    limits for ``reserve_s``: it may be cut off and go on serving.
+    ``full_pace_vms``. A VM that the store names or that was heard before, and is silent, keeps its
+    part of divided limits for ``reserve_s``: it may be cut off and go on serving. Before the store
+    has named the others, there may be ``unknown_vms_per_domain`` in each failure domain.
     """
 
     interval_s: float = 0.2
@@ -76,22 +77,24 @@
     missed_heartbeats: float = 5.0
     min_timeout_s: float = 1.2
     reserve_s: float = 60.0
+    unknown_vms_per_domain: int = 2
 
 
 @define
 class _Peer:
     identity: EntryVm
     last_heard_s: float = -inf
-    first_heard_s: float = inf
+    named_s: float = -inf
     heartbeat: Heartbeat | None = None
 
 
 class Fleet:
     """The other VMs as known from the store, seeds and heartbeats."""
 
-    def __init__(self, own: EntryVm, settings: FleetSettings) -> None:
+    def __init__(self, own: EntryVm, settings: FleetSettings, domains: int) -> None:
         self.own = own
         self.state = VmState.STARTING
+        self._assumed = domains * settings.unknown_vms_per_domain
         self._settings = settings
         self._peers: dict[VmName, _Peer] = {}
         self._left: set[IncarnationId] = set()
@@ -109,11 +112,15 @@
         silence_s = self._settings.missed_heartbeats * self.interval_s
         return max(self._settings.min_timeout_s, silence_s)
 
-    def learn(self, vms: Iterable[EntryVm]) -> None:
+    def learn(self, vms: Iterable[EntryVm], now_s: float) -> None:
         """Note VMs that the store names; they count as alive once they are heard."""
         for vm in vms:
             if vm.vm != self.own.vm and vm.vm not in self._peers:
-                self._peers[vm.vm] = _Peer(vm)
+                self._peers[vm.vm] = _Peer(vm, named_s=now_s)
+
+    def on_all_named(self) -> None:
+        """Note that the store has named all other VMs."""
+        self._assumed = 0
 
     def on_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> bool:
         """Take a heartbeat in; True if its sender was not known to be alive."""
@@ -122,13 +129,12 @@
             return False
         peer = self._peers.get(sender.vm)
         if peer is None or peer.identity.incarnation != sender.incarnation:
-            peer = self._peers[sender.vm] = _Peer(sender, first_heard_s=now_s)
+            peer = self._peers[sender.vm] = _Peer(sender)
         elif peer.heartbeat is not None and heartbeat.number <= peer.heartbeat.number:
             return False
         is_news = now_s - peer.last_heard_s > self.timeout_s
         peer.heartbeat = heartbeat
         peer.last_heard_s = now_s
-        peer.first_heard_s = min(peer.first_heard_s, now_s)
         return is_news
 
     def forget(self, vm: EntryVm) -> None:
@@ -161,14 +167,21 @@
 
     def counted(self, now_s: float) -> int:
         """Number of VMs that may be using divided limits, those cut off included."""
-        reserve_s = self._settings.reserve_s
-        return 1 + sum(now_s - peer.last_heard_s < reserve_s for peer in self._peers.values())
+        return max(
+            self._assumed, 1 + sum(self._counts(peer, now_s) for peer in self._peers.values())
+        )
 
     def hears_most(self, now_s: float) -> bool:
         """Whether this VM is on the larger side of any cut."""
         heard = 1 + sum(1 for _ in self._heard(now_s))
         return heard * 2 > self.counted(now_s)
 
+    def _counts(self, peer: _Peer, now_s: float) -> bool:
+        has_left = peer.heartbeat is not None and peer.heartbeat.state is VmState.LEAVING
+        if has_left and now_s - peer.last_heard_s > self.timeout_s:
+            return False
+        return now_s - max(peer.last_heard_s, peer.named_s) < self._settings.reserve_s
+
     def _heard(self, now_s: float) -> Iterator[_Peer]:
         timeout_s = self.timeout_s
         return (peer for peer in self._peers.values() if now_s - peer.last_heard_s < timeout_s)
--- a/src/siskinward/daemon/entry/news.py
+++ b/src/siskinward/daemon/entry/news.py
@@ -55,6 +55,8 @@
         rows = copy.apply(update)
         for row in rows:
             self._apply_row(table, row, source, now_s)
+        if table is StoreTable.VMS:
+            self._steering.fleet.on_all_named()
         if table is StoreTable.OPERATOR and rows:
             self._steering.targets.set_evacuated(self._evacuated, now_s)
         return bool(rows)
@@ -68,7 +70,7 @@
                     self._apply_target_row(row, source, now_s)
                 case StoreTable.VMS:
                     if row.value is not None:
-                        self._steering.fleet.learn([decode_vm(row.value)])
+                        self._steering.fleet.learn([decode_vm(row.value)], now_s)
         except (SiskinwardError, PeerMessageError) as error:
             if table is StoreTable.TARGETS:
                 self._steering.targets.remove_named(row.key)
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -75,7 +75,7 @@
         failure_domain=entry.failure_domain,
         region=entry.region,
     )
-    fleet = Fleet(own, settings.fleet)
+    fleet = Fleet(own, settings.fleet, len(entry.domain_regions))
     targets = TargetTable(settings.targets, entry.domain_regions)
     gate = WarmupGate(fleet)
     return Steering(
--- /dev/null
+++ b/tests/coordination/steering/steering_fixtures.py
@@ -0,0 +1,68 @@
+"""Fleets, targets and accounts for tests of the steering decisions."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from siskinward.coordination.steering.fleet import EntryVm
+from siskinward.coordination.steering.fleet import Fleet
+from siskinward.coordination.steering.fleet import FleetSettings
+from siskinward.coordination.steering.fleet import Heartbeat
+from siskinward.coordination.steering.fleet import VmState
+from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import RegionName
+from siskinward.state.identifiers import ServiceName
+from siskinward.state.identifiers import TargetName
+from siskinward.state.identifiers import VmName
+from siskinward.state.serving import AccountPolicy
+from siskinward.state.serving import TargetRecord
+
+SERVICE = ServiceName("listings")
+REGION = RegionName("north")
+DOMAIN = DomainName("north-1")
+
+
+def entry_vm(number: int, *, incarnation: str = "a", region: RegionName = REGION) -> EntryVm:
+    """A VM of the tests' fleet."""
+    name = VmName(f"vm-{number:03}")
+    host = f"10.0.0.{number}"
+    return EntryVm(name, IncarnationId(f"{name}/{incarnation}"), host, 80, DOMAIN, region)
+
+
+def heartbeat(vm: EntryVm, number: int = 1, **fields: Any) -> Heartbeat:
+    """A heartbeat of a VM that takes requests."""
+    return Heartbeat(vm, number, fields.pop("state", VmState.READY), **fields)
+
+
+def fleet_of(count: int, *, own: int = 0, now_s: float = 0.0) -> Fleet:
+    """A fleet of ``count`` VMs that have all been heard, as seen by one of them."""
+    fleet = Fleet(entry_vm(own), FleetSettings(), domains=1)
+    fleet.on_all_named()
+    fleet.state = VmState.READY
+    for number in range(count):
+        fleet.on_heartbeat(heartbeat(entry_vm(number)), now_s)
+    return fleet
+
+
+def account(rate_per_s: float = 40.0, burst_requests: float = 40.0) -> AccountPolicy:
+    """A client account with a limit."""
+    name = AccountName("parish-guild")
+    return AccountPolicy(name, (), None, rate_per_s, burst_requests, frozenset())
+
+
+def target_record(name: str, **fields: Any) -> TargetRecord:
+    """What a target says of itself."""
+    defaults: dict[str, Any] = {
+        "service": SERVICE,
+        "host": "10.1.0.1",
+        "port": 8000,
+        "failure_domain": DOMAIN,
+        "slots": 3,
+        "is_ready": True,
+        "warmup_left_s": 0.0,
+        "heartbeat": 1,
+        "started_ms": 1,
+    }
+    return TargetRecord(name=TargetName(name), **{**defaults, **fields})
