Confirm crashed targets at once, let an object have two targets, and test on a stand-in of the platform

Cause: the new test of a request that crashes its targets ran it 24 times: a loss was confirmed only when a later request found the target gone. Two choices an object instead of three: fewer cold copies. Ruled out: blocking after two losses (popular requests that were merely there would be refused). The test of the crashing request now sees at most 4 runs.

--- a/src/siskinward/coordination/steering/crash_guard.py
+++ b/src/siskinward/coordination/steering/crash_guard.py
@@ -1,7 +1,8 @@
 """Recognises requests that crash each target that runs them, and stops them over all VMs.
 
-Answers a caller that repeats such a request at any VM. A request is counted against when its
-connection broke and the target then proved to be gone; two such losses block its fingerprint.
+Answers a caller that repeats such a request at any VM. A loss counts against a request when its
+connection broke and the target then proved to be gone. A request that is answered is cleared at the
+VM that saw it, so that popular requests which were merely there do not add up.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 class CrashGuardSettings:
     """``block_after`` losses block a fingerprint for ``block_s``."""
 
-    block_after: int = 2
+    block_after: int = 3
     block_s: float = 60.0
     confirm_within_s: float = 3.0
 
@@ -27,6 +28,12 @@
     last_loss_s: float
 
 
+@frozen
+class _Report:
+    losses: dict[str, int]
+    received_s: float
+
+
 @frozen
 class _OpenLoss:
     fingerprint: str
@@ -48,7 +55,7 @@
     def __init__(self, settings: CrashGuardSettings) -> None:
         self._settings = settings
         self._suspicions: dict[str, _Suspicion] = {}
-        self._remote: dict[str, _Suspicion] = {}
+        self._reports: dict[str, _Report] = {}
         self._open_losses: dict[str, list[_OpenLoss]] = {}
 
     def is_blocked(self, fingerprint: str, now_s: float) -> bool:
@@ -67,9 +74,12 @@
                 suspicion.losses += 1
                 suspicion.last_loss_s = now_s
 
-    def on_answer(self, fingerprint: str, target: str) -> None:
-        """Note that a target answered: it lives, and this request does not crash targets."""
+    def on_target_alive(self, target: str) -> None:
+        """Note that a target still takes connections: what broke there did not crash it."""
         self._open_losses.pop(target, None)
+
+    def on_answer(self, fingerprint: str) -> None:
+        """Note an answer: the request does not crash targets."""
         self._suspicions.pop(fingerprint, None)
 
     def reports(self, now_s: float) -> dict[str, int]:
@@ -77,22 +87,23 @@
         self._drop_old(now_s)
         return {key: suspicion.losses for key, suspicion in self._suspicions.items()}
 
-    def on_reports(self, counts: dict[str, int], now_s: float) -> None:
-        """Take in the counts of another VM."""
-        for fingerprint, losses in counts.items():
-            known = self._remote.get(fingerprint)
-            if known is None or losses >= known.losses:
-                self._remote[fingerprint] = _Suspicion(losses, now_s)
+    def on_reports(self, incarnation: str, losses: dict[str, int], now_s: float) -> None:
+        """Take in the counts of another VM; those of one that has died are kept for a while."""
+        if losses or incarnation in self._reports:
+            self._reports[incarnation] = _Report(losses, now_s)
 
     def _losses(self, fingerprint: str, now_s: float) -> int:
-        own = self._suspicions.get(fingerprint)
-        remote = self._remote.get(fingerprint)
         since_s = now_s - self._settings.block_s
-        counts = [item.losses for item in (own, remote) if item and item.last_loss_s > since_s]
-        return sum(counts)
+        own = self._suspicions.get(fingerprint)
+        total = own.losses if own is not None and own.last_loss_s > since_s else 0
+        for report in self._reports.values():
+            if report.received_s > since_s:
+                total += report.losses.get(fingerprint, 0)
+        return total
 
     def _drop_old(self, now_s: float) -> None:
         since_s = now_s - self._settings.block_s
-        for table in (self._suspicions, self._remote):
-            for key in [key for key, item in table.items() if item.last_loss_s <= since_s]:
-                del table[key]
+        for key in [k for k, item in self._suspicions.items() if item.last_loss_s <= since_s]:
+            del self._suspicions[key]
+        for key in [k for k, report in self._reports.items() if report.received_s <= since_s]:
+            del self._reports[key]
--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -37,7 +37,7 @@
     ``error_ratio`` times as much as the others, is tried with one request at a time.
     """
 
-    choices: int = 3
+    choices: int = 2
     first_depth: float = 0.67
     other_depth: float = 0.0
     error_limit: float = 0.4
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -70,7 +70,8 @@
         if self._steering.fleet.on_heartbeat(heartbeat, now_s):
             vm = heartbeat.sender
             self._log.write("vm-heard", {"peer": vm.vm, "incarnation": vm.incarnation})
-        self._steering.crashes.on_reports(heartbeat.crashers, now_s)
+        incarnation = heartbeat.sender.incarnation
+        self._steering.crashes.on_reports(incarnation, heartbeat.crashers, now_s)
         await self._on_heartbeat(heartbeat, now_s)
 
     def _create(self, now_s: float) -> Heartbeat:
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Callable
 from typing import TYPE_CHECKING
+from typing import Any
 
 import curio
 from attrs import evolve
@@ -27,6 +28,7 @@
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.decision_log import DecisionLog
 from siskinward.transport.decision_log import LogSettings
+from siskinward.transport.decision_log import open_output
 from siskinward.transport.front_server import FrontServer
 from siskinward.transport.peer_datagrams import PeerDatagrams
 from siskinward.transport.peer_rows import serve_rows
@@ -39,6 +41,7 @@
 
 if TYPE_CHECKING:
     from siskinward.daemon.entry.ports import Platform
+    from siskinward.daemon.entry.steering import Steering
     from siskinward.state.serving import CallerLimits
     from siskinward.state.serving import EntrySettings
 
@@ -49,6 +52,7 @@
 LEAVE_LINGER_S = 2.4
 # Before the platform ends the process for good, requests under way get this much of the grace.
 GRACE_MARGIN_S = 0.4
+STANDARD_OUTPUT = 1
 FAREWELL_HEARTBEATS = 3
 FAREWELL_GAP_S = 0.05
 
@@ -57,12 +61,17 @@
     """One entry VM's process."""
 
     def __init__(
-        self, settings: EntrySettings, platform: Platform, read_again: SettingsReader
+        self,
+        settings: EntrySettings,
+        platform: Platform,
+        read_again: SettingsReader,
+        log: DecisionLog,
     ) -> None:
         self._settings = settings
         self._read_again = read_again
         self._registration: int | None = None
-        self._log = DecisionLog(LogSettings(), settings.vm)
+        self._log = log
+        self._tasks: list[Any] = []
         self._steering = create_steering(settings, SteeringSettings(), read_clock_s())
         self._store = platform.create_store(settings)
         self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id)
@@ -85,22 +94,41 @@
             self._steering, self._datagrams, self._log, self._replication.on_heartbeat
         )
 
+    @property
+    def steering(self) -> Steering:
+        """What this VM knows and decides by."""
+        return self._steering
+
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is under way."""
+        await self.start()
+        with watch_signals(*SIGNALS, signal.SIGHUP) as watch:
+            while await watch.wait() == signal.SIGHUP:
+                self.reload()
+            await self.leave()
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the store and the other VMs."""
         self._log.write("start", {"incarnation": self._steering.fleet.own.incarnation})
         await self._spawn_servers()
-        await curio.spawn(self._register, daemon=True)
+        await self._spawn(self._register)
         for table in (StoreTable.OPERATOR, StoreTable.TARGETS):
-            await curio.spawn(self._replication.follow, table, daemon=True)
-        await curio.spawn(self._heartbeats.send_periodically, self._after_heartbeat, daemon=True)
-        await curio.spawn(close_idle_periodically, self._pool, daemon=True)
-        await curio.spawn(self._log.flush_periodically, daemon=True)
-        await curio.spawn(self._probes.run, daemon=True)
-        with watch_signals(*SIGNALS, signal.SIGHUP) as watch:
-            while await watch.wait() == signal.SIGHUP:
-                self._reload()
-            grace_s = self._steering.entry.bounds.grace_s
-            await self._leave(read_clock_s() + grace_s - GRACE_MARGIN_S)
+            await self._spawn(self._replication.follow, table)
+        await self._spawn(self._heartbeats.send_periodically, self._after_heartbeat)
+        await self._spawn(close_idle_periodically, self._pool)
+        await self._spawn(self._log.flush_periodically)
+        await self._spawn(self._probes.run)
+
+    async def kill(self) -> None:
+        """Stop at once, as the system would stop the process."""
+        for server in (self._front, self._lookups, self._readiness):
+            await server.abort()
+        for task in self._tasks:
+            await task.cancel()
+        await self._datagrams.close()
+
+    async def _spawn(self, call: Callable[..., Any], *args: Any) -> None:
+        self._tasks.append(await curio.spawn(call, *args, daemon=True))
 
     async def _spawn_servers(self) -> None:
         settings = self._settings
@@ -109,10 +137,10 @@
             (self._lookups, settings.directory),
             (self._readiness, settings.readiness),
         ):
-            await curio.spawn(server.serve, listen(address.host, address.port), daemon=True)
+            await self._spawn(server.serve, listen(address.host, address.port))
         peers = listen(settings.host, settings.peer_port)
-        await curio.spawn(serve_rows, peers, self._replication.find, daemon=True)
-        await curio.spawn(self._datagrams.receive, self._heartbeats.receive, daemon=True)
+        await self._spawn(serve_rows, peers, self._replication.find)
+        await self._spawn(self._datagrams.receive, self._heartbeats.receive)
 
     async def _register(self) -> None:
         """Tell the store of this VM and learn of the others, however long that takes."""
@@ -139,7 +167,7 @@
         except SiskinwardError as error:
             self._log.write("not-deregistered", {"error": str(error)})
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
         """Take in the settings that may change while the process runs."""
         try:
             settings = self._read_again()
@@ -152,7 +180,10 @@
         self._steering.shares.bounds = settings.bounds
         self._log.write("reload", {"changed": settings != entry})
 
-    async def _leave(self, deadline_s: float) -> None:
+    async def leave(self) -> None:
+        """Tell the others, let callers move on, and answer what is under way."""
+        grace_s = self._steering.entry.bounds.grace_s
+        deadline_s = read_clock_s() + grace_s - GRACE_MARGIN_S
         self._log.write("stop", {"unanswered": self._front.unanswered_count})
         self._steering.fleet.state = VmState.LEAVING
         self._front.is_leaving = True
@@ -189,5 +220,7 @@
 def run_entry(read_settings: SettingsReader, platform: Platform) -> None:
     """Run an entry VM's process until it is told to stop; raises what ``read_settings`` does."""
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-    process = EntryProcess(read_settings(), platform, read_settings)
+    settings = read_settings()
+    log = DecisionLog(LogSettings(), settings.vm, open_output(STANDARD_OUTPUT))
+    process = EntryProcess(settings, platform, read_settings, log)
     curio.run(process.run)
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import curio
 from attrs import frozen
 
 from siskinward.protocol.steering_headers import decode_load
@@ -94,7 +95,7 @@
                 target.record, request, left_s, idempotent=outgoing.is_idempotent
             )
         except ExchangeFailedError as error:
-            return self._judge_failure(outgoing, target, error)
+            return await self._judge_failure(outgoing, target, error)
         return self._judge(outgoing, target, response, read_clock_s() - started_s)
 
     def _encode(self, outgoing: Outgoing, target: Target, left_s: float) -> HttpRequest:
@@ -134,7 +135,7 @@
         if not is_own or response.header(self._headers.signature) is None:
             targets.on_error(target)
             return Unknown(SendFailure.GARBLED)
-        self._steering.crashes.on_answer(outgoing.fingerprint, target.name)
+        self._steering.crashes.on_answer(outgoing.fingerprint)
         is_error = response.status >= SERVER_ERROR
         if is_error:
             targets.on_error(target)
@@ -143,7 +144,7 @@
         headers = tuple(end_to_end(response.headers))
         return Answered(HttpResponse(response.status, headers, response.body), is_error)
 
-    def _judge_failure(
+    async def _judge_failure(
         self, outgoing: Outgoing, target: Target, error: ExchangeFailedError
     ) -> SendResult:
         targets = self._steering.targets
@@ -156,4 +157,14 @@
         if error.is_timeout:
             return Unknown(SendFailure.TIMEOUT)
         self._steering.crashes.on_connection_lost(outgoing.fingerprint, target.name, now_s)
+        await curio.spawn(self._check_alive, target, daemon=True)
         return Unknown(SendFailure.LOST)
+
+    async def _check_alive(self, target: Target) -> None:
+        """Tell a lost connection from a crashed target."""
+        if await self._pool.can_connect(target.record):
+            self._steering.crashes.on_target_alive(target.name)
+            return
+        now_s = read_clock_s()
+        self._steering.targets.on_unreachable(target, now_s)
+        self._steering.crashes.on_target_gone(target.name, now_s)
--- a/src/siskinward/daemon/entry/target_probes.py
+++ b/src/siskinward/daemon/entry/target_probes.py
@@ -9,6 +9,7 @@
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.outbound_connection import ExchangeFailedError
+from siskinward.transport.outbound_connection import SendPhase
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.targets import Target
@@ -67,6 +68,10 @@
                 target.record, request, PROBE_TIMEOUT_S, idempotent=True
             )
         except ExchangeFailedError as error:
+            if error.phase is SendPhase.SENT and error.is_timeout:
+                # It took the connection, and is too busy for the question.
+                targets.on_reached(target, service.warmup_s, read_clock_s())
+                return
             targets.on_unreachable(target, read_clock_s())
             self._log.write("target-unreached", {"target": target.name, "error": error.detail})
             return
--- /dev/null
+++ b/src/siskinward/platform/standins/_site.py
@@ -0,0 +1,281 @@
+"""A whole deployment of the users' platform in one loop: store, targets, entry VMs and callers."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+from attrs import define
+from attrs import field
+from attrs import frozen
+
+from siskinward.daemon.entry.process import EntryProcess
+from siskinward.platform._headers import HEADERS
+from siskinward.platform._settings import decode_settings
+from siskinward.platform.adapter import PlatformAdapter
+from siskinward.platform.standins._store import StoreStandIn
+from siskinward.platform.standins._target import TargetStandIn
+from siskinward.transport.decision_log import DecisionLog
+from siskinward.transport.decision_log import LogSettings
+from siskinward.transport.http_messages import HttpRequest
+from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.outbound_connection import OutboundConnection
+
+if TYPE_CHECKING:
+    from siskinward.state.serving import EntrySettings
+
+STORE_HOST = "10.200.0.1"
+STORE_PORT = 8205
+FRONT_PORT = 8206
+DIRECTORY_PORT = 8209
+READINESS_PORT = 8201
+PEER_PORT = 7600
+TARGET_PORT = 8080
+HOST_NAME = "site.example"
+CALL_TIMEOUT_S = 10.0
+# Longer than any call to the store, so that no task is left behind.
+STOP_SETTLE_S = 5.0
+ALL_LINES = LogSettings(lines_per_s=1e6, burst_lines=1e6, buffer_limit_bytes=1 << 24)
+
+
+@frozen
+class SiteSettings:
+    """Sizes of a deployment; ``zones`` names each zone's region."""
+
+    zones: dict[str, str] = field(factory=lambda: {"bud-a": "budapest", "deb-a": "debrecen"})
+    vms_per_zone: int = 2
+    targets_per_zone: int = 2
+    services: tuple[str, ...] = ("listings", "bookings")
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@define
+class OperatorConfiguration:
+    """What the operator writes; each ``encode`` has a higher version."""
+
+    resources: list[dict[str, Any]]
+    version: int = 1
+
+    def encode(self) -> bytes:
+        """The next version in full."""
+        self.version += 3
+        return json.dumps({"version": f"r{self.version}", "resources": self.resources}).encode()
+
+    def spec(self, kind: str, name: str) -> dict[str, Any]:
+        """The changeable part of one entry."""
+        for resource in self.resources:
+            if resource["type"] == kind and resource["metadata"].get("name") == name:
+                spec: dict[str, Any] = resource["spec"]
+                return spec
+        raise KeyError(f"{kind} {name}")
+
+
+class Site:
+    """Starts everything of a deployment; callers and operators act through it."""
+
+    def __init__(self, settings: SiteSettings) -> None:
+        self._settings = settings
+        self.store = StoreStandIn(STORE_HOST, STORE_PORT)
+        self.targets: dict[str, TargetStandIn] = {}
+        self.vms: dict[str, EntryProcess] = {}
+        self.logs: dict[str, bytearray] = {}
+        self.configuration = _create_configuration(settings)
+        self._attempts = 0
+        self._store_task: Any = None
+        for number, zone in enumerate(settings.zones, start=1):
+            for service in settings.services:
+                for index in range(settings.targets_per_zone):
+                    self._add_target(f"{service}-{zone}-{index}", service, zone, number)
+
+    async def start(self, *, settle_s: float = 3.0) -> None:
+        """Start the store, the targets and the VMs, and let them find one another."""
+        self._store_task = await curio.spawn(self.store.run, daemon=True)
+        await self.publish()
+        for target in self.targets.values():
+            await target.start()
+            await self.report(target)
+        for number, zone in enumerate(self._settings.zones, start=1):
+            for index in range(self._settings.vms_per_zone):
+                await self.start_vm(f"vm-{zone}-{index}", zone, f"10.{number}.0.{index + 1}")
+        await curio.sleep(settle_s)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for process in self.vms.values():
+            await process.kill()
+        for target in self.targets.values():
+            await target.crash()
+        await self._store_task.cancel()
+        await curio.sleep(STOP_SETTLE_S)
+
+    async def start_vm(self, name: str, zone: str, host: str) -> EntryProcess:
+        """Start an entry VM, or one again under its name."""
+        settings = self._entry_settings(name, zone, host)
+        lines = self.logs.setdefault(name, bytearray())
+
+        def write(data: bytes) -> int:
+            lines.extend(data)
+            return len(data)
+
+        log = DecisionLog(ALL_LINES, name, write)
+        process = EntryProcess(settings, PlatformAdapter(), lambda: settings, log)
+        self.vms[name] = process
+        await process.start()
+        return process
+
+    async def restart_vm(self, name: str) -> EntryProcess:
+        """Kill a VM's process and start it again."""
+        settings = self.vms[name].steering.entry
+        await self.vms[name].kill()
+        return await self.start_vm(name, settings.failure_domain, settings.host)
+
+    async def publish(self) -> None:
+        """Write the operator's configuration."""
+        await self.store.put("op", "config", self.configuration.encode())
+
+    async def report(self, target: TargetStandIn, state: str = "ready") -> None:
+        """Write what a target says of itself."""
+        target.heartbeat += 1
+        await self.store.put("servers", target.name, target.encode_entry(state))
+
+    async def call(
+        self,
+        vm: str,
+        path: str = "/listings/1",
+        *,
+        key: str | None = "key-1",
+        time_left_s: float = 3.0,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        body: bytes = b"",
+    ) -> HttpResponse:
+        """Send one request to a VM as a caller does."""
+        request = self.request(path, key=key, time_left_s=time_left_s, headers=headers, body=body)
+        connection = OutboundConnection(self.vms[vm].steering.entry.host, FRONT_PORT)
+        await connection.connect(1.0)
+        try:
+            return await connection.exchange(request, CALL_TIMEOUT_S)
+        finally:
+            await connection.close()
+
+    def request(
+        self,
+        path: str,
+        *,
+        key: str | None = "key-1",
+        time_left_s: float = 3.0,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        body: bytes = b"",
+    ) -> HttpRequest:
+        """A caller's request with an attempt id of its own."""
+        self._attempts += 1
+        fields = [
+            (b"host", HOST_NAME.encode()),
+            (HEADERS.attempt_id, f"attempt-{self._attempts:04}".encode()),
+            (HEADERS.time_left_ms, str(int(time_left_s * 1000)).encode()),
+        ]
+        if key is not None:
+            fields.append((b"authorization", f"Bearer {key}".encode()))
+        method = "POST" if path.startswith("/bookings/") else "GET"
+        return HttpRequest(method, path, (*fields, *headers), body)
+
+    async def look_up(self, vm: str, zone: str) -> list[str]:
+        """Ask a VM which VMs to use."""
+        host = self.vms[vm].steering.entry.host
+        connection = OutboundConnection(host, DIRECTORY_PORT)
+        await connection.connect(1.0)
+        region = self._settings.zones[zone]
+        target = f"/v1/resolve?name={HOST_NAME}&region={region}&zone={zone}"
+        request = HttpRequest("GET", target, ((b"host", host.encode()),))
+        response = await connection.exchange(request, 1.0)
+        await connection.close()
+        addresses: list[str] = json.loads(response.body)["addresses"]
+        return addresses
+
+    def runs(self, service: str = "") -> int:
+        """Requests that targets began to run."""
+        return sum(
+            len(target.runs) for target in self.targets.values() if service in target.service
+        )
+
+    def lines(self, vm: str) -> list[dict[str, Any]]:
+        """What a VM has logged."""
+        return [json.loads(line) for line in self.logs[vm].splitlines()]
+
+    def _add_target(self, name: str, service: str, zone: str, number: int) -> None:
+        host = f"10.{number}.64.{len(self.targets) + 1}"
+        self.targets[name] = TargetStandIn(name, service, host, TARGET_PORT, zone)
+
+    def _entry_settings(self, name: str, zone: str, host: str) -> EntrySettings:
+        document = {
+            "node_name": name,
+            "ip": host,
+            "zone": zone,
+            "region": self._settings.zones[zone],
+            "internal_ports": [PEER_PORT, PEER_PORT + 15],
+            "seeds": [],
+            "zones": self._settings.zones,
+            "listen": {
+                "front": f"{host}:{FRONT_PORT}",
+                "ready": f"{host}:{READINESS_PORT}",
+                "directory": f"{host}:{DIRECTORY_PORT}",
+            },
+            "platform": {"address": f"{STORE_HOST}:{STORE_PORT}"},
+        }
+        return decode_settings(document)
+
+
+def _create_configuration(settings: SiteSettings) -> OperatorConfiguration:
+    resources: list[dict[str, Any]] = []
+    for service in settings.services:
+        resources.append(_route(service))
+        resources.append(
+            {
+                "type": "services",
+                "metadata": {"name": service},
+                "spec": {
+                    "health_path": "/health",
+                    "max_connections": 330,
+                    "warmup": "3s",
+                    "warmup_per_s": 4.0,
+                },
+            }
+        )
+    for number in (1, 2):
+        account: dict[str, Any] = {
+            "api_keys": [f"key-{number}", f"spare-key-{number}"],
+            "priority": 1,
+            "rate_per_s": settings.rate_per_s,
+            "burst": settings.burst,
+            "allowed_regions": [],
+        }
+        resources.append(
+            {"type": "tenants", "metadata": {"name": f"account-{number}"}, "spec": account}
+        )
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1 << 20,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15000ms",
+    }
+    resources.append({"type": "limits", "metadata": {}, "spec": limits})
+    return OperatorConfiguration(resources)
+
+
+def _route(service: str) -> dict[str, Any]:
+    spec: dict[str, Any] = {
+        "host": HOST_NAME,
+        "prefix": f"/{service}/",
+        "route_type": "unsafe" if service == "bookings" else "safe",
+        "timeout": "2000ms",
+        "target_latency": "400ms",
+        "priority": 2,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+        "sticky": True,
+        "allowed_regions": [],
+    }
+    return {"type": "routes", "metadata": {"name": f"r-{service}"}, "spec": spec}
--- /dev/null
+++ b/src/siskinward/platform/standins/_store.py
@@ -0,0 +1,172 @@
+"""The platform's store, with its faults."""
+
+from __future__ import annotations
+
+import base64
+import json
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+import curio
+from attrs import define
+
+from siskinward.transport.clock import read_clock_s
+from siskinward.transport.front_server import Arrival
+from siskinward.transport.front_server import FrontServer
+from siskinward.transport.http_messages import HttpRequest
+from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.sockets import listen
+
+PAGE_ROWS = 500
+SILENCE_S = 3600.0
+
+
+class StoreFault(Enum):
+    """What the store does to calls while a fault lasts."""
+
+    NONE = "none"
+    BUSY = "busy"
+    SILENT = "silent"
+    LOSES_ANSWERS = "loses-answers"
+
+
+@define
+class _Row:
+    table: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+class StoreStandIn:
+    """Rows in memory. ``refused_hosts`` can't be told apart here; ``fault`` strikes every call."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._rows: dict[tuple[str, str], _Row] = {}
+        self._history: list[_Row] = []
+        self._history_after = 0
+        self._version = 0
+        self._changed = curio.Event()
+        self.fault = StoreFault.NONE
+        self.delay_s = 0.004
+        self.calls: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await FrontServer(self._handle).serve(listen(self._host, self._port))
+
+    async def put(self, table: str, key: str, value: bytes | None) -> int:
+        """Write a row, or remove it with None, as the operator or a target does."""
+        self._version += 1
+        row = _Row(table, key, value, self._version)
+        if value is None:
+            self._rows.pop((table, key), None)
+        else:
+            self._rows[(table, key)] = row
+        self._history.append(row)
+        await self._changed.set()
+        return self._version
+
+    def drop_history(self) -> None:
+        """Forget which rows changed."""
+        self._history.clear()
+        self._history_after = self._version
+
+    def keys(self, table: str) -> set[str]:
+        """The keys of a table's rows."""
+        return {key for name, key in self._rows if name == table}
+
+    async def _handle(self, arrival: Arrival) -> HttpResponse:
+        request = arrival.request
+        parts = urlsplit(request.target)
+        call = parts.path.removeprefix("/v1/")
+        self.calls[call] = self.calls.get(call, 0) + 1
+        await curio.sleep(self.delay_s)
+        match self.fault:
+            case StoreFault.BUSY:
+                return HttpResponse(503)
+            case StoreFault.SILENT:
+                await curio.sleep(SILENCE_S)
+            case StoreFault.LOSES_ANSWERS:
+                await self._answer(call, parts.query, request)
+                await curio.sleep(SILENCE_S)
+            case StoreFault.NONE:
+                pass
+        return await self._answer(call, parts.query, request)
+
+    async def _answer(self, call: str, query_text: str, request: HttpRequest) -> HttpResponse:
+        query = {name: values[0] for name, values in parse_qs(query_text).items()}
+        match call:
+            case "rows-get":
+                return self._get(query)
+            case "rows-feed":
+                return await self._feed(query)
+            case "rows-tx":
+                return await self._transact(json.loads(request.body))
+            case _:
+                return HttpResponse(404)
+
+    def _get(self, query: dict[str, str]) -> HttpResponse:
+        start = query.get("from", "")
+        rows = sorted(
+            (row for (table, key), row in self._rows.items() if table == query["table"]),
+            key=lambda row: row.key,
+        )
+        rows = [row for row in rows if row.key >= start]
+        page = rows[: int(query.get("limit", PAGE_ROWS))]
+        return self._reply(page, more_pages=len(page) < len(rows))
+
+    async def _feed(self, query: dict[str, str]) -> HttpResponse:
+        after = int(query["after"])
+        deadline_s = read_clock_s() + int(query.get("wait_ms", 0)) / 1000.0
+        while True:
+            if after < self._history_after:
+                return HttpResponse(410)
+            rows = [
+                row for row in self._history if row.version > after and row.table == query["table"]
+            ]
+            left_s = deadline_s - read_clock_s()
+            if rows or left_s <= 0:
+                return self._reply(rows)
+            self._changed.clear()
+            await curio.ignore_after(left_s, self._changed.wait)
+
+    async def _transact(self, body: dict[str, Any]) -> HttpResponse:
+        for condition in body["precondition"]:
+            row = self._rows.get((condition["table"], condition["key"]))
+            if (row.version if row else 0) != condition["ver"]:
+                return HttpResponse(412, (), json.dumps({"rows": []}).encode())
+        for write in body["writes"]:
+            await self.put(write["table"], write["key"], base64.b64decode(write["value"]))
+        for row_id in body["remove"]:
+            await self.put(row_id["table"], row_id["key"], None)
+        return self._reply([])
+
+    def _reply(self, rows: list[_Row], *, more_pages: bool = False) -> HttpResponse:
+        body: dict[str, Any] = {
+            "rows": [_encode(row) for row in rows],
+            "more_pages": more_pages,
+            "ver": self._version,
+            "now": f"{int(read_clock_s() * 1000)}ms",
+        }
+        return HttpResponse(
+            200, ((b"content-type", b"application/json"),), json.dumps(body).encode()
+        )
+
+
+def _encode(row: _Row) -> dict[str, Any]:
+    encoded: dict[str, Any] = {
+        "table": row.table,
+        "part": "",
+        "key": row.key,
+        "ver": row.version,
+    }
+    if row.value is None:
+        encoded["removed"] = True
+    else:
+        encoded["value"] = base64.b64encode(row.value).decode()
+    return encoded
--- /dev/null
+++ b/src/siskinward/platform/standins/_target.py
@@ -0,0 +1,239 @@
+"""A target as the platform runs it, with its faults."""
+
+from __future__ import annotations
+
+import json
+from enum import Enum
+from typing import Any
+
+import curio
+import h11
+from attrs import define
+from attrs import field
+
+from siskinward.platform._headers import HEADERS
+from siskinward.transport.clock import read_clock_s
+from siskinward.transport.front_server import encode_response
+from siskinward.transport.http_messages import HttpRequest
+from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.sockets import listen
+
+
+class TargetFault(Enum):
+    """What a target does to requests while a fault lasts."""
+
+    NONE = "none"
+    SHEDS = "sheds"
+    LOSES_ANSWERS = "loses-answers"
+    DOUBLES_ANSWERS = "doubles-answers"
+    TRUNCATES_ANSWERS = "truncates-answers"
+    FAILS = "fails"
+    CRASHES = "crashes"
+
+
+@define
+class RunRecord:
+    """One request that began to run."""
+
+    attempt_id: str
+    path: str
+    account: str
+    authorization: str
+    time_left_ms: int
+    started_s: float
+    ended_s: float | None = None
+
+
+@define(eq=False)
+class TargetStandIn:
+    """Runs requests for ``work_s`` each, up to ``slots`` at once."""
+
+    name: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int = 3
+    work_s: float = 0.05
+    born_ms: int = 1
+    fault: TargetFault = TargetFault.NONE
+    faulty_requests: int = 1_000_000
+    warmup_left_ms: int = 0
+    runs: list[RunRecord] = field(factory=list)
+    probes: int = 0
+    heartbeat: int = 1
+    _running: int = 0
+    _sockets: set[Any] = field(factory=set)
+    _extras: dict[Any, bytes] = field(factory=dict)
+    _task: Any = None
+
+    def encode_entry(self, state: str = "ready") -> bytes:
+        """What the target says of itself in the store."""
+        entry = {
+            "address": f"{self.host}:{self.port}",
+            "born": self.born_ms,
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": self.zone,
+                "slots": self.slots,
+            },
+            "status": {
+                "state": state,
+                "seq": self.heartbeat,
+                "warmup_left": f"{self.warmup_left_ms}ms",
+            },
+        }
+        return json.dumps(entry).encode()
+
+    async def start(self) -> None:
+        """Listen in the background."""
+        self._task = await curio.spawn(self._serve, daemon=True)
+
+    async def crash(self) -> None:
+        """Stop at once: connections are reset, new ones refused."""
+        if self._task is not None:
+            await self._task.cancel()
+        for sock in list(self._sockets):
+            await sock.reset()
+
+    async def _serve(self) -> None:
+        async with listen(self.host, self.port) as listener:
+            while True:
+                sock, _ = await listener.accept()
+                self._sockets.add(sock)
+                await curio.spawn(self._serve_connection, sock, daemon=True)
+
+    async def _serve_connection(self, sock: Any) -> None:
+        http = h11.Connection(h11.SERVER)
+        try:
+            async with sock:
+                while await self._serve_one(sock, http):
+                    http.start_next_cycle()
+        except OSError:
+            # The caller has closed the connection, or the stand-in crashed.
+            return
+        finally:
+            self._sockets.discard(sock)
+
+    async def _serve_one(self, sock: Any, http: h11.Connection) -> bool:
+        request = await _read(sock, http)
+        if request is None:
+            return False
+        extra = self._extras.pop(sock, None)
+        if extra is not None:
+            await sock.sendall(extra)
+        work = await curio.spawn(self._handle, request, sock)
+        watch = await curio.spawn(_cancel_when_gone, sock, work, daemon=True)
+        try:
+            response: HttpResponse | None = await work.join()
+        except curio.TaskError:
+            # The caller has gone, and the work was dropped.
+            return False
+        finally:
+            await watch.cancel()
+        if response is None:
+            return False
+        await self._write(sock, http, response)
+        return bool(http.our_state is h11.DONE)
+
+    async def _handle(self, request: HttpRequest, sock: Any) -> HttpResponse | None:
+        if request.target == "/health":
+            self.probes += 1
+            return self._health()
+        expected = request.header(HEADERS.expected_target)
+        if expected is not None and expected.decode() != self.name:
+            return HttpResponse(421, ((HEADERS.target, self.name.encode()),))
+        if self._strikes(TargetFault.SHEDS) or self._running >= self.slots * 4:
+            return HttpResponse(503, ((HEADERS.not_run, b"1"), self._load()))
+        return await self._run(request, sock)
+
+    async def _run(self, request: HttpRequest, sock: Any) -> HttpResponse | None:
+        record = RunRecord(
+            attempt_id=_text(request, HEADERS.attempt_id),
+            path=request.target,
+            account=_text(request, HEADERS.client_account),
+            authorization=_text(request, b"authorization"),
+            time_left_ms=int(_text(request, HEADERS.time_left_ms) or 0),
+            started_s=read_clock_s(),
+        )
+        self.runs.append(record)
+        self._running += 1
+        try:
+            if self._strikes(TargetFault.CRASHES):
+                await curio.spawn(self.crash, daemon=True)
+                await curio.sleep(1.0)
+            await curio.sleep(self.work_s)
+        finally:
+            self._running -= 1
+        record.ended_s = read_clock_s()
+        if self._strikes(TargetFault.LOSES_ANSWERS):
+            await sock.reset()
+            return None
+        status = 500 if self._strikes(TargetFault.FAILS) else 200
+        headers = (
+            (HEADERS.attempt_id, record.attempt_id.encode()),
+            (HEADERS.signature, f"{self.name}.{record.attempt_id}".encode()),
+            self._load(),
+        )
+        return HttpResponse(status, headers, f"{self.name} ran {record.attempt_id}".encode())
+
+    async def _write(self, sock: Any, http: h11.Connection, response: HttpResponse) -> None:
+        data = encode_response(http, response, closes=False)
+        if self._strikes(TargetFault.TRUNCATES_ANSWERS):
+            await sock.sendall(data[:-3])
+            await sock.close()
+            return
+        await sock.sendall(data)
+        if self._strikes(TargetFault.DOUBLES_ANSWERS):
+            # The extra answer arrives where the next one is expected.
+            self._extras[sock] = data
+
+    def _strikes(self, fault: TargetFault) -> bool:
+        if self.fault is not fault or self.faulty_requests <= 0:
+            return False
+        self.faulty_requests -= 1
+        return True
+
+    def _load(self) -> tuple[bytes, bytes]:
+        running = min(self._running, self.slots)
+        load = f"{running},{self._running - running},{self.slots}"
+        return (HEADERS.load, load.encode())
+
+    def _health(self) -> HttpResponse:
+        headers = (
+            (HEADERS.target, self.name.encode()),
+            (HEADERS.warmup_left_ms, str(self.warmup_left_ms).encode()),
+        )
+        return HttpResponse(200, headers)
+
+
+async def _read(sock: Any, http: h11.Connection) -> HttpRequest | None:
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = http.next_event()
+        match event:
+            case h11.NEED_DATA:
+                http.receive_data(await sock.recv(65536))
+            case h11.Request():
+                head = event
+            case h11.Data():
+                body += bytes(event.data)
+            case h11.EndOfMessage():
+                assert head is not None
+                method, target = head.method.decode(), head.target.decode()
+                return HttpRequest(method, target, tuple(head.headers), body)
+            case _:
+                return None
+
+
+async def _cancel_when_gone(sock: Any, work: Any) -> None:
+    """Cancel the work when its caller closes the connection."""
+    while await sock.recv(65536):
+        pass
+    await work.cancel()
+
+
+def _text(request: HttpRequest, name: bytes) -> str:
+    return (request.header(name) or b"").decode()
--- /dev/null
+++ b/src/siskinward/standins/memory_network.py
@@ -0,0 +1,193 @@
+"""Sockets in memory, so that runs on the paused clock repeat exactly."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from typing import Any
+
+import curio
+
+Address = tuple[str, int]
+FIRST_EPHEMERAL_PORT = 40_000
+
+
+class _Pipe:
+    """One direction of a stream."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._is_ended = False
+        self._is_reset = False
+        self._changed = curio.Event()
+
+    @property
+    def is_readable(self) -> bool:
+        """Whether a read would return at once."""
+        return bool(self._data) or self._is_ended or self._is_reset
+
+    async def read(self, size_bytes: int) -> bytes:
+        while not self.is_readable:
+            self._changed.clear()
+            await self._changed.wait()
+        if self._is_reset:
+            raise ConnectionResetError("the connection was reset")
+        data = bytes(self._data[:size_bytes])
+        del self._data[: len(data)]
+        return data
+
+    async def write(self, data: bytes) -> None:
+        if self._is_reset:
+            raise BrokenPipeError("the connection was reset")
+        if not self._is_ended:
+            self._data += data
+            await self._changed.set()
+
+    async def end(self) -> None:
+        self._is_ended = True
+        await self._changed.set()
+
+    async def reset(self) -> None:
+        self._is_reset = True
+        await self._changed.set()
+
+
+class MemorySocket:
+    """One end of a stream. ``is_silent`` loses what is sent and received from then on."""
+
+    def __init__(self, incoming: _Pipe, outgoing: _Pipe, peer: Address) -> None:
+        self._incoming = incoming
+        self._outgoing = outgoing
+        self.peer = peer
+        self.is_silent = False
+
+    async def __aenter__(self) -> MemorySocket:
+        return self
+
+    async def __aexit__(self, *args: object) -> None:
+        await self.close()
+
+    @property
+    def has_news(self) -> bool:
+        """Whether a read would return at once."""
+        return self._incoming.is_readable
+
+    def setsockopt(self, *args: object) -> None:
+        """Accept any option."""
+
+    async def recv(self, size_bytes: int) -> bytes:
+        """Read what has arrived; empty at the end of the stream."""
+        return await self._incoming.read(size_bytes)
+
+    async def sendall(self, data: bytes) -> None:
+        """Send; the other end may read at once."""
+        if not self.is_silent:
+            await self._outgoing.write(data)
+        await curio.sleep(0)
+
+    async def shutdown(self, how: int) -> None:
+        """End the own direction."""
+        if how in (socket.SHUT_WR, socket.SHUT_RDWR):
+            await self._outgoing.end()
+
+    async def close(self) -> None:
+        """End the own direction and read no more."""
+        await self._outgoing.end()
+
+    async def reset(self) -> None:
+        """Break both directions off."""
+        await self._outgoing.reset()
+        await self._incoming.reset()
+
+
+class _Listener:
+    def __init__(self, network: MemoryNetwork, address: Address) -> None:
+        self._network = network
+        self._address = address
+        self._arrivals: curio.Queue = curio.Queue()
+
+    async def __aenter__(self) -> _Listener:
+        return self
+
+    async def __aexit__(self, *args: object) -> None:
+        self._network.listeners.pop(self._address, None)
+
+    async def accept(self) -> tuple[MemorySocket, Address]:
+        arrived: tuple[MemorySocket, Address] = await self._arrivals.get()
+        return arrived
+
+    async def add(self, sock: MemorySocket) -> None:
+        await self._arrivals.put((sock, sock.peer))
+
+
+class _DatagramSocket:
+    def __init__(self, network: MemoryNetwork, address: Address) -> None:
+        self._network = network
+        self._address = address
+        self._arrivals: deque[tuple[bytes, Address]] = deque()
+        self._changed = curio.Event()
+
+    async def recvfrom(self, size_bytes: int) -> tuple[bytes, Address]:
+        while not self._arrivals:
+            self._changed.clear()
+            await self._changed.wait()
+        return self._arrivals.popleft()
+
+    async def sendto(self, data: bytes, address: Address) -> int:
+        receiver = self._network.datagrams.get(address)
+        if receiver is not None and not self._network.is_cut(self._address[0], address[0]):
+            receiver._arrivals.append((data, self._address))
+            await receiver._changed.set()
+        return len(data)
+
+    async def close(self) -> None:
+        self._network.datagrams.pop(self._address, None)
+
+
+class MemoryNetwork:
+    """All addresses of a run. Hosts in ``cut_hosts`` reach one another, and nobody else."""
+
+    def __init__(self) -> None:
+        self.listeners: dict[Address, _Listener] = {}
+        self.datagrams: dict[Address, _DatagramSocket] = {}
+        self.cut_hosts: set[str] = set()
+        self.cut_pairs: set[frozenset[str]] = set()
+        self.sockets: list[MemorySocket] = []
+        self.caller_host = "10.9.9.9"
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Whether two hosts cannot reach each other."""
+        if frozenset((one, other)) in self.cut_pairs:
+            return True
+        return (one in self.cut_hosts) != (other in self.cut_hosts)
+
+    def listen(self, host: str, port: int) -> Any:
+        """Open a listening socket."""
+        if (host, port) in self.listeners:
+            raise OSError(f"{host}:{port} is in use")
+        listener = self.listeners[(host, port)] = _Listener(self, (host, port))
+        return listener
+
+    async def connect(self, host: str, port: int) -> Any:
+        """Open a connected socket."""
+        await curio.sleep(0)
+        if host in self.cut_hosts:
+            # A host behind a partition does not answer at all.
+            await curio.sleep(3600)
+        listener = self.listeners.get((host, port))
+        if listener is None:
+            raise ConnectionRefusedError(f"nobody listens at {host}:{port}")
+        there, back = _Pipe(), _Pipe()
+        own = MemorySocket(back, there, (host, port))
+        self.sockets.append(own)
+        await listener.add(MemorySocket(there, back, (self.caller_host, 0)))
+        return own
+
+    def open_datagrams(self, host: str, port: int) -> Any:
+        """Open a socket for datagrams."""
+        sock = self.datagrams[(host, port)] = _DatagramSocket(self, (host, port))
+        return sock
+
+    def is_closed_by_peer(self, sock: Any) -> bool:
+        """Look for the end of the stream, or for bytes, without taking them."""
+        return bool(sock.has_news)
--- a/src/siskinward/transport/decision_log.py
+++ b/src/siskinward/transport/decision_log.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -20,6 +21,16 @@
     from collections.abc import Mapping
 
 
+Output = Callable[[bytes], int]
+"""Takes as many bytes as it can without waiting; raises ``BlockingIOError`` if that is none."""
+
+
+def open_output(descriptor: int) -> Output:
+    """Write to a descriptor that is never waited for."""
+    os.set_blocking(descriptor, False)
+    return lambda data: os.write(descriptor, data)
+
+
 @frozen
 class LogSettings:
     """Bounds on the volume; each kind of line has its own allowance."""
@@ -40,14 +51,13 @@
 class DecisionLog:
     """One JSON object a line: the time, the kind of decision, and its fields."""
 
-    def __init__(self, settings: LogSettings, vm: str, descriptor: int = 1) -> None:
+    def __init__(self, settings: LogSettings, vm: str, output: Output) -> None:
         self._settings = settings
         self._vm = vm
-        self._descriptor = descriptor
+        self._output = output
         self._allowances: dict[str, _Allowance] = {}
         self._buffer = bytearray()
         self.lines_left_out = 0
-        os.set_blocking(descriptor, False)
 
     def write(self, kind: str, fields: Mapping[str, Any]) -> None:
         """Write a line unless its kind has used up its allowance."""
@@ -76,10 +86,13 @@
         if not self._buffer:
             return
         try:
-            written = os.write(self._descriptor, self._buffer)
+            written = self._output(bytes(self._buffer))
         except BlockingIOError:
             # The reader is slow; what does not fit the buffer is counted as left out.
             return
+        except OSError:
+            # Nobody reads any more.
+            written = len(self._buffer)
         del self._buffer[:written]
 
     def _allowance(self, kind: str, now_s: float) -> _Allowance:
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -98,6 +98,13 @@
         for connection in list(self._connections):
             await connection.close_if_idle()
 
+    async def abort(self) -> None:
+        """Accept no more and cut off every connection."""
+        if self._accepting is not None:
+            await self._accepting.cancel()
+        for connection in list(self._connections):
+            await connection.abort()
+
     async def wait_answered(self, limit_s: float) -> bool:
         """Wait until no request is unanswered, at most ``limit_s``; True if none is."""
         deadline_s = read_clock_s() + limit_s
@@ -107,6 +114,7 @@
 
     async def _serve_connection(self, sock: Any) -> None:
         connection = _Connection(self, sock)
+        connection.task = await curio.current_task()
         self._connections.add(connection)
         try:
             async with sock:
@@ -137,6 +145,7 @@
         self._is_closing = False
         self._is_reading_request = False
         self.exchanges: set[_Exchange] = set()
+        self.task: Any = None
 
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, self._server.limits.header_limit_bytes)
@@ -163,6 +172,13 @@
         if not self.exchanges and not self._is_reading_request:
             await self._shut()
 
+    async def abort(self) -> None:
+        """Cut the connection off with everything that runs for it."""
+        for exchange in list(self.exchanges):
+            await exchange.task.cancel(blocking=False)
+        if self.task is not None:
+            await self.task.cancel(blocking=False)
+
     async def cancel_all(self) -> None:
         """Cancel what the caller no longer waits for."""
         for exchange in list(self.exchanges):
--- a/src/siskinward/transport/peer_datagrams.py
+++ b/src/siskinward/transport/peer_datagrams.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 from typing import Any
 
-import curio
-import curio.socket
+from siskinward.transport.sockets import open_datagrams
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,8 +20,7 @@
     def __init__(self, host: str, port: int) -> None:
         self._port = port
         self._host = host
-        self._socket = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind((host, port))
+        self._socket = open_datagrams(host, port)
         self.failed_sends = 0
 
     async def receive(self, on_datagram: Callable[[bytes, str], Any]) -> None:
--- a/src/siskinward/transport/sockets.py
+++ b/src/siskinward/transport/sockets.py
@@ -1,12 +1,21 @@
-"""TCP sockets by IP number, without name resolution (which curio would run in a thread)."""
+"""Sockets by IP number, without name resolution (which curio would run in a thread).
+
+``use_network`` puts another network in the system's place, so that tests run without it.
+"""
 
 from __future__ import annotations
 
 import socket
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
 from typing import Any
+from typing import Protocol
 
 import curio.socket
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 RECEIVE_SIZE_BYTES = 64 * 1024
 LISTEN_BACKLOG = 512
 # A connection that something on the way has lost track of shows itself after about 3 s.
@@ -16,13 +25,79 @@
 UNACKNOWLEDGED_LIMIT_MS = 2500
 
 
-def listen(host: str, port: int) -> Any:
-    """Open a listening curio socket; port 0 takes a free port."""
-    sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, port))
-    sock.listen(LISTEN_BACKLOG)
-    return sock
+class Network(Protocol):
+    """Opens sockets that behave like curio's."""
+
+    def listen(self, host: str, port: int) -> Any:
+        """Open a listening socket."""
+        ...
+
+    async def connect(self, host: str, port: int) -> Any:
+        """Open a connected socket."""
+        ...
+
+    def open_datagrams(self, host: str, port: int) -> Any:
+        """Open a socket for datagrams."""
+        ...
+
+    def is_closed_by_peer(self, sock: Any) -> bool:
+        """Tell whether an idle connection was closed or holds bytes."""
+        ...
+
+
+class SystemNetwork:
+    """The system's sockets."""
+
+    def listen(self, host: str, port: int) -> Any:
+        """Open a listening curio socket; port 0 takes a free port."""
+        sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(LISTEN_BACKLOG)
+        return sock
+
+    async def connect(self, host: str, port: int) -> Any:
+        """Open a connected curio socket without delayed small writes."""
+        sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            await sock.connect((host, port))
+            detect_silence(sock)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except BaseException:
+            await sock.close()
+            raise
+        return sock
+
+    def open_datagrams(self, host: str, port: int) -> Any:
+        """Open a bound curio socket for datagrams."""
+        sock = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((host, port))
+        return sock
+
+    def is_closed_by_peer(self, sock: Any) -> bool:
+        """Look for the end of the stream, or for bytes, without taking them."""
+        try:
+            sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return True
+
+
+_network: Network = SystemNetwork()
+
+
+@contextmanager
+def use_network(network: Network) -> Iterator[None]:
+    """Open all sockets in another network for the time of the block."""
+    global _network
+    previous, _network = _network, network
+    try:
+        yield
+    finally:
+        _network = previous
 
 
 def detect_silence(sock: Any) -> None:
@@ -33,26 +108,21 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
 
 
+def listen(host: str, port: int) -> Any:
+    """Open a listening socket; port 0 takes a free port."""
+    return _network.listen(host, port)
+
+
 async def connect(host: str, port: int) -> Any:
-    """Open a connected curio socket without delayed small writes."""
-    sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        await sock.connect((host, port))
-        detect_silence(sock)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    except BaseException:
-        await sock.close()
-        raise
-    return sock
+    """Open a connected socket."""
+    return await _network.connect(host, port)
+
+
+def open_datagrams(host: str, port: int) -> Any:
+    """Open a socket for datagrams."""
+    return _network.open_datagrams(host, port)
 
 
 def is_closed_by_peer(sock: Any) -> bool:
     """Tell whether an idle connection has been closed, or holds bytes that nobody asked for."""
-    try:
-        sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except (BlockingIOError, InterruptedError):
-        return False
-    except OSError:
-        return True
-    return True
+    return _network.is_closed_by_peer(sock)
--- a/src/siskinward/transport/target_pool.py
+++ b/src/siskinward/transport/target_pool.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 
 from siskinward.transport.clock import read_clock_s
+from siskinward.transport.outbound_connection import ExchangeFailedError
 from siskinward.transport.outbound_connection import OutboundConnection
 
 if TYPE_CHECKING:
@@ -49,6 +50,17 @@
             await self._keep(target, connection)
         return response
 
+    async def can_connect(self, target: TargetRecord) -> bool:
+        """Tell whether a target takes a new connection, and keep that for the next request."""
+        connection = OutboundConnection(target.host, target.port, self._echo_header)
+        self.opened_count += 1
+        try:
+            await connection.connect(self._limits.connect_timeout_s)
+        except ExchangeFailedError:
+            return False
+        await self._keep(target, connection)
+        return True
+
     async def forget(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
