Explain a request from the logs, serve metrics, and tell each send with what was believed of its target

Cause: an answered or refused request left one line without loads, ages or choices, and nothing counted retries, ages or calls by outcome. Ruled out: loading the exposition library at start (12 MB and start time); it is loaded at a scrape. A stalled reader is tested with a pipe that is never read.

--- a/src/siskinward/console/application.py
+++ b/src/siskinward/console/application.py
@@ -13,6 +13,7 @@
     "check",
     "diff",
     "drain",
+    "explain",
     "history",
     "key",
     "lookup",
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -63,6 +63,14 @@
         """Whether requests may be sent to it at all."""
         return self.record.is_ready and now_s >= self.suspended_until_s and now_s < self.lapses_at_s
 
+    def state_name(self, now_s: float) -> str:
+        """State in one word, for logs and metrics."""
+        if not self.record.is_ready:
+            return "draining"
+        if not self.is_usable(now_s):
+            return "unreachable"
+        return "cold" if self.is_cold(now_s) else "usable"
+
     @property
     def load(self) -> int:
         """Requests at the target, from all VMs, as far as known."""
--- /dev/null
+++ b/src/siskinward/daemon/entry/metrics_page.py
@@ -0,0 +1,148 @@
+"""Serves counters, histograms and ages as text."""
+
+from __future__ import annotations
+
+from math import inf
+from typing import TYPE_CHECKING
+from typing import Any
+
+from siskinward.coordination.steering.rows import StoreTable
+from siskinward.transport.clock import read_clock_s
+from siskinward.transport.http_messages import HttpResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from siskinward.daemon.entry.dispatcher import Dispatcher
+    from siskinward.daemon.entry.metrics import EntryMetrics
+    from siskinward.daemon.entry.ports import Store
+    from siskinward.daemon.entry.steering import Steering
+    from siskinward.transport.decision_log import DecisionLog
+    from siskinward.transport.front_server import Arrival
+
+PREFIX = "siskinward_entry_"
+METRICS_PATH = "/metrics"
+CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
+
+
+class MetricsPage:
+    """Collects the figures of one process when it is asked."""
+
+    def __init__(
+        self,
+        metrics: EntryMetrics,
+        steering: Steering,
+        dispatcher: Dispatcher,
+        store: Store,
+        log: DecisionLog,
+    ) -> None:
+        self._metrics = metrics
+        self._steering = steering
+        self._dispatcher = dispatcher
+        self._store = store
+        self._log = log
+
+    async def handle(self, arrival: Arrival) -> HttpResponse:
+        """Answer a scrape."""
+        if arrival.request.target.partition("?")[0] != METRICS_PATH:
+            return HttpResponse(404)
+        # Loaded here: a process that nobody scrapes starts faster and stays smaller.
+        from prometheus_client import CollectorRegistry
+        from prometheus_client import generate_latest
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return HttpResponse(200, (CONTENT_TYPE,), generate_latest(registry))
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metric families, as the library's collectors do."""
+        yield from self._counters()
+        yield self._latency()
+        yield from self._gauges(read_clock_s())
+
+    def _counters(self) -> Iterator[Any]:
+        from prometheus_client.core import CounterMetricFamily
+
+        requests = CounterMetricFamily(
+            PREFIX + "requests", "Requests by service and status.", labels=("service", "status")
+        )
+        for (service, status), count in self._metrics.requests.items():
+            requests.add_metric((service, str(status)), count)
+        yield requests
+        for name, text, counts in (
+            ("refusals", "Own answers by service and reason.", self._metrics.refusals),
+            ("retries", "Further sends by service and reason.", self._metrics.retries),
+        ):
+            family = CounterMetricFamily(PREFIX + name, text, labels=("service", "reason"))
+            for key, count in counts.items():
+                family.add_metric(key, count)
+            yield family
+        calls = CounterMetricFamily(
+            PREFIX + "store_calls", "Calls to the store.", labels=("call", "outcome")
+        )
+        for (call, outcome), count in self._store.calls.items():
+            calls.add_metric((call, outcome), count)
+        yield calls
+        yield CounterMetricFamily(
+            PREFIX + "log_lines_left_out", "Lines not logged.", value=self._log.lines_left_out
+        )
+
+    def _latency(self) -> Any:
+        from prometheus_client.core import HistogramMetricFamily
+
+        family = HistogramMetricFamily(
+            PREFIX + "latency_seconds", "Time to the answer by service.", labels=("service",)
+        )
+        for service, histogram in self._metrics.latency.items():
+            family.add_metric((service,), histogram.cumulative(), histogram.sum_s)
+        return family
+
+    def _gauges(self, now_s: float) -> Iterator[Any]:
+        from prometheus_client.core import GaugeMetricFamily
+
+        steering = self._steering
+        version = steering.index.configuration.version if steering.index else 0
+        for name, text, value in (
+            ("configuration_version", "Configuration in force.", version),
+            ("vms_live", "VMs heard lately, this one included.", len(steering.fleet.live(now_s))),
+            ("vms_counted", "VMs that limits are divided by.", steering.fleet.counted(now_s)),
+            ("requests_waiting", "Requests that wait for room.", self._dispatcher.waiting),
+        ):
+            yield GaugeMetricFamily(PREFIX + name, text, value=value)
+        ages = GaugeMetricFamily(
+            PREFIX + "table_age_seconds",
+            "Time since the store vouched for a table.",
+            labels=("table",),
+        )
+        for table in (StoreTable.OPERATOR, StoreTable.TARGETS):
+            vouched_s = steering.tables[table].vouched_s
+            if vouched_s > -inf:
+                ages.add_metric((table.value,), now_s - vouched_s)
+        yield ages
+        yield self._retry_budget(now_s)
+        yield self._targets(now_s)
+
+    def _retry_budget(self, now_s: float) -> Any:
+        from prometheus_client.core import GaugeMetricFamily
+
+        family = GaugeMetricFamily(
+            PREFIX + "retries_left", "Further sends that are allowed.", labels=("service",)
+        )
+        index = self._steering.index
+        for service in index.configuration.services if index else ():
+            family.add_metric((service,), self._steering.retries.left(service, now_s))
+        return family
+
+    def _targets(self, now_s: float) -> Any:
+        from prometheus_client.core import GaugeMetricFamily
+
+        family = GaugeMetricFamily(
+            PREFIX + "targets", "Targets by service and state.", labels=("service", "state")
+        )
+        counts: dict[tuple[str, str], int] = {}
+        for target in self._steering.targets.all():
+            state = (str(target.record.service), target.state_name(now_s))
+            counts[state] = counts.get(state, 0) + 1
+        for labels, count in counts.items():
+            family.add_metric(labels, count)
+        return family
--- a/src/siskinward/daemon/entry/ports.py
+++ b/src/siskinward/daemon/entry/ports.py
@@ -40,9 +40,12 @@
 
 
 class Store(Protocol):
-    """The platform's store. Calls raise ``SiskinwardError``; a failed write may have happened."""
+    """The platform's store. Calls raise ``SiskinwardError``; a failed write may have happened.
 
-    calls: dict[str, int]
+    ``calls`` counts them by name and outcome.
+    """
+
+    calls: dict[tuple[str, str], int]
 
     async def read_table(self, table: StoreTable) -> Snapshot:
         """Read all rows of a table."""
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -15,6 +15,8 @@
 from siskinward.daemon.entry.directory import Directory
 from siskinward.daemon.entry.dispatcher import Dispatcher
 from siskinward.daemon.entry.heartbeats import HeartbeatExchange
+from siskinward.daemon.entry.metrics import EntryMetrics
+from siskinward.daemon.entry.metrics_page import MetricsPage
 from siskinward.daemon.entry.news import StoreNews
 from siskinward.daemon.entry.replication import Replication
 from siskinward.daemon.entry.replication import ReplicationSettings
@@ -77,14 +79,17 @@
         self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id)
         self._dispatcher = Dispatcher(self._steering)
         sender = Sender(self._steering, platform.headers, self._pool)
+        metrics = EntryMetrics()
         handler = RequestHandler(
-            self._steering, platform.headers, self._dispatcher, sender, self._log
+            self._steering, platform.headers, self._dispatcher, sender, metrics, self._log
         )
+        page = MetricsPage(metrics, self._steering, self._dispatcher, self._store, self._log)
         self._probes = TargetProbes(self._steering, platform.headers, self._pool, self._log)
         directory = Directory(self._steering, platform)
         self._front = FrontServer(handler.handle)
         self._lookups = FrontServer(directory.handle_lookup)
         self._readiness = FrontServer(directory.handle_readiness)
+        self._metrics = FrontServer(page.handle)
         news = StoreNews(self._steering, platform, self._log, self._set_limits)
         self._replication = Replication(
             ReplicationSettings(), self._steering, self._store, news, self._log, self._on_change
@@ -121,7 +126,7 @@
 
     async def kill(self) -> None:
         """Stop at once, as the system would stop the process."""
-        for server in (self._front, self._lookups, self._readiness):
+        for server in (self._front, self._lookups, self._readiness, self._metrics):
             await server.abort()
         for task in self._tasks:
             await task.cancel()
@@ -136,6 +141,7 @@
             (self._front, settings.front),
             (self._lookups, settings.directory),
             (self._readiness, settings.readiness),
+            (self._metrics, settings.metrics),
         ):
             await self._spawn(server.serve, listen(address.host, address.port))
         peers = listen(settings.host, settings.peer_port)
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -4,12 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import asdict
 from attrs import define
 from attrs import field
+from attrs import frozen
 
 from siskinward.coordination.steering.crash_guard import fingerprint_of
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import PlacementRequest
+from siskinward.coordination.steering.rows import StoreTable
 from siskinward.coordination.steering.waiting import TurnedAway
 from siskinward.daemon.entry.dispatcher import Claim
 from siskinward.daemon.entry.refusals import Reason
@@ -29,8 +32,9 @@
 from siskinward.transport.http_messages import HttpResponse
 
 if TYPE_CHECKING:
-    from siskinward.coordination.steering.targets import Target
+    from siskinward.coordination.steering.placement import Placed
     from siskinward.daemon.entry.dispatcher import Dispatcher
+    from siskinward.daemon.entry.metrics import EntryMetrics
     from siskinward.daemon.entry.sender import Sender
     from siskinward.daemon.entry.sender import SendResult
     from siskinward.daemon.entry.steering import Steering
@@ -44,6 +48,21 @@
 MAX_FAILED_CONNECTS = 3
 
 
+@frozen
+class Send:
+    """One send as the log tells it: where to, what was believed of the target, what became of it.
+
+    ``choice`` is the target's place in the object's order; ``load`` counts requests there.
+    """
+
+    target: TargetName
+    choice: int
+    load: int
+    slots: int
+    outcome: str
+    took_ms: float
+
+
 @define(eq=False)
 class _Job:
     """One request on its way; the lists tell its story in the log."""
@@ -55,14 +74,14 @@
     deadline_s: float
     fingerprint: str
     tried: list[TargetName] = field(factory=list)
-    sends: list[str] = field(factory=list)
+    sends: list[Send] = field(factory=list)
     runs_possible: bool = False
     waited_s: float = 0.0
 
     @property
     def attempts(self) -> int:
         """Sends that may have reached a target."""
-        return sum(not item.endswith(SendFailure.NOT_CONNECTED.value) for item in self.sends)
+        return sum(send.outcome != SendFailure.NOT_CONNECTED.value for send in self.sends)
 
 
 @define
@@ -80,12 +99,14 @@
         headers: SteeringHeaders,
         dispatcher: Dispatcher,
         sender: Sender,
+        metrics: EntryMetrics,
         log: DecisionLog,
     ) -> None:
         self._steering = steering
         self._headers = headers
         self._dispatcher = dispatcher
         self._sender = sender
+        self._metrics = metrics
         self._log = log
 
     async def handle(self, arrival: Arrival) -> HttpResponse:
@@ -145,13 +166,13 @@
 
     async def _serve(self, job: _Job) -> HttpResponse:
         while True:
-            target = await self._take_target(job)
-            result = await self._attempt(job, target)
+            placed = await self._take_target(job)
+            result = await self._attempt(job, placed)
             response = self._conclude(job, result)
             if response is not None:
                 return response
 
-    async def _take_target(self, job: _Job) -> Target:
+    async def _take_target(self, job: _Job) -> Placed:
         claim = Claim(
             placement=self._placement_request(job),
             account=job.account.name if job.account else None,
@@ -169,7 +190,7 @@
             case TurnedAway(retry_after_s=retry_after_s):
                 raise self._give_up(job, Reason.NO_ROOM, retry_after_s)
             case placed:
-                return placed.target
+                return placed
 
     def _placement_request(self, job: _Job) -> PlacementRequest:
         route = job.route
@@ -189,7 +210,9 @@
             return job.account.priority
         return job.route.priority
 
-    async def _attempt(self, job: _Job, target: Target) -> SendResult:
+    async def _attempt(self, job: _Job, placed: Placed) -> SendResult:
+        target = placed.target
+        load, started_s = target.load, read_clock_s()
         outgoing = Outgoing(
             request=job.arrival.request,
             account=job.account.name if job.account else None,
@@ -208,14 +231,11 @@
             # A target that sheds although it has room may take the request at the next try, and
             # the object is warm there.
             job.tried.append(target.name)
-        match result:
-            case Answered(response=response):
-                job.sends.append(f"{target.name}:{response.status}")
-            case NotRun(reason=reason):
-                job.sends.append(f"{target.name}:{reason.value}")
-            case Unknown(reason=reason):
-                job.sends.append(f"{target.name}:{reason.value}")
-                job.runs_possible = True
+        job.runs_possible = job.runs_possible or isinstance(result, Unknown)
+        took_ms = round((read_clock_s() - started_s) * 1000, 1)
+        outcome = _outcome_text(result)
+        slots = target.record.slots
+        job.sends.append(Send(target.name, placed.choice, load, slots, outcome, took_ms))
         return result
 
     def _conclude(self, job: _Job, result: SendResult) -> HttpResponse | None:
@@ -248,7 +268,10 @@
         if len(job.sends) - job.attempts > MAX_FAILED_CONNECTS:
             return False
         # The first send that reaches a target is no repeat.
-        return job.attempts == 0 or self._steering.retries.try_repeat(job.service, now_s)
+        if job.attempts > 0 and not self._steering.retries.try_repeat(job.service, now_s):
+            return False
+        self._metrics.count_retry(job.service, job.sends[-1].outcome)
+        return True
 
     def _give_up(self, job: _Job, reason: Reason, retry_after_s: float) -> _Refused:
         if job.runs_possible:
@@ -257,14 +280,18 @@
             self._steering.shares.give_back(job.account)
         return _refused(reason, retry_after_s)
 
+    def _targets_vouched_s(self) -> float:
+        return self._steering.tables[StoreTable.TARGETS].vouched_s
+
     def _log_end(
         self, arrival: Arrival, job: _Job | None, status: int, reason: Reason | None
     ) -> None:
         index = self._steering.index
+        now_s = read_clock_s()
         fields: dict[str, object] = {
             "id": (arrival.request.header(self._headers.attempt_id) or b"").decode("latin-1"),
             "status": status,
-            "took_ms": round((read_clock_s() - arrival.received_s) * 1000, 1),
+            "took_ms": round((now_s - arrival.received_s) * 1000, 1),
             "configuration": index.configuration.version if index else None,
         }
         if job is not None:
@@ -273,8 +300,12 @@
             fields["service"] = job.service
             object_key = arrival.request.header(self._headers.object_key) or b""
             fields["object"] = object_key.decode("latin-1")
-            fields["sends"] = job.sends
+            fields["sends"] = [asdict(send) for send in job.sends]
             fields["waited_ms"] = round(job.waited_s * 1000, 1)
+            fields["targets_age_s"] = round(now_s - self._targets_vouched_s(), 2)
+            fields["vms_heard"] = len(self._steering.fleet.live(now_s)) - 1
+        service = job.service if job is not None else ""
+        self._metrics.count_request(service, status, reason, now_s - arrival.received_s)
         if reason is None:
             self._log.write("request-answered", fields)
         else:
@@ -282,6 +313,14 @@
             self._log.write("request-refused", fields)
 
 
+def _outcome_text(result: SendResult) -> str:
+    match result:
+        case Answered(response=response):
+            return str(response.status)
+        case NotRun(reason=reason) | Unknown(reason=reason):
+            return reason.value
+
+
 def _refused(reason: Reason, retry_after_s: float | None = None) -> _Refused:
     return _Refused(refuse(reason, retry_after_s), reason)
 
--- a/src/siskinward/platform/_settings.py
+++ b/src/siskinward/platform/_settings.py
@@ -22,6 +22,9 @@
 
 SETTINGS_VARIABLE = "SISKINWARD_BOOT"
 
+# As ``deploy/system.toml`` names it.
+METRICS_PORT = 9464
+
 # Our field of each bound, and whether the platform writes it as a time.
 BOUND_FIELDS = {
     "contact": ("touch_s", True),
@@ -65,6 +68,7 @@
         front=_decode_listen(listen, "front"),
         readiness=_decode_listen(listen, "ready"),
         directory=_decode_listen(listen, "directory"),
+        metrics=ListenAddress(read_text(document, "ip", "settings"), METRICS_PORT),
         peer_port=int(ports[0]),
         store=ListenAddress(*read_address(store.get("address"), "settings.platform.address")),
         domain_regions={
--- a/src/siskinward/platform/_store.py
+++ b/src/siskinward/platform/_store.py
@@ -47,7 +47,7 @@
     def __init__(self, address: ListenAddress) -> None:
         self._address = address
         self._idle: list[OutboundConnection] = []
-        self.calls: dict[str, int] = {}
+        self.calls: dict[tuple[str, str], int] = {}
 
     async def read_table(self, table: StoreTable) -> Snapshot:
         """Read all rows of a table; raises ``StoreError``."""
@@ -108,16 +108,21 @@
         return ((b"host", f"{self._address.host}:{self._address.port}".encode()),)
 
     async def _exchange(self, call: str, request: HttpRequest, timeout_s: float) -> HttpResponse:
-        self.calls[call] = self.calls.get(call, 0) + 1
         try:
             connection = await self._take()
             response = await connection.exchange(request, timeout_s)
         except ExchangeFailedError as error:
+            self._count(call, error.phase.value)
             raise StoreError(call, error.detail) from error
+        self._count(call, str(response.status))
         if connection.is_open:
             self._idle.append(connection)
         return response
 
+    def _count(self, call: str, outcome: str) -> None:
+        key = (call, outcome)
+        self.calls[key] = self.calls.get(key, 0) + 1
+
     async def _take(self) -> OutboundConnection:
         while self._idle:
             connection = self._idle.pop()
--- a/src/siskinward/state/serving/_settings.py
+++ b/src/siskinward/state/serving/_settings.py
@@ -55,6 +55,7 @@
     front: ListenAddress
     readiness: ListenAddress
     directory: ListenAddress
+    metrics: ListenAddress
     peer_port: int
     store: ListenAddress
     domain_regions: dict[DomainName, RegionName]
--- /dev/null
+++ b/tests/console/test_explain.py
@@ -0,0 +1,81 @@
+"""``siskinward explain`` on logs of a whole deployment in memory."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+import pytest
+from click.testing import CliRunner
+
+from siskinward.console.application import main
+from siskinward.platform.standins import Site
+from siskinward.platform.standins import SiteSettings
+from siskinward.platform.standins import TargetFault
+from siskinward.standins.memory_network import MemoryNetwork
+from siskinward.transport.sockets import use_network
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+VM = "vm-bud-a-0"
+
+
+async def play() -> bytes:
+    site = Site(SiteSettings())
+    await site.start()
+    for target in site.targets.values():
+        if target.service == "bookings":
+            target.fault = TargetFault.LOSES_ANSWERS
+    await site.call(VM, "/listings/1")
+    await site.call(VM, "/bookings/1")
+    await site.call(VM, "/bookings/2", key="stolen")
+    await curio.sleep(1.0)
+    lines = bytes(site.logs[VM])
+    await site.stop()
+    return lines
+
+
+@pytest.fixture
+def log(paused_kernel: Any, tmp_path: Path) -> str:
+    with use_network(MemoryNetwork()):
+        lines = paused_kernel.run(play)
+    path = tmp_path / "vm.log"
+    prefixed = [b"  12.3456 vm-bud-a-0 " + line for line in lines.splitlines()]
+    path.write_bytes(b"\n".join([*prefixed, b"not ours", b'{"at_s":1,"vm"']))
+    return str(path)
+
+
+def test_explain_tells_each_send_and_the_ending(log: str) -> None:
+    result = CliRunner().invoke(main, ["explain", "attempt-0002", log])
+    assert result.exit_code == 0
+    assert "request attempt-0002 at vm-bud-a-0" in result.output
+    assert "send 1: bookings-" in result.output
+    assert "target-lost" in result.output
+    assert "answered 502: outcome-unknown" in result.output
+    assert "before it: configuration" in result.output
+
+
+def test_explain_lists_the_requests_of_a_reason(log: str) -> None:
+    result = CliRunner().invoke(main, ["explain", "--why", "key-unknown", log])
+    assert result.exit_code == 0
+    assert "attempt-0003" in result.output
+    assert "attempt-0002" not in result.output
+
+
+def test_explain_names_the_known_reasons_for_an_unknown_one(log: str) -> None:
+    result = CliRunner().invoke(main, ["explain", "--why", "moonshine", log])
+    assert result.exit_code == 1
+    assert "key-unknown, outcome-unknown" in result.output
+
+
+def test_explain_says_that_an_id_is_unknown_and_counts_cut_lines(log: str) -> None:
+    result = CliRunner().invoke(main, ["explain", "attempt-9999", log])
+    assert result.exit_code == 1
+    assert "no line on request 'attempt-9999'" in result.output
+    assert "1 lines could not be read" in result.output
+
+
+def test_explain_without_a_log_is_wrong_usage() -> None:
+    assert CliRunner().invoke(main, ["explain", "attempt-0001"]).exit_code == 2
--- /dev/null
+++ b/tests/platform/test_recovery.py
@@ -0,0 +1,302 @@
+"""Changes and faults around entry VMs on the stand-in of the users' platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+import pytest
+
+from siskinward.platform.standins import SiteSettings
+from siskinward.platform.standins import StoreFault
+from siskinward.platform.standins import TargetStandIn
+from siskinward.transport.clock import read_clock_s
+
+if TYPE_CHECKING:
+    from siskinward.platform.standins import Site
+    from siskinward.standins.memory_network import MemoryNetwork
+
+VM = "vm-bud-a-0"
+CONFIGURATION_BOUND_S = 2.0
+DRAIN_BOUND_S = 2.0
+EVACUATION_BOUND_S = 5.0
+NAMED_DEAD_BOUND_S = 6.0
+
+
+def runs_after(targets: list[TargetStandIn], since_s: float) -> int:
+    return sum(run.started_s > since_s for target in targets for run in target.runs)
+
+
+async def call_all(site: Site, rounds: int, path: str = "/listings/{}") -> list[int]:
+    """Call every VM for many objects, so that every target would be used."""
+    statuses = []
+    for number in range(rounds):
+        for vm in site.vms:
+            statuses.append((await site.call(vm, path.format(number))).status)
+    return statuses
+
+
+def test_new_configuration_is_in_force_on_every_vm_in_time(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        site.configuration.spec("routes", "r-listings")["prefix"] = "/moved/"
+        await site.publish()
+        await curio.sleep(CONFIGURATION_BOUND_S)
+        assert set(await call_all(site, 1, "/moved/{}")) == {200}
+        assert set(await call_all(site, 1)) == {404}
+
+    run_site(scenario)
+
+
+def test_withdrawn_key_stops_on_every_vm_in_time(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        site.configuration.spec("tenants", "account-1")["api_keys"] = ["spare-key-1"]
+        await site.publish()
+        await curio.sleep(CONFIGURATION_BOUND_S)
+        for vm in site.vms:
+            assert (await site.call(vm)).status == 401
+            assert (await site.call(vm, key="spare-key-1")).status == 200
+
+    run_site(scenario)
+
+
+def test_older_configuration_is_never_adopted(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        old = site.configuration.encode()
+        site.configuration.spec("routes", "r-listings")["prefix"] = "/moved/"
+        await site.publish()
+        await curio.sleep(1.0)
+        await site.store.put("op", "config", old)
+        await curio.sleep(2.0)
+        assert set(await call_all(site, 1, "/moved/{}")) == {200}
+
+    run_site(scenario)
+
+
+@pytest.mark.parametrize("state", ["draining", None])
+def test_leaving_target_gets_no_new_request_in_time(run_site: Any, state: str | None) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        leaving = site.targets["listings-bud-a-0"]
+        assert set(await call_all(site, 10)) == {200}
+        assert leaving.runs
+        if state is None:
+            await site.store.put("servers", leaving.name, None)
+        else:
+            await site.report(leaving, state)
+        await curio.sleep(DRAIN_BOUND_S)
+        since_s = read_clock_s()
+        assert set(await call_all(site, 10)) == {200}
+        assert runs_after([leaving], since_s) == 0
+
+    run_site(scenario)
+
+
+def test_evacuated_failure_domain_gets_nothing_until_taken_back(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        inside = [target for target in site.targets.values() if target.zone == "bud-a"]
+        await site.store.put("op", "evacuate/bud-a", b"{}")
+        await curio.sleep(EVACUATION_BOUND_S)
+        since_s = read_clock_s()
+        assert set(await call_all(site, 10)) == {200}
+        assert runs_after(inside, since_s) == 0
+        await site.store.put("op", "evacuate/bud-a", None)
+        await curio.sleep(8.0)
+        await call_all(site, 10)
+        assert runs_after(inside, since_s) > 0
+
+    run_site(scenario)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.SILENT])
+def test_vms_serve_on_while_the_store_is_away(run_site: Any, fault: StoreFault) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        site.store.fault = fault
+        await curio.sleep(20.0)
+        assert set(await call_all(site, 3)) == {200}
+        site.store.fault = StoreFault.NONE
+        site.configuration.spec("routes", "r-listings")["prefix"] = "/moved/"
+        await site.publish()
+        await curio.sleep(4.0)
+        assert set(await call_all(site, 1, "/moved/{}")) == {200}
+
+    run_site(scenario)
+
+
+def test_entry_that_lapsed_with_the_store_may_come_back(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        site.store.fault = StoreFault.SILENT
+        await curio.sleep(5.0)
+        for name in site.targets:
+            await site.store.put("servers", name, None)
+        site.store.fault = StoreFault.NONE
+        await curio.sleep(1.5)
+        assert set(await call_all(site, 1)) == {200}
+        back = site.targets["listings-bud-a-0"]
+        await site.report(back)
+        await curio.sleep(4.0)
+        since_s = read_clock_s()
+        assert set(await call_all(site, 5)) == {200}
+        gone = [target for target in site.targets.values() if target is not back]
+        assert runs_after(gone, since_s) == 0
+
+    run_site(scenario)
+
+
+def test_dropped_history_is_made_up_for_by_a_full_read(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        site.store.fault = StoreFault.BUSY
+        leaving = site.targets["listings-deb-a-1"]
+        await site.report(leaving, "draining")
+        site.store.drop_history()
+        site.store.fault = StoreFault.NONE
+        await curio.sleep(DRAIN_BOUND_S)
+        since_s = read_clock_s()
+        assert set(await call_all(site, 10)) == {200}
+        assert runs_after([leaving], since_s) == 0
+
+    run_site(scenario)
+
+
+def test_vm_cut_off_from_all_serves_on_what_it_knows(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        network.cut_hosts = {site.vms[VM].steering.entry.host}
+        await curio.sleep(10.0)
+        network.caller_host = site.vms[VM].steering.entry.host
+        fleet = site.vms[VM].steering.fleet
+        assert fleet.live(read_clock_s()) == [fleet.own]
+        assert fleet.counted(read_clock_s()) == 4
+        network.cut_hosts = set()
+        await curio.sleep(2.0)
+        assert len(fleet.live(read_clock_s())) == 4
+        assert (await site.call(VM)).status == 200
+
+    run_site(scenario)
+
+
+def test_few_vms_read_the_store(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        await curio.sleep(5.0)
+        before = sum(site.store.calls.values())
+        await curio.sleep(30.0)
+        # Two readers of two tables, once a second each.
+        assert sum(site.store.calls.values()) - before <= 2 * 2 * 30 * 1.1
+
+    run_site(scenario, SiteSettings(vms_per_zone=6))
+
+
+def test_killed_vm_is_no_longer_named(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        dead = site.vms["vm-bud-a-1"]
+        address = f"{dead.steering.entry.host}:8206"
+        assert address in await site.look_up(VM, "bud-a")
+        await dead.kill()
+        del site.vms["vm-bud-a-1"]
+        await curio.sleep(NAMED_DEAD_BOUND_S)
+        for vm in site.vms:
+            assert address not in await site.look_up(vm, "bud-a")
+
+    run_site(scenario)
+
+
+def test_lookup_names_the_callers_region_and_others_if_it_is_lost(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        named = await site.look_up("vm-deb-a-0", "bud-a")
+        assert all(address.startswith("10.1.0.") for address in named)
+        for name in ("vm-bud-a-0", "vm-bud-a-1"):
+            await site.vms.pop(name).kill()
+        await curio.sleep(NAMED_DEAD_BOUND_S)
+        named = await site.look_up("vm-deb-a-0", "bud-a")
+        assert named and all(address.startswith("10.2.0.") for address in named)
+
+    run_site(scenario)
+
+
+def test_leaving_vm_answers_what_it_has_read(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        for target in site.targets.values():
+            target.work_s = 1.5
+        calls = [await curio.spawn(site.call, VM, f"/listings/{i}") for i in range(4)]
+        await curio.sleep(0.1)
+        leaving = await curio.spawn(site.vms[VM].leave)
+        statuses = [(await call.join()).status for call in calls]
+        assert statuses == [200] * 4
+        await leaving.join()
+        address = f"{site.vms[VM].steering.entry.host}:8206"
+        assert address not in await site.look_up("vm-bud-a-1", "bud-a")
+
+    run_site(scenario)
+
+
+def test_all_vms_killed_serve_again(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        for vm in list(site.vms):
+            await site.restart_vm(vm)
+        await curio.sleep(2.0)
+        assert set(await call_all(site, 3)) == {200}
+
+    run_site(scenario)
+
+
+def test_address_that_another_target_took_over_runs_nothing_for_the_old_one(
+    run_site: Any,
+) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        old = site.targets["listings-bud-a-0"]
+        await old.crash()
+        successor = TargetStandIn("other", "bookings", old.host, old.port, old.zone)
+        await successor.start()
+        assert set(await call_all(site, 10)) <= {200, 503}
+        await curio.sleep(2.0)
+        assert set(await call_all(site, 10)) == {200}
+        assert not successor.runs
+        await successor.crash()
+
+    run_site(scenario)
+
+
+def test_cold_target_gets_no_more_than_it_bears(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        cold = site.targets["listings-bud-a-0"]
+        cold.warmup_left_ms = 3000
+        await site.report(cold)
+        await curio.sleep(0.6)
+        since_s = read_clock_s()
+        for number in range(40):
+            for vm in site.vms:
+                await site.call(vm, f"/listings/{number}")
+            if read_clock_s() - since_s > 2.0:
+                break
+        starts = sorted(run.started_s for run in cold.runs if run.started_s >= since_s)
+        most = max((sum(s <= t < s + 1.0 for t in starts) for s in starts), default=0)
+        assert most <= 4.0 * 1.5 + 5
+
+    run_site(scenario)
+
+
+def test_target_started_again_under_its_name_is_probed_before_it_is_used(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        target = site.targets["listings-bud-a-0"]
+        await target.crash()
+        await call_all(site, 10)
+        target.warmup_left_ms = 3000
+        await target.start()
+        await curio.sleep(2.5)
+        assert target.probes >= 1
+        known = site.vms[VM].steering.targets.get(target.name)  # type: ignore[arg-type]
+        assert known is not None
+        assert not known.needs_probe
+        assert known.is_cold(read_clock_s())
+
+    run_site(scenario)
+
+
+def test_unreadable_entry_names_no_target_and_spoils_no_other(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        for key, value in (("x-1", b"\xff"), ("x-2", b"{}"), ("x-3", b'{"address": 7}')):
+            await site.store.put("servers", key, value)
+        await curio.sleep(1.0)
+        assert set(await call_all(site, 3)) == {200}
+        kinds = [line["kind"] for line in site.lines(VM)]
+        assert "row-unreadable" in kinds
+
+    run_site(scenario)
--- /dev/null
+++ b/tests/transport/test_decision_log.py
@@ -0,0 +1,57 @@
+"""The decision log's bounds, and a reader that stalls."""
+
+from __future__ import annotations
+
+import json
+import os
+
+from siskinward.transport.decision_log import DecisionLog
+from siskinward.transport.decision_log import LogSettings
+from siskinward.transport.decision_log import open_output
+
+
+def test_log_kind_beyond_its_allowance_is_left_out_and_counted() -> None:
+    written = bytearray()
+
+    def take(data: bytes) -> int:
+        written.extend(data)
+        return len(data)
+
+    log = DecisionLog(LogSettings(lines_per_s=0.0, burst_lines=3), "vm-1", take)
+    for number in range(10):
+        log.write("request-answered", {"id": number})
+    log.write("request-refused", {"id": "kept"})
+    log.flush()
+    lines = [json.loads(line) for line in written.splitlines()]
+    assert [line["id"] for line in lines] == [0, 1, 2, "kept"]
+    assert log.lines_left_out == 7
+
+
+def test_log_reader_that_stalls_never_blocks_the_process() -> None:
+    reader, writer = os.pipe()
+    settings = LogSettings(lines_per_s=1e9, burst_lines=1e9, buffer_limit_bytes=100_000)
+    log = DecisionLog(settings, "vm-1", open_output(writer))
+    for number in range(20_000):
+        log.write("request-answered", {"id": number, "filler": "x" * 50})
+        log.flush()
+    assert log.lines_left_out > 0
+    os.close(reader)
+    log.flush()
+    os.close(writer)
+
+
+def test_log_writes_on_when_the_reader_goes_on() -> None:
+    reader, writer = os.pipe()
+    settings = LogSettings(lines_per_s=1e9, burst_lines=1e9, buffer_limit_bytes=1 << 20)
+    log = DecisionLog(settings, "vm-1", open_output(writer))
+    read = b""
+    for number in range(2000):
+        log.write("request-answered", {"id": number, "filler": "x" * 50})
+    for _ in range(200):
+        log.flush()
+        read += os.read(reader, 65536)
+        if read.count(b"\n") == 2000:
+            break
+    assert [json.loads(line)["id"] for line in read.splitlines()] == list(range(2000))
+    os.close(reader)
+    os.close(writer)
