--- /dev/null
+++ b/tests/coordination/steering/load_model.py
@@ -0,0 +1,232 @@
+"""Replays arrivals of the users' high loads against the placement decisions alone.
+
+Targets keep the objects that they handled lately and run those in a third of the time; requests for
+an object come from one region. Several VMs decide, each knowing the others' counts late.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import OrderedDict
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+from attrs import frozen
+from steering_fixtures import SERVICE
+from steering_fixtures import fleet_of
+from steering_fixtures import target_record
+
+from siskinward.coordination.steering.placement import Placed
+from siskinward.coordination.steering.placement import Placement
+from siskinward.coordination.steering.placement import PlacementRequest
+from siskinward.coordination.steering.placement import PlacementSettings
+from siskinward.coordination.steering.targets import TargetSettings
+from siskinward.coordination.steering.targets import TargetTable
+from siskinward.coordination.steering.warmup import WarmupGate
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import RegionName
+from siskinward.state.identifiers import TargetName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinward.coordination.steering.targets import Target
+
+
+@frozen
+class LoadSettings:
+    """One service's load: ``targets`` by region, each with ``slots``."""
+
+    targets: dict[str, int]
+    rate_per_s: float
+    duration_s: float = 30.0
+    slots: int = 3
+    objects_per_region: int = 24
+    kept_objects: int = 25
+    cold_s: float = 0.64
+    warm_s: float = 0.192
+    objective_s: float = 0.38
+    vms_per_region: int = 3
+    heartbeat_s: float = 0.2
+    wait_limit_s: float = 0.16
+    seed: int = 7
+
+
+@define
+class LoadResult:
+    """How the requests ended."""
+
+    in_time: int = 0
+    late: int = 0
+    rejected: int = 0
+    cold_runs: int = 0
+
+    @property
+    def credit(self) -> float:
+        """Share of the credit earned, a late answer counting a fifth."""
+        total = self.in_time + self.late + self.rejected
+        return (self.in_time + 0.2 * self.late) / total
+
+
+@define
+class _ModelTarget:
+    slots: int
+    kept: int
+    running: int = 0
+    queue: list[tuple[float, str, int]] = field(factory=list)
+    warm: OrderedDict[str, None] = field(factory=OrderedDict)
+
+    def handle(self, object_key: str) -> bool:
+        """Note an object; True if it was warm."""
+        was_warm = object_key in self.warm
+        self.warm[object_key] = None
+        self.warm.move_to_end(object_key)
+        if len(self.warm) > self.kept:
+            self.warm.popitem(last=False)
+        return was_warm
+
+
+def choose_placement(
+    placement: Placement, table: TargetTable, request: PlacementRequest, now_s: float
+) -> Target | None:
+    """The decision under test."""
+    choice = placement.choose(request, now_s)
+    return choice.target if isinstance(choice, Placed) else None
+
+
+def choose_randomly(random: Random) -> Callable[..., Target | None]:
+    """Any target with room."""
+
+    def choose(
+        placement: Placement, table: TargetTable, request: PlacementRequest, now_s: float
+    ) -> Target | None:
+        free = [item for item in table.usable(SERVICE, now_s) if item.load < item.record.slots]
+        return random.choice(free) if free else None
+
+    return choose
+
+
+class LoadModel:
+    """Runs one load to its end."""
+
+    def __init__(
+        self,
+        settings: LoadSettings,
+        choose: Callable[..., Target | None],
+        placement: PlacementSettings | None = None,
+    ) -> None:
+        self._settings = settings
+        self._choose = choose
+        self._random = Random(settings.seed)
+        self._regions = list(settings.targets)
+        self._targets: dict[TargetName, _ModelTarget] = {}
+        self._tables: list[TargetTable] = []
+        self._placements: list[Placement] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self.now_s = 0.0
+        self.result = LoadResult()
+        for vm in range(settings.vms_per_region * len(self._regions)):
+            self._add_vm(vm, placement or PlacementSettings())
+
+    def run(self) -> LoadResult:
+        """Play all arrivals and let every request end."""
+        self._at(0.0, self._arrive)
+        self._at(0.0, self._exchange)
+        while self._events:
+            self.now_s, _, event = heapq.heappop(self._events)
+            event()
+        return self.result
+
+    def _add_vm(self, vm: int, placement: PlacementSettings) -> None:
+        regions = {DomainName(f"{name}-1"): RegionName(name) for name in self._regions}
+        table = TargetTable(TargetSettings(), regions)
+        for region, count in self._settings.targets.items():
+            for index in range(count):
+                name = f"{region}-{index}"
+                domain = DomainName(f"{region}-1")
+                slots = self._settings.slots
+                table.put(target_record(name, failure_domain=domain, slots=slots), 0.0)
+                model = _ModelTarget(slots, self._settings.kept_objects)
+                self._targets.setdefault(TargetName(name), model)
+        region = RegionName(self._regions[vm % len(self._regions)])
+        fleet = fleet_of(len(self._regions) * self._settings.vms_per_region, own=vm)
+        self._tables.append(table)
+        self._placements.append(
+            Placement(
+                placement,
+                region,
+                frozenset(regions.values()),
+                table,
+                WarmupGate(fleet),
+                self._random,
+            )
+        )
+
+    def _at(self, time_s: float, event: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (time_s, self._count, event))
+
+    def _arrive(self) -> None:
+        if self.now_s > self._settings.duration_s:
+            return
+        self._at(self.now_s + self._random.expovariate(self._settings.rate_per_s), self._arrive)
+        vm = self._random.randrange(len(self._tables))
+        number = self._random.randrange(self._settings.objects_per_region)
+        object_key = f"{self._regions[vm % len(self._regions)]}/{number}"
+        self._try(vm, object_key, self.now_s)
+
+    def _try(self, vm: int, object_key: str, arrived_s: float) -> None:
+        request = PlacementRequest(SERVICE, object_key, frozenset())
+        target = self._choose(self._placements[vm], self._tables[vm], request, self.now_s)
+        if target is not None:
+            target.in_flight += 1
+            self._send(vm, target, object_key, arrived_s)
+        elif self.now_s - arrived_s < self._settings.wait_limit_s:
+            self._at(self.now_s + 0.02, lambda: self._try(vm, object_key, arrived_s))
+        else:
+            self.result.rejected += 1
+
+    def _send(self, vm: int, target: Target, object_key: str, arrived_s: float) -> None:
+        model = self._targets[target.name]
+        if model.running < model.slots:
+            self._start(vm, target, object_key, arrived_s)
+        else:
+            model.queue.append((arrived_s, object_key, vm))
+
+    def _start(self, vm: int, target: Target, object_key: str, arrived_s: float) -> None:
+        model = self._targets[target.name]
+        model.running += 1
+        is_warm = model.handle(object_key)
+        self.result.cold_runs += not is_warm
+        mean_s = self._settings.warm_s if is_warm else self._settings.cold_s
+        took_s = mean_s * self._random.uniform(0.85, 1.15)
+        self._at(self.now_s + took_s, lambda: self._end(vm, target, arrived_s))
+
+    def _end(self, vm: int, target: Target, arrived_s: float) -> None:
+        model = self._targets[target.name]
+        model.running -= 1
+        target.in_flight -= 1
+        if self.now_s - arrived_s <= self._settings.objective_s:
+            self.result.in_time += 1
+        else:
+            self.result.late += 1
+        if model.queue:
+            waiting_s, object_key, other = model.queue.pop(0)
+            waiting = self._tables[other].get(target.name)
+            assert waiting is not None
+            self._start(other, waiting, object_key, waiting_s)
+
+    def _exchange(self) -> None:
+        """Let every VM know the others' counts, as heartbeats do."""
+        if self.now_s > self._settings.duration_s + 10.0:
+            return
+        self._at(self.now_s + self._settings.heartbeat_s, self._exchange)
+        for name in self._targets:
+            known = [table.get(name) for table in self._tables]
+            total = sum(target.in_flight for target in known if target)
+            for target in known:
+                if target:
+                    target.elsewhere = total - target.in_flight
