Send short load reports between heartbeats, and fewer of them to other regions

Cause: nearly all bytes between regions were heartbeats: 330 bytes to each VM, five times a second. Ruled out: fewer heartbeats (counts at targets would be older where requests spill). Demand of accounts now travels once a second, and fractions follow what was sent.

--- a/src/siskinward/coordination/steering/account_shares.py
+++ b/src/siskinward/coordination/steering/account_shares.py
@@ -19,6 +19,9 @@
     from siskinward.state.serving import ServingBounds
 
 
+NEGLIGIBLE_PER_S = 0.01
+
+
 @frozen
 class ShareSettings:
     """``equal_part`` of a limit is divided equally; the rest follows demand.
@@ -60,20 +63,12 @@
         self._published_per_s: dict[AccountName, float] = {}
         self._measured_at_s: float | None = None
 
-    @property
-    def demand_per_s(self) -> dict[AccountName, float]:
-        """Requests of each account at this VM, lately."""
-        return self._demand_per_s
-
     def measure(self, now_s: float) -> None:
         """Update demand and fractions; call it about once a heartbeat."""
         previous_s, self._measured_at_s = self._measured_at_s, now_s
         if previous_s is None or now_s <= previous_s:
             return
         elapsed_s = now_s - previous_s
-        # The others know this VM's demand as of the last heartbeat; dividing by a newer figure
-        # here would give more than the whole away while demand grows.
-        self._published_per_s = dict(self._demand_per_s)
         blend = min(1.0, elapsed_s / self._settings.demand_window_s)
         for account in set(self._arrivals) | set(self._demand_per_s):
             seen_per_s = self._arrivals.get(account, 0.0) / elapsed_s
@@ -85,6 +80,19 @@
         for account, bucket in self._buckets.items():
             bucket.fraction = self._fraction(account, now_s)
 
+    def publish(self) -> dict[AccountName, float]:
+        """Demand as told to the other VMs.
+
+        Fractions follow what was published last: dividing by a newer figure here than the others
+        know would give more than the whole away while demand grows.
+        """
+        self._published_per_s = {
+            name: round(rate, 2)
+            for name, rate in self._demand_per_s.items()
+            if rate > NEGLIGIBLE_PER_S
+        }
+        return self._published_per_s
+
     def try_take(self, account: AccountPolicy, now_s: float) -> bool:
         """Take one request's token; False if the account is over its limit here."""
         if account.rate_per_s <= 0:
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import define
+from attrs import evolve
 from attrs import field
 from attrs import frozen
 
@@ -14,7 +15,6 @@
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
 from siskinward.state.identifiers import RegionName
-from siskinward.state.identifiers import TargetName
 from siskinward.state.identifiers import VmName
 
 if TYPE_CHECKING:
@@ -47,8 +47,9 @@
     """What a VM tells all others.
 
     ``positions`` says up to where it knows each table, and ``ages_s`` how long ago the store
-    vouched for that. ``in_flight`` counts its requests at targets, ``demand_per_s`` the requests
-    of client accounts, and ``crashers`` are fingerprints of requests that crash targets.
+    vouched for that. ``in_flight`` counts its requests at targets by their ``short_id``,
+    ``demand_per_s`` the requests of client accounts, and ``crashers`` are fingerprints of requests
+    that crash targets.
     """
 
     sender: EntryVm
@@ -56,14 +57,28 @@
     state: VmState
     positions: dict[str, int] = field(factory=dict)
     ages_s: dict[str, float] = field(factory=dict)
-    in_flight: dict[TargetName, int] = field(factory=dict)
+    in_flight: dict[int, int] = field(factory=dict)
     demand_per_s: dict[AccountName, float] = field(factory=dict)
     crashers: dict[str, int] = field(factory=dict)
 
 
+@frozen
+class LoadReport:
+    """What changes from one heartbeat to the next, sent between them."""
+
+    incarnation: IncarnationId
+    number: int
+    positions: dict[str, int] = field(factory=dict)
+    ages_s: dict[str, float] = field(factory=dict)
+    in_flight: dict[int, int] = field(factory=dict)
+
+
 @frozen
 class FleetSettings:
-    """Pace of heartbeats.
+    """Pace of heartbeats, and of the load reports between them.
+
+    A whole heartbeat is every ``reports_per_heartbeat``-th message; VMs of other regions get every
+    ``far_reports``-th report.
 
     Each VM sends to all others, so the interval grows with their number beyond
     ``full_pace_vms``. A VM that the store names or that was heard before, and is silent, keeps its
@@ -72,6 +87,8 @@
     """
 
     interval_s: float = 0.2
+    reports_per_heartbeat: int = 5
+    far_reports: int = 2
     full_pace_vms: int = 12
     max_interval_s: float = 1.0
     missed_heartbeats: float = 5.0
@@ -95,22 +112,22 @@
         self.own = own
         self.state = VmState.STARTING
         self._assumed = domains * settings.unknown_vms_per_domain
-        self._settings = settings
+        self.settings = settings
         self._peers: dict[VmName, _Peer] = {}
         self._left: set[IncarnationId] = set()
 
     @property
     def interval_s(self) -> float:
         """Time between two heartbeats to the same VM."""
-        settings = self._settings
+        settings = self.settings
         scale = (len(self._peers) + 1) / settings.full_pace_vms
         return min(settings.max_interval_s, settings.interval_s * max(1.0, scale))
 
     @property
     def timeout_s(self) -> float:
         """Silence after which a VM is not taken for alive."""
-        silence_s = self._settings.missed_heartbeats * self.interval_s
-        return max(self._settings.min_timeout_s, silence_s)
+        silence_s = self.settings.missed_heartbeats * self.interval_s
+        return max(self.settings.min_timeout_s, silence_s)
 
     def learn(self, vms: Iterable[EntryVm], now_s: float) -> None:
         """Note VMs that the store names; they count as alive once they are heard."""
@@ -137,6 +154,26 @@
         peer.last_heard_s = now_s
         return is_news
 
+    def on_report(self, report: LoadReport, now_s: float) -> Heartbeat | None:
+        """Take a load report in; returns the sender's heartbeat brought up to date.
+
+        None if the sender has not introduced itself by a heartbeat, or the report is old.
+        """
+        peer = next(
+            (p for p in self._peers.values() if p.identity.incarnation == report.incarnation), None
+        )
+        if peer is None or peer.heartbeat is None or report.number <= peer.heartbeat.number:
+            return None
+        peer.heartbeat = evolve(
+            peer.heartbeat,
+            number=report.number,
+            positions=report.positions,
+            ages_s=report.ages_s,
+            in_flight=report.in_flight,
+        )
+        peer.last_heard_s = now_s
+        return peer.heartbeat
+
     def forget(self, vm: EntryVm) -> None:
         """Drop a VM that has left for good, by its own word."""
         self._left.add(vm.incarnation)
@@ -180,7 +217,7 @@
         has_left = peer.heartbeat is not None and peer.heartbeat.state is VmState.LEAVING
         if has_left and now_s - peer.last_heard_s > self.timeout_s:
             return False
-        return now_s - max(peer.last_heard_s, peer.named_s) < self._settings.reserve_s
+        return now_s - max(peer.last_heard_s, peer.named_s) < self.settings.reserve_s
 
     def _heard(self, now_s: float) -> Iterator[_Peer]:
         timeout_s = self.timeout_s
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -2,27 +2,33 @@
 
 from __future__ import annotations
 
+from itertools import count
 from math import inf
 from typing import TYPE_CHECKING
 
 import curio
 
 from siskinward.coordination.steering.fleet import Heartbeat
+from siskinward.coordination.steering.fleet import LoadReport
+from siskinward.coordination.steering.hashing import short_id
 from siskinward.daemon.entry.replication import FOLLOWED_TABLES
 from siskinward.protocol.heartbeats import PeerMessageError
-from siskinward.protocol.heartbeats import decode_heartbeat
+from siskinward.protocol.heartbeats import decode_datagram
 from siskinward.protocol.heartbeats import encode_heartbeat
+from siskinward.protocol.heartbeats import encode_report
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from siskinward.coordination.steering.rows import TableCopy
     from siskinward.daemon.entry.steering import Steering
     from siskinward.transport.decision_log import DecisionLog
     from siskinward.transport.peer_datagrams import PeerDatagrams
 
 UNKNOWN_AGE_S = 1e6
+INTRODUCTION_HEARTBEATS = 10
 
 
 class HeartbeatExchange:
@@ -43,63 +49,111 @@
 
     async def send_periodically(self, after_each: Callable[[], Awaitable[None]]) -> None:
         """Send heartbeats until cancelled."""
-        while True:
+        for step in count():
             now_s = read_clock_s()
             self._steering.shares.measure(now_s)
             self._steering.targets.drop_lapsed(now_s)
             self._count_elsewhere(now_s)
-            await self.send()
+            if self._is_heartbeat_due(step, now_s):
+                await self.send()
+            else:
+                await self._send_report(step)
             await after_each()
             await curio.sleep(self._steering.fleet.interval_s)
 
     async def send(self) -> None:
-        """Send one heartbeat now."""
-        fleet = self._steering.fleet
-        hosts = {peer.host for peer in fleet.all_peers()}
+        """Send a whole heartbeat to all others now."""
+        hosts = {peer.host for peer in self._steering.fleet.all_peers()}
         hosts.update(self._steering.entry.peer_seeds)
         await self._datagrams.send(encode_heartbeat(self._create(read_clock_s())), hosts)
 
+    async def _send_report(self, step: int) -> None:
+        """Send what has changed to the VMs of the own region, and at times to the others."""
+        fleet = self._steering.fleet
+        is_far_turn = step % fleet.settings.far_reports == 0
+        hosts = [
+            peer.host
+            for peer in fleet.all_peers()
+            if is_far_turn or peer.region == fleet.own.region
+        ]
+        await self._datagrams.send(encode_report(self._create_report(read_clock_s())), hosts)
+
     async def receive(self, data: bytes, host: str) -> None:
         """Take in a datagram."""
         now_s = read_clock_s()
         try:
-            heartbeat = decode_heartbeat(data)
+            message = decode_datagram(data)
         except PeerMessageError as error:
             self._log.write("heartbeat-unreadable", {"host": host, "error": str(error)})
             return
+        match message:
+            case Heartbeat():
+                self._take_heartbeat(message, now_s)
+                await self._on_heartbeat(message, now_s)
+            case LoadReport():
+                heartbeat = self._steering.fleet.on_report(message, now_s)
+                if heartbeat is not None:
+                    await self._on_heartbeat(heartbeat, now_s)
+
+    def _take_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
         if self._steering.fleet.on_heartbeat(heartbeat, now_s):
             vm = heartbeat.sender
             self._log.write("vm-heard", {"peer": vm.vm, "incarnation": vm.incarnation})
         incarnation = heartbeat.sender.incarnation
         self._steering.crashes.on_reports(incarnation, heartbeat.crashers, now_s)
-        await self._on_heartbeat(heartbeat, now_s)
+
+    def _is_heartbeat_due(self, step: int, now_s: float) -> bool:
+        """Whether a whole heartbeat follows; others get to know a new process by several."""
+        if step < INTRODUCTION_HEARTBEATS:
+            return True
+        return step % self._steering.fleet.settings.reports_per_heartbeat == 0
+
+    def _create_report(self, now_s: float) -> LoadReport:
+        self._number += 1
+        return LoadReport(
+            incarnation=self._steering.fleet.own.incarnation,
+            number=self._number,
+            positions=self._positions(),
+            ages_s=self._ages_s(now_s),
+            in_flight=self._in_flight(),
+        )
 
     def _create(self, now_s: float) -> Heartbeat:
         steering = self._steering
         self._number += 1
-        copies = {table.value: steering.tables[table] for table in FOLLOWED_TABLES}
-        loaded = {name: copy for name, copy in copies.items() if copy.is_loaded}
         return Heartbeat(
             sender=steering.fleet.own,
             number=self._number,
             state=steering.fleet.state,
-            positions={name: copy.content_version for name, copy in loaded.items()},
-            ages_s={
-                name: now_s - copy.vouched_s if copy.vouched_s > -inf else UNKNOWN_AGE_S
-                for name, copy in loaded.items()
-            },
-            in_flight={
-                target.name: target.in_flight
-                for target in steering.targets.all()
-                if target.in_flight
-            },
-            demand_per_s={
-                name: rate for name, rate in steering.shares.demand_per_s.items() if rate > 0.01
-            },
+            positions=self._positions(),
+            ages_s=self._ages_s(now_s),
+            in_flight=self._in_flight(),
+            demand_per_s=steering.shares.publish(),
             crashers=steering.crashes.reports(now_s),
         )
 
+    def _loaded(self) -> dict[str, TableCopy]:
+        copies = {table.value: self._steering.tables[table] for table in FOLLOWED_TABLES}
+        return {name: copy for name, copy in copies.items() if copy.is_loaded}
+
+    def _positions(self) -> dict[str, int]:
+        return {name: copy.content_version for name, copy in self._loaded().items()}
+
+    def _ages_s(self, now_s: float) -> dict[str, float]:
+        return {
+            name: now_s - copy.vouched_s if copy.vouched_s > -inf else UNKNOWN_AGE_S
+            for name, copy in self._loaded().items()
+        }
+
+    def _in_flight(self) -> dict[int, int]:
+        return {
+            short_id(target.name): target.in_flight
+            for target in self._steering.targets.all()
+            if target.in_flight
+        }
+
     def _count_elsewhere(self, now_s: float) -> None:
         heartbeats = self._steering.fleet.heartbeats(now_s)
         for target in self._steering.targets.all():
-            target.elsewhere = sum(beat.in_flight.get(target.name, 0) for beat in heartbeats)
+            key = short_id(target.name)
+            target.elsewhere = sum(beat.in_flight.get(key, 0) for beat in heartbeats)
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -9,12 +9,17 @@
 
 from siskinward.coordination.steering.fleet import EntryVm
 from siskinward.coordination.steering.fleet import Heartbeat
+from siskinward.coordination.steering.fleet import LoadReport
 from siskinward.coordination.steering.fleet import VmState
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import Row
 from siskinward.coordination.steering.rows import Snapshot
+from siskinward.state.identifiers import IncarnationId
 
 HEARTBEAT_FORMAT = 1
+REPORT_FORMAT = 2
+# Tables by their place in a load report.
+REPORTED_TABLES = ("operator", "targets")
 FRAME_LIMIT_BYTES = 32 * 1024 * 1024
 
 
@@ -41,33 +46,69 @@
         heartbeat.positions,
         heartbeat.ages_s,
         heartbeat.in_flight,
-        {name: round(rate, 2) for name, rate in heartbeat.demand_per_s.items()},
+        heartbeat.demand_per_s,
         heartbeat.crashers,
     )
     return bytes(msgpack.packb(fields, use_single_float=True))
 
 
-def decode_heartbeat(data: bytes) -> Heartbeat:
+def encode_report(report: LoadReport) -> bytes:
+    """Encode a load report as one datagram."""
+    fields = (
+        REPORT_FORMAT,
+        report.incarnation,
+        report.number,
+        [report.positions.get(name, 0) for name in REPORTED_TABLES],
+        [int(report.ages_s.get(name, 0.0) * 1000) for name in REPORTED_TABLES],
+        report.in_flight,
+    )
+    return bytes(msgpack.packb(fields))
+
+
+def decode_datagram(data: bytes) -> Heartbeat | LoadReport:
     """Decode a datagram; raises ``PeerMessageError``."""
     fields = _unpack(data)
     try:
-        version, vm, number, state, positions, ages_s, in_flight, demand, crashers = fields
-        if version != HEARTBEAT_FORMAT:
-            raise PeerMessageError(f"unknown heartbeat format {version!r}")
-        return Heartbeat(
-            sender=EntryVm(*vm),
-            number=int(number),
-            state=VmState(state),
-            positions=dict(positions),
-            ages_s=dict(ages_s),
-            in_flight=dict(in_flight),
-            demand_per_s=dict(demand),
-            crashers=dict(crashers),
-        )
-    except (TypeError, ValueError) as error:
+        kind, *rest = fields
+        match kind:
+            case format_ if format_ == HEARTBEAT_FORMAT:
+                return _decode_heartbeat(rest)
+            case format_ if format_ == REPORT_FORMAT:
+                return _decode_report(rest)
+            case _:
+                raise PeerMessageError(f"unknown format {kind!r}")
+    except (TypeError, ValueError, AttributeError) as error:
         raise PeerMessageError(f"no heartbeat: {error}") from error
 
 
+def _decode_heartbeat(fields: list[Any]) -> Heartbeat:
+    vm, number, state, positions, ages_s, in_flight, demand, crashers = fields
+    return Heartbeat(
+        sender=EntryVm(*vm),
+        number=int(number),
+        state=VmState(state),
+        positions=dict(positions),
+        ages_s=dict(ages_s),
+        in_flight=dict(in_flight),
+        demand_per_s=dict(demand),
+        crashers=dict(crashers),
+    )
+
+
+def _decode_report(fields: list[Any]) -> LoadReport:
+    incarnation, number, versions, ages_ms, in_flight = fields
+    loaded = [name for name, version in zip(REPORTED_TABLES, versions, strict=True) if version]
+    positions = dict(zip(REPORTED_TABLES, versions, strict=True))
+    ages = dict(zip(REPORTED_TABLES, ages_ms, strict=True))
+    return LoadReport(
+        incarnation=IncarnationId(str(incarnation)),
+        number=int(number),
+        positions={name: int(positions[name]) for name in loaded},
+        ages_s={name: ages[name] / 1000.0 for name in loaded},
+        in_flight=dict(in_flight),
+    )
+
+
 def encode_request(request: RowsRequest) -> bytes:
     """Encode a request for rows."""
     return bytes(msgpack.packb((request.table, request.position)))
@@ -120,6 +161,6 @@
 
 def _unpack(data: bytes) -> Any:
     try:
-        return msgpack.unpackb(data)
+        return msgpack.unpackb(data, strict_map_key=False)
     except (ValueError, msgpack.UnpackException) as error:
         raise PeerMessageError(f"no msgpack: {error}") from error
--- a/tests/coordination/steering/test_account_shares.py
+++ b/tests/coordination/steering/test_account_shares.py
@@ -61,7 +61,7 @@
         for vm in self.vms:
             vm.shares.measure(self.now_s)
             vm.beats += 1
-            beat = heartbeat(vm.fleet.own, vm.beats, demand_per_s=dict(vm.shares.demand_per_s))
+            beat = heartbeat(vm.fleet.own, vm.beats, demand_per_s=dict(vm.shares.publish()))
             for other in self.vms:
                 if (vm.number in self.cut) == (other.number in self.cut):
                     other.fleet.on_heartbeat(beat, self.now_s)
