--- a/src/siskinward/standins/memory_network.py
+++ b/src/siskinward/standins/memory_network.py
@@ -103,14 +103,17 @@
 class _Listener:
     def __init__(self, network: MemoryNetwork, address: Address) -> None:
         self._network = network
-        self._address = address
+        self.address = address
         self._arrivals: curio.Queue = curio.Queue()
 
     async def __aenter__(self) -> _Listener:
         return self
 
     async def __aexit__(self, *args: object) -> None:
-        self._network.listeners.pop(self._address, None)
+        self._network.listeners.pop(self.address, None)
+
+    async def close(self) -> None:
+        self._network.listeners.pop(self.address, None)
 
     async def accept(self) -> tuple[MemorySocket, Address]:
         arrived: tuple[MemorySocket, Address] = await self._arrivals.get()
@@ -154,6 +157,7 @@
         self.cut_pairs: set[frozenset[str]] = set()
         self.sockets: list[MemorySocket] = []
         self.caller_host = "10.9.9.9"
+        self._last_port = FIRST_EPHEMERAL_PORT
 
     def is_cut(self, one: str, other: str) -> bool:
         """Whether two hosts cannot reach each other."""
@@ -162,7 +166,10 @@
         return (one in self.cut_hosts) != (other in self.cut_hosts)
 
     def listen(self, host: str, port: int) -> Any:
-        """Open a listening socket."""
+        """Open a listening socket; port 0 takes a free port."""
+        if port == 0:
+            self._last_port += 1
+            port = self._last_port
         if (host, port) in self.listeners:
             raise OSError(f"{host}:{port} is in use")
         listener = self.listeners[(host, port)] = _Listener(self, (host, port))
@@ -180,7 +187,8 @@
         there, back = _Pipe(), _Pipe()
         own = MemorySocket(back, there, (host, port))
         self.sockets.append(own)
-        await listener.add(MemorySocket(there, back, (self.caller_host, 0)))
+        self._last_port += 1
+        await listener.add(MemorySocket(there, back, (self.caller_host, self._last_port)))
         return own
 
     def open_datagrams(self, host: str, port: int) -> Any:
@@ -191,3 +199,8 @@
     def is_closed_by_peer(self, sock: Any) -> bool:
         """Look for the end of the stream, or for bytes, without taking them."""
         return bool(sock.has_news)
+
+    def port_of(self, listener: Any) -> int:
+        """Return the port that a listening socket was given."""
+        port: int = listener.address[1]
+        return port
--- a/src/siskinward/standins/paused_clock.py
+++ b/src/siskinward/standins/paused_clock.py
@@ -11,11 +11,13 @@
 import curio
 import curio.kernel
 
+from siskinward.standins.memory_network import MemoryNetwork
+from siskinward.transport.sockets import use_network
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 START_S = 1000.0
-DELIVERY_S = 0.00005
 
 
 class PausedClock:
@@ -42,10 +44,6 @@
     def select(self, timeout: float | None = None) -> list[Any]:
         """Return what is ready now; else let the time pass at once."""
         ready = super().select(0)
-        if not ready:
-            # On a busy machine the system may deliver bytes on loopback a moment later.
-            time.sleep(DELIVERY_S)
-            ready = super().select(0)
         if ready or timeout is None:
             return ready or super().select(None)
         self._clock.now_s += max(timeout, 0.0)
@@ -53,13 +51,20 @@
 
 
 @contextmanager
-def paused_kernel() -> Iterator[Any]:
-    """A kernel whose sleeps and timeouts pass at once, exactly and in order."""
+def paused_kernel(network: MemoryNetwork | None = None) -> Iterator[Any]:
+    """A kernel whose sleeps and timeouts pass at once, exactly and in order.
+
+    All sockets are opened in ``network``, or in one that nobody else knows.
+    """
     clock = PausedClock()
     previous = curio.kernel.time
     curio.kernel.time = clock
     try:
-        with curio.Kernel(selector=AdvancingSelector(clock)) as kernel:
+        # The system's loopback would deliver bytes when it pleases, not when the clock says.
+        with (
+            use_network(network or MemoryNetwork()),
+            curio.Kernel(selector=AdvancingSelector(clock)) as kernel,
+        ):
             yield kernel
     finally:
         curio.kernel.time = previous
--- a/src/siskinward/transport/sockets.py
+++ b/src/siskinward/transport/sockets.py
@@ -44,6 +44,10 @@
         """Tell whether an idle connection was closed or holds bytes."""
         ...
 
+    def port_of(self, listener: Any) -> int:
+        """Return the port that a listening socket was given."""
+        ...
+
 
 class SystemNetwork:
     """The system's sockets."""
@@ -85,6 +89,11 @@
             return True
         return True
 
+    def port_of(self, listener: Any) -> int:
+        """Ask the system for the bound port."""
+        port: int = listener._socket.getsockname()[1]
+        return port
+
 
 _network: Network = SystemNetwork()
 
@@ -126,3 +135,8 @@
 def is_closed_by_peer(sock: Any) -> bool:
     """Tell whether an idle connection has been closed, or holds bytes that nobody asked for."""
     return _network.is_closed_by_peer(sock)
+
+
+def port_of(listener: Any) -> int:
+    """Return the port that a listening socket was given."""
+    return _network.port_of(listener)
--- a/tests/console/test_explain.py
+++ b/tests/console/test_explain.py
@@ -13,8 +13,6 @@
 from siskinward.platform.standins import Site
 from siskinward.platform.standins import SiteSettings
 from siskinward.platform.standins import TargetFault
-from siskinward.standins.memory_network import MemoryNetwork
-from siskinward.transport.sockets import use_network
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -39,8 +37,7 @@
 
 @pytest.fixture
 def log(paused_kernel: Any, tmp_path: Path) -> str:
-    with use_network(MemoryNetwork()):
-        lines = paused_kernel.run(play)
+    lines = paused_kernel.run(play)
     path = tmp_path / "vm.log"
     prefixed = [b"  12.3456 vm-bud-a-0 " + line for line in lines.splitlines()]
     path.write_bytes(b"\n".join([*prefixed, b"not ours", b'{"at_s":1,"vm"']))
--- a/tests/console/test_front_commands.py
+++ b/tests/console/test_front_commands.py
@@ -15,6 +15,7 @@
 from siskinward.transport.http_server import HttpServer
 from siskinward.transport.http_server import HttpServerSettings
 from siskinward.transport.sockets import listen
+from siskinward.transport.sockets import port_of
 
 ANSWER = {
     "vms": [{"vm": "vm-a", "host": "127.0.0.1", "port": 1}],
@@ -46,7 +47,7 @@
         return run(main_task)
 
     monkeypatch.setattr(curio, "run", run_beside_server)
-    return f"127.0.0.1:{listener._socket.getsockname()[1]}"
+    return f"127.0.0.1:{port_of(listener)}"
 
 
 def test_lookup_lists_vms_and_tickets(vm_address: str) -> None:
@@ -73,7 +74,7 @@
 
 def test_status_of_a_vm_that_is_down_says_so() -> None:
     listener = listen("127.0.0.1", 0)
-    port = listener._socket.getsockname()[1]
+    port = port_of(listener)
     listener._socket.close()
     result = CliRunner().invoke(main, ["status", "--vm", f"127.0.0.1:{port}"])
     assert result.exit_code == 4
--- /dev/null
+++ b/tests/coordination/steering/test_limits.py
@@ -0,0 +1,142 @@
+"""Retry budget, crash guard, waiting room and splits."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+from steering_fixtures import SERVICE
+from steering_fixtures import fleet_of
+
+from siskinward.coordination.steering.crash_guard import CrashGuard
+from siskinward.coordination.steering.crash_guard import CrashGuardSettings
+from siskinward.coordination.steering.crash_guard import fingerprint_of
+from siskinward.coordination.steering.retry_budget import RetryBudget
+from siskinward.coordination.steering.retry_budget import RetrySettings
+from siskinward.coordination.steering.splits import RouteSplitter
+from siskinward.coordination.steering.waiting import TurnedAway
+from siskinward.coordination.steering.waiting import WaitingRoom
+from siskinward.coordination.steering.waiting import WaitingSettings
+from siskinward.coordination.steering.waiting import Waits
+from siskinward.state.identifiers import ServiceName
+from siskinward.state.serving import Repeatability
+from siskinward.state.serving import ServedRoute
+from siskinward.state.serving import ServingBounds
+from siskinward.state.serving import WeightedService
+
+BOUNDS = ServingBounds()
+
+
+@given(
+    vms=st.integers(1, 12),
+    steps=st.lists(
+        st.tuples(st.integers(0, 11), st.integers(0, 20), st.integers(0, 40)), max_size=30
+    ),
+)
+def test_retry_budget_holds_over_all_vms_in_every_window(
+    vms: int, steps: list[tuple[int, int, int]]
+) -> None:
+    budgets = [RetryBudget(RetrySettings(), BOUNDS, fleet_of(vms, own=vm)) for vm in range(vms)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    now_s = 0.0
+    for vm, arrivals, wanted in steps:
+        now_s += 0.7
+        budget = budgets[vm % vms]
+        for _ in range(arrivals):
+            budget.on_request(SERVICE, now_s)
+            requests.append(now_s)
+        repeats += [now_s for _ in range(wanted) if budget.try_repeat(SERVICE, now_s)]
+    window_s = BOUNDS.retry_window_s
+    for end_s in repeats:
+        sent = sum(end_s - window_s < at_s <= end_s for at_s in repeats)
+        seen = sum(end_s - window_s < at_s <= end_s for at_s in requests)
+        assert sent <= BOUNDS.retry_ratio * seen + BOUNDS.retry_slack_requests
+
+
+def test_crash_guard_blocks_after_three_confirmed_losses_anywhere() -> None:
+    guards = [CrashGuard(CrashGuardSettings()) for _ in range(3)]
+    key = fingerprint_of("GET", "/poison", "guild", b"")
+    for number, guard in enumerate(guards):
+        guard.on_connection_lost(key, f"target-{number}", 1.0)
+        guard.on_target_gone(f"target-{number}", 1.2)
+    for number in (1, 2):
+        guards[0].on_reports(f"vm-{number}", guards[number].reports(1.3), 1.3)
+    assert guards[0].is_blocked(key, 1.4)
+    assert not guards[1].is_blocked(key, 1.4)
+    assert not guards[0].is_blocked(key, 62.0)
+
+
+def test_crash_guard_lost_connection_to_a_live_target_is_no_crash() -> None:
+    guard = CrashGuard(CrashGuardSettings(block_after=1))
+    guard.on_connection_lost("key", "target", 1.0)
+    guard.on_target_alive("target")
+    guard.on_target_gone("target", 1.5)
+    assert not guard.is_blocked("key", 1.6)
+
+
+def test_crash_guard_answered_request_is_cleared() -> None:
+    guard = CrashGuard(CrashGuardSettings(block_after=1))
+    guard.on_connection_lost("key", "target", 1.0)
+    guard.on_target_gone("target", 1.1)
+    assert guard.is_blocked("key", 1.2)
+    guard.on_answer("key")
+    assert not guard.is_blocked("key", 1.2)
+
+
+def test_fingerprint_tells_bodies_accounts_and_paths_apart() -> None:
+    one = fingerprint_of("POST", "/a", "guild", b"x")
+    others = {
+        fingerprint_of("POST", "/a", "guild", b"y"),
+        fingerprint_of("POST", "/a", "choir", b"x"),
+        fingerprint_of("POST", "/ag", "uild", b"x"),
+    }
+    assert one not in others
+    assert len(others) == 3
+
+
+def enter(room: WaitingRoom, now_s: float, priority: int = 1) -> Waits | TurnedAway:
+    return room.enter(
+        None,
+        priority=priority,
+        objective_s=0.4,
+        arrived_s=now_s,
+        deadline_s=now_s + 3.0,
+        now_s=now_s,
+    )
+
+
+def test_waiting_room_rejects_at_once_what_cannot_start_in_time() -> None:
+    room = WaitingRoom(WaitingSettings())
+    for step in range(20):
+        room.note_start(step / 10)
+    entered = [enter(room, 2.0) for _ in range(10)]
+    assert isinstance(entered[0], Waits)
+    rejected = [item for item in entered if isinstance(item, TurnedAway)]
+    # Ten starts a second and 0.16 s to wait leave room for two.
+    assert len(rejected) == 8
+    assert all(item.retry_after_s >= 0.25 for item in rejected)
+
+
+def test_waiting_room_lets_the_more_urgent_go_first() -> None:
+    room = WaitingRoom(WaitingSettings())
+    later, urgent = enter(room, 1.0, priority=2), enter(room, 1.1, priority=0)
+    assert isinstance(later, Waits) and isinstance(urgent, Waits)
+    assert room.in_order() == [urgent.ticket, later.ticket]
+    room.leave(urgent.ticket)
+    assert room.in_order() == [later.ticket]
+
+
+@given(weights=st.lists(st.integers(1, 100), min_size=2, max_size=4))
+def test_splitter_keeps_every_part_close_to_its_weight(weights: list[int]) -> None:
+    parts = tuple(
+        WeightedService(ServiceName(f"s{number}"), float(weight))
+        for number, weight in enumerate(weights)
+    )
+    route = ServedRoute(
+        "r", "h", "/", Repeatability.IDEMPOTENT, 1.0, 0.4, 1, parts, 2, False, True, frozenset()
+    )
+    splitter = RouteSplitter()
+    chosen = [splitter.choose(route) for _ in range(200)]
+    for part in parts:
+        share = part.weight / sum(weights)
+        assert abs(chosen.count(part.service) - 200 * share) <= len(parts)
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -10,7 +10,7 @@
 from siskinward.platform.standins import Site
 from siskinward.platform.standins import SiteSettings
 from siskinward.standins.memory_network import MemoryNetwork
-from siskinward.transport.sockets import use_network
+from siskinward.standins.paused_clock import paused_kernel
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -19,16 +19,9 @@
 
 
 @pytest.fixture
-def memory_network() -> Iterator[MemoryNetwork]:
-    """A network in memory that all sockets are opened in."""
-    network = MemoryNetwork()
-    with use_network(network):
-        yield network
-
-
-@pytest.fixture
-def run_site(memory_network: MemoryNetwork, paused_kernel: Any) -> Any:
+def run_site() -> Iterator[Any]:
     """Start a deployment, run a scenario in it, and return what the scenario returns."""
+    network = MemoryNetwork()
 
     def run(
         scenario: Callable[[Site, MemoryNetwork], Awaitable[Any]],
@@ -38,10 +31,11 @@
             site = Site(settings or SiteSettings())
             await site.start()
             try:
-                return await scenario(site, memory_network)
+                return await scenario(site, network)
             finally:
                 await site.stop()
 
-        return paused_kernel.run(main)
+        return kernel.run(main)
 
-    return run
+    with paused_kernel(network) as kernel:
+        yield run
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,139 @@
+"""What the platform writes, decoded into the product's types; faults name object and field."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from siskinward.platform._configuration import decode_configuration
+from siskinward.platform._settings import decode_settings
+from siskinward.platform._targets import decode_target
+from siskinward.platform._units import WireError
+from siskinward.platform._units import read_time_s
+from siskinward.state.serving import Repeatability
+from siskinward.state.serving import ServingIndex
+
+ROUTE: dict[str, Any] = {
+    "type": "routes",
+    "metadata": {"name": "r-1"},
+    "spec": {
+        "host": "Jepu9.example",
+        "prefix": "/lepu270/",
+        "route_type": "safe",
+        "timeout": "1500ms",
+        "target_latency": "0.4s",
+        "priority": 2,
+        "traffic_split": [
+            {"service": "huvo11a", "weight": 90},
+            {"service": "kafi81c", "weight": 10},
+        ],
+        "max_attempts": 2,
+        "allowed_regions": ["debrecen"],
+    },
+}
+ENTRY: dict[str, Any] = {
+    "address": "10.128.0.9:8080",
+    "born": 1779973728046,
+    "info": {"service": "huvo11a", "version": "v1", "zone": "bud-a", "slots": 3},
+    "status": {"state": "ready", "seq": 4, "warmup_left": "1500ms"},
+}
+
+
+def configuration_of(*resources: dict[str, Any]) -> bytes:
+    return json.dumps({"version": "r12", "resources": list(resources)}).encode()
+
+
+def test_configuration_is_decoded_with_units() -> None:
+    limits = {
+        "type": "limits",
+        "metadata": {},
+        "spec": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1024,
+            "header_timeout": "3s",
+            "idle_timeout": "15000ms",
+        },
+    }
+    configuration = decode_configuration(configuration_of(ROUTE, limits))
+    (route,) = configuration.routes
+    assert configuration.version == 12
+    assert route.repeatability is Repeatability.IDEMPOTENT
+    assert (route.timeout_s, route.latency_objective_s) == (1.5, 0.4)
+    assert [part.weight for part in route.services] == [90, 10]
+    assert configuration.limits.idle_timeout_s == 15.0
+
+
+def test_route_of_another_type_runs_at_most_once() -> None:
+    spec = {**ROUTE["spec"], "route_type": "unsafe"}
+    (route,) = decode_configuration(configuration_of({**ROUTE, "spec": spec})).routes
+    assert route.repeatability is Repeatability.AT_MOST_ONCE
+
+
+def test_index_takes_the_longest_prefix_of_the_host() -> None:
+    longer = {
+        **ROUTE,
+        "metadata": {"name": "r-2"},
+        "spec": {**ROUTE["spec"], "prefix": "/lepu270/inner/"},
+    }
+    index = ServingIndex(decode_configuration(configuration_of(ROUTE, longer)))
+    names = [
+        route.name if route else None
+        for route in (
+            index.route_of("jepu9.example", "/lepu270/inner/2f?x=/lepu270/"),
+            index.route_of("JEPU9.example:8206", "/lepu270/2f"),
+            index.route_of("jepu9.example", "/lepu270"),
+            index.route_of("other.example", "/lepu270/2f"),
+        )
+    ]
+    assert names == ["r-2", "r-1", None, None]
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "where"),
+    [
+        ("timeout", 1500, "route r-1.timeout"),
+        ("timeout", "soon", "route r-1.timeout"),
+        ("prefix", None, "route r-1.prefix"),
+        ("max_attempts", "2", "route r-1.max_attempts"),
+    ],
+)
+def test_configuration_fault_names_object_and_field(field: str, value: object, where: str) -> None:
+    broken = {**ROUTE, "spec": {**ROUTE["spec"], field: value}}
+    with pytest.raises(WireError, match=where):
+        decode_configuration(configuration_of(broken))
+
+
+def test_target_is_decoded() -> None:
+    record = decode_target("i-1", json.dumps(ENTRY).encode())
+    assert (record.address, record.slots, record.is_ready) == ("10.128.0.9:8080", 3, True)
+    assert record.warmup_left_s == 1.5
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        b"\xff\xfe",
+        b"[]",
+        b"{}",
+        json.dumps({**ENTRY, "address": "nowhere"}).encode(),
+        json.dumps({**ENTRY, "status": {**ENTRY["status"], "state": "dancing"}}).encode(),
+        json.dumps({**ENTRY, "status": {**ENTRY["status"], "seq": "4"}}).encode(),
+        json.dumps({**ENTRY, "info": {**ENTRY["info"], "slots": 0}}).encode(),
+        json.dumps({**ENTRY, "info": {**ENTRY["info"], "service": 7}}).encode(),
+    ],
+)
+def test_unreadable_target_names_none(entry: bytes) -> None:
+    with pytest.raises(WireError, match="target i-1"):
+        decode_target("i-1", entry)
+
+
+def test_settings_fault_names_the_field() -> None:
+    with pytest.raises(WireError, match="settings.listen"):
+        decode_settings({"node_name": "vm"})
+
+
+@pytest.mark.parametrize(("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)])
+def test_times_carry_their_unit(text: str, seconds: float) -> None:
+    assert read_time_s(text, "field") == pytest.approx(seconds)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -3,11 +3,32 @@
 from __future__ import annotations
 
 import ast
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 
 SOURCE = Path(__file__).parents[1] / "src" / "siskinward"
+# Spellings of the users' platform that are not also the product's own (as x-deadline-ms is).
+WIRE_NAMES = (
+    "x-attempt-id",
+    "x-affinity-key",
+    "x-expect-instance",
+    "x-response-signature",
+    "x-backend-load",
+    "x-not-executed",
+    "x-warmup-ms",
+    "x-tenant",
+    "rows-get",
+    "rows-feed",
+    "rows-tx",
+    "traffic_split",
+    "allowed_regions",
+    "warmup_per_s",
+    "api_keys",
+    "siskinward_boot",
+)
 LAYERS = ("console", "daemon", "transport", "protocol", "coordination", "state")
 
 
@@ -26,6 +47,40 @@
         assert imported_layers(path) <= allowed, path.name
 
 
+def test_platform_is_imported_only_from_its_own_folder() -> None:
+    for path in sorted(SOURCE.rglob("*.py")):
+        if path.is_relative_to(SOURCE / "platform"):
+            continue
+        assert "platform" not in imported_layers(path), path.name
+
+
+def test_platform_imports_only_lower_layers_and_stand_ins() -> None:
+    allowed = {"platform", "daemon", "transport", "protocol", "coordination", "state", "standins"}
+    for path in sorted((SOURCE / "platform").rglob("*.py")):
+        assert imported_layers(path) <= allowed, path.name
+
+
+def test_only_the_platform_folder_knows_the_platforms_names() -> None:
+    for path in sorted(SOURCE.rglob("*.py")):
+        if path.is_relative_to(SOURCE / "platform"):
+            continue
+        text = path.read_text(encoding="utf-8").lower()
+        found = [name for name in WIRE_NAMES if name in text]
+        assert not found, f"{path.name}: {found}"
+
+
+def test_entry_process_imports_nothing_that_only_other_processes_use() -> None:
+    script = (
+        "import sys; import siskinward.platform.entry;"
+        "print('\\n'.join(name for name in sys.modules))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+    )
+    heavy = {"cattrs", "click", "eliot", "expression", "prometheus_client", "hdrh"}
+    assert not heavy & set(done.stdout.split())
+
+
 def test_decision_layers_do_no_io() -> None:
     for layer in ("coordination", "state"):
         for path in (SOURCE / layer).rglob("*.py"):
--- a/tests/transport/test_connection_pool.py
+++ b/tests/transport/test_connection_pool.py
@@ -13,6 +13,7 @@
 from siskinward.transport.http_server import HttpServer
 from siskinward.transport.http_server import HttpServerSettings
 from siskinward.transport.sockets import listen
+from siskinward.transport.sockets import port_of
 
 HOST = "127.0.0.1"
 LIMIT = 2
@@ -25,7 +26,7 @@
         return HttpResponse(200)
 
     listener = listen(HOST, 0)
-    port = listener._socket.getsockname()[1]
+    port = port_of(listener)
     server = HttpServer(HttpServerSettings(), handle)
     task = await curio.spawn(server.serve, listener, daemon=True)
     return ConnectionPool(PoolSettings(HOST, port, LIMIT)), task
--- a/tests/transport/test_http_server_malformed.py
+++ b/tests/transport/test_http_server_malformed.py
@@ -12,6 +12,7 @@
 from siskinward.transport.http_server import HttpServerSettings
 from siskinward.transport.sockets import connect
 from siskinward.transport.sockets import listen
+from siskinward.transport.sockets import port_of
 
 HOST = "127.0.0.1"
 SETTINGS = HttpServerSettings(header_limit_bytes=1024, body_limit_bytes=1024, read_timeout_s=5.0)
@@ -28,7 +29,7 @@
         return HttpResponse(200, (), b"ok")
 
     listener = listen(HOST, 0)
-    port = listener._socket.getsockname()[1]
+    port = port_of(listener)
     server = HttpServer(SETTINGS, handle, lambda reason: reasons.append(reason.value))
     task = await curio.spawn(server.serve, listener)
     await curio.sleep(0.02)
--- a/tests/transport/test_peer_hub_idle_links.py
+++ b/tests/transport/test_peer_hub_idle_links.py
@@ -21,6 +21,7 @@
 from siskinward.transport.peer_link import PeerLink
 from siskinward.transport.peer_link import PeerSettings
 from siskinward.transport.sockets import listen
+from siskinward.transport.sockets import port_of
 from siskinward.transport.traffic import Direction
 
 HOST = "127.0.0.1"
@@ -62,7 +63,7 @@
         received: list[Any] = []
         sent: Counter[type] = Counter()
         listener = listen(HOST, 0)
-        port = listener._socket.getsockname()[1]
+        port = port_of(listener)
         receiver = make_hub("receiver", received, Counter())
         await curio.spawn(receiver.serve, listener, daemon=True)
         sender = make_hub("sender", [], sent)
@@ -82,7 +83,7 @@
 def test_peer_hub_gives_up_a_peer_that_is_gone() -> None:
     async def main() -> None:
         listener = listen(HOST, 0)
-        port = listener._socket.getsockname()[1]
+        port = port_of(listener)
         await listener.close()
         sender = make_hub("sender", [], Counter())
         sender.set_address(VmName("gone"), PeerAddress(HOST, port))
@@ -96,7 +97,7 @@
 def test_peer_hub_leaves_a_connection_that_went_silent_after_a_pong() -> None:
     async def main() -> None:
         listener = listen(HOST, 0)
-        port = listener._socket.getsockname()[1]
+        port = port_of(listener)
         answered: list[Any] = []
         own = VmIdentity(VmName("receiver"), DomainName("d"), IncarnationId("receiver-1"))
 
--- a/tests/transport/test_peer_hub_strangers.py
+++ b/tests/transport/test_peer_hub_strangers.py
@@ -26,6 +26,7 @@
 from siskinward.transport.peer_link import PeerSettings
 from siskinward.transport.sockets import connect
 from siskinward.transport.sockets import listen
+from siskinward.transport.sockets import port_of
 from siskinward.transport.tls import PeerTls
 from siskinward.transport.tls import create_peer_tls
 
@@ -57,7 +58,7 @@
             self.received.append((message, sender))
 
         listener = listen(HOST, port)
-        self.port = listener._socket.getsockname()[1]
+        self.port = port_of(listener)
         settings = PeerSettings(identity("receiver"), secret, tls)
         self.hub = PeerHub(
             settings, create_codec(), on_message, lambda error: self.errors.append(error.detail)
@@ -108,7 +109,7 @@
     async def main() -> None:
         receiver = Receiver()
         probe = listen(HOST, 0)
-        receiver.port = probe._socket.getsockname()[1]
+        receiver.port = port_of(probe)
         await probe.close()
         await send_from(receiver, "sender", b"secret")
         await curio.sleep(0.05)
