--- a/src/siskinward/console/request_story.py
+++ b/src/siskinward/console/request_story.py
@@ -131,6 +131,11 @@
             f"             waited {fields['waited_ms']} ms for room; targets vouched for"
             f" {fields['targets_age_s']} s before the end; {fields['vms_heard']} other VMs heard"
         )
+    for item in fields.get("considered", ()):
+        lines.append(
+            f"             no room at {item['target']} ({item['state']}): {item['load']} requests"
+            f" on {item['slots']} slots; {fields['free_slots']} slots free in the whole service"
+        )
     for number, send in enumerate(fields.get("sends", ()), start=1):
         lines.append(
             f"             send {number}: {send['target']} (choice {send['choice']} of its object,"
--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -72,6 +72,16 @@
     """No usable target exists."""
 
 
+@frozen
+class Considered:
+    """A target that a request might have gone to, and what was believed of it."""
+
+    target: TargetName
+    load: int
+    slots: int
+    state: str
+
+
 class Placement:
     """Ranks targets for objects and finds the first with room."""
 
@@ -114,6 +124,19 @@
                 break
         return NoRoom()
 
+    def considered(self, request: PlacementRequest, now_s: float) -> list[Considered]:
+        """The targets that a request without room would have gone to."""
+        ordered = self._ordered(request, self._candidates(request, now_s))
+        return [
+            Considered(item.name, item.load, item.record.slots, item.state_name(now_s))
+            for item in ordered[: self._settings.choices]
+        ]
+
+    def free_slots(self, service: ServiceName, now_s: float) -> int:
+        """Slots of a service that nobody is known to use, at any target."""
+        usable = self._targets.usable(service, now_s)
+        return sum(max(0, target.record.slots - target.load) for target in usable)
+
     def note_sent(self, target: Target, now_s: float) -> None:
         """Count a request that goes to a target."""
         target.in_flight += 1
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 
 from siskinward.coordination.steering.crash_guard import fingerprint_of
+from siskinward.coordination.steering.placement import Considered
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import PlacementRequest
 from siskinward.coordination.steering.rows import StoreTable
@@ -75,6 +76,8 @@
     fingerprint: str
     tried: list[TargetName] = field(factory=list)
     sends: list[Send] = field(factory=list)
+    considered: list[Considered] = field(factory=list)
+    free_slots: int = 0
     runs_possible: bool = False
     waited_s: float = 0.0
 
@@ -188,6 +191,10 @@
             case NoTarget():
                 raise self._give_up(job, Reason.NO_TARGET, RETRY_SOON_S)
             case TurnedAway(retry_after_s=retry_after_s):
+                now_s = read_clock_s()
+                placement = self._steering.placement
+                job.considered = placement.considered(claim.placement, now_s)
+                job.free_slots = placement.free_slots(job.service, now_s)
                 raise self._give_up(job, Reason.NO_ROOM, retry_after_s)
             case placed:
                 return placed
@@ -302,6 +309,9 @@
             fields["object"] = object_key.decode("latin-1")
             fields["sends"] = [asdict(send) for send in job.sends]
             fields["waited_ms"] = round(job.waited_s * 1000, 1)
+            if job.considered:
+                fields["considered"] = [asdict(item) for item in job.considered]
+                fields["free_slots"] = job.free_slots
             fields["targets_age_s"] = round(now_s - self._targets_vouched_s(), 2)
             fields["vms_heard"] = len(self._steering.fleet.live(now_s)) - 1
         service = job.service if job is not None else ""
--- a/src/siskinward/transport/decision_log.py
+++ b/src/siskinward/transport/decision_log.py
@@ -36,7 +36,7 @@
     """Bounds on the volume; each kind of line has its own allowance."""
 
     lines_per_s: float = 200.0
-    burst_lines: float = 60.0
+    burst_lines: float = 400.0
     buffer_limit_bytes: int = 256 * 1024
     flush_interval_s: float = 0.1
 
