--- a/examples/demo/run.sh
+++ b/examples/demo/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Runs a deployment on loopback as plain processes: stand-ins for platform and targets, one process
-# a VM, callers. Exits with 0 if every checked promise was kept.
+# Runs entry VMs on a stand-in of the users' platform in memory, then a deployment on loopback as
+# plain processes: stand-ins for platform and targets, one process a VM, callers. Exits with 0 if
+# every checked promise was kept.
 # Usage: run.sh SISKINWARD [CONFIGURATION]
 set -euo pipefail
 siskinward=$1
@@ -26,6 +27,10 @@
   printf '[limits]\nlook_up_ttl_s = 2\n[log]\npath = %s\n' "$run_folder/$2.log"
 } >"$1"
 
+echo "entry VMs on a platform that names their targets, in memory"
+"$(dirname "$siskinward")/python" -m siskinward.platform.standins.demo
+
+echo "a deployment that publishes its own configuration, as processes on loopback"
 echo "starting the stand-ins for platform and targets"
 start "$siskinward" standin platform
 start "$siskinward" standin target "$configuration"
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -42,6 +42,8 @@
 from siskinward.transport.target_pool import close_idle_periodically
 
 if TYPE_CHECKING:
+    from random import Random
+
     from siskinward.daemon.entry.ports import Platform
     from siskinward.daemon.entry.steering import Steering
     from siskinward.state.serving import CallerLimits
@@ -68,13 +70,14 @@
         platform: Platform,
         read_again: SettingsReader,
         log: DecisionLog,
+        random: Random | None = None,
     ) -> None:
         self._settings = settings
         self._read_again = read_again
         self._registration: int | None = None
         self._log = log
         self._tasks: list[Any] = []
-        self._steering = create_steering(settings, SteeringSettings(), read_clock_s())
+        self._steering = create_steering(settings, SteeringSettings(), read_clock_s(), random)
         self._store = platform.create_store(settings)
         self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id)
         self._dispatcher = Dispatcher(self._steering)
--- a/src/siskinward/platform/standins/_site.py
+++ b/src/siskinward/platform/standins/_site.py
@@ -121,7 +121,7 @@
             return len(data)
 
         log = DecisionLog(ALL_LINES, name, write)
-        process = EntryProcess(settings, PlatformAdapter(), lambda: settings, log)
+        process = EntryProcess(settings, PlatformAdapter(), lambda: settings, log, Random(name))
         self.vms[name] = process
         await process.start()
         return process
@@ -152,7 +152,12 @@
         body: bytes = b"",
     ) -> HttpResponse:
         """Send one request to a VM as a caller does."""
-        request = self.request(path, key=key, time_left_s=time_left_s, headers=headers, body=body)
+        return await self.send(
+            vm, self.request(path, key=key, time_left_s=time_left_s, headers=headers, body=body)
+        )
+
+    async def send(self, vm: str, request: HttpRequest) -> HttpResponse:
+        """Send a caller's request to a VM on a connection of its own."""
         connection = OutboundConnection(self.vms[vm].steering.entry.host, FRONT_PORT)
         await connection.connect(1.0)
         try:
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -230,7 +230,11 @@
 
 async def _cancel_when_gone(sock: Any, work: Any) -> None:
     """Cancel the work when its caller closes the connection."""
-    while await sock.recv(65536):
+    try:
+        while await sock.recv(65536):
+            pass
+    except OSError:
+        # Reset: gone as well.
         pass
     await work.cancel()
 
