--- a/src/siskinward/platform/standins/_site.py
+++ b/src/siskinward/platform/standins/_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from random import Random
 from typing import TYPE_CHECKING
 from typing import Any
 
