--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -206,9 +206,10 @@
         self._log.write("stopped", {"answered_all": is_done})
         self._log.flush()
 
-    async def _on_change(self) -> None:
+    async def _on_change(self, is_first: bool) -> None:
         self._note_ready()
-        await self._heartbeats.send()
+        if is_first:
+            await self._heartbeats.send()
         await self._dispatcher.let_all_go()
 
     async def _after_heartbeat(self) -> None:
--- a/src/siskinward/daemon/entry/replication.py
+++ b/src/siskinward/daemon/entry/replication.py
@@ -27,6 +27,7 @@
     from siskinward.daemon.entry.steering import Steering
     from siskinward.transport.decision_log import DecisionLog
 
+STORE_SOURCE = "store"
 FOLLOWED_TABLES = (StoreTable.OPERATOR, StoreTable.TARGETS)
 
 
@@ -58,7 +59,7 @@
         store: Store,
         news: StoreNews,
         log: DecisionLog,
-        on_change: Callable[[], Awaitable[None]],
+        on_change: Callable[[bool], Awaitable[None]],
     ) -> None:
         self._settings = settings
         self._steering = steering
@@ -91,7 +92,7 @@
             self._note_store(str(error))
             return False
         self._note_store(None)
-        await self._apply(table, update, "store", read_clock_s())
+        await self._apply(table, update, STORE_SOURCE, read_clock_s())
         return True
 
     def find(self, request: RowsRequest) -> Snapshot | Changes | None:
@@ -153,7 +154,9 @@
         if update.position >= copy.content_version:
             copy.vouched_s = max(copy.vouched_s, vouched_s)
         if changed:
-            await self._on_change()
+            # Who read it from the store tells the others; if all did, each change would cost as
+            # many messages as there are pairs of VMs.
+            await self._on_change(source == STORE_SOURCE)
 
     def _note_store(self, error: str | None) -> None:
         is_lost = error is not None
--- a/src/siskinward/standins/memory_network.py
+++ b/src/siskinward/standins/memory_network.py
@@ -137,6 +137,7 @@
         return self._arrivals.popleft()
 
     async def sendto(self, data: bytes, address: Address) -> int:
+        self._network.datagrams_sent += 1
         receiver = self._network.datagrams.get(address)
         if receiver is not None and not self._network.is_cut(self._address[0], address[0]):
             receiver._arrivals.append((data, self._address))
@@ -156,6 +157,7 @@
         self.cut_hosts: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
         self.sockets: list[MemorySocket] = []
+        self.datagrams_sent = 0
         self.caller_host = "10.9.9.9"
         self._last_port = FIRST_EPHEMERAL_PORT
 
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -300,3 +300,21 @@
         assert "row-unreadable" in kinds
 
     run_site(scenario)
+
+
+def test_change_is_told_by_its_readers_only(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        await curio.sleep(5.0)
+        sent = network.datagrams_sent
+        await curio.sleep(10.0)
+        calm = network.datagrams_sent - sent
+        sent = network.datagrams_sent
+        for _ in range(10):
+            await site.publish()
+            await curio.sleep(1.0)
+        busy = network.datagrams_sent - sent
+        vms = len(site.vms)
+        # Two readers tell all others of ten changes; a storm would be every VM telling every other.
+        assert busy - calm <= 2 * 10 * vms
+
+    run_site(scenario, SiteSettings(vms_per_zone=6))
