--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import signal
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -23,6 +24,7 @@
 from siskinward.daemon.entry.replication import Replication
 from siskinward.daemon.entry.replication import ReplicationSettings
 from siskinward.daemon.entry.request_handler import RequestHandler
+from siskinward.daemon.entry.request_log import RequestLog
 from siskinward.daemon.entry.sender import Sender
 from siskinward.daemon.entry.steering import SteeringSettings
 from siskinward.daemon.entry.steering import create_steering
@@ -32,6 +34,7 @@
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.decision_log import DecisionLog
 from siskinward.transport.decision_log import LogSettings
+from siskinward.transport.decision_log import RuntimeLogHandler
 from siskinward.transport.decision_log import open_output
 from siskinward.transport.front_server import FrontServer
 from siskinward.transport.peer_datagrams import PeerDatagrams
@@ -87,8 +90,9 @@
         metrics = EntryMetrics()
         self._datagrams = PeerDatagrams(settings.host, settings.peer_port)
         quota = QuotaDesk(QuotaSettings(), self._steering, self._datagrams)
+        ends = RequestLog(self._steering, platform.headers, metrics, self._log)
         handler = RequestHandler(
-            self._steering, platform.headers, self._dispatcher, sender, quota, metrics, self._log
+            self._steering, platform.headers, self._dispatcher, sender, quota, ends
         )
         page = MetricsPage(metrics, self._steering, self._dispatcher, self._store, self._log)
         self._probes = TargetProbes(self._steering, platform.headers, self._pool, self._log)
@@ -235,5 +239,6 @@
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
     settings = read_settings()
     log = DecisionLog(LogSettings(), settings.vm, open_output(STANDARD_OUTPUT))
+    logging.getLogger().addHandler(RuntimeLogHandler(log))
     process = EntryProcess(settings, platform, read_settings, log)
     curio.run(process.run)
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -4,18 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import asdict
 from attrs import define
-from attrs import field
-from attrs import frozen
 
 from siskinward.coordination.steering.crash_guard import fingerprint_of
-from siskinward.coordination.steering.placement import Considered
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import PlacementRequest
-from siskinward.coordination.steering.rows import StoreTable
 from siskinward.coordination.steering.waiting import TurnedAway
 from siskinward.daemon.entry.dispatcher import Claim
+from siskinward.daemon.entry.job import Job
+from siskinward.daemon.entry.job import Send
 from siskinward.daemon.entry.refusals import Reason
 from siskinward.daemon.entry.refusals import refuse
 from siskinward.daemon.entry.sender import Answered
@@ -24,24 +21,21 @@
 from siskinward.daemon.entry.sender import SendFailure
 from siskinward.daemon.entry.sender import Unknown
 from siskinward.protocol.steering_headers import bearer_key
-from siskinward.state.identifiers import ServiceName
-from siskinward.state.identifiers import TargetName
-from siskinward.state.serving import AccountPolicy
-from siskinward.state.serving import ServedRoute
 from siskinward.transport.clock import read_clock_s
-from siskinward.transport.front_server import Arrival
 from siskinward.transport.http_messages import HttpResponse
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.placement import Placed
     from siskinward.daemon.entry.dispatcher import Dispatcher
-    from siskinward.daemon.entry.metrics import EntryMetrics
     from siskinward.daemon.entry.quota_desk import QuotaDesk
+    from siskinward.daemon.entry.request_log import RequestLog
     from siskinward.daemon.entry.sender import Sender
     from siskinward.daemon.entry.sender import SendResult
     from siskinward.daemon.entry.steering import Steering
     from siskinward.protocol.steering_headers import SteeringHeaders
-    from siskinward.transport.decision_log import DecisionLog
+    from siskinward.state.serving import AccountPolicy
+    from siskinward.state.serving import ServedRoute
+    from siskinward.transport.front_server import Arrival
     from siskinward.transport.http_messages import HttpRequest
 
 RETRY_SOON_S = 0.25
@@ -50,44 +44,6 @@
 MAX_FAILED_CONNECTS = 3
 
 
-@frozen
-class Send:
-    """One send as the log tells it: where to, what was believed of the target, what became of it.
-
-    ``choice`` is the target's place in the object's order; ``load`` counts requests there.
-    """
-
-    target: TargetName
-    choice: int
-    load: int
-    slots: int
-    outcome: str
-    took_ms: float
-
-
-@define(eq=False)
-class _Job:
-    """One request on its way; the lists tell its story in the log."""
-
-    arrival: Arrival
-    route: ServedRoute
-    account: AccountPolicy | None
-    service: ServiceName
-    deadline_s: float
-    fingerprint: str
-    tried: list[TargetName] = field(factory=list)
-    sends: list[Send] = field(factory=list)
-    considered: list[Considered] = field(factory=list)
-    free_slots: int = 0
-    runs_possible: bool = False
-    waited_s: float = 0.0
-
-    @property
-    def attempts(self) -> int:
-        """Sends that may have reached a target."""
-        return sum(send.outcome != SendFailure.NOT_CONNECTED.value for send in self.sends)
-
-
 @define
 class _Refused(Exception):  # noqa: N818 - it is an answer, not an error
     response: HttpResponse
@@ -104,31 +60,29 @@
         dispatcher: Dispatcher,
         sender: Sender,
         quota: QuotaDesk,
-        metrics: EntryMetrics,
-        log: DecisionLog,
+        log: RequestLog,
     ) -> None:
         self._steering = steering
         self._headers = headers
         self._dispatcher = dispatcher
         self._sender = sender
         self._quota = quota
-        self._metrics = metrics
         self._log = log
 
     async def handle(self, arrival: Arrival) -> HttpResponse:
         """Answer one request."""
-        job: _Job | None = None
+        job: Job | None = None
         try:
             job = self._admit(arrival)
             await self._hold_to_quota(job)
             response = await self._serve(job)
         except _Refused as refusal:
-            self._log_end(arrival, job, refusal.response.status, refusal.reason)
+            self._log.write_end(arrival, job, refusal.response.status, refusal.reason)
             return refusal.response
-        self._log_end(arrival, job, response.status, None)
+        self._log.write_end(arrival, job, response.status, None)
         return response
 
-    def _admit(self, arrival: Arrival) -> _Job:
+    def _admit(self, arrival: Arrival) -> Job:
         """Find the route and client account of a request."""
         request = arrival.request
         index = self._steering.index
@@ -146,9 +100,9 @@
             raise _refused(Reason.CRASHES_TARGETS, RETRY_LATER_S)
         service = self._steering.splitter.choose(route)
         self._steering.retries.on_request(service, arrival.received_s)
-        return _Job(arrival, route, account, service, deadline_s, fingerprint)
+        return Job(arrival, route, account, service, deadline_s, fingerprint)
 
-    async def _hold_to_quota(self, job: _Job) -> None:
+    async def _hold_to_quota(self, job: Job) -> None:
         if job.account is None or await self._quota.try_take(job.account):
             return
         raise _refused(Reason.OVER_QUOTA, self._steering.shares.retry_after_s(job.account))
@@ -169,7 +123,7 @@
             return route.timeout_s
         return min(int(stated) / 1000.0, route.timeout_s)
 
-    async def _serve(self, job: _Job) -> HttpResponse:
+    async def _serve(self, job: Job) -> HttpResponse:
         while True:
             placed = await self._take_target(job)
             result = await self._attempt(job, placed)
@@ -177,7 +131,7 @@
             if response is not None:
                 return response
 
-    async def _take_target(self, job: _Job) -> Placed:
+    async def _take_target(self, job: Job) -> Placed:
         claim = Claim(
             placement=self._placement_request(job),
             account=job.account.name if job.account else None,
@@ -201,7 +155,7 @@
             case placed:
                 return placed
 
-    def _placement_request(self, job: _Job) -> PlacementRequest:
+    def _placement_request(self, job: Job) -> PlacementRequest:
         route = job.route
         object_key = job.arrival.request.header(self._headers.object_key) or b""
         homes = route.home_regions
@@ -214,12 +168,12 @@
             tried=frozenset(job.tried),
         )
 
-    def _priority(self, job: _Job) -> int:
+    def _priority(self, job: Job) -> int:
         if job.account is not None and job.account.priority is not None:
             return job.account.priority
         return job.route.priority
 
-    async def _attempt(self, job: _Job, placed: Placed) -> SendResult:
+    async def _attempt(self, job: Job, placed: Placed) -> SendResult:
         target = placed.target
         load, started_s = target.load, read_clock_s()
         outgoing = Outgoing(
@@ -247,7 +201,7 @@
         job.sends.append(Send(target.name, placed.choice, load, slots, outcome, took_ms))
         return result
 
-    def _conclude(self, job: _Job, result: SendResult) -> HttpResponse | None:
+    def _conclude(self, job: Job, result: SendResult) -> HttpResponse | None:
         """The answer, or None to try another target."""
         match result:
             case Answered(response=response, is_error=is_error):
@@ -266,7 +220,7 @@
                     return None
                 raise _refused(Reason.OUTCOME_UNKNOWN)
 
-    def _may_retry(self, job: _Job) -> bool:
+    def _may_retry(self, job: Job) -> bool:
         now_s = read_clock_s()
         if job.arrival.caller_left or now_s >= job.deadline_s:
             return False
@@ -279,51 +233,16 @@
         # The first send that reaches a target is no repeat.
         if job.attempts > 0 and not self._steering.retries.try_repeat(job.service, now_s):
             return False
-        self._metrics.count_retry(job.service, job.sends[-1].outcome)
+        self._log.count_retry(job)
         return True
 
-    def _give_up(self, job: _Job, reason: Reason, retry_after_s: float) -> _Refused:
+    def _give_up(self, job: Job, reason: Reason, retry_after_s: float) -> _Refused:
         if job.runs_possible:
             return _refused(Reason.OUTCOME_UNKNOWN)
         if job.account is not None:
             self._quota.give_back(job.account)
         return _refused(reason, retry_after_s)
 
-    def _targets_vouched_s(self) -> float:
-        return self._steering.tables[StoreTable.TARGETS].vouched_s
-
-    def _log_end(
-        self, arrival: Arrival, job: _Job | None, status: int, reason: Reason | None
-    ) -> None:
-        index = self._steering.index
-        now_s = read_clock_s()
-        fields: dict[str, object] = {
-            "id": (arrival.request.header(self._headers.attempt_id) or b"").decode("latin-1"),
-            "status": status,
-            "took_ms": round((now_s - arrival.received_s) * 1000, 1),
-            "configuration": index.configuration.version if index else None,
-        }
-        if job is not None:
-            fields["route"] = job.route.name
-            fields["account"] = job.account.name if job.account else None
-            fields["service"] = job.service
-            object_key = arrival.request.header(self._headers.object_key) or b""
-            fields["object"] = object_key.decode("latin-1")
-            fields["sends"] = [asdict(send) for send in job.sends]
-            fields["waited_ms"] = round(job.waited_s * 1000, 1)
-            if job.considered:
-                fields["considered"] = [asdict(item) for item in job.considered]
-                fields["free_slots"] = job.free_slots
-            fields["targets_age_s"] = round(now_s - self._targets_vouched_s(), 2)
-            fields["vms_heard"] = len(self._steering.fleet.live(now_s)) - 1
-        service = job.service if job is not None else ""
-        self._metrics.count_request(service, status, reason, now_s - arrival.received_s)
-        if reason is None:
-            self._log.write("request-answered", fields)
-        else:
-            fields["reason"] = reason.value
-            self._log.write("request-refused", fields)
-
 
 def _outcome_text(result: SendResult) -> str:
     match result:
--- a/src/siskinward/platform/standins/demo.py
+++ b/src/siskinward/platform/standins/demo.py
@@ -15,10 +15,12 @@
 from attrs import field
 
 from siskinward.platform._headers import HEADERS
+from siskinward.platform.standins._site import FRONT_PORT
 from siskinward.platform.standins._site import Site
 from siskinward.platform.standins._site import SiteSettings
 from siskinward.platform.standins._target import RunRecord
 from siskinward.platform.standins._target import TargetFault
+from siskinward.platform.standins._target import TargetStandIn
 from siskinward.standins.paused_clock import paused_kernel
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.outbound_connection import ExchangeFailedError
@@ -85,6 +87,13 @@
     figure: str
 
 
+@define
+class _Loss:
+    drained: TargetStandIn
+    dead_address: str
+    at_s: float
+
+
 async def play() -> tuple[Traffic, list[Check]]:
     """Play all phases; returns the traffic and the checked promises."""
     settings = SiteSettings(zones=ZONES, rate_per_s=RATE_PER_S, burst=BURST)
@@ -94,7 +103,24 @@
     task = await curio.spawn(traffic.run, daemon=True)
     _say("eight VMs serve a calm load")
     await curio.sleep(PHASE_S)
+    await _break_targets(site)
+    await _withdraw_key(site, traffic)
+    loss = await _lose_target_and_vm(site)
+    named = await site.look_up("vm-bud-a-0", "bud-a")
+    await task.cancel()
+    await curio.sleep(3.0)
+    late_runs = sum(run.started_s > loss.at_s + DRAIN_BOUND_S for run in loss.drained.runs)
+    checks = [
+        *_check_runs(site, traffic),
+        Check("a withdrawn key stops in time", traffic.served_late_key == 0, "0 served after 2 s"),
+        Check("a leaving target gets no new work", late_runs == 0, f"{late_runs} runs after 2 s"),
+        Check("a dead VM is not named", loss.dead_address not in named, f"{len(named)} VMs named"),
+    ]
+    await site.stop()
+    return traffic, checks
+
 
+async def _break_targets(site: Site) -> None:
     _say("answers of a booking target are lost, and a listing target sheds")
     site.targets["bookings-bud-a-0"].fault = TargetFault.LOSES_ANSWERS
     site.targets["listings-pec-a-0"].fault = TargetFault.SHEDS
@@ -102,33 +128,24 @@
     for target in site.targets.values():
         target.fault = TargetFault.NONE
 
+
+async def _withdraw_key(site: Site, traffic: Traffic) -> None:
     _say("the operator withdraws a key")
     site.configuration.spec("tenants", "account-1")["api_keys"] = ["spare-key-1"]
     await site.publish()
     traffic.withdrawn_since_s = read_clock_s()
     await curio.sleep(PHASE_S)
 
+
+async def _lose_target_and_vm(site: Site) -> _Loss:
     _say("a target drains, and a VM is killed")
     drained = site.targets["listings-bud-b-0"]
     await site.report(drained, "draining")
-    drained_s = read_clock_s()
-    dead = "vm-bud-a-1"
-    dead_address = f"{site.vms[dead].steering.entry.host}:8206"
-    await site.vms.pop(dead).kill()
+    at_s = read_clock_s()
+    dead = site.vms.pop("vm-bud-a-1")
+    await dead.kill()
     await curio.sleep(PHASE_S)
-    named = await site.look_up("vm-bud-a-0", "bud-a")
-
-    await task.cancel()
-    await curio.sleep(3.0)
-    late_runs = sum(run.started_s > drained_s + DRAIN_BOUND_S for run in drained.runs)
-    checks = [
-        *_check_runs(site, traffic),
-        Check("a withdrawn key stops in time", traffic.served_late_key == 0, "0 served after 2 s"),
-        Check("a leaving target gets no new work", late_runs == 0, f"{late_runs} runs after 2 s"),
-        Check("a dead VM is not named", dead_address not in named, f"{len(named)} VMs named"),
-    ]
-    await site.stop()
-    return traffic, checks
+    return _Loss(drained, f"{dead.steering.entry.host}:{FRONT_PORT}", at_s)
 
 
 def _check_runs(site: Site, traffic: Traffic) -> list[Check]:
--- a/src/siskinward/transport/decision_log.py
+++ b/src/siskinward/transport/decision_log.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -41,6 +42,21 @@
     flush_interval_s: float = 0.1
 
 
+class RuntimeLogHandler(logging.Handler):
+    """Writes what the runtime logs, such as a task that ended by an error, as structured lines."""
+
+    def __init__(self, log: DecisionLog) -> None:
+        super().__init__(logging.WARNING)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        fields = {"logger": record.name, "level": record.levelname, "text": record.getMessage()}
+        if record.exc_info:
+            fields["error"] = logging.Formatter().formatException(record.exc_info)
+        self._log.write("runtime", fields)
+
+
 @define
 class _Allowance:
     lines: float
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -212,6 +213,10 @@
         except OSError:
             # The caller has left; the reading side ends the connection.
             pass
+        except curio.TaskTimeout:
+            # The caller does not read; a half-sent answer must not be followed by another.
+            self._is_closing = True
+            await self._shut(socket.SHUT_RDWR)
         finally:
             self.exchanges.discard(exchange)
             await exchange.sent.set()
@@ -235,9 +240,9 @@
         response = HttpResponse(error.status, ((b"content-type", b"text/plain"),), b"")
         await self._sock.sendall(encode_response(http, response, closes=True))
 
-    async def _shut(self) -> None:
+    async def _shut(self, how: int = socket.SHUT_WR) -> None:
         try:
-            await self._sock.shutdown(1)
+            await self._sock.shutdown(how)
         except OSError:
             return
 
@@ -272,6 +277,7 @@
             raise MalformedRequestError(408, "headers took too long") from None
         if not isinstance(head, h11.Request):
             return None
+        _check_size(head, limits)
         _check_length(head)
         body = await self._read_body(limits)
         return HttpRequest(
@@ -315,6 +321,13 @@
             self._http.receive_data(await self._sock.recv(RECEIVE_SIZE_BYTES))
 
 
+def _check_size(head: h11.Request, limits: CallerLimits) -> None:
+    # The parser bounds only what it has not read to the end.
+    size_bytes = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+    if size_bytes > limits.header_limit_bytes:
+        raise MalformedRequestError(431, "the headers are too large")
+
+
 def _check_length(head: h11.Request) -> None:
     # A server behind this one might believe the other of the two headers.
     names = {name for name, _ in head.headers}
--- a/tests/transport/test_decision_log.py
+++ b/tests/transport/test_decision_log.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 
 from siskinward.transport.decision_log import DecisionLog
 from siskinward.transport.decision_log import LogSettings
+from siskinward.transport.decision_log import RuntimeLogHandler
 from siskinward.transport.decision_log import open_output
 
 
@@ -55,3 +57,23 @@
     assert [json.loads(line)["id"] for line in read.splitlines()] == list(range(2000))
     os.close(reader)
     os.close(writer)
+
+
+def test_log_takes_what_the_runtime_logs() -> None:
+    written = bytearray()
+
+    def take(data: bytes) -> int:
+        written.extend(data)
+        return len(data)
+
+    log = DecisionLog(LogSettings(), "vm-1", take)
+    logger = logging.Logger("curio.test")
+    logger.addHandler(RuntimeLogHandler(log))
+    try:
+        raise ValueError("broken")
+    except ValueError:
+        logger.exception("Task Crash: %s", "task 7")
+    log.flush()
+    line = json.loads(written)
+    assert (line["kind"], line["text"]) == ("runtime", "Task Crash: task 7")
+    assert "ValueError: broken" in line["error"]
