Name queue, quota and token parts by the field's terms

Cause: a read of the whole change found metaphors of our own (waiting room, ticket, desk, mint, wallet, news, room) in the entry process. Conclusion: behaviour unchanged; the reason `no-room` is now `no-capacity`.

--- a/src/siskinward/console/request_story.py
+++ b/src/siskinward/console/request_story.py
@@ -128,13 +128,14 @@
             f" service {fields['service']}, object {fields['object'] or '-'}"
         )
         lines.append(
-            f"             waited {fields['waited_ms']} ms for room; targets vouched for"
+            f"             waited {fields['waited_ms']} ms for capacity; targets vouched for"
             f" {fields['targets_age_s']} s before the end; {fields['vms_heard']} other VMs heard"
         )
     for item in fields.get("considered", ()):
         lines.append(
-            f"             no room at {item['target']} ({item['state']}): {item['load']} requests"
-            f" on {item['slots']} slots; {fields['free_slots']} slots free in the whole service"
+            f"             no capacity at {item['target']} ({item['state']}): {item['load']}"
+            f" requests on {item['slots']} slots; {fields['free_slots']} slots free in the whole"
+            " service"
         )
     for number, send in enumerate(fields.get("sends", ()), start=1):
         lines.append(
--- a/src/siskinward/coordination/steering/account_mint.py
+++ b/src/siskinward/coordination/steering/account_tokens.py
@@ -41,7 +41,7 @@
 
 
 @frozen
-class MintSettings:
+class TokenSettings:
     """An issuer begins with what the rate earns in ``takeover_s``: its predecessor had the burst.
 
     ``token_life_s`` bounds how long a VM may hold tokens.
@@ -63,10 +63,10 @@
     expires_at_s: float
 
 
-class AccountMint:
+class TokenIssuer:
     """Issues the tokens of the accounts that fall to this VM."""
 
-    def __init__(self, settings: MintSettings, fleet: Fleet) -> None:
+    def __init__(self, settings: TokenSettings, fleet: Fleet) -> None:
         self._settings = settings
         self._fleet = fleet
         self._buckets: dict[AccountName, _Bucket] = {}
@@ -93,10 +93,10 @@
         return granted
 
 
-class TokenWallet:
+class TokenCache:
     """The tokens that this VM holds."""
 
-    def __init__(self, settings: MintSettings) -> None:
+    def __init__(self, settings: TokenSettings) -> None:
         self._settings = settings
         self._batches: dict[AccountName, list[_Batch]] = {}
 
--- a/src/siskinward/coordination/steering/waiting.py
+++ b/src/siskinward/coordination/steering/admission_queue.py
@@ -1,4 +1,4 @@
-"""Orders requests that wait for room at a service's targets, and turns away what cannot be served.
+"""Orders requests that wait for capacity at a service's targets, and rejects what cannot be served.
 
 Answers load beyond all slots: a request waits only while it can still be answered within its
 latency objective; otherwise it is rejected on arrival, so that its caller can come back.
@@ -15,7 +15,7 @@
 
 
 @frozen
-class WaitingSettings:
+class QueueSettings:
     """How long requests may wait, and what their callers are told.
 
     ``objective_part`` is the part of the latency objective that a request may spend waiting.
@@ -29,7 +29,7 @@
 
 
 @frozen
-class Ticket:
+class QueueEntry:
     """One waiting request; smaller ``priority`` is more urgent."""
 
     number: int
@@ -40,14 +40,14 @@
 
 
 @frozen
-class Waits:
+class Queued:
     """The request may wait until ``start_by_s``."""
 
-    ticket: Ticket
+    entry: QueueEntry
 
 
 @frozen
-class TurnedAway:
+class Rejected:
     """The request cannot be started in time."""
 
     retry_after_s: float
@@ -63,19 +63,19 @@
         return len(self.times) / window_s
 
 
-class WaitingRoom:
+class AdmissionQueue:
     """The waiting requests of one service at this VM."""
 
-    def __init__(self, settings: WaitingSettings) -> None:
+    def __init__(self, settings: QueueSettings) -> None:
         self._settings = settings
-        self._tickets: dict[int, Ticket] = {}
+        self._entries: dict[int, QueueEntry] = {}
         self._numbers = 0
         self._starts = _StartTimes(deque())
 
     @property
     def waiting(self) -> int:
         """Number of waiting requests."""
-        return len(self._tickets)
+        return len(self._entries)
 
     def note_start(self, now_s: float) -> None:
         """Count a request that was sent to a target."""
@@ -90,32 +90,30 @@
         arrived_s: float,
         deadline_s: float,
         now_s: float,
-    ) -> Waits | TurnedAway:
-        """Decide whether a request that found no room waits."""
+    ) -> Queued | Rejected:
+        """Decide whether a request that found no capacity waits."""
         patience_s = objective_s * self._settings.objective_part
         start_by_s = min(arrived_s + patience_s, deadline_s)
-        ahead = sum(ticket.priority <= priority for ticket in self._tickets.values())
+        ahead = sum(entry.priority <= priority for entry in self._entries.values())
         wait_s = self._expected_wait_s(ahead, now_s)
         if now_s + wait_s >= start_by_s or self.waiting >= self._settings.limit:
-            return TurnedAway(self._retry_after_s(now_s))
+            return Rejected(self._retry_after_s(now_s))
         self._numbers += 1
-        ticket = Ticket(self._numbers, account, priority, arrived_s, start_by_s)
-        self._tickets[ticket.number] = ticket
-        return Waits(ticket)
+        entry = QueueEntry(self._numbers, account, priority, arrived_s, start_by_s)
+        self._entries[entry.number] = entry
+        return Queued(entry)
 
-    def leave(self, ticket: Ticket) -> None:
+    def leave(self, entry: QueueEntry) -> None:
         """Remove a request that was started, given up or cancelled."""
-        self._tickets.pop(ticket.number, None)
+        self._entries.pop(entry.number, None)
 
-    def in_order(self) -> list[Ticket]:
+    def in_order(self) -> list[QueueEntry]:
         """The waiting requests, in the order in which to try to start them."""
-        return sorted(
-            self._tickets.values(), key=lambda ticket: (ticket.priority, ticket.start_by_s)
-        )
+        return sorted(self._entries.values(), key=lambda entry: (entry.priority, entry.start_by_s))
 
-    def turn_away(self, now_s: float) -> TurnedAway:
+    def reject(self, now_s: float) -> Rejected:
         """The rejection of a request that can no longer be started in time."""
-        return TurnedAway(self._retry_after_s(now_s))
+        return Rejected(self._retry_after_s(now_s))
 
     def _expected_wait_s(self, ahead: int, now_s: float) -> float:
         rate_per_s = self._starts.rate_per_s(now_s, self._settings.rate_window_s)
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -208,7 +208,7 @@
             self._assumed, 1 + sum(self._counts(peer, now_s) for peer in self._peers.values())
         )
 
-    def hears_most(self, now_s: float) -> bool:
+    def has_majority(self, now_s: float) -> bool:
         """Whether this VM is on the larger side of any cut."""
         heard = 1 + sum(1 for _ in self._heard(now_s))
         return heard * 2 > self.counted(now_s)
--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -63,7 +63,7 @@
 
 
 @frozen
-class NoRoom:
+class NoCapacity:
     """Targets exist, and all are full."""
 
 
@@ -83,7 +83,7 @@
 
 
 class Placement:
-    """Ranks targets for objects and finds the first with room."""
+    """Ranks targets for objects and finds the first with capacity."""
 
     def __init__(
         self,
@@ -102,8 +102,8 @@
         self._random = random
         self.warmup_rates_per_s: dict[ServiceName, float] = {}
 
-    def choose(self, request: PlacementRequest, now_s: float) -> Placed | NoRoom | NoTarget:
-        """Choose a target with room."""
+    def choose(self, request: PlacementRequest, now_s: float) -> Placed | NoCapacity | NoTarget:
+        """Choose a target with capacity."""
         candidates = self._candidates(request, now_s)
         if not candidates:
             return NoTarget()
@@ -117,15 +117,15 @@
                 if target.in_flight == 0:
                     return Placed(target, warm_seen)
                 continue
-            if self._has_room(target, warm_seen):
+            if self._has_capacity(target, warm_seen):
                 return Placed(target, warm_seen)
             warm_seen += 1
             if request.object_key and warm_seen >= self._settings.choices:
                 break
-        return NoRoom()
+        return NoCapacity()
 
     def considered(self, request: PlacementRequest, now_s: float) -> list[Considered]:
-        """The targets that a request without room would have gone to."""
+        """The targets that a request without capacity would have gone to."""
         ordered = self._ordered(request, self._candidates(request, now_s))
         return [
             Considered(item.name, item.load, item.record.slots, item.state_name(now_s))
@@ -176,7 +176,7 @@
         typical = median(other.error_share for other in candidates)
         return target.error_share > self._settings.error_ratio * typical
 
-    def _has_room(self, target: Target, choice: int) -> bool:
+    def _has_capacity(self, target: Target, choice: int) -> bool:
         slots = target.record.slots
         depth = self._settings.first_depth if choice == 0 else self._settings.other_depth
         return target.load < slots + depth * slots
--- a/src/siskinward/coordination/steering/warmup.py
+++ b/src/siskinward/coordination/steering/warmup.py
@@ -52,7 +52,7 @@
         self._paces = {name: pace for name, pace in self._paces.items() if name in names}
 
     def _is_sender(self, target: Target, now_s: float) -> bool:
-        if not self._fleet.hears_most(now_s):
+        if not self._fleet.has_majority(now_s):
             return False
         own = self._fleet.own.vm
         own_score = rendezvous_score(target.name, own)
--- a/src/siskinward/daemon/entry/dispatcher.py
+++ b/src/siskinward/daemon/entry/dispatcher.py
@@ -1,4 +1,4 @@
-"""Finds a target for each request, at once or when room comes free."""
+"""Finds a target for each request, at once or when capacity comes free."""
 
 from __future__ import annotations
 
@@ -8,12 +8,12 @@
 from attrs import define
 from attrs import field
 
+from siskinward.coordination.steering.admission_queue import AdmissionQueue
+from siskinward.coordination.steering.admission_queue import QueueEntry
+from siskinward.coordination.steering.admission_queue import Rejected
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import Placed
 from siskinward.coordination.steering.placement import PlacementRequest
-from siskinward.coordination.steering.waiting import Ticket
-from siskinward.coordination.steering.waiting import TurnedAway
-from siskinward.coordination.steering.waiting import WaitingRoom
 from siskinward.state.identifiers import AccountName
 from siskinward.transport.clock import read_clock_s
 
@@ -38,7 +38,7 @@
 @define(eq=False)
 class _Waiter:
     claim: Claim
-    ticket: Ticket
+    entry: QueueEntry
     placed: Placed | None = None
     is_placed: curio.Event = field(factory=curio.Event)
 
@@ -48,56 +48,56 @@
 
     def __init__(self, steering: Steering) -> None:
         self._steering = steering
-        self._rooms: dict[ServiceName, WaitingRoom] = {}
+        self._queues: dict[ServiceName, AdmissionQueue] = {}
         self._waiters: dict[ServiceName, dict[int, _Waiter]] = {}
 
     @property
     def waiting(self) -> int:
-        """Requests that wait for room."""
-        return sum(room.waiting for room in self._rooms.values())
+        """Requests that wait for capacity."""
+        return sum(queue.waiting for queue in self._queues.values())
 
-    async def take(self, claim: Claim) -> Placed | TurnedAway | NoTarget:
-        """Take room at a target; ``release`` gives it back."""
+    async def take(self, claim: Claim) -> Placed | Rejected | NoTarget:
+        """Take capacity at a target; ``release`` gives it back."""
         now_s = read_clock_s()
         service = claim.placement.service
         choice = self._steering.placement.choose(claim.placement, now_s)
         if isinstance(choice, NoTarget):
             return choice
-        if isinstance(choice, Placed) and not self._room(service).waiting:
+        if isinstance(choice, Placed) and not self._queue(service).waiting:
             self._start(choice, now_s)
             return choice
         return await self._wait(claim, now_s)
 
     async def release(self, target: Target) -> None:
-        """Give the room of a finished request back."""
+        """Give the capacity of a finished request back."""
         target.in_flight = max(0, target.in_flight - 1)
-        await self.let_go(target.record.service)
+        await self.dispatch_waiting(target.record.service)
 
-    async def let_all_go(self) -> None:
+    async def dispatch_all_waiting(self) -> None:
         """Start what can be started after a change of targets or of other VMs' counts."""
-        for service in list(self._rooms):
-            await self.let_go(service)
+        for service in list(self._queues):
+            await self.dispatch_waiting(service)
 
-    async def let_go(self, service: ServiceName) -> None:
-        """Start waiting requests of a service while there is room for them."""
+    async def dispatch_waiting(self, service: ServiceName) -> None:
+        """Start waiting requests of a service while there is capacity for them."""
         waiters = self._waiters.get(service)
         if not waiters:
             return
         now_s = read_clock_s()
-        for ticket in self._room(service).in_order():
-            waiter = waiters[ticket.number]
+        for entry in self._queue(service).in_order():
+            waiter = waiters[entry.number]
             choice = self._steering.placement.choose(waiter.claim.placement, now_s)
             if isinstance(choice, Placed):
                 self._start(choice, now_s)
                 waiter.placed = choice
-                self._room(service).leave(ticket)
-                del waiters[ticket.number]
+                self._queue(service).leave(entry)
+                del waiters[entry.number]
                 await waiter.is_placed.set()
 
-    async def _wait(self, claim: Claim, now_s: float) -> Placed | TurnedAway:
+    async def _wait(self, claim: Claim, now_s: float) -> Placed | Rejected:
         service = claim.placement.service
-        room = self._room(service)
-        entered = room.enter(
+        queue = self._queue(service)
+        entered = queue.enter(
             claim.account,
             priority=claim.priority,
             objective_s=claim.objective_s,
@@ -105,33 +105,33 @@
             deadline_s=claim.deadline_s,
             now_s=now_s,
         )
-        if isinstance(entered, TurnedAway):
+        if isinstance(entered, Rejected):
             return entered
-        waiter = _Waiter(claim, entered.ticket)
-        self._waiters.setdefault(service, {})[entered.ticket.number] = waiter
-        await self.let_go(service)
+        waiter = _Waiter(claim, entered.entry)
+        self._waiters.setdefault(service, {})[entered.entry.number] = waiter
+        await self.dispatch_waiting(service)
         try:
-            async with curio.timeout_after(max(0.0, entered.ticket.start_by_s - now_s)):
+            async with curio.timeout_after(max(0.0, entered.entry.start_by_s - now_s)):
                 await waiter.is_placed.wait()
         except curio.TaskTimeout:
             if waiter.placed is None:
-                return room.turn_away(read_clock_s())
+                return queue.reject(read_clock_s())
         except curio.CancelledError:
             if waiter.placed is not None:
                 await self.release(waiter.placed.target)
             raise
         finally:
-            room.leave(entered.ticket)
-            self._waiters[service].pop(entered.ticket.number, None)
+            queue.leave(entered.entry)
+            self._waiters[service].pop(entered.entry.number, None)
         assert waiter.placed is not None
         return waiter.placed
 
     def _start(self, choice: Placed, now_s: float) -> None:
         self._steering.placement.note_sent(choice.target, now_s)
-        self._room(choice.target.record.service).note_start(now_s)
+        self._queue(choice.target.record.service).note_start(now_s)
 
-    def _room(self, service: ServiceName) -> WaitingRoom:
-        room = self._rooms.get(service)
-        if room is None:
-            room = self._rooms[service] = WaitingRoom(self._steering.settings.waiting)
-        return room
+    def _queue(self, service: ServiceName) -> AdmissionQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = AdmissionQueue(self._steering.settings.queue)
+        return queue
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -8,8 +8,8 @@
 
 import curio
 
-from siskinward.coordination.steering.account_mint import TokenAsk
-from siskinward.coordination.steering.account_mint import TokenGrant
+from siskinward.coordination.steering.account_tokens import TokenAsk
+from siskinward.coordination.steering.account_tokens import TokenGrant
 from siskinward.coordination.steering.fleet import Heartbeat
 from siskinward.coordination.steering.fleet import LoadReport
 from siskinward.coordination.steering.hashing import short_id
@@ -25,7 +25,7 @@
     from collections.abc import Callable
 
     from siskinward.coordination.steering.rows import TableCopy
-    from siskinward.daemon.entry.quota_desk import QuotaDesk
+    from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
     from siskinward.daemon.entry.steering import Steering
     from siskinward.transport.decision_log import DecisionLog
     from siskinward.transport.peer_datagrams import PeerDatagrams
@@ -41,7 +41,7 @@
         self,
         steering: Steering,
         datagrams: PeerDatagrams,
-        quota: QuotaDesk,
+        quota: QuotaEnforcer,
         log: DecisionLog,
         on_heartbeat: Callable[[Heartbeat, float], Awaitable[None]],
     ) -> None:
--- a/src/siskinward/daemon/entry/metrics_page.py
+++ b/src/siskinward/daemon/entry/metrics_page.py
@@ -106,7 +106,7 @@
             ("configuration_version", "Configuration in force.", version),
             ("vms_live", "VMs heard lately, this one included.", len(steering.fleet.live(now_s))),
             ("vms_counted", "VMs that limits are divided by.", steering.fleet.counted(now_s)),
-            ("requests_waiting", "Requests that wait for room.", self._dispatcher.waiting),
+            ("requests_waiting", "Requests that wait for capacity.", self._dispatcher.waiting),
         ):
             yield GaugeMetricFamily(PREFIX + name, text, value=value)
         ages = GaugeMetricFamily(
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -18,9 +18,8 @@
 from siskinward.daemon.entry.heartbeats import HeartbeatExchange
 from siskinward.daemon.entry.metrics import EntryMetrics
 from siskinward.daemon.entry.metrics_page import MetricsPage
-from siskinward.daemon.entry.news import StoreNews
-from siskinward.daemon.entry.quota_desk import QuotaDesk
-from siskinward.daemon.entry.quota_desk import QuotaSettings
+from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
+from siskinward.daemon.entry.quota_enforcer import QuotaSettings
 from siskinward.daemon.entry.replication import Replication
 from siskinward.daemon.entry.replication import ReplicationSettings
 from siskinward.daemon.entry.request_handler import RequestHandler
@@ -28,6 +27,7 @@
 from siskinward.daemon.entry.sender import Sender
 from siskinward.daemon.entry.steering import SteeringSettings
 from siskinward.daemon.entry.steering import create_steering
+from siskinward.daemon.entry.store_updates import StoreUpdates
 from siskinward.daemon.entry.target_probes import TargetProbes
 from siskinward.protocol.heartbeats import encode_vm
 from siskinward.state.errors import SiskinwardError
@@ -62,8 +62,8 @@
 # Before the platform ends the process for good, requests under way get this much of the grace.
 GRACE_MARGIN_S = 0.4
 STANDARD_OUTPUT = 1
-FAREWELL_HEARTBEATS = 3
-FAREWELL_GAP_S = 0.05
+LEAVE_HEARTBEATS = 3
+LEAVE_GAP_S = 0.05
 
 
 class EntryProcess:
@@ -89,7 +89,7 @@
         sender = Sender(self._steering, platform.headers, self._pool)
         metrics = EntryMetrics()
         self._datagrams = PeerDatagrams(settings.host, settings.peer_port)
-        quota = QuotaDesk(QuotaSettings(), self._steering, self._datagrams)
+        quota = QuotaEnforcer(QuotaSettings(), self._steering, self._datagrams)
         ends = RequestLog(self._steering, platform.headers, metrics, self._log)
         handler = RequestHandler(
             self._steering, platform.headers, self._dispatcher, sender, quota, ends
@@ -101,9 +101,9 @@
         self._lookups = FrontServer(directory.handle_lookup)
         self._readiness = FrontServer(directory.handle_readiness)
         self._metrics = FrontServer(page.handle)
-        news = StoreNews(self._steering, platform, self._log, self._set_limits)
+        updates = StoreUpdates(self._steering, platform, self._log, self._set_limits)
         self._replication = Replication(
-            ReplicationSettings(), self._steering, self._store, news, self._log, self._on_change
+            ReplicationSettings(), self._steering, self._store, updates, self._log, self._on_change
         )
         self._heartbeats = HeartbeatExchange(
             self._steering, self._datagrams, quota, self._log, self._replication.on_heartbeat
@@ -203,9 +203,9 @@
         self._log.write("stop", {"unanswered": self._front.unanswered_count})
         self._steering.fleet.state = VmState.LEAVING
         self._front.is_leaving = True
-        for _ in range(FAREWELL_HEARTBEATS):
+        for _ in range(LEAVE_HEARTBEATS):
             await self._heartbeats.send()
-            await curio.sleep(FAREWELL_GAP_S)
+            await curio.sleep(LEAVE_GAP_S)
         await curio.spawn(self._deregister, daemon=True)
         await curio.sleep(LEAVE_LINGER_S)
         await self._front.begin_shutdown()
@@ -217,11 +217,11 @@
         self._note_ready()
         if is_first:
             await self._heartbeats.send()
-        await self._dispatcher.let_all_go()
+        await self._dispatcher.dispatch_all_waiting()
 
     async def _after_heartbeat(self) -> None:
         self._note_ready()
-        await self._dispatcher.let_all_go()
+        await self._dispatcher.dispatch_all_waiting()
 
     def _note_ready(self) -> None:
         steering = self._steering
--- a/src/siskinward/daemon/entry/quota_desk.py
+++ b/src/siskinward/daemon/entry/quota_enforcer.py
@@ -11,11 +11,11 @@
 from attrs import field
 from attrs import frozen
 
-from siskinward.coordination.steering.account_mint import AccountMint
-from siskinward.coordination.steering.account_mint import MintSettings
-from siskinward.coordination.steering.account_mint import TokenAsk
-from siskinward.coordination.steering.account_mint import TokenGrant
-from siskinward.coordination.steering.account_mint import TokenWallet
+from siskinward.coordination.steering.account_tokens import TokenAsk
+from siskinward.coordination.steering.account_tokens import TokenCache
+from siskinward.coordination.steering.account_tokens import TokenGrant
+from siskinward.coordination.steering.account_tokens import TokenIssuer
+from siskinward.coordination.steering.account_tokens import TokenSettings
 from siskinward.protocol.heartbeats import encode_token_message
 from siskinward.transport.clock import read_clock_s
 
@@ -36,7 +36,7 @@
     divided_up_to_vms: int = 16
     prefetch_s: float = 0.2
     ask_timeout_s: float = 0.2
-    mint: MintSettings = field(factory=MintSettings)
+    tokens: TokenSettings = field(factory=TokenSettings)
 
 
 @define(eq=False)
@@ -44,7 +44,7 @@
     is_answered: curio.Event = field(factory=curio.Event)
 
 
-class QuotaDesk:
+class QuotaEnforcer:
     """Decides for each request whether its account may have it run."""
 
     def __init__(
@@ -53,8 +53,8 @@
         self._settings = settings
         self._steering = steering
         self._datagrams = datagrams
-        self._mint = AccountMint(settings.mint, steering.fleet)
-        self._wallet = TokenWallet(settings.mint)
+        self._issuer = TokenIssuer(settings.tokens, steering.fleet)
+        self._cache = TokenCache(settings.tokens)
         self._asks: dict[int, _OpenAsk] = {}
         self._numbers = count(1)
 
@@ -67,11 +67,11 @@
         if self._steering.fleet.counted(now_s) <= self._settings.divided_up_to_vms:
             return shares.try_take(account, now_s)
         shares.note_arrival(account.name)
-        if self._wallet.try_take(account.name, now_s):
+        if self._cache.try_take(account.name, now_s):
             return True
         if not await self._fetch(account, now_s):
             return shares.try_take(account, read_clock_s(), is_counted=True)
-        return self._wallet.try_take(account.name, read_clock_s())
+        return self._cache.try_take(account.name, read_clock_s())
 
     def give_back(self, account: AccountPolicy) -> None:
         """Return what a request took that did not run."""
@@ -79,13 +79,13 @@
         if self._steering.fleet.counted(now_s) <= self._settings.divided_up_to_vms:
             self._steering.shares.give_back(account)
         else:
-            self._wallet.put(account.name, 1, now_s)
+            self._cache.put(account.name, 1, now_s)
 
     async def on_ask(self, ask: TokenAsk, host: str) -> None:
         """Answer another VM."""
         index = self._steering.index
         account = index.account(ask.account) if index else None
-        granted = self._mint.grant(account, ask.wanted, read_clock_s()) if account else 0
+        granted = self._issuer.grant(account, ask.wanted, read_clock_s()) if account else 0
         grant = TokenGrant(ask.number, ask.account, granted)
         await self._datagrams.send(encode_token_message(grant), [host])
 
@@ -93,16 +93,16 @@
         """Take in tokens; those of an ask that was given up are void."""
         ask = self._asks.pop(grant.number, None)
         if ask is not None:
-            self._wallet.put(grant.account, grant.granted, read_clock_s())
+            self._cache.put(grant.account, grant.granted, read_clock_s())
             await ask.is_answered.set()
 
     async def _fetch(self, account: AccountPolicy, now_s: float) -> bool:
         """Get tokens from the account's issuer; False if that did not answer."""
         demand_per_s = self._steering.shares.demand_per_s(account.name)
         wanted = 1 + ceil(demand_per_s * self._settings.prefetch_s)
-        issuer = self._mint.issuer_of(account.name, now_s)
+        issuer = self._issuer.issuer_of(account.name, now_s)
         if issuer.vm == self._steering.fleet.own.vm:
-            self._wallet.put(account.name, self._mint.grant(account, wanted, now_s), now_s)
+            self._cache.put(account.name, self._issuer.grant(account, wanted, now_s), now_s)
             return True
         number = next(self._numbers)
         ask = self._asks[number] = _OpenAsk()
--- a/src/siskinward/daemon/entry/refusals.py
+++ b/src/siskinward/daemon/entry/refusals.py
@@ -16,7 +16,7 @@
     KEY_UNKNOWN = "key-unknown"
     OVER_QUOTA = "over-quota"
     NO_TARGET = "no-target"
-    NO_ROOM = "no-room"
+    NO_CAPACITY = "no-capacity"
     CRASHES_TARGETS = "crashes-targets"
     TARGETS_SHED = "targets-shed"
     OUTCOME_UNKNOWN = "outcome-unknown"
@@ -31,7 +31,7 @@
     Reason.KEY_UNKNOWN: 401,
     Reason.OVER_QUOTA: 429,
     Reason.NO_TARGET: 503,
-    Reason.NO_ROOM: 503,
+    Reason.NO_CAPACITY: 503,
     Reason.CRASHES_TARGETS: 503,
     Reason.TARGETS_SHED: 503,
     Reason.OUTCOME_UNKNOWN: 502,
--- a/src/siskinward/daemon/entry/replication.py
+++ b/src/siskinward/daemon/entry/replication.py
@@ -22,9 +22,9 @@
     from siskinward.coordination.steering.fleet import Heartbeat
     from siskinward.coordination.steering.rows import Changes
     from siskinward.coordination.steering.rows import Snapshot
-    from siskinward.daemon.entry.news import StoreNews
     from siskinward.daemon.entry.ports import Store
     from siskinward.daemon.entry.steering import Steering
+    from siskinward.daemon.entry.store_updates import StoreUpdates
     from siskinward.transport.decision_log import DecisionLog
 
 STORE_SOURCE = "store"
@@ -57,14 +57,14 @@
         settings: ReplicationSettings,
         steering: Steering,
         store: Store,
-        news: StoreNews,
+        updates: StoreUpdates,
         log: DecisionLog,
         on_change: Callable[[bool], Awaitable[None]],
     ) -> None:
         self._settings = settings
         self._steering = steering
         self._store = store
-        self._news = news
+        self._updates = updates
         self._log = log
         self._on_change = on_change
         self._pulling: set[StoreTable] = set()
@@ -149,7 +149,7 @@
     async def _apply(
         self, table: StoreTable, update: Snapshot | Changes, source: str, vouched_s: float
     ) -> None:
-        changed = self._news.apply(table, update, source=source, now_s=read_clock_s())
+        changed = self._updates.apply(table, update, source=source, now_s=read_clock_s())
         copy = self._steering.tables[table]
         if update.position >= copy.content_version:
             copy.vouched_s = max(copy.vouched_s, vouched_s)
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -6,10 +6,10 @@
 
 from attrs import define
 
+from siskinward.coordination.steering.admission_queue import Rejected
 from siskinward.coordination.steering.crash_guard import fingerprint_of
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import PlacementRequest
-from siskinward.coordination.steering.waiting import TurnedAway
 from siskinward.daemon.entry.dispatcher import Claim
 from siskinward.daemon.entry.job import Job
 from siskinward.daemon.entry.job import Send
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from siskinward.coordination.steering.placement import Placed
     from siskinward.daemon.entry.dispatcher import Dispatcher
-    from siskinward.daemon.entry.quota_desk import QuotaDesk
+    from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
     from siskinward.daemon.entry.request_log import RequestLog
     from siskinward.daemon.entry.sender import Sender
     from siskinward.daemon.entry.sender import SendResult
@@ -59,7 +59,7 @@
         headers: SteeringHeaders,
         dispatcher: Dispatcher,
         sender: Sender,
-        quota: QuotaDesk,
+        quota: QuotaEnforcer,
         log: RequestLog,
     ) -> None:
         self._steering = steering
@@ -146,12 +146,12 @@
         match taken:
             case NoTarget():
                 raise self._give_up(job, Reason.NO_TARGET, RETRY_SOON_S)
-            case TurnedAway(retry_after_s=retry_after_s):
+            case Rejected(retry_after_s=retry_after_s):
                 now_s = read_clock_s()
                 placement = self._steering.placement
                 job.considered = placement.considered(claim.placement, now_s)
                 job.free_slots = placement.free_slots(job.service, now_s)
-                raise self._give_up(job, Reason.NO_ROOM, retry_after_s)
+                raise self._give_up(job, Reason.NO_CAPACITY, retry_after_s)
             case placed:
                 return placed
 
@@ -191,8 +191,8 @@
             job.arrival.keeps_running = False
             await self._dispatcher.release(target)
         if not (isinstance(result, NotRun) and result.reason is SendFailure.SHED):
-            # A target that sheds although it has room may take the request at the next try, and
-            # the object is warm there.
+            # A target that sheds with free slots may take the request at the next try, and the
+            # object is warm there.
             job.tried.append(target.name)
         job.runs_possible = job.runs_possible or isinstance(result, Unknown)
         took_ms = round((read_clock_s() - started_s) * 1000, 1)
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -10,6 +10,7 @@
 
 from siskinward.coordination.steering.account_shares import AccountShares
 from siskinward.coordination.steering.account_shares import ShareSettings
+from siskinward.coordination.steering.admission_queue import QueueSettings
 from siskinward.coordination.steering.crash_guard import CrashGuard
 from siskinward.coordination.steering.crash_guard import CrashGuardSettings
 from siskinward.coordination.steering.fleet import EntryVm
@@ -24,7 +25,6 @@
 from siskinward.coordination.steering.splits import RouteSplitter
 from siskinward.coordination.steering.targets import TargetSettings
 from siskinward.coordination.steering.targets import TargetTable
-from siskinward.coordination.steering.waiting import WaitingSettings
 from siskinward.coordination.steering.warmup import WarmupGate
 from siskinward.state.identifiers import IncarnationId
 from siskinward.state.serving import EntrySettings
@@ -40,7 +40,7 @@
     fleet: FleetSettings = field(factory=FleetSettings)
     targets: TargetSettings = field(factory=TargetSettings)
     placement: PlacementSettings = field(factory=PlacementSettings)
-    waiting: WaitingSettings = field(factory=WaitingSettings)
+    queue: QueueSettings = field(factory=QueueSettings)
     shares: ShareSettings = field(factory=ShareSettings)
     retries: RetrySettings = field(factory=RetrySettings)
     crashes: CrashGuardSettings = field(factory=CrashGuardSettings)
--- a/src/siskinward/daemon/entry/news.py
+++ b/src/siskinward/daemon/entry/store_updates.py
@@ -28,7 +28,7 @@
 STORE_AWAY_S = 2.0
 
 
-class StoreNews:
+class StoreUpdates:
     """Takes updates of the table copies in and passes their meaning on."""
 
     def __init__(
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -7,8 +7,8 @@
 import msgpack
 from attrs import frozen
 
-from siskinward.coordination.steering.account_mint import TokenAsk
-from siskinward.coordination.steering.account_mint import TokenGrant
+from siskinward.coordination.steering.account_tokens import TokenAsk
+from siskinward.coordination.steering.account_tokens import TokenGrant
 from siskinward.coordination.steering.fleet import EntryVm
 from siskinward.coordination.steering.fleet import Heartbeat
 from siskinward.coordination.steering.fleet import LoadReport
--- a/tests/coordination/steering/test_account_mint.py
+++ b/tests/coordination/steering/test_account_tokens.py
@@ -9,63 +9,63 @@
 from steering_fixtures import fleet_of
 from steering_fixtures import heartbeat
 
-from siskinward.coordination.steering.account_mint import AccountMint
-from siskinward.coordination.steering.account_mint import MintSettings
-from siskinward.coordination.steering.account_mint import TokenWallet
+from siskinward.coordination.steering.account_tokens import TokenCache
+from siskinward.coordination.steering.account_tokens import TokenIssuer
+from siskinward.coordination.steering.account_tokens import TokenSettings
 from siskinward.state.serving import ServingBounds
 
 BOUNDS = ServingBounds()
 
 
-def mints_of(count: int, cut: set[int]) -> list[AccountMint]:
+def issuers_of(count: int, cut: set[int]) -> list[TokenIssuer]:
     """The issuers of a fleet in which two sides do not hear each other any more."""
-    mints = []
+    issuers = []
     for own in range(count):
         fleet = fleet_of(count, own=own, now_s=0.0)
         for other in range(count):
             if (own in cut) == (other in cut):
                 fleet.on_heartbeat(heartbeat(entry_vm(other), 2), 100.0)
-        mints.append(AccountMint(MintSettings(), fleet))
-    return mints
+        issuers.append(TokenIssuer(TokenSettings(), fleet))
+    return issuers
 
 
 @given(cut=st.sets(st.integers(0, 29), max_size=29), wanted=st.integers(1, 50))
-def test_mint_both_sides_of_a_cut_issue_no_more_than_the_whole(cut: set[int], wanted: int) -> None:
+def test_issuers_on_both_sides_of_a_cut_keep_to_the_whole(cut: set[int], wanted: int) -> None:
     policy = account(rate_per_s=40.0, burst_requests=40.0)
-    mints = mints_of(30, cut)
+    issuers = issuers_of(30, cut)
     issued_s: list[float] = []
     for step in range(40):
         now_s = 10.0 + step * 0.2 if not cut else 100.0 + step * 0.02
-        for mint in mints:
-            issuer = mint.issuer_of(policy.name, now_s)
-            number = int(issuer.vm.removeprefix("vm-"))
-            issued_s += [now_s] * mints[number].grant(policy, wanted, now_s)
+        for one in issuers:
+            named = one.issuer_of(policy.name, now_s)
+            number = int(named.vm.removeprefix("vm-"))
+            issued_s += [now_s] * issuers[number].grant(policy, wanted, now_s)
     window_s = BOUNDS.quota_window_s
     allowed = (policy.rate_per_s * window_s + policy.burst_requests) * 1.1 + 20
     for start_s in set(issued_s):
         assert sum(start_s <= at_s < start_s + window_s for at_s in issued_s) <= allowed
 
 
-def test_mint_issuer_is_the_same_seen_from_every_vm() -> None:
-    mints = mints_of(30, set())
-    issuers = {mint.issuer_of(account().name, 100.5).vm for mint in mints}
+def test_issuer_issuer_is_the_same_seen_from_every_vm() -> None:
+    issuers = issuers_of(30, set())
+    issuers = {one.issuer_of(account().name, 100.5).vm for one in issuers}
     assert len(issuers) == 1
 
 
-def test_mint_issues_at_the_accounts_rate() -> None:
+def test_issuer_issues_at_the_accounts_rate() -> None:
     policy = account(rate_per_s=40.0, burst_requests=40.0)
     fleet = fleet_of(30)
-    mint = AccountMint(MintSettings(), fleet)
+    issuer = TokenIssuer(TokenSettings(), fleet)
     total = 0
     for step in range(1, 101):
         for other in range(30):
             fleet.on_heartbeat(heartbeat(entry_vm(other), step + 1), step / 10)
-        total += mint.grant(policy, 50, step / 10)
+        total += issuer.grant(policy, 50, step / 10)
     assert 40.0 * 9.9 <= total <= 40.0 * 10 + 40.0
 
 
-def test_wallet_tokens_expire() -> None:
-    wallet = TokenWallet(MintSettings(token_life_s=0.5))
-    wallet.put(account().name, 2, 1.0)
-    assert wallet.try_take(account().name, 1.4)
-    assert not wallet.try_take(account().name, 1.5)
+def test_token_cache_tokens_expire() -> None:
+    cache = TokenCache(TokenSettings(token_life_s=0.5))
+    cache.put(account().name, 2, 1.0)
+    assert cache.try_take(account().name, 1.4)
+    assert not cache.try_take(account().name, 1.5)
--- a/tests/coordination/steering/test_fleet.py
+++ b/tests/coordination/steering/test_fleet.py
@@ -68,7 +68,7 @@
     fleet.learn([entry_vm(number) for number in range(8)], 0.0)
     fleet.on_all_named()
     assert fleet.counted(0.0) == 8
-    assert not fleet.hears_most(0.0)
+    assert not fleet.has_majority(0.0)
 
 
 def test_fleet_ranks_agree() -> None:
--- a/tests/coordination/steering/test_limits.py
+++ b/tests/coordination/steering/test_limits.py
@@ -1,4 +1,4 @@
-"""Retry budget, crash guard, waiting room and splits."""
+"""Retry budget, crash guard, admission queue and splits."""
 
 from __future__ import annotations
 
@@ -7,16 +7,16 @@
 from steering_fixtures import SERVICE
 from steering_fixtures import fleet_of
 
+from siskinward.coordination.steering.admission_queue import AdmissionQueue
+from siskinward.coordination.steering.admission_queue import Queued
+from siskinward.coordination.steering.admission_queue import QueueSettings
+from siskinward.coordination.steering.admission_queue import Rejected
 from siskinward.coordination.steering.crash_guard import CrashGuard
 from siskinward.coordination.steering.crash_guard import CrashGuardSettings
 from siskinward.coordination.steering.crash_guard import fingerprint_of
 from siskinward.coordination.steering.retry_budget import RetryBudget
 from siskinward.coordination.steering.retry_budget import RetrySettings
 from siskinward.coordination.steering.splits import RouteSplitter
-from siskinward.coordination.steering.waiting import TurnedAway
-from siskinward.coordination.steering.waiting import WaitingRoom
-from siskinward.coordination.steering.waiting import WaitingSettings
-from siskinward.coordination.steering.waiting import Waits
 from siskinward.state.identifiers import ServiceName
 from siskinward.state.serving import Repeatability
 from siskinward.state.serving import ServedRoute
@@ -94,8 +94,8 @@
     assert len(others) == 3
 
 
-def enter(room: WaitingRoom, now_s: float, priority: int = 1) -> Waits | TurnedAway:
-    return room.enter(
+def enter(queue: AdmissionQueue, now_s: float, priority: int = 1) -> Queued | Rejected:
+    return queue.enter(
         None,
         priority=priority,
         objective_s=0.4,
@@ -105,25 +105,25 @@
     )
 
 
-def test_waiting_room_rejects_at_once_what_cannot_start_in_time() -> None:
-    room = WaitingRoom(WaitingSettings())
+def test_admission_queue_rejects_at_once_what_cannot_start_in_time() -> None:
+    queue = AdmissionQueue(QueueSettings())
     for step in range(20):
-        room.note_start(step / 10)
-    entered = [enter(room, 2.0) for _ in range(10)]
-    assert isinstance(entered[0], Waits)
-    rejected = [item for item in entered if isinstance(item, TurnedAway)]
-    # Ten starts a second and 0.16 s to wait leave room for two.
+        queue.note_start(step / 10)
+    entered = [enter(queue, 2.0) for _ in range(10)]
+    assert isinstance(entered[0], Queued)
+    rejected = [item for item in entered if isinstance(item, Rejected)]
+    # Ten starts a second and 0.16 s to wait leave time for two.
     assert len(rejected) == 8
     assert all(item.retry_after_s >= 0.25 for item in rejected)
 
 
-def test_waiting_room_lets_the_more_urgent_go_first() -> None:
-    room = WaitingRoom(WaitingSettings())
-    later, urgent = enter(room, 1.0, priority=2), enter(room, 1.1, priority=0)
-    assert isinstance(later, Waits) and isinstance(urgent, Waits)
-    assert room.in_order() == [urgent.ticket, later.ticket]
-    room.leave(urgent.ticket)
-    assert room.in_order() == [later.ticket]
+def test_admission_queue_lets_the_more_urgent_go_first() -> None:
+    queue = AdmissionQueue(QueueSettings())
+    later, urgent = enter(queue, 1.0, priority=2), enter(queue, 1.1, priority=0)
+    assert isinstance(later, Queued) and isinstance(urgent, Queued)
+    assert queue.in_order() == [urgent.entry, later.entry]
+    queue.leave(urgent.entry)
+    assert queue.in_order() == [later.entry]
 
 
 @given(weights=st.lists(st.integers(1, 100), min_size=2, max_size=4))
--- a/tests/coordination/steering/test_placement.py
+++ b/tests/coordination/steering/test_placement.py
@@ -15,7 +15,7 @@
 from steering_fixtures import target_record
 
 from siskinward.coordination.steering.locality import region_weights
-from siskinward.coordination.steering.placement import NoRoom
+from siskinward.coordination.steering.placement import NoCapacity
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import Placed
 from siskinward.coordination.steering.placement import Placement
@@ -118,7 +118,7 @@
     while isinstance(choice := placement.choose(request_of("o1"), 0.0), Placed):
         placement.note_sent(choice.target, 0.0)
         used[choice.target.name] = used.get(choice.target.name, 0) + 1
-    assert choice == NoRoom()
+    assert choice == NoCapacity()
     assert sorted(used.values()) == [3, 6]
 
 
--- a/tests/daemon/entry/test_reasons_documented.py
+++ b/tests/daemon/entry/test_reasons_documented.py
@@ -40,6 +40,6 @@
 
 
 def test_refusal_states_when_to_come_back_in_fractions() -> None:
-    response = refuse(Reason.NO_ROOM, 0.25)
+    response = refuse(Reason.NO_CAPACITY, 0.25)
     assert response.header(b"retry-after") == b"0.250"
     assert response.status == 503
