--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -59,7 +59,7 @@
 REGISTRATION_RETRY_S = 1.0
 # Callers go on using a look-up answer for its lifetime.
 LEAVE_LINGER_S = 2.4
-# Before the platform ends the process for good, requests under way get this much of the grace.
+# The process ends this long before the platform would end it.
 GRACE_MARGIN_S = 0.4
 STANDARD_OUTPUT = 1
 LEAVE_HEARTBEATS = 3
--- a/src/siskinward/daemon/entry/replication.py
+++ b/src/siskinward/daemon/entry/replication.py
@@ -90,6 +90,7 @@
             update = await self._read(table, wait_s)
         except SiskinwardError as error:
             self._note_store(str(error))
+            self._updates.note_read_failed(read_clock_s())
             return False
         self._note_store(None)
         await self._apply(table, update, STORE_SOURCE, read_clock_s())
--- a/src/siskinward/daemon/entry/store_updates.py
+++ b/src/siskinward/daemon/entry/store_updates.py
@@ -18,6 +18,7 @@
     from siskinward.coordination.steering.rows import Changes
     from siskinward.coordination.steering.rows import Row
     from siskinward.coordination.steering.rows import Snapshot
+    from siskinward.coordination.steering.rows import TableCopy
     from siskinward.daemon.entry.ports import Platform
     from siskinward.daemon.entry.steering import Steering
     from siskinward.state.identifiers import DomainName
@@ -44,13 +45,18 @@
         self._on_limits = on_limits
         self._evacuated: set[DomainName] = set()
         self._store_back_s = float("-inf")
+        self._read_failed_s = float("-inf")
+
+    def note_read_failed(self, now_s: float) -> None:
+        """Note that the store did not answer this VM."""
+        self._read_failed_s = now_s
 
     def apply(
         self, table: StoreTable, update: Snapshot | Changes, *, source: str, now_s: float
     ) -> bool:
         """Apply an update of a table; True if anything changed."""
         copy = self._steering.tables[table]
-        if copy.is_loaded and now_s - copy.vouched_s > STORE_AWAY_S:
+        if copy.is_loaded and self._was_store_away(copy, now_s):
             self._store_back_s = now_s
         rows = copy.apply(update)
         for row in rows:
@@ -61,6 +67,12 @@
             self._steering.targets.set_evacuated(self._evacuated, now_s)
         return bool(rows)
 
+    def _was_store_away(self, copy: TableCopy, now_s: float) -> bool:
+        # A copy also grows old when the VMs that read the store are cut off from this one; entries
+        # that went missing then are gone.
+        has_failed = self._read_failed_s > copy.vouched_s
+        return has_failed and now_s - copy.vouched_s > STORE_AWAY_S
+
     def _apply_row(self, table: StoreTable, row: Row, source: str, now_s: float) -> None:
         try:
             match table:
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -318,3 +318,23 @@
         assert busy - calm <= 2 * 10 * vms
 
     run_site(scenario, SiteSettings(vms_per_zone=6))
+
+
+@pytest.mark.parametrize("offset_s", [0.9, 1.1, 1.2, 1.3, 1.5])
+def test_target_that_leaves_while_the_readers_are_cut_off_gets_nothing_in_time(
+    run_site: Any, offset_s: float
+) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        readers = [name for name in site.vms if name.startswith("vm-bud-a")]
+        network.cut_hosts = {site.vms[name].steering.entry.host for name in readers}
+        for name in readers:
+            await site.vms.pop(name).kill()
+        await curio.sleep(offset_s)
+        leaving = site.targets["listings-deb-a-0"]
+        await site.store.put("servers", leaving.name, None)
+        await curio.sleep(DRAIN_BOUND_S)
+        since_s = read_clock_s()
+        assert set(await call_all(site, 12)) == {200}
+        assert runs_after([leaving], since_s) == 0
+
+    run_site(scenario)
