Let the readers of the store be in different failure domains

Cause: the two readers were the first two names, as a rule VMs of one failure domain; when it was cut off, changes reached the others only after the readers were given up, up to 1.8 s by sum of the timeouts. Ruled out: more readers (each costs two calls a second).

--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -199,8 +199,18 @@
         return vms
 
     def rank(self, now_s: float) -> int:
-        """Place of this VM among the live ones, the same seen from each of them."""
-        return sum(peer.identity.vm < self.own.vm for peer in self._heard(now_s))
+        """Place of this VM among the live ones, the same seen from each of them.
+
+        The first of each failure domain come before the second of any, so that the first places
+        are not lost together.
+        """
+        seen: dict[DomainName, int] = {}
+        order: list[tuple[int, VmName]] = []
+        for vm in sorted(self.live(now_s), key=lambda vm: vm.vm):
+            place = seen.get(vm.failure_domain, 0)
+            seen[vm.failure_domain] = place + 1
+            order.append((place, vm.vm))
+        return [name for _, name in sorted(order)].index(self.own.vm)
 
     def counted(self, now_s: float) -> int:
         """Number of VMs that may be using divided limits, those cut off included."""
--- a/tests/coordination/steering/test_fleet.py
+++ b/tests/coordination/steering/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from attrs import evolve
 from steering_fixtures import entry_vm
 from steering_fixtures import fleet_of
 from steering_fixtures import heartbeat
@@ -10,6 +11,7 @@
 from siskinward.coordination.steering.fleet import FleetSettings
 from siskinward.coordination.steering.fleet import LoadReport
 from siskinward.coordination.steering.fleet import VmState
+from siskinward.state.identifiers import DomainName
 
 
 def names(vms: list[object]) -> set[str]:
@@ -76,6 +78,27 @@
     assert ranks == [0, 1, 2, 3, 4]
 
 
+def test_fleet_first_ranks_are_in_different_failure_domains() -> None:
+    domains = ["north-1", "north-1", "south-1", "south-1", "west-1"]
+    vms = [
+        evolve(entry_vm(number), failure_domain=DomainName(domain))
+        for number, domain in enumerate(domains)
+    ]
+    ranks = {}
+    for own in vms:
+        fleet = Fleet(own, FleetSettings(), domains=3)
+        for vm in vms:
+            fleet.on_heartbeat(heartbeat(vm), 0.0)
+        ranks[fleet.rank(0.1)] = own.failure_domain
+    assert [ranks[place] for place in range(5)] == [
+        "north-1",
+        "south-1",
+        "west-1",
+        "north-1",
+        "south-1",
+    ]
+
+
 def test_fleet_heartbeats_slow_down_as_vms_grow() -> None:
     assert fleet_of(8).interval_s == 0.2
     assert 0.2 < fleet_of(40).interval_s < 1.0
