Choose the VM for a key in one place, and remove what nothing calls

Cause: a read of the whole change found the choice of a VM by rendezvous hashing written twice (cold targets, issuers of tokens), and six members of new classes without a caller. Ruled out here: joining the two HTTP servers and the two outbound connections, which changes both daemons. Conclusion: behaviour unchanged.

--- a/src/siskinward/coordination/steering/account_tokens.py
+++ b/src/siskinward/coordination/steering/account_tokens.py
@@ -13,7 +13,6 @@
 from attrs import define
 from attrs import frozen
 
-from siskinward.coordination.steering.hashing import rendezvous_score
 from siskinward.state.identifiers import AccountName
 
 if TYPE_CHECKING:
@@ -73,8 +72,7 @@
 
     def issuer_of(self, account: AccountName, now_s: float) -> EntryVm:
         """The VM that issues an account's tokens, as seen from here."""
-        vms = self._fleet.live(now_s)
-        return max(vms, key=lambda vm: rendezvous_score(account, vm.vm))
+        return self._fleet.owner_of(account, now_s)
 
     def grant(self, account: AccountPolicy, wanted: int, now_s: float) -> int:
         """Issue up to ``wanted`` tokens."""
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -11,6 +11,7 @@
 from attrs import field
 from attrs import frozen
 
+from siskinward.coordination.steering.hashing import rendezvous_score
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
@@ -114,7 +115,6 @@
         self._assumed = domains * settings.unknown_vms_per_domain
         self.settings = settings
         self._peers: dict[VmName, _Peer] = {}
-        self._left: set[IncarnationId] = set()
 
     @property
     def interval_s(self) -> float:
@@ -142,7 +142,7 @@
     def on_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> bool:
         """Take a heartbeat in; True if its sender was not known to be alive."""
         sender = heartbeat.sender
-        if sender.vm == self.own.vm or sender.incarnation in self._left:
+        if sender.vm == self.own.vm:
             return False
         peer = self._peers.get(sender.vm)
         if peer is None or peer.identity.incarnation != sender.incarnation:
@@ -174,11 +174,6 @@
         peer.last_heard_s = now_s
         return peer.heartbeat
 
-    def forget(self, vm: EntryVm) -> None:
-        """Drop a VM that has left for good, by its own word."""
-        self._left.add(vm.incarnation)
-        self._peers.pop(vm.vm, None)
-
     def all_peers(self) -> list[EntryVm]:
         """Every other VM that heartbeats go to."""
         return [peer.identity for peer in self._peers.values()]
@@ -212,6 +207,10 @@
             order.append((place, vm.vm))
         return [name for _, name in sorted(order)].index(self.own.vm)
 
+    def owner_of(self, key: str, now_s: float) -> EntryVm:
+        """The live VM that rendezvous hashing names for a key."""
+        return max(self.live(now_s), key=lambda vm: rendezvous_score(key, vm.vm))
+
     def counted(self, now_s: float) -> int:
         """Number of VMs that may be using divided limits, those cut off included."""
         return max(
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -176,10 +176,6 @@
                 warmup_s = self._warmups_s.get(target.record.service, 0.0)
                 target.cold_until_s = max(target.cold_until_s, now_s + warmup_s)
 
-    def is_evacuated(self, domain: DomainName) -> bool:
-        """Whether a failure domain's targets get nothing."""
-        return domain in self._evacuated
-
     def on_answer(self, target: Target, took_s: float) -> None:
         """Note a request that the target ran to its end."""
         target.failures = 0
--- a/src/siskinward/coordination/steering/warmup.py
+++ b/src/siskinward/coordination/steering/warmup.py
@@ -10,8 +10,6 @@
 
 from attrs import define
 
-from siskinward.coordination.steering.hashing import rendezvous_score
-
 if TYPE_CHECKING:
     from siskinward.coordination.steering.fleet import Fleet
     from siskinward.coordination.steering.targets import Target
@@ -47,18 +45,10 @@
         if pace is not None:
             pace.tokens -= 1.0
 
-    def forget_all_but(self, names: set[TargetName]) -> None:
-        """Drop what is kept of targets that have left."""
-        self._paces = {name: pace for name, pace in self._paces.items() if name in names}
-
     def _is_sender(self, target: Target, now_s: float) -> bool:
         if not self._fleet.has_majority(now_s):
             return False
-        own = self._fleet.own.vm
-        own_score = rendezvous_score(target.name, own)
-        return all(
-            rendezvous_score(target.name, vm.vm) <= own_score for vm in self._fleet.live(now_s)
-        )
+        return self._fleet.owner_of(target.name, now_s).vm == self._fleet.own.vm
 
     def _refill(self, target: Target, rate_per_s: float, now_s: float) -> _Pace:
         pace = self._paces.setdefault(target.name, _Pace(BURST_REQUESTS, now_s))
--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -53,7 +53,6 @@
         self._phase = SendPhase.NOT_CONNECTED
         self.idle_since_s = read_clock_s()
         self.reusable_until_s = float("inf")
-        self.answers_skipped = 0
 
     @property
     def is_open(self) -> bool:
@@ -110,7 +109,6 @@
             if expected is None or echoed is None or echoed == expected:
                 break
             # An answer to an earlier request, which the target sent once more.
-            self.answers_skipped += 1
             if not is_kept:
                 raise ConnectionResetError("closed after the answer to an earlier request")
             http = _parser_behind(http, request)
--- a/src/siskinward/transport/target_pool.py
+++ b/src/siskinward/transport/target_pool.py
@@ -38,7 +38,6 @@
         self._limits = limits
         self._echo_header = echo_header
         self._idle: dict[str, list[OutboundConnection]] = {}
-        self.opened_count = 0
 
     async def exchange(
         self, target: TargetRecord, request: HttpRequest, timeout_s: float, *, idempotent: bool
@@ -53,7 +52,6 @@
     async def can_connect(self, target: TargetRecord) -> bool:
         """Tell whether a target takes a new connection, and keep that for the next request."""
         connection = OutboundConnection(target.host, target.port, self._echo_header)
-        self.opened_count += 1
         try:
             await connection.connect(self._limits.connect_timeout_s)
         except ExchangeFailedError:
@@ -61,11 +59,6 @@
         await self._keep(target, connection)
         return True
 
-    async def forget(self, address: str) -> None:
-        """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, []):
-            await connection.close()
-
     async def close_idle(self) -> None:
         """Close connections that have been idle for too long."""
         now_s = read_clock_s()
@@ -97,7 +90,6 @@
                 return connection
             await connection.close()
         connection = OutboundConnection(target.host, target.port, self._echo_header)
-        self.opened_count += 1
         await connection.connect(min(timeout_s, self._limits.connect_timeout_s))
         return connection
 
