Issue account limits token by token in fleets of any size

Limits leave 1.6 times the demand, but a divided part of a small account is less than a request a second and demand by VM is noise: one VM is short while others have tokens to spare. The refused came back late or were refused again.

Ruled out: a split into a divided part (0.6) and an issued one (0.4) still refused 15 to 30 % of the small accounts in the new test; a wider window of demand evens the parts out, not the arrivals.

Change: the issuer that fleets of more than 16 VMs had now serves all fleets. It issues whole tokens (an ask fetched one token too many before), evens arrivals out with a quarter of the tolerated slack, starts anew after the VMs have changed, does not answer when it takes another VM for the issuer, and tells refused callers to come back one after the other. Divided parts are left for the time that an issuer is silent. Now both sides go by the same 2.5 missing heartbeats, and parts begin empty.

The shares' test of uneven demand is replaced by one on whole enforcers with the same bound, since parts are no longer what serves accounts; the test without limits moved there too.

--- a/src/siskinward/coordination/steering/account_shares.py
+++ b/src/siskinward/coordination/steering/account_shares.py
@@ -1,8 +1,9 @@
-"""Divides each client account's rate and burst among the VMs.
+"""Divides each client account's rate among the VMs, for the time that its issuer is silent.
 
 Answers a hot account whose callers reach VMs unevenly, with VMs cut off from one another. A part of
-each limit is divided equally. The rest follows demand among the VMs that hear one another, scaled
-by how many they are, so that the two sides of a cut never use more than the whole.
+each rate is divided equally. The rest follows demand among the VMs that hear one another, scaled
+by how many they are, so that the two sides of a cut never use more than the whole. The issuer may
+have used the burst just before: a VM begins with nothing, and earns its part of the rate.
 """
 
 from __future__ import annotations
@@ -16,7 +17,6 @@
     from siskinward.coordination.steering.fleet import Fleet
     from siskinward.state.identifiers import AccountName
     from siskinward.state.serving import AccountPolicy
-    from siskinward.state.serving import ServingBounds
 
 
 NEGLIGIBLE_PER_S = 0.01
@@ -24,20 +24,16 @@
 
 @frozen
 class ShareSettings:
-    """``equal_part`` of a limit is divided equally; the rest follows demand.
+    """``equal_part`` of a rate is divided equally; the rest follows demand.
 
-    A bucket starts with what its share earns in ``restart_s``, as long as a restart takes at least:
-    the VM's predecessor may have used the rest. ``overshoot_part`` of the overshoot that the
-    operators tolerate makes up for shares that do not meet their demand. A VM that has just
-    started takes its demand for the mean of the others' during ``settling_s``.
+    A VM holds what its part earns in ``holding_s``, or one request where that is less. A VM that
+    has just started takes its demand for the mean of the others' during ``settling_s``.
     """
 
     equal_part: float = 0.05
-    overshoot_part: float = 0.5
-    restart_s: float = 0.8
+    holding_s: float = 0.2
     settling_s: float = 2.0
     demand_window_s: float = 1.0
-    spare_requests: float = 1.0
 
 
 @define
@@ -50,13 +46,10 @@
 class AccountShares:
     """This VM's part of the limits of client accounts."""
 
-    def __init__(
-        self, settings: ShareSettings, bounds: ServingBounds, fleet: Fleet, started_s: float
-    ) -> None:
+    def __init__(self, settings: ShareSettings, fleet: Fleet, started_s: float) -> None:
         self._settings = settings
         self._fleet = fleet
         self._started_s = started_s
-        self.bounds = bounds
         self._buckets: dict[AccountName, _Bucket] = {}
         self._arrivals: dict[AccountName, float] = {}
         self._demand_per_s: dict[AccountName, float] = {}
@@ -101,24 +94,14 @@
         """Requests of an account at this VM, lately."""
         return self._demand_per_s.get(account, 0.0)
 
-    def try_take(self, account: AccountPolicy, now_s: float, *, is_counted: bool = False) -> bool:
-        """Take one request's token; False if the account is over its limit here."""
-        if account.rate_per_s <= 0:
-            return True
-        if not is_counted:
-            self.note_arrival(account.name)
-        bucket = self._refill(account, now_s)
+    def try_take(self, account: AccountPolicy, silent_since_s: float, now_s: float) -> bool:
+        """Take one request's token, of what was earned since the account's issuer is silent."""
+        bucket = self._refill(account, silent_since_s, now_s)
         if bucket.tokens < 1.0:
             return False
         bucket.tokens -= 1.0
         return True
 
-    def give_back(self, account: AccountPolicy) -> None:
-        """Return the token of a request that did not run."""
-        bucket = self._buckets.get(account.name)
-        if bucket is not None:
-            bucket.tokens += 1.0
-
     def retry_after_s(self, account: AccountPolicy) -> float:
         """When the next token is due."""
         bucket = self._buckets.get(account.name)
@@ -132,19 +115,16 @@
             own = self._demand_per_s.get(account, 0.0)
             self._demand_per_s[account] = max(own, others / len(heartbeats))
 
-    def _refill(self, account: AccountPolicy, now_s: float) -> _Bucket:
+    def _refill(self, account: AccountPolicy, silent_since_s: float, now_s: float) -> _Bucket:
+        since_s = max(silent_since_s, self._started_s)
         bucket = self._buckets.get(account.name)
-        if bucket is None:
+        if bucket is None or bucket.refilled_at_s < since_s:
             fraction = self._fraction(account.name, now_s)
-            tokens = account.rate_per_s * fraction * self._settings.restart_s
-            bucket = _Bucket(tokens, self._started_s, fraction)
-            self._buckets[account.name] = bucket
+            bucket = self._buckets[account.name] = _Bucket(0.0, since_s, fraction)
         elapsed_s = max(0.0, now_s - bucket.refilled_at_s)
-        overshoot = self.bounds.quota_overshoot * self._settings.overshoot_part
-        part = bucket.fraction * (1.0 + overshoot)
-        capacity = account.burst_requests * part + self._settings.spare_requests
-        tokens = bucket.tokens + account.rate_per_s * part * elapsed_s
-        bucket.tokens = min(capacity, tokens)
+        rate_per_s = account.rate_per_s * bucket.fraction
+        capacity = max(1.0, rate_per_s * self._settings.holding_s)
+        bucket.tokens = min(capacity, bucket.tokens + rate_per_s * elapsed_s)
         bucket.refilled_at_s = now_s
         return bucket
 
--- a/src/siskinward/coordination/steering/account_tokens.py
+++ b/src/siskinward/coordination/steering/account_tokens.py
@@ -1,9 +1,10 @@
 """Issues single requests of a client account's limit to many VMs.
 
-Answers fleets so large that an equal or proportional part of a limit is less than a request. One
-VM, named by rendezvous hashing among the live ones, issues an account's tokens at its rate, scaled
-by the part of all VMs that it hears: each side of a cut has an issuer of its own, and together they
-issue no more than the whole. Tokens that are not used soon are void.
+Answers accounts whose requests are few at each VM, where a divided limit leaves one VM short while
+another has some to spare. One VM, named by rendezvous hashing among the live ones, issues an
+account's tokens at its rate, scaled by the part of all VMs that it hears: each side of a cut has an
+issuer of its own, and together they issue no more than the whole. Tokens that are not used soon are
+void.
 """
 
 from __future__ import annotations
@@ -14,11 +15,13 @@
 from attrs import frozen
 
 from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import IncarnationId
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.fleet import EntryVm
     from siskinward.coordination.steering.fleet import Fleet
     from siskinward.state.serving import AccountPolicy
+    from siskinward.state.serving import ServingBounds
 
 
 @frozen
@@ -32,28 +35,37 @@
 
 @frozen
 class TokenGrant:
-    """Answers an ask; ``granted`` may be 0."""
+    """Answers an ask; where ``granted`` is 0, the request may come back after ``retry_after_s``."""
 
     number: int
     account: AccountName
     granted: int
+    retry_after_s: float
 
 
 @frozen
 class TokenSettings:
-    """An issuer begins with what the rate earns in ``takeover_s``: its predecessor had the burst.
+    """What an issuer has after the VMs have changed, and how long its tokens are valid.
 
-    ``token_life_s`` bounds how long a VM may hold tokens.
+    Another VM may have issued until then, and have used the burst: the issuer goes on with no more
+    than the rate earns in ``takeover_s``. ``token_life_s`` bounds how long a VM may hold tokens.
+    ``slack_part`` of the requests that operators tolerate beyond a limit evens out arrivals.
     """
 
-    takeover_s: float = 0.8
+    takeover_s: float = 0.4
     token_life_s: float = 0.5
+    slack_part: float = 0.25
+    max_retry_after_s: float = 2.0
 
 
 @define
 class _Bucket:
+    """Tokens of one account; refused requests are told to come back one after the other."""
+
     tokens: float
     refilled_at_s: float
+    incarnations: frozenset[IncarnationId]
+    next_return_s: float = 0.0
 
 
 @define
@@ -65,8 +77,9 @@
 class TokenIssuer:
     """Issues the tokens of the accounts that fall to this VM."""
 
-    def __init__(self, settings: TokenSettings, fleet: Fleet) -> None:
+    def __init__(self, settings: TokenSettings, bounds: ServingBounds, fleet: Fleet) -> None:
         self._settings = settings
+        self.bounds = bounds
         self._fleet = fleet
         self._buckets: dict[AccountName, _Bucket] = {}
 
@@ -74,21 +87,49 @@
         """The VM that issues an account's tokens, as seen from here."""
         return self._fleet.owner_of(account, now_s)
 
-    def grant(self, account: AccountPolicy, wanted: int, now_s: float) -> int:
-        """Issue up to ``wanted`` tokens."""
-        scale = len(self._fleet.live(now_s)) / self._fleet.counted(now_s)
-        rate_per_s = account.rate_per_s * min(1.0, scale)
-        capacity = max(1.0, account.burst_requests * min(1.0, scale))
+    def is_issuer_of(self, account: AccountName, now_s: float) -> bool:
+        """Whether this VM issues an account's tokens; VMs that hear others may see it otherwise."""
+        return self.issuer_of(account, now_s) == self._fleet.own
+
+    def grant(self, account: AccountPolicy, ask: TokenAsk, now_s: float) -> TokenGrant:
+        """Issue up to as many tokens as are asked for."""
+        scale = min(1.0, self._fleet.unsuspected(now_s) / self._fleet.counted(now_s))
+        incarnations = frozenset(vm.incarnation for vm in self._fleet.live(now_s))
+        bucket = self._refill(account, scale, incarnations, now_s)
+        granted = min(max(0, ask.wanted), int(bucket.tokens))
+        bucket.tokens -= granted
+        retry_after_s = 0.0 if granted else self._retry_after_s(bucket, account, scale, now_s)
+        return TokenGrant(ask.number, account.name, granted, retry_after_s)
+
+    def _refill(
+        self,
+        account: AccountPolicy,
+        scale: float,
+        incarnations: frozenset[IncarnationId],
+        now_s: float,
+    ) -> _Bucket:
+        rate_per_s = account.rate_per_s * scale
+        at_takeover = rate_per_s * self._settings.takeover_s
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            tokens = rate_per_s * self._settings.takeover_s
-            bucket = self._buckets[account.name] = _Bucket(tokens, now_s)
-        elapsed_s = max(0.0, now_s - bucket.refilled_at_s)
-        bucket.tokens = min(capacity, bucket.tokens + rate_per_s * elapsed_s)
+            bucket = self._buckets[account.name] = _Bucket(at_takeover, now_s, incarnations)
+            return bucket
+        tokens = bucket.tokens + rate_per_s * max(0.0, now_s - bucket.refilled_at_s)
+        if bucket.incarnations != incarnations:
+            tokens = min(tokens, at_takeover)
+        slack = self.bounds.quota_slack_requests * self._settings.slack_part
+        bucket.tokens = min(tokens, max(1.0, (account.burst_requests + slack) * scale))
         bucket.refilled_at_s = now_s
-        granted = min(max(0, wanted), int(bucket.tokens))
-        bucket.tokens -= granted
-        return granted
+        bucket.incarnations = incarnations
+        return bucket
+
+    def _retry_after_s(
+        self, bucket: _Bucket, account: AccountPolicy, scale: float, now_s: float
+    ) -> float:
+        next_token_s = 1.0 / max(account.rate_per_s * scale, 1.0 / self._settings.max_retry_after_s)
+        latest_s = now_s + self._settings.max_retry_after_s
+        bucket.next_return_s = min(max(bucket.next_return_s, now_s) + next_token_s, latest_s)
+        return bucket.next_return_s - now_s
 
 
 class TokenCache:
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -83,8 +83,9 @@
 
     Each VM sends to all others, so the interval grows with their number beyond
     ``full_pace_vms``. A VM that the store names or that was heard before, and is silent, keeps its
-    part of divided limits for ``reserve_s``: it may be cut off and go on serving. Before the store
-    has named the others, there may be ``unknown_vms_per_domain`` in each failure domain.
+    part of divided limits for ``reserve_s``: it may be cut off and go on serving. Limits count a VM
+    as cut off already after ``suspected_heartbeats`` that are missing. Before the store has named
+    the others, there may be ``unknown_vms_per_domain`` in each failure domain.
     """
 
     interval_s: float = 0.2
@@ -93,6 +94,7 @@
     full_pace_vms: int = 12
     max_interval_s: float = 1.0
     missed_heartbeats: float = 5.0
+    suspected_heartbeats: float = 2.5
     min_timeout_s: float = 1.2
     reserve_s: float = 60.0
     unknown_vms_per_domain: int = 2
@@ -129,6 +131,10 @@
         silence_s = self.settings.missed_heartbeats * self.interval_s
         return max(self.settings.min_timeout_s, silence_s)
 
+    @property
+    def _suspicion_s(self) -> float:
+        return self.settings.suspected_heartbeats * self.interval_s
+
     def learn(self, vms: Iterable[EntryVm], now_s: float) -> None:
         """Note VMs that the store names; they count as alive once they are heard."""
         for vm in vms:
@@ -217,6 +223,19 @@
             self._assumed, 1 + sum(self._counts(peer, now_s) for peer in self._peers.values())
         )
 
+    def unsuspected(self, now_s: float) -> int:
+        """Number of VMs, this one included, of which no heartbeats are missing."""
+        since_s = now_s - self._suspicion_s
+        return 1 + sum(peer.last_heard_s > since_s for peer in self._peers.values())
+
+    def suspected_since_s(self, vm: VmName, now_s: float) -> float | None:
+        """When heartbeats of another VM began to be missing; None while they arrive."""
+        peer = self._peers.get(vm)
+        if peer is None:
+            return None
+        since_s = peer.last_heard_s + self._suspicion_s
+        return since_s if since_s <= now_s else None
+
     def has_majority(self, now_s: float) -> bool:
         """Whether this VM is on the larger side of any cut."""
         heard = 1 + sum(1 for _ in self._heard(now_s))
--- a/src/siskinward/daemon/entry/job.py
+++ b/src/siskinward/daemon/entry/job.py
@@ -10,6 +10,7 @@
 from siskinward.daemon.entry.sender import SendFailure
 from siskinward.state.identifiers import ServiceName
 from siskinward.state.identifiers import TargetName
+from siskinward.state.identifiers import VmName
 from siskinward.state.serving import AccountPolicy
 from siskinward.state.serving import ServedRoute
 from siskinward.transport.front_server import Arrival
@@ -32,7 +33,10 @@
 
 @define(eq=False)
 class Job:
-    """One request on its way; the lists tell its story in the log."""
+    """One request on its way; the lists tell its story in the log.
+
+    ``quota_issuer`` is the VM that had no token left for the account, if one refused.
+    """
 
     arrival: Arrival
     route: ServedRoute
@@ -46,6 +50,7 @@
     free_slots: int = 0
     runs_possible: bool = False
     waited_s: float = 0.0
+    quota_issuer: VmName | None = None
 
     @property
     def attempts(self) -> int:
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -193,7 +193,7 @@
         entry = self._steering.entry
         self._steering.entry = evolve(entry, bounds=settings.bounds, peer_seeds=settings.peer_seeds)
         self._steering.retries.bounds = settings.bounds
-        self._steering.shares.bounds = settings.bounds
+        self._steering.issuer.bounds = settings.bounds
         self._log.write("reload", {"changed": settings != entry})
 
     async def leave(self) -> None:
--- a/src/siskinward/daemon/entry/quota_enforcer.py
+++ b/src/siskinward/daemon/entry/quota_enforcer.py
@@ -1,9 +1,8 @@
-"""Holds client accounts to their limits: by divided parts, or by tokens in large fleets."""
+"""Holds client accounts to their limits over all VMs, by divided parts and by issued tokens."""
 
 from __future__ import annotations
 
 from itertools import count
-from math import ceil
 from typing import TYPE_CHECKING
 
 import curio
@@ -14,33 +13,51 @@
 from siskinward.coordination.steering.account_tokens import TokenAsk
 from siskinward.coordination.steering.account_tokens import TokenCache
 from siskinward.coordination.steering.account_tokens import TokenGrant
-from siskinward.coordination.steering.account_tokens import TokenIssuer
-from siskinward.coordination.steering.account_tokens import TokenSettings
 from siskinward.protocol.heartbeats import encode_token_message
+from siskinward.state.identifiers import VmName
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
+    from siskinward.coordination.steering.fleet import EntryVm
     from siskinward.daemon.entry.steering import Steering
+    from siskinward.state.identifiers import IncarnationId
     from siskinward.state.serving import AccountPolicy
     from siskinward.transport.peer_datagrams import PeerDatagrams
 
 
 @frozen
 class QuotaSettings:
-    """Limits are divided among up to ``divided_up_to_vms``; larger fleets use tokens.
+    """An ask covers the demand of ``prefetch_s``; it is sent up to ``asks`` times.
 
-    An ask covers the demand of ``prefetch_s``. Without an answer in ``ask_timeout_s`` the VM falls
-    back on its divided part.
+    An issuer that has not answered them is not asked again for ``pause_s``, and accounts wait that
+    long where the issuer's heartbeats still arrive.
     """
 
-    divided_up_to_vms: int = 16
     prefetch_s: float = 0.2
-    ask_timeout_s: float = 0.2
-    tokens: TokenSettings = field(factory=TokenSettings)
+    asks: int = 2
+    ask_timeout_s: float = 0.15
+    pause_s: float = 0.3
+
+
+@frozen
+class WithinQuota:
+    """The request may run."""
+
+
+@frozen
+class OverQuota:
+    """The account has used its limit up; a token is due after ``retry_after_s``.
+
+    ``issuer`` is the VM that said so, or None where the issuer did not answer.
+    """
+
+    retry_after_s: float
+    issuer: VmName | None
 
 
 @define(eq=False)
 class _OpenAsk:
+    grant: TokenGrant | None = None
     is_answered: curio.Event = field(factory=curio.Event)
 
 
@@ -53,66 +70,89 @@
         self._settings = settings
         self._steering = steering
         self._datagrams = datagrams
-        self._issuer = TokenIssuer(settings.tokens, steering.fleet)
-        self._cache = TokenCache(settings.tokens)
+        self._cache = TokenCache(steering.settings.tokens)
         self._asks: dict[int, _OpenAsk] = {}
+        self._paused_until_s: dict[IncarnationId, float] = {}
         self._numbers = count(1)
 
-    async def try_take(self, account: AccountPolicy) -> bool:
-        """Take one request of an account's limit; False if it is over its limit."""
-        now_s = read_clock_s()
-        shares = self._steering.shares
+    async def try_take(self, account: AccountPolicy) -> WithinQuota | OverQuota:
+        """Take one request of an account's limit."""
         if account.rate_per_s <= 0:
-            return True
-        if self._steering.fleet.counted(now_s) <= self._settings.divided_up_to_vms:
-            return shares.try_take(account, now_s)
+            return WithinQuota()
+        shares = self._steering.shares
         shares.note_arrival(account.name)
+        if self._cache.try_take(account.name, read_clock_s()):
+            return WithinQuota()
+        issuer = self._steering.issuer.issuer_of(account.name, read_clock_s())
+        grant = await self._fetch(account, issuer)
+        now_s = read_clock_s()
+        if grant is None:
+            return self._take_own_part(account, issuer, now_s)
         if self._cache.try_take(account.name, now_s):
-            return True
-        if not await self._fetch(account, now_s):
-            return shares.try_take(account, read_clock_s(), is_counted=True)
-        return self._cache.try_take(account.name, read_clock_s())
+            return WithinQuota()
+        return OverQuota(grant.retry_after_s, issuer.vm)
+
+    def _take_own_part(
+        self, account: AccountPolicy, issuer: EntryVm, now_s: float
+    ) -> WithinQuota | OverQuota:
+        """Use this VM's part; the issuer counts this VM as cut off as soon as it is suspected."""
+        shares = self._steering.shares
+        since_s = self._steering.fleet.suspected_since_s(issuer.vm, now_s)
+        if since_s is None:
+            return OverQuota(self._settings.pause_s, None)
+        if shares.try_take(account, since_s, now_s):
+            return WithinQuota()
+        return OverQuota(shares.retry_after_s(account), None)
 
     def give_back(self, account: AccountPolicy) -> None:
         """Return what a request took that did not run."""
-        now_s = read_clock_s()
-        if self._steering.fleet.counted(now_s) <= self._settings.divided_up_to_vms:
-            self._steering.shares.give_back(account)
-        else:
-            self._cache.put(account.name, 1, now_s)
+        self._cache.put(account.name, 1, read_clock_s())
 
     async def on_ask(self, ask: TokenAsk, host: str) -> None:
-        """Answer another VM."""
-        index = self._steering.index
-        account = index.account(ask.account) if index else None
-        granted = self._issuer.grant(account, ask.wanted, read_clock_s()) if account else 0
-        grant = TokenGrant(ask.number, ask.account, granted)
-        await self._datagrams.send(encode_token_message(grant), [host])
+        """Answer another VM, unless another issuer is known here."""
+        grant = self._grant(ask, read_clock_s())
+        if grant is not None:
+            await self._datagrams.send(encode_token_message(grant), [host])
 
     async def on_grant(self, grant: TokenGrant) -> None:
         """Take in tokens; those of an ask that was given up are void."""
         ask = self._asks.pop(grant.number, None)
         if ask is not None:
+            ask.grant = grant
             self._cache.put(grant.account, grant.granted, read_clock_s())
             await ask.is_answered.set()
 
-    async def _fetch(self, account: AccountPolicy, now_s: float) -> bool:
-        """Get tokens from the account's issuer; False if that did not answer."""
+    def _grant(self, ask: TokenAsk, now_s: float) -> TokenGrant | None:
+        index = self._steering.index
+        account = index.account(ask.account) if index else None
+        if account is None or not self._steering.issuer.is_issuer_of(account.name, now_s):
+            return None
+        return self._steering.issuer.grant(account, ask, now_s)
+
+    async def _fetch(self, account: AccountPolicy, issuer: EntryVm) -> TokenGrant | None:
+        """Get tokens from the account's issuer; None if that does not answer."""
+        now_s = read_clock_s()
         demand_per_s = self._steering.shares.demand_per_s(account.name)
-        wanted = 1 + ceil(demand_per_s * self._settings.prefetch_s)
-        issuer = self._issuer.issuer_of(account.name, now_s)
-        if issuer.vm == self._steering.fleet.own.vm:
-            self._cache.put(account.name, self._issuer.grant(account, wanted, now_s), now_s)
-            return True
-        number = next(self._numbers)
-        ask = self._asks[number] = _OpenAsk()
-        message = encode_token_message(TokenAsk(number, account.name, wanted))
-        await self._datagrams.send(message, [issuer.host])
+        wanted = 1 + int(demand_per_s * self._settings.prefetch_s)
+        ask = TokenAsk(next(self._numbers), account.name, wanted)
+        if issuer == self._steering.fleet.own:
+            grant = self._steering.issuer.grant(account, ask, now_s)
+            self._cache.put(account.name, grant.granted, now_s)
+            return grant
+        if now_s < self._paused_until_s.get(issuer.incarnation, 0.0):
+            return None
+        return await self._ask(issuer, ask)
+
+    async def _ask(self, issuer: EntryVm, ask: TokenAsk) -> TokenGrant | None:
+        open_ask = self._asks[ask.number] = _OpenAsk()
         try:
-            async with curio.timeout_after(self._settings.ask_timeout_s):
-                await ask.is_answered.wait()
-        except curio.TaskTimeout:
-            return False
+            for _ in range(self._settings.asks):
+                await self._datagrams.send(encode_token_message(ask), [issuer.host])
+                async with curio.ignore_after(self._settings.ask_timeout_s):
+                    await open_ask.is_answered.wait()
+                if open_ask.grant is not None:
+                    return open_ask.grant
         finally:
-            self._asks.pop(number, None)
-        return True
+            self._asks.pop(ask.number, None)
+        self._paused_until_s = {issuer.incarnation: read_clock_s() + self._settings.pause_s}
+        return None
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -13,6 +13,8 @@
 from siskinward.daemon.entry.dispatcher import Claim
 from siskinward.daemon.entry.job import Job
 from siskinward.daemon.entry.job import Send
+from siskinward.daemon.entry.quota_enforcer import OverQuota
+from siskinward.daemon.entry.quota_enforcer import WithinQuota
 from siskinward.daemon.entry.refusals import Reason
 from siskinward.daemon.entry.refusals import refuse
 from siskinward.daemon.entry.sender import Answered
@@ -103,9 +105,14 @@
         return Job(arrival, route, account, service, deadline_s, fingerprint)
 
     async def _hold_to_quota(self, job: Job) -> None:
-        if job.account is None or await self._quota.try_take(job.account):
+        if job.account is None:
             return
-        raise _refused(Reason.OVER_QUOTA, self._steering.shares.retry_after_s(job.account))
+        match await self._quota.try_take(job.account):
+            case OverQuota(retry_after_s=retry_after_s, issuer=issuer):
+                job.quota_issuer = issuer
+                raise _refused(Reason.OVER_QUOTA, retry_after_s)
+            case WithinQuota():
+                return
 
     def _account_of(self, request: HttpRequest, route: ServedRoute) -> AccountPolicy | None:
         index = self._steering.index
--- a/src/siskinward/daemon/entry/request_log.py
+++ b/src/siskinward/daemon/entry/request_log.py
@@ -7,12 +7,12 @@
 from attrs import asdict
 
 from siskinward.coordination.steering.rows import StoreTable
+from siskinward.daemon.entry.refusals import Reason
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from siskinward.daemon.entry.job import Job
     from siskinward.daemon.entry.metrics import EntryMetrics
-    from siskinward.daemon.entry.refusals import Reason
     from siskinward.daemon.entry.steering import Steering
     from siskinward.protocol.steering_headers import SteeringHeaders
     from siskinward.transport.decision_log import DecisionLog
@@ -61,6 +61,8 @@
             fields["object"] = object_key.decode("latin-1")
             fields["sends"] = [asdict(send) for send in job.sends]
             fields["waited_ms"] = round(job.waited_s * 1000, 1)
+            if reason is Reason.OVER_QUOTA:
+                fields["quota_issuer"] = job.quota_issuer
             if job.considered:
                 fields["considered"] = [asdict(item) for item in job.considered]
                 fields["free_slots"] = job.free_slots
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -10,6 +10,8 @@
 
 from siskinward.coordination.steering.account_shares import AccountShares
 from siskinward.coordination.steering.account_shares import ShareSettings
+from siskinward.coordination.steering.account_tokens import TokenIssuer
+from siskinward.coordination.steering.account_tokens import TokenSettings
 from siskinward.coordination.steering.admission_queue import QueueSettings
 from siskinward.coordination.steering.crash_guard import CrashGuard
 from siskinward.coordination.steering.crash_guard import CrashGuardSettings
@@ -42,6 +44,7 @@
     placement: PlacementSettings = field(factory=PlacementSettings)
     queue: QueueSettings = field(factory=QueueSettings)
     shares: ShareSettings = field(factory=ShareSettings)
+    tokens: TokenSettings = field(factory=TokenSettings)
     retries: RetrySettings = field(factory=RetrySettings)
     crashes: CrashGuardSettings = field(factory=CrashGuardSettings)
 
@@ -57,6 +60,7 @@
     targets: TargetTable
     placement: Placement
     shares: AccountShares
+    issuer: TokenIssuer
     retries: RetryBudget
     crashes: CrashGuard
     splitter: RouteSplitter
@@ -92,7 +96,8 @@
             gate,
             random or Random(),
         ),
-        shares=AccountShares(settings.shares, entry.bounds, fleet, now_s),
+        shares=AccountShares(settings.shares, fleet, now_s),
+        issuer=TokenIssuer(settings.tokens, entry.bounds, fleet),
         retries=RetryBudget(settings.retries, entry.bounds, fleet),
         crashes=CrashGuard(settings.crashes),
         splitter=RouteSplitter(),
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -75,11 +75,19 @@
 
 def encode_token_message(message: TokenAsk | TokenGrant) -> bytes:
     """Encode an ask for tokens, or its answer, as one datagram."""
+    fields: tuple[object, ...]
     match message:
         case TokenAsk(number=number, account=account, wanted=amount):
             fields = (ASK_FORMAT, number, account, amount)
-        case TokenGrant(number=number, account=account, granted=amount):
-            fields = (GRANT_FORMAT, number, account, amount)
+        case TokenGrant():
+            retry_after_ms = round(message.retry_after_s * 1000)
+            fields = (
+                GRANT_FORMAT,
+                message.number,
+                message.account,
+                message.granted,
+                retry_after_ms,
+            )
     return bytes(msgpack.packb(fields))
 
 
@@ -97,8 +105,9 @@
                 number, account, amount = rest
                 return TokenAsk(int(number), AccountName(str(account)), int(amount))
             case format_ if format_ == GRANT_FORMAT:
-                number, account, amount = rest
-                return TokenGrant(int(number), AccountName(str(account)), int(amount))
+                number, account, amount, retry_after_ms = rest
+                name = AccountName(str(account))
+                return TokenGrant(int(number), name, int(amount), int(retry_after_ms) / 1000)
             case _:
                 raise PeerMessageError(f"unknown format {kind!r}")
     except (TypeError, ValueError, AttributeError) as error:
--- /dev/null
+++ b/tests/daemon/entry/test_quota_enforcer.py
@@ -0,0 +1,326 @@
+"""Client accounts served at many VMs, by whole enforcers that exchange their messages."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+import pytest
+from attrs import define
+from attrs import frozen
+
+from siskinward.coordination.steering.account_shares import AccountShares
+from siskinward.coordination.steering.account_tokens import TokenAsk
+from siskinward.coordination.steering.account_tokens import TokenGrant
+from siskinward.coordination.steering.account_tokens import TokenIssuer
+from siskinward.coordination.steering.fleet import EntryVm
+from siskinward.coordination.steering.fleet import Fleet
+from siskinward.coordination.steering.fleet import FleetSettings
+from siskinward.coordination.steering.fleet import Heartbeat
+from siskinward.coordination.steering.fleet import VmState
+from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
+from siskinward.daemon.entry.quota_enforcer import QuotaSettings
+from siskinward.daemon.entry.quota_enforcer import WithinQuota
+from siskinward.daemon.entry.steering import SteeringSettings
+from siskinward.protocol.heartbeats import decode_datagram
+from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import RegionName
+from siskinward.state.identifiers import VmName
+from siskinward.state.serving import AccountPolicy
+from siskinward.state.serving import ServingBounds
+from siskinward.transport.clock import read_clock_s
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+BOUNDS = ServingBounds()
+HEARTBEAT_S = 0.2
+ONE_WAY_DELAY_S = 0.012
+# The operators' limits leave each account this much room over its mean demand.
+HEADROOM = 1.6
+
+
+@define
+class _Index:
+    policies: dict[AccountName, AccountPolicy]
+
+    def account(self, name: AccountName) -> AccountPolicy | None:
+        return self.policies.get(name)
+
+
+@define(eq=False)
+class _Steering:
+    settings: SteeringSettings
+    fleet: Fleet
+    shares: AccountShares
+    issuer: TokenIssuer
+    index: _Index
+
+
+class _Wire:
+    """Takes datagrams to the other VMs, but for those that are cut off."""
+
+    def __init__(self, fleet: _Fleet, own: EntryVm) -> None:
+        self._fleet = fleet
+        self._own = own
+
+    async def send(self, data: bytes, hosts: Iterable[str]) -> None:
+        for host in hosts:
+            if self._fleet.hear_each_other(host, self._own.host):
+                await curio.spawn(self._deliver(data, host), daemon=True)
+
+    async def _deliver(self, data: bytes, host: str) -> None:
+        await curio.sleep(ONE_WAY_DELAY_S)
+        receiver = self._fleet.vms[host].enforcer
+        match decode_datagram(data):
+            case TokenAsk() as ask:
+                await receiver.on_ask(ask, self._own.host)
+            case TokenGrant() as grant:
+                await receiver.on_grant(grant)
+
+
+class _Vm:
+    """One VM's enforcer and what it knows of the others."""
+
+    def __init__(self, fleet: _Fleet, number: int, policies: list[AccountPolicy]) -> None:
+        self.fleet = fleet
+        self.number = number
+        self.identity = _entry_vm(number)
+        self.policies = policies
+        self.start(1)
+
+    def start(self, incarnation: int) -> None:
+        now_s = read_clock_s()
+        self.beats = 0
+        self.incarnation = incarnation
+        identity = _entry_vm(self.number, incarnation)
+        view = Fleet(identity, FleetSettings(), domains=4)
+        view.state = VmState.READY
+        if self.fleet.vms:
+            view.learn([vm.identity for vm in self.fleet.vms.values()], now_s)
+            view.on_all_named()
+        settings = SteeringSettings()
+        shares = AccountShares(settings.shares, view, now_s)
+        issuer = TokenIssuer(settings.tokens, BOUNDS, view)
+        index = _Index({policy.name: policy for policy in self.policies})
+        self.steering = _Steering(settings, view, shares, issuer, index)
+        self.identity = identity
+        wire: Any = _Wire(self.fleet, identity)
+        steering: Any = self.steering
+        self.enforcer = QuotaEnforcer(QuotaSettings(), steering, wire)
+
+    def heartbeat(self) -> Heartbeat:
+        self.beats += 1
+        self.steering.shares.measure(read_clock_s())
+        demand = dict(self.steering.shares.publish())
+        return Heartbeat(self.identity, self.beats, VmState.READY, demand_per_s=demand)
+
+
+class _Fleet:
+    """VMs that hear one another each second, and their accounts' requests."""
+
+    def __init__(self, count: int, policies: list[AccountPolicy]) -> None:
+        self.cut: set[str] = set()
+        self.down: set[str] = set()
+        self.vms: dict[str, _Vm] = {}
+        self.asked: dict[AccountName, int] = {}
+        self.taken_s: dict[AccountName, list[float]] = {policy.name: [] for policy in policies}
+        self.vms = {f"10.0.0.{number}": _Vm(self, number, policies) for number in range(count)}
+        for vm in self.vms.values():
+            vm.start(1)
+
+    def hear_each_other(self, one: str, other: str) -> bool:
+        if one in self.down or other in self.down:
+            return False
+        return (one in self.cut) == (other in self.cut)
+
+    async def exchange_heartbeats(self) -> None:
+        while True:
+            for host, vm in list(self.vms.items()):
+                beat = vm.heartbeat()
+                for other_host, other in self.vms.items():
+                    if self.hear_each_other(host, other_host):
+                        other.steering.fleet.on_heartbeat(beat, read_clock_s())
+            await curio.sleep(HEARTBEAT_S)
+
+    async def offer(
+        self,
+        policy: AccountPolicy,
+        per_s: float,
+        random: Random,
+        *,
+        weights: list[float] | None = None,
+    ) -> None:
+        """One account's callers, who reach the VMs at random, or by ``weights``."""
+        hosts = list(self.vms)
+        while True:
+            await curio.sleep(random.expovariate(per_s))
+            host = random.choices(hosts, weights)[0]
+            if host in self.down:
+                continue
+            vm = self.vms[host]
+            self.asked[policy.name] = self.asked.get(policy.name, 0) + 1
+            await curio.spawn(self._request(vm, policy), daemon=True)
+
+    async def _request(self, vm: _Vm, policy: AccountPolicy) -> None:
+        if isinstance(await vm.enforcer.try_take(policy), WithinQuota):
+            self.taken_s[policy.name].append(read_clock_s())
+
+    async def restart(self, host: str, *, down_s: float) -> None:
+        """Kill a VM and start it again."""
+        self.down.add(host)
+        await curio.sleep(down_s)
+        self.vms[host].start(incarnation=self.vms[host].incarnation + 1)
+        self.down.discard(host)
+
+    def most_in_window(self, name: AccountName) -> int:
+        times = self.taken_s[name]
+        window_s = BOUNDS.quota_window_s
+        return max(sum(start <= time < start + window_s for time in times) for start in times)
+
+
+@frozen
+class _Demand:
+    policy: AccountPolicy
+    per_s: float
+    weights: list[float] | None = None
+
+
+def _entry_vm(number: int, incarnation: int = 1) -> EntryVm:
+    name = VmName(str(number))
+    return EntryVm(
+        name,
+        IncarnationId(f"{number}/{incarnation}"),
+        f"10.0.0.{number}",
+        80,
+        DomainName("north-1"),
+        RegionName("north"),
+    )
+
+
+def _policy(name: str, rate_per_s: float) -> AccountPolicy:
+    return AccountPolicy(AccountName(name), (), None, rate_per_s, rate_per_s, frozenset())
+
+
+def _allowed_in_window(policy: AccountPolicy) -> float:
+    owed = policy.rate_per_s * BOUNDS.quota_window_s + policy.burst_requests
+    return owed * (1 + BOUNDS.quota_overshoot) + BOUNDS.quota_slack_requests
+
+
+def _play(
+    kernel: Any,
+    count: int,
+    accounts: list[_Demand],
+    for_s: float,
+    trouble: Callable[[_Fleet], Awaitable[None]] | None = None,
+) -> _Fleet:
+    """Let callers ask for ``for_s``, while ``trouble`` happens."""
+
+    async def main() -> _Fleet:
+        fleet = _Fleet(count, [demand.policy for demand in accounts])
+        await curio.spawn(fleet.exchange_heartbeats(), daemon=True)
+        for place, demand in enumerate(accounts):
+            offer = fleet.offer(demand.policy, demand.per_s, Random(place), weights=demand.weights)
+            await curio.spawn(offer, daemon=True)
+        if trouble is not None:
+            await curio.spawn(trouble(fleet), daemon=True)
+        await curio.sleep(for_s)
+        return fleet
+
+    fleet: _Fleet = kernel.run(main)
+    return fleet
+
+
+def _within_limits(name: str, per_s: float) -> _Demand:
+    return _Demand(_policy(name, per_s * HEADROOM), per_s)
+
+
+def _beyond_limits(name: str, rate_per_s: float) -> _Demand:
+    return _Demand(_policy(name, rate_per_s), 6.0 * rate_per_s)
+
+
+@pytest.mark.parametrize("count", [3, 11, 16, 40])
+def test_enforcer_accounts_within_their_limits_are_served(paused_kernel: Any, count: int) -> None:
+    accounts = [
+        _within_limits("choir", 1.5),
+        _within_limits("parish", 4.0),
+        _within_limits("school", 8.0),
+        _within_limits("festival", 25.0),
+    ]
+    fleet = _play(paused_kernel, count, accounts, for_s=60.0)
+    for name, asked in fleet.asked.items():
+        assert len(fleet.taken_s[name]) >= 0.97 * asked, name
+
+
+@pytest.mark.parametrize("count", [3, 11, 16, 40])
+def test_enforcer_accounts_beyond_their_limits_get_them(paused_kernel: Any, count: int) -> None:
+    accounts = [_beyond_limits("choir", 1.0), _beyond_limits("festival", 40.0)]
+    fleet = _play(paused_kernel, count, accounts, for_s=30.0)
+    for policy in (demand.policy for demand in accounts):
+        assert fleet.most_in_window(policy.name) <= _allowed_in_window(policy)
+        assert len(fleet.taken_s[policy.name]) >= 0.95 * policy.rate_per_s * 30.0
+
+
+def test_enforcer_account_whose_callers_are_at_two_vms_gets_its_limit(paused_kernel: Any) -> None:
+    uneven = _Demand(_policy("festival", 40.0), 80.0, [1.0, 3.0] + [0.0] * 6)
+    fleet = _play(paused_kernel, 8, [uneven], for_s=20.0)
+    assert len(fleet.taken_s[uneven.policy.name]) >= 0.95 * uneven.policy.rate_per_s * 20.0
+    assert fleet.most_in_window(uneven.policy.name) <= _allowed_in_window(uneven.policy)
+
+
+async def _restart_in_turn(fleet: _Fleet) -> None:
+    for host in list(fleet.vms):
+        await curio.sleep(1.0)
+        await curio.spawn(fleet.restart(host, down_s=0.3), daemon=True)
+
+
+async def _kill_in_turn(fleet: _Fleet) -> None:
+    for host in list(fleet.vms)[:6]:
+        await curio.sleep(3.0)
+        await curio.spawn(fleet.restart(host, down_s=4.0), daemon=True)
+
+
+async def _kill_all(fleet: _Fleet) -> None:
+    await curio.sleep(8.0)
+    for host in list(fleet.vms):
+        await curio.spawn(fleet.restart(host, down_s=0.8), daemon=True)
+
+
+async def _cut_in_turn(fleet: _Fleet) -> None:
+    hosts = list(fleet.vms)
+    for place in range(0, len(hosts), 2):
+        fleet.cut = set(hosts[: place + 1])
+        await curio.sleep(2.5)
+        fleet.cut = set()
+        await curio.sleep(1.0)
+
+
+@pytest.mark.parametrize("trouble", [_restart_in_turn, _kill_in_turn, _kill_all, _cut_in_turn])
+@pytest.mark.parametrize("count", [8, 24])
+def test_enforcer_limits_hold_while_vms_fail(
+    paused_kernel: Any, trouble: Callable[[_Fleet], Awaitable[None]], count: int
+) -> None:
+    accounts = [_beyond_limits(name, 40.0) for name in ("choir", "parish", "school", "festival")]
+    accounts += [_beyond_limits(name, 4.0) for name in ("guild", "opera", "band", "trio")]
+    fleet = _play(paused_kernel, count, accounts, 24.0, trouble)
+    for policy in (demand.policy for demand in accounts):
+        assert fleet.most_in_window(policy.name) <= _allowed_in_window(policy), policy.name
+
+
+def test_enforcer_accounts_are_served_on_while_their_issuers_are_down(paused_kernel: Any) -> None:
+    accounts = [_within_limits(name, 8.0) for name in ("choir", "parish", "school", "festival")]
+    fleet = _play(paused_kernel, 8, accounts, 30.0, _kill_in_turn)
+    for name, asked in fleet.asked.items():
+        assert len(fleet.taken_s[name]) >= 0.9 * asked, name
+
+
+def test_enforcer_account_without_a_limit_is_never_refused(paused_kernel: Any) -> None:
+    unlimited = _Demand(_policy("choir", 0.0), 50.0)
+    fleet = _play(paused_kernel, 3, [unlimited], 10.0, _kill_all)
+    assert len(fleet.taken_s[unlimited.policy.name]) == fleet.asked[unlimited.policy.name]
