Let no more wait at a target than its share of the slots

Each target had three waiting behind three slots: 3 < 3 + 0.67 x 3 let a third one in, one more than the 0.67 of the slots that the setting states. The third waits for one whole run, and routes' objectives are two runs of a warm object.

--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -179,7 +179,7 @@
     def _has_capacity(self, target: Target, choice: int) -> bool:
         slots = target.record.slots
         depth = self._settings.first_depth if choice == 0 else self._settings.other_depth
-        return target.load < slots + depth * slots
+        return target.load < slots + int(depth * slots)
 
 
 def _without(targets: list[Target], tried: Collection[TargetName]) -> list[Target]:
