Check the platform's settings file, show what its store holds, notice changed settings

Cause: the platform may change a VM's settings without a signal, and the process read them on SIGHUP only; decoding stopped at the first fault; no command knew the platform's file or its store.

Ruled out: watching the file by the system's notices (not available there). Its content is compared every 2 s instead.

Conclusion: settings, store and VMs can be looked at from the command line.

--- a/src/siskinward/console/commands/check.py
+++ b/src/siskinward/console/commands/check.py
@@ -2,37 +2,63 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 import attrs
 import click
 
+from siskinward.console._adapter import load_adapter
 from siskinward.console._errors import InvalidInputError
 from siskinward.console._exit_codes import ExitCode
 from siskinward.console._output import echo_json
 from siskinward.console._output import json_option
 from siskinward.state.configuration import load_configuration
+from siskinward.state.errors import SiskinwardError
 from siskinward.state.settings import load_settings
 
 
 @click.command()
 @click.argument("file", type=click.Path())
 @click.option("--settings", "is_settings", is_flag=True, help="FILE holds a process's settings.")
+@click.option("--platform", "is_platform", is_flag=True, help="FILE is the platform's, of a VM.")
 @json_option
 @click.pass_context
-def check(ctx: click.Context, file: str, is_settings: bool, as_json: bool) -> None:
+def check(
+    ctx: click.Context, file: str, is_settings: bool, is_platform: bool, as_json: bool
+) -> None:
     """Check FILE as one set and report all of its faults.
 
     Exit codes: 0 no faults, 1 faults.
     """
-    result: Any = load_settings(file) if is_settings else load_configuration(file)
-    errors = result.error.errors if result.is_error() else ()
+    if is_settings and is_platform:
+        raise click.UsageError("Give one of --settings and --platform.")
+    if is_platform:
+        faults, sizes = _check_platform_settings(file), ""
+    else:
+        faults, sizes = _check_own_file(file, is_settings)
     if as_json:
-        echo_json({"file": file, "ok": not errors, "errors": errors})
-        ctx.exit(ExitCode.INVALID_INPUT if errors else ExitCode.OK)
-    if errors:
-        raise InvalidInputError(result.error, f"Faults: {len(errors)}. Mend them and check again.")
-    click.echo(f"{file}: no faults" if is_settings else f"{file}: no faults ({_sizes(result.ok)})")
+        echo_json({"file": file, "ok": not faults, "errors": faults})
+        ctx.exit(ExitCode.INVALID_INPUT if faults else ExitCode.OK)
+    if faults:
+        message = "\n".join(str(fault) for fault in faults)
+        raise InvalidInputError(message, f"Faults: {len(faults)}. Mend them and check again.")
+    click.echo(f"{file}: no faults{sizes}")
+
+
+def _check_own_file(file: str, is_settings: bool) -> tuple[tuple[Any, ...], str]:
+    result: Any = load_settings(file) if is_settings else load_configuration(file)
+    if result.is_error():
+        return result.error.errors, ""
+    return (), "" if is_settings else f" ({_sizes(result.ok)})"
+
+
+def _check_platform_settings(file: str) -> tuple[Any, ...]:
+    try:
+        load_adapter().open_settings(Path(file)).read()
+    except SiskinwardError as error:
+        return error.all_errors
+    return ()
 
 
 def _sizes(configuration: Any) -> str:
--- a/src/siskinward/console/commands/status.py
+++ b/src/siskinward/console/commands/status.py
@@ -1,21 +1,45 @@
-"""``siskinward status``: shows what a VM says of itself."""
+"""``siskinward status``: shows what a VM says of itself, or what is in force on the platform."""
 
 from __future__ import annotations
 
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import attrs
 import click
+import curio
 
+from siskinward.console._adapter import load_adapter
+from siskinward.console._adapter import platform_settings_option
+from siskinward.console._errors import InvalidInputError
+from siskinward.console._errors import PlatformUnavailableError
 from siskinward.console._exit_codes import EXIT_CODES_HELP
 from siskinward.console._front import ask_front
 from siskinward.console._front import vm_option
 from siskinward.console._output import echo_json
 from siskinward.console._output import json_option
+from siskinward.state.errors import SiskinwardError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from siskinward.daemon.entry.deployment_report import DeploymentReport
+    from siskinward.daemon.entry.deployment_report import VmReport
 
 
 @click.command(epilog=EXIT_CODES_HELP)
 @vm_option
+@platform_settings_option
 @json_option
-def status(address: str, as_json: bool) -> None:
-    """Show a VM's version, grant, targets and the VMs that it hears."""
+def status(address: str, platform_settings: str | None, as_json: bool) -> None:
+    """Show a VM's version, grant, targets and the VMs that it hears.
+
+    With --platform, show what the platform's store holds, and how old each entry VM's copy is.
+    """
+    if platform_settings is not None:
+        _show_deployment(Path(platform_settings), as_json)
+        return
     health = ask_front(address, "/health")
     if as_json:
         echo_json(health)
@@ -23,3 +47,67 @@
     for name, value in health.items():
         text = ", ".join(value) if isinstance(value, list) else value
         click.echo(f"{name}: {text}")
+
+
+def _show_deployment(file: Path, as_json: bool) -> None:
+    from siskinward.daemon.entry.deployment_report import DeploymentReader
+
+    adapter = load_adapter()
+    try:
+        settings = adapter.open_settings(file).read()
+    except SiskinwardError as error:
+        message = "\n".join(str(fault) for fault in error.all_errors)
+        raise InvalidInputError(message, "Mend the file and ask again.") from error
+    try:
+        report: DeploymentReport = curio.run(DeploymentReader(adapter, settings).read)
+    except SiskinwardError as error:
+        raise PlatformUnavailableError(error, "Ask again when the store is back.") from error
+    if as_json:
+        echo_json(_as_mapping(report))
+        return
+    for line in describe_deployment(report):
+        click.echo(line)
+
+
+def describe_deployment(report: DeploymentReport) -> Iterator[str]:
+    """Yield a deployment's state, a line each."""
+    configuration = report.configuration
+    if configuration is None:
+        yield "configuration: none in the store"
+    else:
+        yield (
+            f"configuration: version {configuration.version}, {len(configuration.routes)} routes, "
+            f"{len(configuration.services)} services, {len(configuration.accounts)} accounts"
+        )
+    yield f"evacuated: {', '.join(sorted(report.evacuated)) or 'none'}"
+    for (service, state), count in report.targets.items():
+        yield f"targets of {service}: {count} {state}"
+    for vm in report.vms:
+        yield _describe_vm(vm)
+    for row in report.unreadable:
+        yield f"unreadable: {row.table.value}/{row.key}: {row.error}"
+
+
+def _describe_vm(report: VmReport) -> str:
+    place = f"vm {report.vm.vm} ({report.vm.failure_domain}, {report.vm.host})"
+    if not report.has_answered:
+        return f"{place}: does not answer"
+    ages = ", ".join(f"{name} {age_s:.1f} s" for name, age_s in report.table_ages_s.items())
+    return (
+        f"{place}: configuration {report.configuration_version}, hears {report.live_vms} VMs "
+        f"with itself, ages: {ages or 'nothing read yet'}"
+    )
+
+
+def _as_mapping(report: DeploymentReport) -> dict[str, Any]:
+    configuration = report.configuration
+    return {
+        "configuration_version": configuration.version if configuration else None,
+        "evacuated": sorted(report.evacuated),
+        "targets": [
+            {"service": service, "state": state, "count": count}
+            for (service, state), count in report.targets.items()
+        ],
+        "vms": [attrs.asdict(vm) for vm in report.vms],
+        "unreadable": [attrs.asdict(row) for row in report.unreadable],
+    }
--- /dev/null
+++ b/src/siskinward/daemon/entry/deployment_report.py
@@ -0,0 +1,156 @@
+"""Reads what is in force in a deployment from the store, and how old the VMs' copies are."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from attrs import field
+from attrs import frozen
+
+from siskinward.coordination.steering.fleet import EntryVm
+from siskinward.coordination.steering.rows import StoreTable
+from siskinward.daemon.entry.metrics_page import METRICS_PATH
+from siskinward.daemon.entry.metrics_page import PREFIX
+from siskinward.daemon.entry.ports import Evacuation
+from siskinward.protocol.heartbeats import PeerMessageError
+from siskinward.protocol.heartbeats import decode_vm
+from siskinward.state.errors import SiskinwardError
+from siskinward.state.identifiers import DomainName
+from siskinward.state.serving import ServingConfiguration
+from siskinward.transport.http_messages import HttpRequest
+from siskinward.transport.outbound_connection import ExchangeFailedError
+from siskinward.transport.outbound_connection import OutboundConnection
+
+if TYPE_CHECKING:
+    from siskinward.coordination.steering.rows import Row
+    from siskinward.daemon.entry.ports import Platform
+    from siskinward.state.serving import EntrySettings
+
+SCRAPE_TIMEOUT_S = 1.0
+
+
+@frozen
+class UnreadableRow:
+    """A row of the store that names nothing usable."""
+
+    table: StoreTable
+    key: str
+    error: str
+
+
+@frozen
+class VmReport:
+    """One VM that the store names; the figures are None where it did not answer."""
+
+    vm: EntryVm
+    configuration_version: int | None = None
+    live_vms: int | None = None
+    table_ages_s: dict[str, float] = field(factory=dict)
+
+    @property
+    def has_answered(self) -> bool:
+        """Whether the VM's process told its figures."""
+        return self.configuration_version is not None
+
+
+@frozen
+class DeploymentReport:
+    """What the store holds, and what each VM makes of it."""
+
+    configuration: ServingConfiguration | None
+    evacuated: frozenset[DomainName]
+    targets: dict[tuple[str, str], int]
+    vms: tuple[VmReport, ...]
+    unreadable: tuple[UnreadableRow, ...]
+
+
+class DeploymentReader:
+    """Reads one deployment's report."""
+
+    def __init__(self, platform: Platform, settings: EntrySettings) -> None:
+        self._platform = platform
+        self._settings = settings
+        self._store = platform.create_store(settings)
+        self._unreadable: list[UnreadableRow] = []
+
+    async def read(self) -> DeploymentReport:
+        """Read the store and ask the VMs; raises ``SiskinwardError`` if the store is away."""
+        operator = (await self._store.read_table(StoreTable.OPERATOR)).rows
+        targets = (await self._store.read_table(StoreTable.TARGETS)).rows
+        vms = (await self._store.read_table(StoreTable.VMS)).rows
+        configuration, evacuated = self._read_operator(operator)
+        return DeploymentReport(
+            configuration,
+            evacuated,
+            self._count_targets(targets),
+            tuple([await self._ask(vm) for vm in self._read_vms(vms)]),
+            tuple(self._unreadable),
+        )
+
+    def _read_operator(
+        self, rows: tuple[Row, ...]
+    ) -> tuple[ServingConfiguration | None, frozenset[DomainName]]:
+        configuration = None
+        evacuated = set()
+        for row in rows:
+            try:
+                item = self._platform.decode_operator_row(row)
+            except SiskinwardError as error:
+                self._note_unreadable(StoreTable.OPERATOR, row, error)
+                continue
+            match item:
+                case ServingConfiguration():
+                    configuration = item
+                case Evacuation(failure_domain=domain, is_requested=True):
+                    evacuated.add(domain)
+        return configuration, frozenset(evacuated)
+
+    def _count_targets(self, rows: tuple[Row, ...]) -> dict[tuple[str, str], int]:
+        counts: Counter[tuple[str, str]] = Counter()
+        for row in rows:
+            try:
+                record = self._platform.decode_target(row)
+            except SiskinwardError as error:
+                self._note_unreadable(StoreTable.TARGETS, row, error)
+                continue
+            counts[record.service, "ready" if record.is_ready else "draining"] += 1
+        return dict(sorted(counts.items()))
+
+    def _read_vms(self, rows: tuple[Row, ...]) -> list[EntryVm]:
+        vms = []
+        for row in rows:
+            try:
+                vms.append(decode_vm(row.value or b""))
+            except PeerMessageError as error:
+                self._note_unreadable(StoreTable.VMS, row, error)
+        return vms
+
+    def _note_unreadable(self, table: StoreTable, row: Row, error: Exception) -> None:
+        self._unreadable.append(UnreadableRow(table, row.key, str(error)))
+
+    async def _ask(self, vm: EntryVm) -> VmReport:
+        port = self._settings.metrics.port
+        connection = OutboundConnection(vm.host, port)
+        request = HttpRequest("GET", METRICS_PATH, ((b"host", f"{vm.host}:{port}".encode()),))
+        try:
+            await connection.connect(SCRAPE_TIMEOUT_S)
+            response = await connection.exchange(request, SCRAPE_TIMEOUT_S)
+        except ExchangeFailedError:
+            return VmReport(vm)
+        finally:
+            await connection.close()
+        return _decode_metrics(vm, response.body.decode())
+
+
+def _decode_metrics(vm: EntryVm, text: str) -> VmReport:
+    from prometheus_client.parser import text_string_to_metric_families
+
+    families = {family.name: family.samples for family in text_string_to_metric_families(text)}
+    ages = families.get(PREFIX + "table_age_seconds", [])
+    return VmReport(
+        vm,
+        configuration_version=int(families[PREFIX + "configuration_version"][0].value),
+        live_vms=int(families[PREFIX + "vms_live"][0].value),
+        table_ages_s={sample.labels["table"]: sample.value for sample in ages},
+    )
--- a/src/siskinward/daemon/entry/ports.py
+++ b/src/siskinward/daemon/entry/ports.py
@@ -10,6 +10,8 @@
 from siskinward.state.identifiers import DomainName
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from siskinward.coordination.steering.rows import Changes
     from siskinward.coordination.steering.rows import HistoryDropped
     from siskinward.coordination.steering.rows import Row
@@ -39,6 +41,18 @@
     failure_domain: DomainName
 
 
+class SettingsSource(Protocol):
+    """Where the process has its settings from."""
+
+    def read(self) -> EntrySettings:
+        """Read the settings; raises ``SiskinwardError``."""
+        ...
+
+    def has_changed(self) -> bool:
+        """Whether they differ from what was read last."""
+        ...
+
+
 class Store(Protocol):
     """The platform's store. Calls raise ``SiskinwardError``; a failed write may have happened.
 
@@ -71,6 +85,10 @@
 
     headers: SteeringHeaders
 
+    def open_settings(self, path: Path | None) -> SettingsSource:
+        """The settings file of a VM; None for the one that the environment names."""
+        ...
+
     def create_store(self, settings: EntrySettings) -> Store:
         """A client of the store."""
         ...
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -4,7 +4,6 @@
 
 import logging
 import signal
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -47,16 +46,17 @@
 from siskinward.transport.target_pool import close_idle_periodically
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from siskinward.daemon.entry.ports import Platform
+    from siskinward.daemon.entry.ports import SettingsSource
     from siskinward.daemon.entry.steering import Steering
     from siskinward.state.serving import CallerLimits
     from siskinward.state.serving import EntrySettings
 
-SettingsReader = Callable[[], "EntrySettings"]
-
 REGISTRATION_RETRY_S = 1.0
+SETTINGS_CHECK_S = 2.0
 # Callers go on using a look-up answer for its lifetime.
 LEAVE_LINGER_S = 2.4
 # The process ends this long before the platform would end it.
@@ -73,12 +73,12 @@
         self,
         settings: EntrySettings,
         platform: Platform,
-        read_again: SettingsReader,
+        source: SettingsSource,
         log: DecisionLog,
         random: Random | None = None,
     ) -> None:
         self._settings = settings
-        self._read_again = read_again
+        self._source = source
         self._registration: int | None = None
         self._log = log
         self._tasks: list[Any] = []
@@ -133,6 +133,7 @@
         await self._spawn(close_idle_periodically, self._pool)
         await self._spawn(self._log.flush_periodically)
         await self._spawn(self._probes.run)
+        await self._spawn(self._watch_settings)
 
     async def kill(self) -> None:
         """Stop at once, as the system would stop the process."""
@@ -186,7 +187,7 @@
     def reload(self) -> None:
         """Take in the settings that may change while the process runs."""
         try:
-            settings = self._read_again()
+            settings = self._source.read()
         except SiskinwardError as error:
             self._log.write("reload-failed", {"error": str(error)})
             return
@@ -196,6 +197,13 @@
         self._steering.issuer.bounds = settings.bounds
         self._log.write("reload", {"changed": settings != entry})
 
+    async def _watch_settings(self) -> None:
+        """Take in settings that were changed without a signal."""
+        while True:
+            await curio.sleep(SETTINGS_CHECK_S)
+            if self._source.has_changed():
+                self.reload()
+
     async def leave(self) -> None:
         """Tell the others, let callers move on, and answer what is under way."""
         grace_s = self._steering.entry.bounds.grace_s
@@ -234,11 +242,12 @@
         self._front.limits = limits
 
 
-def run_entry(read_settings: SettingsReader, platform: Platform) -> None:
-    """Run an entry VM's process until it is told to stop; raises what ``read_settings`` does."""
+def run_entry(platform: Platform) -> None:
+    """Run an entry VM's process until it is told to stop; raises if its settings have faults."""
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-    settings = read_settings()
+    source = platform.open_settings(None)
+    settings = source.read()
     log = DecisionLog(LogSettings(), settings.vm, open_output(STANDARD_OUTPUT))
     logging.getLogger().addHandler(RuntimeLogHandler(log))
-    process = EntryProcess(settings, platform, read_settings, log)
+    process = EntryProcess(settings, platform, source, log)
     curio.run(process.run)
--- a/src/siskinward/platform/adapter.py
+++ b/src/siskinward/platform/adapter.py
@@ -9,10 +9,13 @@
 from siskinward.platform._calls import is_readiness_question
 from siskinward.platform._headers import HEADERS
 from siskinward.platform._operator import decode_operator_row
+from siskinward.platform._settings import SettingsFile
 from siskinward.platform._store import StoreClient
 from siskinward.platform._targets import decode_target
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from siskinward.coordination.steering.rows import Row
     from siskinward.daemon.entry.ports import Evacuation
     from siskinward.daemon.entry.ports import LookupQuestion
@@ -28,6 +31,10 @@
 
     headers = HEADERS
 
+    def open_settings(self, path: Path | None) -> SettingsFile:
+        """The settings file of a VM."""
+        return SettingsFile(path)
+
     def create_store(self, settings: EntrySettings) -> StoreClient:
         """A client of the store."""
         return StoreClient(settings.store)
--- a/src/siskinward/platform/entry.py
+++ b/src/siskinward/platform/entry.py
@@ -5,14 +5,13 @@
 import sys
 
 from siskinward.daemon.entry.process import run_entry
-from siskinward.platform._settings import read_settings
-from siskinward.platform._units import WireError
+from siskinward.platform._settings import SettingsError
 from siskinward.platform.adapter import PlatformAdapter
 
 
 def main() -> None:
     """Read the settings and run until told to stop."""
     try:
-        run_entry(read_settings, PlatformAdapter())
-    except WireError as error:
+        run_entry(PlatformAdapter())
+    except SettingsError as error:
         sys.exit(f"siskinward: {error}; correct the settings file and start again")
--- a/src/siskinward/platform/standins/_site.py
+++ b/src/siskinward/platform/standins/_site.py
@@ -4,7 +4,6 @@
 
 import json
 from random import Random
-from typing import TYPE_CHECKING
 from typing import Any
 
 import curio
@@ -18,15 +17,13 @@
 from siskinward.platform.adapter import PlatformAdapter
 from siskinward.platform.standins._store import StoreStandIn
 from siskinward.platform.standins._target import TargetStandIn
+from siskinward.state.serving import EntrySettings
 from siskinward.transport.decision_log import DecisionLog
 from siskinward.transport.decision_log import LogSettings
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.outbound_connection import OutboundConnection
 
-if TYPE_CHECKING:
-    from siskinward.state.serving import EntrySettings
-
 STORE_HOST = "10.200.0.1"
 STORE_PORT = 8205
 FRONT_PORT = 8206
@@ -74,6 +71,23 @@
         raise KeyError(f"{kind} {name}")
 
 
+@define
+class ChangeableSettings:
+    """Settings of a VM that a test may replace, as the platform replaces its file."""
+
+    settings: EntrySettings
+    in_force: EntrySettings
+
+    def read(self) -> EntrySettings:
+        """The settings as they are now."""
+        self.in_force = self.settings
+        return self.settings
+
+    def has_changed(self) -> bool:
+        """Whether they were replaced since they were read."""
+        return self.settings != self.in_force
+
+
 class Site:
     """Starts everything of a deployment; callers and operators act through it."""
 
@@ -83,6 +97,7 @@
         self.targets: dict[str, TargetStandIn] = {}
         self.vms: dict[str, EntryProcess] = {}
         self.logs: dict[str, bytearray] = {}
+        self.sources: dict[str, ChangeableSettings] = {}
         self.configuration = _create_configuration(settings)
         self._attempts = 0
         self._store_task: Any = None
@@ -115,6 +130,7 @@
     async def start_vm(self, name: str, zone: str, host: str) -> EntryProcess:
         """Start an entry VM, or one again under its name."""
         settings = self._entry_settings(name, zone, host)
+        source = self.sources[name] = ChangeableSettings(settings, settings)
         lines = self.logs.setdefault(name, bytearray())
 
         def write(data: bytes) -> int:
@@ -122,7 +138,7 @@
             return len(data)
 
         log = DecisionLog(ALL_LINES, name, write)
-        process = EntryProcess(settings, PlatformAdapter(), lambda: settings, log, Random(name))
+        process = EntryProcess(settings, PlatformAdapter(), source, log, Random(name))
         self.vms[name] = process
         await process.start()
         return process
--- a/src/siskinward/state/errors.py
+++ b/src/siskinward/state/errors.py
@@ -27,3 +27,8 @@
     def __init__(self, error: StepError) -> None:
         super().__init__(str(error))
         self.error = error
+
+    @property
+    def all_errors(self) -> tuple[StepError, ...]:
+        """Every failed step; errors that gather several override this."""
+        return (self.error,)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import json
+from typing import TYPE_CHECKING
 from typing import Any
 
 import pytest
 
 from siskinward.platform._configuration import decode_configuration
-from siskinward.platform._settings import decode_settings
+from siskinward.platform._settings import SettingsError
+from siskinward.platform._settings import SettingsFile
 from siskinward.platform._targets import decode_target
 from siskinward.platform._units import WireError
 from siskinward.platform._units import read_time_s
 from siskinward.state.serving import Repeatability
 from siskinward.state.serving import ServingIndex
 
+if TYPE_CHECKING:
+    from pathlib import Path
+
 ROUTE: dict[str, Any] = {
     "type": "routes",
     "metadata": {"name": "r-1"},
@@ -129,9 +134,65 @@
         decode_target("i-1", entry)
 
 
-def test_settings_fault_names_the_field() -> None:
-    with pytest.raises(WireError, match="settings.listen"):
-        decode_settings({"node_name": "vm"})
+SETTINGS = """
+node_name = "vm-1"
+ip = "10.1.0.8"
+zone = "bud-a"
+region = "budapest"
+internal_ports = [7600, 7615]
+bounds = ["drain=2000ms", "quota_slack=20", "some_new_bound=7"]
+[zones]
+bud-a = "budapest"
+[listen]
+front = "10.1.0.8:8206"
+ready = "10.1.0.8:8201"
+directory = "10.1.0.8:8209"
+[platform]
+address = "10.200.1.7:8205"
+"""
+
+
+def test_settings_file_is_read(tmp_path: Path) -> None:
+    file = tmp_path / "node.toml"
+    file.write_text(SETTINGS)
+    settings = SettingsFile(file).read()
+    assert settings.vm == "vm-1"
+    assert settings.bounds.drain_s == 2.0
+    assert settings.bounds.quota_slack_requests == 20.0
+
+
+def test_settings_faults_are_named_all_at_once(tmp_path: Path) -> None:
+    file = tmp_path / "node.toml"
+    text = SETTINGS.replace('front = "10.1.0.8:8206"', 'front = "here"')
+    text = text.replace("drain=2000ms", "drain=soon").replace('zone = "bud-a"', 'zone = "deb-a"')
+    file.write_text(text.replace('node_name = "vm-1"', "node_name = 7"))
+    with pytest.raises(SettingsError) as raised:
+        SettingsFile(file).read()
+    places = {fault.peer.removeprefix(f"{file}: ") for fault in raised.value.all_errors}
+    expected = {"node_name", "zone", "listen.front", "bounds.drain"}
+    assert places == {f"settings.{name}" for name in expected}
+    assert all(str(file) in line for line in str(raised.value).splitlines())
+
+
+def test_settings_file_that_is_no_toml_is_named(tmp_path: Path) -> None:
+    file = tmp_path / "node.toml"
+    file.write_text("node_name = ")
+    with pytest.raises(SettingsError, match=r"node\.toml"):
+        SettingsFile(file).read()
+
+
+def test_settings_file_change_is_noticed(tmp_path: Path) -> None:
+    file = tmp_path / "node.toml"
+    file.write_text(SETTINGS)
+    source = SettingsFile(file)
+    source.read()
+    assert not source.has_changed()
+    file.write_text(SETTINGS.replace("2000ms", "3000ms"))
+    assert source.has_changed()
+    source.read()
+    assert not source.has_changed()
+    file.unlink()
+    assert not source.has_changed()
 
 
 @pytest.mark.parametrize(("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)])
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -7,7 +7,9 @@
 
 import curio
 import pytest
+from attrs import evolve
 
+from siskinward.daemon.entry.process import SETTINGS_CHECK_S
 from siskinward.platform.standins import SiteSettings
 from siskinward.platform.standins import StoreFault
 from siskinward.platform.standins import TargetStandIn
@@ -338,3 +340,18 @@
         assert runs_after([leaving], since_s) == 0
 
     run_site(scenario)
+
+
+def test_settings_changed_without_a_signal_are_taken_in(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        source = site.sources[VM]
+        bounds = evolve(source.settings.bounds, retry_ratio=0.05, quota_slack_requests=3.0)
+        source.settings = evolve(source.settings, bounds=bounds)
+        await curio.sleep(2 * SETTINGS_CHECK_S)
+        steering = site.vms[VM].steering
+        assert steering.retries.bounds.retry_ratio == 0.05
+        assert steering.issuer.bounds.quota_slack_requests == 3.0
+        assert [line for line in site.lines(VM) if line["kind"] == "reload"]
+        await site.call(VM)
+
+    run_site(scenario)
