Read requests and answers by one loop each, and tell whose token ran out

Cause: the servers of entry VMs and of the older processes, and their outgoing connections, held the same loops over the parser's events twice (`duplicates`, and the last closing note).

Change: `server_protocol` reads whole requests and encodes answers, `client_protocol` the reverse; the servers and connections keep what differs: order of answers, timeouts, how far an exchange got. `explain` says which VM had no token left.

Ruled out: one server for both; the older one's handlers, refusal counts and shutdown differ.

--- a/src/siskinward/console/request_story.py
+++ b/src/siskinward/console/request_story.py
@@ -131,6 +131,12 @@
             f"             waited {fields['waited_ms']} ms for capacity; targets vouched for"
             f" {fields['targets_age_s']} s before the end; {fields['vms_heard']} other VMs heard"
         )
+    if "quota_issuer" in fields:
+        issuer = fields["quota_issuer"]
+        lines.append(
+            f"             account {fields['account']} has used its limit up, "
+            + (f"says {issuer}" if issuer else "and the VM that issues its tokens did not answer")
+        )
     for item in fields.get("considered", ()):
         lines.append(
             f"             no capacity at {item['target']} ({item['state']}): {item['load']}"
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -13,9 +13,9 @@
 
 from siskinward.platform._headers import HEADERS
 from siskinward.transport.clock import read_clock_s
-from siskinward.transport.front_server import encode_response
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.server_protocol import encode_response
 from siskinward.transport.sockets import listen
 
 
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -15,12 +15,16 @@
 from attrs import define
 from attrs import evolve
 from attrs import field
-from attrs import frozen
 
 from siskinward.state.serving import CallerLimits
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.server_protocol import MalformedRequestError
+from siskinward.transport.server_protocol import RequestLimits
+from siskinward.transport.server_protocol import RequestReader
+from siskinward.transport.server_protocol import encode_refusal
+from siskinward.transport.server_protocol import encode_response
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 from siskinward.transport.sockets import detect_silence
 
@@ -35,14 +39,6 @@
 WRITE_TIMEOUT_S = 10.0
 
 
-@frozen
-class MalformedRequestError(Exception):
-    """A request that is answered with ``status`` without being handled."""
-
-    status: int
-    detail: str
-
-
 @define(eq=False)
 class Arrival:
     """A whole request and when its last byte was read.
@@ -141,15 +137,21 @@
     def __init__(self, server: FrontServer, sock: Any) -> None:
         self._server = server
         self._sock = sock
-        self._http = self._new_parser()
+        self._reader = self._new_reader()
         self._last_sent = curio.Event()
         self._is_closing = False
         self._is_reading_request = False
         self.exchanges: set[_Exchange] = set()
         self.task: Any = None
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(h11.SERVER, self._server.limits.header_limit_bytes)
+    def _new_reader(self) -> RequestReader:
+        limits = self._server.limits
+        return RequestReader(
+            self._sock,
+            RequestLimits(
+                limits.header_limit_bytes, limits.body_limit_bytes, limits.idle_timeout_s
+            ),
+        )
 
     async def run(self) -> None:
         """Read requests until the caller leaves or an answer closes the connection."""
@@ -195,14 +197,14 @@
 
     async def _begin(self, request: HttpRequest) -> None:
         arrival = Arrival(request, read_clock_s())
-        exchange = _Exchange(arrival, self._http, self._last_sent)
+        exchange = _Exchange(arrival, self._reader.http, self._last_sent)
         self._last_sent = exchange.sent
         self.exchanges.add(exchange)
         exchange.task = await curio.spawn(self._answer, exchange, daemon=True)
-        trailing, _ = self._http.trailing_data
-        self._http = self._new_parser()
+        trailing = self._reader.trailing
+        self._reader = self._new_reader()
         if trailing:
-            self._http.receive_data(trailing)
+            self._reader.feed(trailing)
 
     async def _answer(self, exchange: _Exchange) -> None:
         try:
@@ -236,9 +238,8 @@
 
     async def _refuse(self, error: MalformedRequestError) -> None:
         await self._last_sent.wait()
-        http = h11.Connection(h11.SERVER)
         response = HttpResponse(error.status, ((b"content-type", b"text/plain"),), b"")
-        await self._sock.sendall(encode_response(http, response, closes=True))
+        await self._sock.sendall(encode_refusal(response))
 
     async def _shut(self, how: int = socket.SHUT_WR) -> None:
         try:
@@ -247,15 +248,14 @@
             return
 
     async def _read_request(self) -> HttpRequest | None:
-        limits = self._server.limits
-        if not self._http.trailing_data[0]:
-            data = await self._receive_idle(limits.idle_timeout_s)
+        if not self._reader.trailing:
+            data = await self._receive_idle(self._server.limits.idle_timeout_s)
             if not data:
                 return None
-            self._http.receive_data(data)
+            self._reader.feed(data)
         self._is_reading_request = True
         try:
-            return await self._read_whole(limits)
+            return await self._read_whole()
         finally:
             self._is_reading_request = False
 
@@ -269,80 +269,10 @@
                 if not self.exchanges:
                     return b""
 
-    async def _read_whole(self, limits: CallerLimits) -> HttpRequest | None:
+    async def _read_whole(self) -> HttpRequest | None:
         try:
-            async with curio.timeout_after(limits.header_timeout_s):
-                head = await self._next_event()
+            async with curio.timeout_after(self._server.limits.header_timeout_s):
+                head = await self._reader.read_head()
         except curio.TaskTimeout:
             raise MalformedRequestError(408, "headers took too long") from None
-        if not isinstance(head, h11.Request):
-            return None
-        _check_size(head, limits)
-        _check_length(head)
-        body = await self._read_body(limits)
-        return HttpRequest(
-            method=head.method.decode("ascii"),
-            target=head.target.decode("ascii"),
-            headers=tuple(head.headers),
-            body=body,
-        )
-
-    async def _read_body(self, limits: CallerLimits) -> bytes:
-        chunks: list[bytes] = []
-        size_bytes = 0
-        while True:
-            try:
-                async with curio.timeout_after(limits.idle_timeout_s):
-                    event = await self._next_event()
-            except curio.TaskTimeout:
-                raise MalformedRequestError(408, "the body took too long") from None
-            match event:
-                case h11.Data():
-                    size_bytes += len(event.data)
-                    if size_bytes > limits.body_limit_bytes:
-                        raise MalformedRequestError(413, "the body is too large")
-                    chunks.append(bytes(event.data))
-                case h11.EndOfMessage():
-                    return b"".join(chunks)
-                case _:
-                    raise ConnectionResetError("the caller closed inside a request")
-
-    async def _next_event(self) -> Any:
-        while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise MalformedRequestError(error.error_status_hint, str(error)) from error
-            if event is not h11.NEED_DATA:
-                return event
-            if self._http.they_are_waiting_for_100_continue:
-                informational = h11.InformationalResponse(status_code=100, headers=[])
-                await self._sock.sendall(self._http.send(informational))
-            self._http.receive_data(await self._sock.recv(RECEIVE_SIZE_BYTES))
-
-
-def _check_size(head: h11.Request, limits: CallerLimits) -> None:
-    # The parser bounds only what it has not read to the end.
-    size_bytes = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
-    if size_bytes > limits.header_limit_bytes:
-        raise MalformedRequestError(431, "the headers are too large")
-
-
-def _check_length(head: h11.Request) -> None:
-    # A server behind this one might believe the other of the two headers.
-    names = {name for name, _ in head.headers}
-    if b"transfer-encoding" in names and b"content-length" in names:
-        raise MalformedRequestError(400, "both a content length and a transfer encoding")
-
-
-def encode_response(http: h11.Connection, response: HttpResponse, *, closes: bool) -> bytes:
-    """Encode a whole answer; its length replaces any that its headers state."""
-    headers = [item for item in response.headers if item[0] != b"content-length"]
-    headers.append((b"content-length", str(len(response.body)).encode()))
-    if closes:
-        headers.append((b"connection", b"close"))
-    parts = [http.send(h11.Response(status_code=response.status, headers=headers))]
-    if response.body:
-        parts.append(http.send(h11.Data(data=response.body)))
-    parts.append(http.send(h11.EndOfMessage()))
-    return b"".join(part for part in parts if part)
+        return None if head is None else await self._reader.read_rest(head)
--- a/src/siskinward/transport/http_client.py
+++ b/src/siskinward/transport/http_client.py
@@ -14,7 +14,8 @@
 from expression import Error
 from expression import Ok
 
-from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.client_protocol import encode_request
+from siskinward.transport.client_protocol import read_response
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 from siskinward.transport.sockets import connect
 from siskinward.transport.sockets import is_closed_by_peer
@@ -23,8 +24,7 @@
     from expression import Result
 
     from siskinward.transport.http_messages import HttpRequest
-
-ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+    from siskinward.transport.http_messages import HttpResponse
 
 
 class ExchangePhase(Enum):
@@ -135,12 +135,13 @@
             self._phase = ExchangePhase.CONNECT
             self._sock = await connect(self._host, self._port)
         self._phase = ExchangePhase.UNSENT
-        data = self._encode(request)
+        headers = ((b"host", self.peer.encode()), *request.headers)
+        data = encode_request(self._http, request, headers)
         self._phase = ExchangePhase.SENT
         await self._sock.sendall(data)
         if silence is not None:
             await self._wait_for_answer(silence)
-        response = await self._read_response()
+        response = await read_response(self._http, self._sock, self._note_head)
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
         else:
@@ -160,40 +161,8 @@
             self._http.receive_data(data)
             return
 
-    def _encode(self, request: HttpRequest) -> bytes:
-        headers = [(b"host", self.peer.encode()), *request.headers]
-        headers.append((b"content-length", str(len(request.body)).encode()))
-        head = h11.Request(method=request.method, target=request.target, headers=headers)
-        parts = [self._http.send(head)]
-        if request.body:
-            parts.append(self._http.send(h11.Data(data=request.body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
-
-    async def _read_response(self) -> HttpResponse:
-        head: h11.Response | None = None
-        chunks: list[bytes] = []
-        size_bytes = 0
-        while True:
-            event = self._http.next_event()
-            match event:
-                case h11.NEED_DATA:
-                    self._http.receive_data(await self._sock.recv(RECEIVE_SIZE_BYTES))
-                case h11.Response():
-                    head = event
-                    self._phase = ExchangePhase.INCOMPLETE
-                case h11.Data():
-                    size_bytes += len(event.data)
-                    if size_bytes > ANSWER_LIMIT_BYTES:
-                        raise OSError("the answer is too large")
-                    chunks.append(bytes(event.data))
-                case h11.EndOfMessage():
-                    assert head is not None
-                    return HttpResponse(head.status_code, tuple(head.headers), b"".join(chunks))
-                case h11.ConnectionClosed():
-                    raise ConnectionResetError("closed before the answer")
-                case _:
-                    continue
+    def _note_head(self) -> None:
+        self._phase = ExchangePhase.INCOMPLETE
 
     async def _failed(self, detail: str, *, timed_out: bool = False) -> ExchangeError:
         await self.close()
--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -10,16 +10,16 @@
 import h11
 from attrs import frozen
 
+from siskinward.transport.client_protocol import encode_request
+from siskinward.transport.client_protocol import read_response
 from siskinward.transport.clock import read_clock_s
-from siskinward.transport.http_messages import HttpResponse
-from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 from siskinward.transport.sockets import connect
 from siskinward.transport.sockets import is_closed_by_peer
 
 if TYPE_CHECKING:
     from siskinward.transport.http_messages import HttpRequest
+    from siskinward.transport.http_messages import HttpResponse
 
-ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
 # A target's own limit on idle connections is stated in whole seconds; this stays clear of it.
 KEEP_ALIVE_MARGIN_S = 1.0
 DEFAULT_KEEP_ALIVE_S = 5.0
@@ -101,10 +101,11 @@
 
     async def _exchange(self, request: HttpRequest) -> HttpResponse:
         http = h11.Connection(h11.CLIENT)
-        await self._sock.sendall(_encode_request(http, request))
+        await self._sock.sendall(encode_request(http, request, request.headers))
         expected = request.header(self._echo_header)
         while True:
-            response, is_kept = await self._read_response(http)
+            response = await read_response(http, self._sock, self._note_head)
+            is_kept = http.their_state is h11.DONE and http.our_state is h11.DONE
             echoed = response.header(self._echo_header)
             if expected is None or echoed is None or echoed == expected:
                 break
@@ -118,32 +119,8 @@
             await self.close()
         return response
 
-    async def _read_response(self, http: h11.Connection) -> tuple[HttpResponse, bool]:
-        head: h11.Response | None = None
-        chunks: list[bytes] = []
-        size_bytes = 0
-        while True:
-            event = http.next_event()
-            match event:
-                case h11.NEED_DATA:
-                    http.receive_data(await self._sock.recv(RECEIVE_SIZE_BYTES))
-                case h11.Response():
-                    head = event
-                    self._phase = SendPhase.ANSWER_BEGUN
-                case h11.Data():
-                    size_bytes += len(event.data)
-                    if size_bytes > ANSWER_LIMIT_BYTES:
-                        raise OSError("the answer is too large")
-                    chunks.append(bytes(event.data))
-                case h11.EndOfMessage():
-                    assert head is not None
-                    is_kept = http.their_state is h11.DONE and http.our_state is h11.DONE
-                    response = HttpResponse(head.status_code, tuple(head.headers), b"".join(chunks))
-                    return response, is_kept
-                case h11.ConnectionClosed():
-                    raise ConnectionResetError("closed before the answer")
-                case _:
-                    continue
+    def _note_head(self) -> None:
+        self._phase = SendPhase.ANSWER_BEGUN
 
     def _note_keep_alive(self, response: HttpResponse) -> None:
         timeout_s = _stated_keep_alive_s(response)
@@ -159,22 +136,10 @@
     return DEFAULT_KEEP_ALIVE_S
 
 
-def _encode_request(http: h11.Connection, request: HttpRequest) -> bytes:
-    headers = list(request.headers)
-    if request.body or request.method not in ("GET", "HEAD"):
-        headers.append((b"content-length", str(len(request.body)).encode()))
-    head = h11.Request(method=request.method, target=request.target, headers=headers)
-    parts = [http.send(head)]
-    if request.body:
-        parts.append(http.send(h11.Data(data=request.body)))
-    parts.append(http.send(h11.EndOfMessage()))
-    return b"".join(part for part in parts if part)
-
-
 def _parser_behind(http: h11.Connection, request: HttpRequest) -> h11.Connection:
     """A parser that expects the answer to ``request`` in the bytes after an extra answer."""
     successor = h11.Connection(h11.CLIENT)
-    _encode_request(successor, request)
+    encode_request(successor, request, request.headers)
     trailing, is_closed = http.trailing_data
     if trailing:
         successor.receive_data(trailing)
--- /dev/null
+++ b/src/siskinward/transport/server_protocol.py
@@ -0,0 +1,135 @@
+"""The server's side of HTTP/1.1: reads whole requests and encodes whole answers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import h11
+from attrs import frozen
+
+from siskinward.transport.http_messages import HttpRequest
+from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+
+
+@frozen
+class MalformedRequestError(Exception):
+    """A request that is answered with ``status`` without being handled."""
+
+    status: int
+    detail: str
+
+
+@frozen
+class RequestLimits:
+    """What one request may hold, and how long its body may pause."""
+
+    header_limit_bytes: int
+    body_limit_bytes: int
+    body_pause_s: float
+
+
+class RequestReader:
+    """Reads one request from a socket; what follows it is in ``trailing``."""
+
+    def __init__(self, sock: Any, limits: RequestLimits) -> None:
+        self._sock = sock
+        self._limits = limits
+        self.http = h11.Connection(h11.SERVER, limits.header_limit_bytes)
+
+    @property
+    def trailing(self) -> bytes:
+        """Bytes that were received and not read yet."""
+        data: bytes = self.http.trailing_data[0]
+        return data
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes that were received elsewhere."""
+        self.http.receive_data(data)
+
+    async def read_head(self) -> h11.Request | None:
+        """Read the headers; None if the caller closed the connection before them.
+
+        Raises ``MalformedRequestError``.
+        """
+        head = await self._next_event()
+        if not isinstance(head, h11.Request):
+            return None
+        self._check(head)
+        return head
+
+    async def read_rest(self, head: h11.Request, peer: tuple[str, int] = ("", 0)) -> HttpRequest:
+        """Read the body; raises ``MalformedRequestError`` or ``OSError``."""
+        body = await self._read_body()
+        return HttpRequest(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("ascii"),
+            headers=tuple(head.headers),
+            body=body,
+            peer=peer[0],
+            peer_port=peer[1],
+        )
+
+    async def _read_body(self) -> bytes:
+        chunks: list[bytes] = []
+        size_bytes = 0
+        while True:
+            match await self._next_body_event():
+                case h11.Data(data=data):
+                    size_bytes += len(data)
+                    if size_bytes > self._limits.body_limit_bytes:
+                        raise MalformedRequestError(413, "the body is too large")
+                    chunks.append(bytes(data))
+                case h11.EndOfMessage():
+                    return b"".join(chunks)
+                case _:
+                    raise ConnectionResetError("the caller closed inside a request")
+
+    async def _next_body_event(self) -> Any:
+        try:
+            async with curio.timeout_after(self._limits.body_pause_s):
+                return await self._next_event()
+        except curio.TaskTimeout:
+            raise MalformedRequestError(408, "the body took too long") from None
+
+    async def _next_event(self) -> Any:
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise MalformedRequestError(error.error_status_hint, str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            if self.http.they_are_waiting_for_100_continue:
+                informational = h11.InformationalResponse(status_code=100, headers=[])
+                await self._sock.sendall(self.http.send(informational))
+            self.feed(await self._sock.recv(RECEIVE_SIZE_BYTES))
+
+    def _check(self, head: h11.Request) -> None:
+        # The parser bounds only what it has not read to the end.
+        size_bytes = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+        if size_bytes > self._limits.header_limit_bytes:
+            raise MalformedRequestError(431, "the headers are too large")
+        # A server behind this one might believe the other of the two headers.
+        names = {name for name, _ in head.headers}
+        if b"transfer-encoding" in names and b"content-length" in names:
+            raise MalformedRequestError(400, "both a content length and a transfer encoding")
+
+
+def encode_response(http: h11.Connection, response: HttpResponse, *, closes: bool) -> bytes:
+    """Encode a whole answer; its length replaces any that its headers state."""
+    headers = [item for item in response.headers if item[0] != b"content-length"]
+    headers.append((b"content-length", str(len(response.body)).encode()))
+    if closes:
+        headers.append((b"connection", b"close"))
+    parts = [http.send(h11.Response(status_code=response.status, headers=headers))]
+    if response.body:
+        parts.append(http.send(h11.Data(data=response.body)))
+    parts.append(http.send(h11.EndOfMessage()))
+    return b"".join(part for part in parts if part)
+
+
+def encode_refusal(response: HttpResponse) -> bytes:
+    """Encode the answer to a request that could not be read; the connection ends with it."""
+    return encode_response(h11.Connection(h11.SERVER), response, closes=True)
--- a/tests/console/test_explain.py
+++ b/tests/console/test_explain.py
@@ -22,6 +22,7 @@
 
 async def play() -> bytes:
     site = Site(SiteSettings())
+    site.configuration.spec("tenants", "account-2")["rate_per_s"] = 0.1
     await site.start()
     for target in site.targets.values():
         if target.service == "bookings":
@@ -29,6 +30,8 @@
     await site.call(VM, "/listings/1")
     await site.call(VM, "/bookings/1")
     await site.call(VM, "/bookings/2", key="stolen")
+    for _ in range(8):
+        await site.call(VM, "/bookings/3", key="key-2")
     await curio.sleep(1.0)
     lines = bytes(site.logs[VM])
     await site.stop()
@@ -54,6 +57,13 @@
     assert "before it: configuration" in result.output
 
 
+def test_explain_names_the_vm_that_had_no_token_left(log: str) -> None:
+    listed = CliRunner().invoke(main, ["explain", "--why", "over-quota", log])
+    request_id = listed.output.split()[0]
+    result = CliRunner().invoke(main, ["explain", request_id, log])
+    assert "account account-2 has used its limit up, says vm-" in result.output
+
+
 def test_explain_lists_the_requests_of_a_reason(log: str) -> None:
     result = CliRunner().invoke(main, ["explain", "--why", "key-unknown", log])
     assert result.exit_code == 0
@@ -64,7 +74,7 @@
 def test_explain_names_the_known_reasons_for_an_unknown_one(log: str) -> None:
     result = CliRunner().invoke(main, ["explain", "--why", "moonshine", log])
     assert result.exit_code == 1
-    assert "key-unknown, outcome-unknown" in result.output
+    assert "key-unknown, outcome-unknown, over-quota" in result.output
 
 
 def test_explain_says_that_an_id_is_unknown_and_counts_cut_lines(log: str) -> None:
