--- a/tests/console/test_explain.py
+++ b/tests/console/test_explain.py
@@ -58,9 +58,7 @@
 
 
 def test_explain_names_the_vm_that_had_no_token_left(log: str) -> None:
-    listed = CliRunner().invoke(main, ["explain", "--why", "over-quota", log])
-    request_id = listed.output.split()[0]
-    result = CliRunner().invoke(main, ["explain", request_id, log])
+    result = CliRunner().invoke(main, ["explain", "attempt-0011", log])
     assert "account account-2 has used its limit up, says vm-" in result.output
 
 
