--- a/tests/daemon/entry/test_quota_enforcer.py
+++ b/tests/daemon/entry/test_quota_enforcer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from random import Random
 from typing import TYPE_CHECKING
 from typing import Any
@@ -10,6 +11,9 @@
 import pytest
 from attrs import define
 from attrs import frozen
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 
 from siskinward.coordination.steering.account_shares import AccountShares
 from siskinward.coordination.steering.account_tokens import TokenAsk
@@ -25,6 +29,7 @@
 from siskinward.daemon.entry.quota_enforcer import WithinQuota
 from siskinward.daemon.entry.steering import SteeringSettings
 from siskinward.protocol.heartbeats import decode_datagram
+from siskinward.standins import paused_clock
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
@@ -324,3 +329,79 @@
     unlimited = _Demand(_policy("choir", 0.0), 50.0)
     fleet = _play(paused_kernel, 3, [unlimited], 10.0, _kill_all)
     assert len(fleet.taken_s[unlimited.policy.name]) == fleet.asked[unlimited.policy.name]
+
+
+class _Trouble(Enum):
+    RESTART = "restart"
+    SUSPEND = "suspend"
+    CUT = "cut"
+    ADD_LOAD = "add-load"
+
+
+_DRAWN_TROUBLES = st.lists(
+    st.tuples(
+        st.sampled_from(_Trouble),
+        st.sets(st.integers(0, 7), min_size=1, max_size=7),
+        st.sampled_from([0.3, 1.0, 2.0, 4.0]),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+async def _suspend(fleet: _Fleet, host: str, for_s: float) -> None:
+    """A VM stands still, and goes on with what it knew."""
+    fleet.down.add(host)
+    await curio.sleep(for_s)
+    fleet.down.discard(host)
+
+
+async def _apply(fleet: _Fleet, trouble: _Trouble, hosts: list[str], for_s: float) -> None:
+    match trouble:
+        case _Trouble.RESTART:
+            for host in hosts:
+                await curio.spawn(fleet.restart(host, down_s=for_s), daemon=True)
+        case _Trouble.SUSPEND:
+            for host in hosts:
+                await curio.spawn(_suspend(fleet, host, for_s), daemon=True)
+        case _Trouble.CUT:
+            fleet.cut = set(hosts)
+            await curio.sleep(for_s)
+            fleet.cut = set()
+        case _Trouble.ADD_LOAD:
+            policy = next(iter(fleet.vms.values())).policies[0]
+            await curio.spawn(fleet.offer(policy, 60.0, Random(9)), daemon=True)
+
+
+@hypothesis_settings(max_examples=25)
+@given(troubles=_DRAWN_TROUBLES)
+def test_enforcer_limits_hold_under_drawn_troubles(
+    troubles: list[tuple[_Trouble, set[int], float]],
+) -> None:
+    async def trouble(fleet: _Fleet) -> None:
+        for kind, places, for_s in troubles:
+            await curio.sleep(1.5)
+            hosts = [f"10.0.0.{place}" for place in sorted(places)]
+            await _apply(fleet, kind, hosts, for_s)
+
+    accounts = [_beyond_limits("festival", 40.0), _beyond_limits("choir", 4.0)]
+    with paused_clock.paused_kernel() as kernel:
+        fleet = _play(kernel, 8, accounts, 16.0, trouble)
+    for policy in (demand.policy for demand in accounts):
+        assert fleet.most_in_window(policy.name) <= _allowed_in_window(policy), policy.name
+
+
+def test_checker_reports_issuers_that_forget_the_vms_they_miss(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Fleet, "counted", lambda fleet, now_s: len(fleet.live(now_s)))
+    accounts = [_beyond_limits("festival", 40.0)]
+
+    async def cut_in_two(fleet: _Fleet) -> None:
+        await curio.sleep(3.0)
+        fleet.cut = set(list(fleet.vms)[:4])
+
+    with paused_clock.paused_kernel() as kernel:
+        fleet = _play(kernel, 8, accounts, 16.0, cut_in_two)
+    policy = accounts[0].policy
+    assert fleet.most_in_window(policy.name) > _allowed_in_window(policy)
