Soak real entry processes under random faults on loopback

Change: `python -m soak` draws overlapping series of faults from a seed and plays them against entry processes: signals (leave, kill, pause, reload, all killed), a proxy before the store and each target (delay, one-way cut, refusal, reset, silence), faults of the store and of targets, withdrawn keys, drains, configurations. Callers keep their connections. Checked: at most once, true refusals, whole answers, attempts, limits, keys and drains in time, answers of VMs that leave, ends by themselves, recovery. A short series is part of the tests, judged only by what holds at any moment.

Ruled out: closing a socket under a task that waits for it (the system's network does not wake the task; the loop then fails), so a reset shuts the socket down and its owner closes it. A target that crashed twice at once was started twice; starting is idempotent now.

Not covered: VMs cut off from one another (they talk without a proxy), the time of day (VMs do not use it).

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,8 @@
 	$(BIN)/python -m pytest
 
 lint: setup
-	$(BIN)/black --check --quiet src tests benchmarks examples
-	$(BIN)/ruff check src tests benchmarks examples
+	$(BIN)/black --check --quiet src soak tests benchmarks examples
+	$(BIN)/ruff check src soak tests benchmarks examples
 
 types: setup
 	$(BIN)/mypy
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,3 @@
+"""Randomized faults against real entry processes on loopback, with the promises checked."""
+
+from __future__ import annotations
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,115 @@
+"""Callers that keep their connections, and remember what they were told."""
+
+from __future__ import annotations
+
+from itertools import count
+from random import Random
+
+import curio
+from attrs import define
+from attrs import field
+
+from siskinward.platform._headers import HEADERS
+from siskinward.platform.standins._site import HOST_NAME
+from siskinward.transport.clock import read_clock_s
+from siskinward.transport.http_messages import HttpRequest
+from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.outbound_connection import ExchangeFailedError
+from siskinward.transport.outbound_connection import OutboundConnection
+from siskinward.transport.outbound_connection import SendPhase
+from soak.vm_process import VmProcess
+
+THINK_S = (0.02, 0.25)
+CALL_TIMEOUT_S = 4.0
+LEAVE_AFTER_S = 0.05
+LEAVING_SHARE = 0.05
+OBJECTS = 24
+TIME_LEFT_MS = 3000
+
+
+@define(eq=False)
+class Call:
+    """One request of a caller; ``response`` is None where the connection ended without one."""
+
+    attempt_id: str
+    path: str
+    key: str
+    vm: VmProcess
+    sent_s: float
+    ended_s: float | None = None
+    response: HttpResponse | None = None
+    was_accepted: bool = False
+    has_left: bool = False
+
+    @property
+    def status(self) -> int | None:
+        """Status of the answer, if there was one."""
+        return None if self.response is None else self.response.status
+
+
+@define
+class Callers:
+    """Sends requests to the VMs by many callers at once; ``calls`` is what they saw."""
+
+    vms: list[VmProcess]
+    front_port: int
+    random: Random
+    keys: tuple[str, ...]
+    calls: list[Call] = field(factory=list)
+    _numbers: count[int] = field(factory=count)
+
+    async def run(self, callers: int) -> None:
+        """Let callers call until cancelled."""
+        async with curio.TaskGroup() as group:
+            for _ in range(callers):
+                await group.spawn(self._run_caller)
+
+    async def _run_caller(self) -> None:
+        while True:
+            vm = self.random.choice(self.vms)
+            connection = OutboundConnection(vm.host, self.front_port)
+            try:
+                await connection.connect(1.0)
+                while connection.is_open:
+                    await self._call(vm, connection)
+                    await curio.sleep(self.random.uniform(*THINK_S))
+            except ExchangeFailedError:
+                # Another VM next time; what was sent is remembered as unanswered.
+                await curio.sleep(self.random.uniform(*THINK_S))
+            finally:
+                await connection.close()
+
+    async def _call(self, vm: VmProcess, connection: OutboundConnection) -> None:
+        call, request = self._create(vm)
+        self.calls.append(call)
+        leaves = self.random.random() < LEAVING_SHARE
+        try:
+            if leaves:
+                call.has_left = True
+                await curio.ignore_after(
+                    LEAVE_AFTER_S, connection.exchange, request, CALL_TIMEOUT_S
+                )
+                await connection.close()
+            else:
+                call.response = await connection.exchange(request, CALL_TIMEOUT_S)
+        except ExchangeFailedError as error:
+            call.was_accepted = error.phase is not SendPhase.NOT_CONNECTED
+            raise
+        finally:
+            call.ended_s = read_clock_s()
+
+    def _create(self, vm: VmProcess) -> tuple[Call, HttpRequest]:
+        attempt_id = f"attempt-{next(self._numbers):06}"
+        service, method = self.random.choice((("listings", "GET"), ("bookings", "POST")))
+        path = f"/{service}/{self.random.randrange(OBJECTS)}"
+        key = self.random.choice(self.keys)
+        headers = (
+            (b"host", HOST_NAME.encode()),
+            (HEADERS.attempt_id, attempt_id.encode()),
+            (HEADERS.time_left_ms, str(TIME_LEFT_MS).encode()),
+            (HEADERS.object_key, path.encode()),
+            (b"authorization", f"Bearer {key}".encode()),
+        )
+        body = b"row=7" if method == "POST" else b""
+        call = Call(attempt_id, path, key, vm, read_clock_s())
+        return call, HttpRequest(method, path, headers, body)
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,70 @@
+"""Draws a series of faults that overlap, from a seed."""
+
+from __future__ import annotations
+
+from enum import Enum
+from random import Random
+
+from attrs import frozen
+
+GAP_S = (0.2, 1.6)
+SERIES = (1, 3)
+DURATIONS_S = (0.2, 0.8, 2.0, 4.0)
+
+
+class FaultKind(Enum):
+    """What is done, to one or several of its kind."""
+
+    VM_LEAVE = "vm-leave"
+    VM_KILL = "vm-kill"
+    VM_PAUSE = "vm-pause"
+    VM_RELOAD = "vm-reload"
+    ALL_VMS_KILL = "all-vms-kill"
+    STORE_DELAY = "store-delay"
+    STORE_CUT_TO = "store-cut-to"
+    STORE_CUT_FROM = "store-cut-from"
+    STORE_REFUSE = "store-refuse"
+    STORE_RESET = "store-reset"
+    STORE_SILENCE = "store-silence"
+    STORE_BUSY = "store-busy"
+    STORE_LOSE_ANSWERS = "store-lose-answers"
+    STORE_FORGET_HISTORY = "store-forget-history"
+    TARGET_DELAY = "target-delay"
+    TARGET_CUT_FROM = "target-cut-from"
+    TARGET_RESET = "target-reset"
+    TARGET_SILENCE = "target-silence"
+    TARGET_CRASH = "target-crash"
+    TARGET_LOSE_ANSWERS = "target-lose-answers"
+    TARGET_TRUNCATE = "target-truncate"
+    TARGET_DOUBLE = "target-double"
+    TARGET_SHED = "target-shed"
+    TARGET_DRAIN = "target-drain"
+    KEY_WITHDRAWN = "key-withdrawn"
+    CONFIGURATION = "configuration"
+
+
+@frozen
+class Fault:
+    """One fault ``at_s`` after the start, on the things at ``places`` of their lists."""
+
+    kind: FaultKind
+    at_s: float
+    for_s: float
+    places: tuple[int, ...]
+
+
+def draw_faults(seed: int, length_s: float, vms: int, targets: int) -> list[Fault]:
+    """Draw faults until ``length_s``; the same seed gives the same faults."""
+    random = Random(seed)
+    faults: list[Fault] = []
+    at_s = random.uniform(*GAP_S)
+    while at_s < length_s:
+        kind = random.choice(list(FaultKind))
+        count = targets if kind.value.startswith("target") else vms
+        for step in range(random.randint(*SERIES)):
+            places = random.sample(range(count), random.randint(1, max(1, count // 3)))
+            start_s = at_s + step * random.choice(DURATIONS_S)
+            if start_s < length_s:
+                faults.append(Fault(kind, start_s, random.choice(DURATIONS_S), tuple(places)))
+        at_s += random.uniform(*GAP_S)
+    return sorted(faults, key=lambda fault: fault.at_s)
--- /dev/null
+++ b/soak/series.py
@@ -0,0 +1,346 @@
+"""Plays one seed: a deployment of real processes, its faults, and the check."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import curio
+from attrs import define
+from attrs import frozen
+
+from siskinward.platform.standins import SiteSettings
+from siskinward.platform.standins import StoreFault
+from siskinward.platform.standins import StoreStandIn
+from siskinward.platform.standins import TargetFault
+from siskinward.platform.standins import TargetStandIn
+from siskinward.platform.standins import create_configuration
+from siskinward.state.serving import ServingBounds
+from siskinward.transport.clock import read_clock_s
+from soak.callers import Callers
+from soak.faults import Fault
+from soak.faults import FaultKind
+from soak.faults import draw_faults
+from soak.loopback_proxy import LoopbackProxy
+from soak.loopback_proxy import ProxyFault
+from soak.promises import PromiseChecker
+from soak.promises import Withdrawal
+from soak.vm_process import VmProcess
+
+STORE_PORT = 8205
+TARGET_PORT = 8080
+FRONT_PORT = 8206
+ZONES = {"bud-a": "budapest", "bud-b": "budapest", "deb-a": "debrecen", "pec-a": "pecs"}
+SERVICES = ("listings", "bookings")
+START_S = 4.0
+JUDGED_S = 2.0
+WATCH_S = 0.1
+CHECK_S = 1.0
+WITHDRAWN_KEY = "spare-key-1"
+KEYS = ("key-1", "key-2", WITHDRAWN_KEY)
+SETTINGS = """\
+node_name = "{name}"
+ip = "{host}"
+zone = "{zone}"
+region = "{region}"
+internal_ports = [7600, 7615]
+seeds = []
+bounds = ["quota_slack=20"]
+[zones]
+{zones}
+[listen]
+front = "{host}:8206"
+ready = "{host}:8201"
+directory = "{host}:8209"
+[platform]
+address = "{store}:8205"
+"""
+PROXY_FAULTS = {
+    FaultKind.STORE_DELAY: ProxyFault.DELAY,
+    FaultKind.STORE_CUT_TO: ProxyFault.CUT_TO_SERVER,
+    FaultKind.STORE_CUT_FROM: ProxyFault.CUT_TO_CLIENT,
+    FaultKind.STORE_REFUSE: ProxyFault.REFUSE,
+    FaultKind.TARGET_DELAY: ProxyFault.DELAY,
+    FaultKind.TARGET_CUT_FROM: ProxyFault.CUT_TO_CLIENT,
+}
+STORE_FAULTS = {
+    FaultKind.STORE_BUSY: StoreFault.BUSY,
+    FaultKind.STORE_LOSE_ANSWERS: StoreFault.LOSES_ANSWERS,
+}
+TARGET_FAULTS = {
+    FaultKind.TARGET_LOSE_ANSWERS: TargetFault.LOSES_ANSWERS,
+    FaultKind.TARGET_TRUNCATE: TargetFault.TRUNCATES_ANSWERS,
+    FaultKind.TARGET_DOUBLE: TargetFault.DOUBLES_ANSWERS,
+    FaultKind.TARGET_SHED: TargetFault.SHEDS,
+}
+
+
+@frozen
+class SoakSettings:
+    """Size and length of one series; ``block`` sets its addresses apart from others'.
+
+    Without ``judges_times``, only what holds at any moment is checked.
+    """
+
+    seed: int
+    directory: Path
+    block: int
+    length_s: float = 12.0
+    recover_s: float = 8.0
+    vms: int = 6
+    targets: int = 10
+    callers: int = 40
+    rate_per_s: float = 60.0
+    judges_times: bool = True
+
+
+@frozen
+class SoakResult:
+    """What a series broke, and how much it was held against."""
+
+    seed: int
+    broken: tuple[str, ...]
+    judged: dict[str, int]
+    calls: int
+    served: int
+
+
+@define(eq=False)
+class Series:
+    """One deployment while it is played."""
+
+    settings: SoakSettings
+    store: StoreStandIn
+    targets: list[TargetStandIn]
+    vms: list[VmProcess]
+    store_proxies: list[LoopbackProxy]
+    target_proxies: list[LoopbackProxy]
+    callers: Callers
+    checker: PromiseChecker
+    configuration: Any
+
+    async def play(self) -> SoakResult:
+        """Start everything, let the faults happen, check, and end it all."""
+        try:
+            await self._start()
+            await self._play_faults()
+            await curio.sleep(self.settings.recover_s)
+            since_s = read_clock_s()
+            await curio.sleep(JUDGED_S)
+            if self.settings.judges_times:
+                self.checker.check_end(since_s)
+            else:
+                self.checker.check_running()
+        finally:
+            for vm in self.vms:
+                vm.end()
+        served = sum(call.status == 200 for call in self.callers.calls)
+        return SoakResult(
+            self.settings.seed,
+            tuple(self.checker.broken),
+            self.checker.judged,
+            len(self.callers.calls),
+            served,
+        )
+
+    async def _start(self) -> None:
+        await curio.spawn(self.store.run, daemon=True)
+        for proxy in (*self.store_proxies, *self.target_proxies):
+            await curio.spawn(proxy.run, daemon=True)
+        await self._publish()
+        for target in self.targets:
+            await target.start()
+            await self.store.put("servers", target.name, target.encode_entry())
+        for vm in self.vms:
+            vm.start()
+        await curio.spawn(self._watch, daemon=True)
+        await curio.sleep(START_S)
+        await curio.spawn(self.callers.run, self.settings.callers, daemon=True)
+        await curio.spawn(self._check_periodically, daemon=True)
+
+    async def _publish(self) -> None:
+        await self.store.put("op", "config", self.configuration.encode())
+
+    async def _watch(self) -> None:
+        while True:
+            for vm in self.vms:
+                vm.watch()
+            await curio.sleep(WATCH_S)
+
+    async def _check_periodically(self) -> None:
+        while True:
+            await curio.sleep(CHECK_S)
+            self.checker.check_running()
+
+    async def _play_faults(self) -> None:
+        settings = self.settings
+        start_s = read_clock_s()
+        async with curio.TaskGroup() as group:
+            for fault in draw_faults(
+                settings.seed, settings.length_s, len(self.vms), len(self.targets)
+            ):
+                await curio.sleep(max(0.0, start_s + fault.at_s - read_clock_s()))
+                await group.spawn(self._apply, fault)
+
+    async def _apply(self, fault: Fault) -> None:
+        vms = [self.vms[place % len(self.vms)] for place in fault.places]
+        store_proxies = [self.store_proxies[place % len(self.vms)] for place in fault.places]
+        match fault.kind:
+            case FaultKind.VM_LEAVE:
+                _each(vms, VmProcess.leave)
+            case FaultKind.VM_KILL:
+                _each(vms, VmProcess.kill)
+            case FaultKind.ALL_VMS_KILL:
+                _each(self.vms, VmProcess.kill)
+            case FaultKind.VM_RELOAD:
+                _each(vms, VmProcess.reload)
+            case FaultKind.VM_PAUSE:
+                _each(vms, VmProcess.pause)
+                await curio.sleep(fault.for_s)
+                _each(vms, VmProcess.resume)
+            case FaultKind.STORE_RESET | FaultKind.STORE_SILENCE:
+                await self._strike_connections(fault, store_proxies)
+            case FaultKind.STORE_FORGET_HISTORY:
+                self.store.drop_history()
+            case FaultKind.KEY_WITHDRAWN:
+                await self._withdraw_key()
+            case FaultKind.CONFIGURATION:
+                await self._publish()
+            case _ if fault.kind in STORE_FAULTS:
+                await self._strike_store(fault)
+            case _ if fault.kind in PROXY_FAULTS and "store" in fault.kind.value:
+                await self._strike_proxies(fault, store_proxies)
+                _each(vms, _note_disturbed)
+            case _:
+                await self._strike_targets(fault)
+
+    async def _strike_targets(self, fault: Fault) -> None:
+        targets = [self.targets[place] for place in fault.places]
+        proxies = [self.target_proxies[place] for place in fault.places]
+        match fault.kind:
+            case FaultKind.TARGET_RESET | FaultKind.TARGET_SILENCE:
+                await self._strike_connections(fault, proxies)
+            case FaultKind.TARGET_CRASH:
+                for target in targets:
+                    await target.crash()
+                await curio.sleep(fault.for_s)
+                for target in targets:
+                    await target.start()
+            case FaultKind.TARGET_DRAIN:
+                await self._drain(targets[0])
+            case _ if fault.kind in PROXY_FAULTS:
+                await self._strike_proxies(fault, proxies)
+            case _:
+                for target in targets:
+                    target.fault = TARGET_FAULTS[fault.kind]
+                await curio.sleep(fault.for_s)
+                for target in targets:
+                    target.fault = TargetFault.NONE
+
+    async def _strike_connections(self, fault: Fault, proxies: list[LoopbackProxy]) -> None:
+        for proxy in proxies:
+            if fault.kind in (FaultKind.STORE_SILENCE, FaultKind.TARGET_SILENCE):
+                proxy.silence_all()
+            else:
+                await proxy.reset_all()
+        # The rules count this as a disturbance of every VM.
+        _each(self.vms, _note_disturbed)
+
+    async def _strike_proxies(self, fault: Fault, proxies: list[LoopbackProxy]) -> None:
+        for proxy in proxies:
+            proxy.fault = PROXY_FAULTS[fault.kind]
+        await curio.sleep(fault.for_s)
+        for proxy in proxies:
+            proxy.fault = ProxyFault.NONE
+
+    async def _strike_store(self, fault: Fault) -> None:
+        _each(self.vms, _note_disturbed)
+        self.store.fault = STORE_FAULTS[fault.kind]
+        await curio.sleep(fault.for_s)
+        self.store.fault = StoreFault.NONE
+        _each(self.vms, _note_disturbed)
+
+    async def _withdraw_key(self) -> None:
+        keys = self.configuration.spec("tenants", "account-1")["api_keys"]
+        if WITHDRAWN_KEY in keys:
+            keys.remove(WITHDRAWN_KEY)
+            await self._publish()
+            self.checker.withdrawn_keys.append(Withdrawal(WITHDRAWN_KEY, read_clock_s()))
+
+    async def _drain(self, target: TargetStandIn) -> None:
+        """Let a target leave, unless its service has lost one already."""
+        drained = {withdrawal.name.split("-")[0] for withdrawal in self.checker.drained}
+        if target.service not in drained:
+            target.heartbeat += 1
+            await self.store.put("servers", target.name, target.encode_entry("draining"))
+            self.checker.drained.append(Withdrawal(target.name, read_clock_s()))
+
+
+def _each(vms: list[VmProcess], action: Any) -> None:
+    for vm in vms:
+        action(vm)
+
+
+def _note_disturbed(vm: VmProcess) -> None:
+    vm.disturbed_s = time.monotonic()
+
+
+def create_series(settings: SoakSettings) -> Series:
+    """Assemble a deployment; nothing is started yet."""
+    prefix = f"127.{settings.block}"
+    bounds = ServingBounds(quota_slack_requests=20.0)
+    store = StoreStandIn(f"{prefix}.200.1", STORE_PORT)
+    targets = [_create_target(prefix, number) for number in range(settings.targets)]
+    vms = [_create_vm(settings, prefix, number) for number in range(settings.vms)]
+    site = SiteSettings(
+        services=SERVICES, rate_per_s=settings.rate_per_s, burst=settings.rate_per_s
+    )
+    callers = Callers(vms, FRONT_PORT, Random(settings.seed), KEYS)
+    checker = PromiseChecker(bounds, targets, vms, callers.calls)
+    owed = settings.rate_per_s * bounds.quota_window_s + settings.rate_per_s
+    checker.quota_in_window = owed * (1 + bounds.quota_overshoot) + bounds.quota_slack_requests
+    return Series(
+        settings=settings,
+        store=store,
+        targets=targets,
+        vms=vms,
+        store_proxies=[
+            LoopbackProxy(f"{prefix}.201.{number + 1}", STORE_PORT, f"{prefix}.200.1")
+            for number in range(settings.vms)
+        ],
+        target_proxies=[
+            LoopbackProxy(target.advertised_host, TARGET_PORT, target.host) for target in targets
+        ],
+        callers=callers,
+        checker=checker,
+        configuration=create_configuration(site),
+    )
+
+
+def _create_target(prefix: str, number: int) -> TargetStandIn:
+    service = SERVICES[number % len(SERVICES)]
+    zone = list(ZONES)[number // len(SERVICES) % len(ZONES)]
+    target = TargetStandIn(
+        f"{service}-{number}", service, f"{prefix}.64.{number + 1}", TARGET_PORT, zone
+    )
+    target.advertised_host = f"{prefix}.65.{number + 1}"
+    return target
+
+
+def _create_vm(settings: SoakSettings, prefix: str, number: int) -> VmProcess:
+    zone = list(ZONES)[number % len(ZONES)]
+    name, host = f"vm-{number}", f"{prefix}.1.{number + 1}"
+    file = settings.directory / f"{name}.toml"
+    zones = "\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items())
+    text = SETTINGS.format(
+        name=name,
+        host=host,
+        zone=zone,
+        region=ZONES[zone],
+        zones=zones,
+        store=f"{prefix}.201.{number + 1}",
+    )
+    file.write_text(text)
+    return VmProcess(name, host, file, settings.directory / f"{name}.log")
--- a/src/siskinward/platform/standins/_site.py
+++ b/src/siskinward/platform/standins/_site.py
@@ -98,7 +98,7 @@
         self.vms: dict[str, EntryProcess] = {}
         self.logs: dict[str, bytearray] = {}
         self.sources: dict[str, ChangeableSettings] = {}
-        self.configuration = _create_configuration(settings)
+        self.configuration = create_configuration(settings)
         self._attempts = 0
         self._store_task: Any = None
         for number, zone in enumerate(settings.zones, start=1):
@@ -249,7 +249,8 @@
         return decode_settings(document)
 
 
-def _create_configuration(settings: SiteSettings) -> OperatorConfiguration:
+def create_configuration(settings: SiteSettings) -> OperatorConfiguration:
+    """The operator's first configuration: a route and a service each, two accounts."""
     resources: list[dict[str, Any]] = []
     for service in settings.services:
         resources.append(_route(service))
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -17,6 +17,7 @@
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.server_protocol import encode_response
 from siskinward.transport.sockets import listen
+from siskinward.transport.sockets import reset
 
 
 class TargetFault(Enum):
@@ -46,7 +47,10 @@
 
 @define(eq=False)
 class TargetStandIn:
-    """Runs requests for ``work_s`` each, up to ``slots`` at once."""
+    """Runs requests for ``work_s`` each, up to ``slots`` at once.
+
+    ``advertised_host`` is where callers reach it, if that is not ``host``.
+    """
 
     name: str
     service: str
@@ -59,6 +63,7 @@
     fault: TargetFault = TargetFault.NONE
     faulty_requests: int = 1_000_000
     warmup_left_ms: int = 0
+    advertised_host: str = ""
     runs: list[RunRecord] = field(factory=list)
     probes: int = 0
     heartbeat: int = 1
@@ -70,7 +75,7 @@
     def encode_entry(self, state: str = "ready") -> bytes:
         """What the target says of itself in the store."""
         entry = {
-            "address": f"{self.host}:{self.port}",
+            "address": f"{self.advertised_host or self.host}:{self.port}",
             "born": self.born_ms,
             "info": {
                 "service": self.service,
@@ -87,15 +92,17 @@
         return json.dumps(entry).encode()
 
     async def start(self) -> None:
-        """Listen in the background."""
-        self._task = await curio.spawn(self._serve, daemon=True)
+        """Listen in the background, if it does not already."""
+        if self._task is None:
+            self._task = await curio.spawn(self._serve, daemon=True)
 
     async def crash(self) -> None:
         """Stop at once: connections are reset, new ones refused."""
-        if self._task is not None:
-            await self._task.cancel()
+        task, self._task = self._task, None
+        if task is not None:
+            await task.cancel()
         for sock in list(self._sockets):
-            await sock.reset()
+            await reset(sock)
 
     async def _serve(self) -> None:
         async with listen(self.host, self.port) as listener:
@@ -168,7 +175,7 @@
             self._running -= 1
         record.ended_s = read_clock_s()
         if self._strikes(TargetFault.LOSES_ANSWERS):
-            await sock.reset()
+            await reset(sock)
             return None
         status = 500 if self._strikes(TargetFault.FAILS) else 200
         headers = (
--- a/src/siskinward/standins/memory_network.py
+++ b/src/siskinward/standins/memory_network.py
@@ -206,3 +206,7 @@
         """Return the port that a listening socket was given."""
         port: int = listener.address[1]
         return port
+
+    async def reset(self, sock: Any) -> None:
+        """Break a connection off."""
+        await sock.reset()
--- a/src/siskinward/transport/sockets.py
+++ b/src/siskinward/transport/sockets.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 from typing import Any
@@ -48,6 +49,10 @@
         """Return the port that a listening socket was given."""
         ...
 
+    async def reset(self, sock: Any) -> None:
+        """Break a connection off, so that the peer sees an error."""
+        ...
+
 
 class SystemNetwork:
     """The system's sockets."""
@@ -94,6 +99,18 @@
         port: int = listener._socket.getsockname()[1]
         return port
 
+    async def reset(self, sock: Any) -> None:
+        """Wake whoever waits for the socket, and drop what is unsent when its owner closes it.
+
+        A socket that a task waits for must not be closed by another.
+        """
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        try:
+            await sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The peer was first.
+            return
+
 
 _network: Network = SystemNetwork()
 
@@ -140,3 +157,8 @@
 def port_of(listener: Any) -> int:
     """Return the port that a listening socket was given."""
     return _network.port_of(listener)
+
+
+async def reset(sock: Any) -> None:
+    """Break a connection off, so that the peer sees an error."""
+    await _network.reset(sock)
