Give a granted token to the request that asked, and count an issuer's time from the last change of VMs

Cause, by reading the enforcer: a token that arrives went to the cache, where a request that came at that moment took it before the one that had asked for it; that one was refused with a Retry-After of 0. And an issuer's bucket began with 0.4 s of the rate when the account was first asked for, though no VM had issued for it in the minutes before.

Ruled out: more prefetching; it hides the first and wastes tokens of small accounts.

--- a/src/siskinward/coordination/steering/account_tokens.py
+++ b/src/siskinward/coordination/steering/account_tokens.py
@@ -45,9 +45,9 @@
 
 @frozen
 class TokenSettings:
-    """What an issuer has after the VMs have changed, and how long its tokens are valid.
+    """What an issuer has when the VMs change, and how long its tokens are valid.
 
-    Another VM may have issued until then, and have used the burst: the issuer goes on with no more
+    Another VM may have issued until then, and have used the burst: the issuer begins with no more
     than the rate earns in ``takeover_s``. ``token_life_s`` bounds how long a VM may hold tokens.
     ``slack_part`` of the requests that operators tolerate beyond a limit evens out arrivals.
     """
@@ -64,7 +64,6 @@
 
     tokens: float
     refilled_at_s: float
-    incarnations: frozenset[IncarnationId]
     next_return_s: float = 0.0
 
 
@@ -82,6 +81,8 @@
         self.bounds = bounds
         self._fleet = fleet
         self._buckets: dict[AccountName, _Bucket] = {}
+        self._incarnations: frozenset[IncarnationId] = frozenset()
+        self._unchanged_since_s = 0.0
 
     def issuer_of(self, account: AccountName, now_s: float) -> EntryVm:
         """The VM that issues an account's tokens, as seen from here."""
@@ -91,36 +92,39 @@
         """Whether this VM issues an account's tokens; VMs that hear others may see it otherwise."""
         return self.issuer_of(account, now_s) == self._fleet.own
 
+    def note_vms(self, now_s: float) -> None:
+        """Notice whether the live VMs have changed; call it about once a heartbeat."""
+        incarnations = frozenset(vm.incarnation for vm in self._fleet.live(now_s))
+        if incarnations != self._incarnations:
+            self._incarnations = incarnations
+            self._unchanged_since_s = now_s
+
     def grant(self, account: AccountPolicy, ask: TokenAsk, now_s: float) -> TokenGrant:
         """Issue up to as many tokens as are asked for."""
+        self.note_vms(now_s)
         scale = min(1.0, self._fleet.unsuspected(now_s) / self._fleet.counted(now_s))
-        incarnations = frozenset(vm.incarnation for vm in self._fleet.live(now_s))
-        bucket = self._refill(account, scale, incarnations, now_s)
+        bucket = self._refill(account, scale, now_s)
         granted = min(max(0, ask.wanted), int(bucket.tokens))
         bucket.tokens -= granted
         retry_after_s = 0.0 if granted else self._retry_after_s(bucket, account, scale, now_s)
         return TokenGrant(ask.number, account.name, granted, retry_after_s)
 
-    def _refill(
-        self,
-        account: AccountPolicy,
-        scale: float,
-        incarnations: frozenset[IncarnationId],
-        now_s: float,
-    ) -> _Bucket:
+    def _refill(self, account: AccountPolicy, scale: float, now_s: float) -> _Bucket:
         rate_per_s = account.rate_per_s * scale
         at_takeover = rate_per_s * self._settings.takeover_s
+        since_s = self._unchanged_since_s
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            bucket = self._buckets[account.name] = _Bucket(at_takeover, now_s, incarnations)
-            return bucket
-        tokens = bucket.tokens + rate_per_s * max(0.0, now_s - bucket.refilled_at_s)
-        if bucket.incarnations != incarnations:
-            tokens = min(tokens, at_takeover)
+            bucket = self._buckets[account.name] = _Bucket(at_takeover, since_s)
+        elif bucket.refilled_at_s < since_s:
+            earned = rate_per_s * (since_s - bucket.refilled_at_s)
+            bucket.tokens = min(bucket.tokens + earned, at_takeover)
+            bucket.refilled_at_s = since_s
         slack = self.bounds.quota_slack_requests * self._settings.slack_part
-        bucket.tokens = min(tokens, max(1.0, (account.burst_requests + slack) * scale))
+        capacity = max(1.0, (account.burst_requests + slack) * scale)
+        earned = rate_per_s * max(0.0, now_s - bucket.refilled_at_s)
+        bucket.tokens = min(bucket.tokens + earned, capacity)
         bucket.refilled_at_s = now_s
-        bucket.incarnations = incarnations
         return bucket
 
     def _retry_after_s(
--- a/src/siskinward/daemon/entry/quota_enforcer.py
+++ b/src/siskinward/daemon/entry/quota_enforcer.py
@@ -88,7 +88,7 @@
         now_s = read_clock_s()
         if grant is None:
             return self._take_own_part(account, issuer, now_s)
-        if self._cache.try_take(account.name, now_s):
+        if grant.granted:
             return WithinQuota()
         return OverQuota(grant.retry_after_s, issuer.vm)
 
@@ -119,7 +119,7 @@
         ask = self._asks.pop(grant.number, None)
         if ask is not None:
             ask.grant = grant
-            self._cache.put(grant.account, grant.granted, read_clock_s())
+            self._keep_spare(grant)
             await ask.is_answered.set()
 
     def _grant(self, ask: TokenAsk, now_s: float) -> TokenGrant | None:
@@ -137,12 +137,16 @@
         ask = TokenAsk(next(self._numbers), account.name, wanted)
         if issuer == self._steering.fleet.own:
             grant = self._steering.issuer.grant(account, ask, now_s)
-            self._cache.put(account.name, grant.granted, now_s)
+            self._keep_spare(grant)
             return grant
         if now_s < self._paused_until_s.get(issuer.incarnation, 0.0):
             return None
         return await self._ask(issuer, ask)
 
+    def _keep_spare(self, grant: TokenGrant) -> None:
+        """Keep what a grant holds beyond the request that asked, which has the first token."""
+        self._cache.put(grant.account, grant.granted - 1, read_clock_s())
+
     async def _ask(self, issuer: EntryVm, ask: TokenAsk) -> TokenGrant | None:
         open_ask = self._asks[ask.number] = _OpenAsk()
         try:
@@ -154,5 +158,7 @@
                     return open_ask.grant
         finally:
             self._asks.pop(ask.number, None)
-        self._paused_until_s = {issuer.incarnation: read_clock_s() + self._settings.pause_s}
+        now_s = read_clock_s()
+        paused = {name: end_s for name, end_s in self._paused_until_s.items() if end_s > now_s}
+        self._paused_until_s = {**paused, issuer.incarnation: now_s + self._settings.pause_s}
         return None
--- a/tests/daemon/entry/test_quota_enforcer.py
+++ b/tests/daemon/entry/test_quota_enforcer.py
@@ -123,6 +123,7 @@
     def heartbeat(self) -> Heartbeat:
         self.beats += 1
         self.steering.shares.measure(read_clock_s())
+        self.steering.issuer.note_vms(read_clock_s())
         demand = dict(self.steering.shares.publish())
         return Heartbeat(self.identity, self.beats, VmState.READY, demand_per_s=demand)
 
@@ -279,6 +280,27 @@
     assert fleet.most_in_window(uneven.policy.name) <= _allowed_in_window(uneven.policy)
 
 
+def test_enforcer_token_goes_to_the_request_that_asked_for_it(paused_kernel: Any) -> None:
+    policy = _policy("choir", 0.1)
+
+    async def main() -> list[str]:
+        fleet = _Fleet(3, [policy])
+        await curio.spawn(fleet.exchange_heartbeats(), daemon=True)
+        await curio.sleep(60.0)
+        vm = next(
+            vm
+            for vm in fleet.vms.values()
+            if not vm.steering.issuer.is_issuer_of(policy.name, read_clock_s())
+        )
+        first = await curio.spawn(vm.enforcer.try_take, policy)
+        # Arrives together with the grant.
+        await curio.sleep(2 * ONE_WAY_DELAY_S)
+        second = await curio.spawn(vm.enforcer.try_take, policy)
+        return [type(await one.join()).__name__ for one in (first, second)]
+
+    assert paused_kernel.run(main)[0] == WithinQuota.__name__
+
+
 async def _restart_in_turn(fleet: _Fleet) -> None:
     for host in list(fleet.vms):
         await curio.sleep(1.0)
