--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -87,3 +87,22 @@
             tree = ast.parse(path.read_text(encoding="utf-8"))
             modules = {a.name for n in ast.walk(tree) if isinstance(n, ast.Import) for a in n.names}
             assert not modules & {"curio", "socket", "time", "h11", "random"}, path.name
+
+
+def test_entry_modules_read_only_the_steady_clock() -> None:
+    # The time of day may jump on any VM, at any moment.
+    wall_clocks = {"time", "time_ns", "now", "utcnow", "today", "localtime", "gmtime"}
+    folders = ("daemon/entry", "coordination/steering", "platform", "transport", "protocol")
+    for folder in folders:
+        for path in sorted((SOURCE / folder).rglob("*.py")):
+            tree = ast.parse(path.read_text(encoding="utf-8"))
+            calls = [node.func for node in ast.walk(tree) if isinstance(node, ast.Call)]
+            attributes = [call for call in calls if isinstance(call, ast.Attribute)]
+            found = [
+                f"{call.value.id}.{call.attr}"
+                for call in attributes
+                if isinstance(call.value, ast.Name)
+                and call.value.id in {"time", "datetime", "date"}
+                and call.attr in wall_clocks
+            ]
+            assert not found, f"{path.name}: {found}"
