--- a/src/siskinward/console/commands/status.py
+++ b/src/siskinward/console/commands/status.py
@@ -63,7 +63,7 @@
     except SiskinwardError as error:
         raise PlatformUnavailableError(error, "Ask again when the store is back.") from error
     if as_json:
-        echo_json(_as_mapping(report))
+        echo_json(as_mapping(report))
         return
     for line in describe_deployment(report):
         click.echo(line)
@@ -80,8 +80,8 @@
             f"{len(configuration.services)} services, {len(configuration.accounts)} accounts"
         )
     yield f"evacuated: {', '.join(sorted(report.evacuated)) or 'none'}"
-    for (service, state), count in report.targets.items():
-        yield f"targets of {service}: {count} {state}"
+    for item in report.targets:
+        yield f"targets of {item.service}: {item.count} {item.state}"
     for vm in report.vms:
         yield _describe_vm(vm)
     for row in report.unreadable:
@@ -99,15 +99,16 @@
     )
 
 
-def _as_mapping(report: DeploymentReport) -> dict[str, Any]:
+def as_mapping(report: DeploymentReport) -> dict[str, Any]:
+    """A deployment's state for programs."""
     configuration = report.configuration
     return {
         "configuration_version": configuration.version if configuration else None,
         "evacuated": sorted(report.evacuated),
-        "targets": [
-            {"service": service, "state": state, "count": count}
-            for (service, state), count in report.targets.items()
-        ],
+        "targets": [attrs.asdict(item) for item in report.targets],
         "vms": [attrs.asdict(vm) for vm in report.vms],
-        "unreadable": [attrs.asdict(row) for row in report.unreadable],
+        "unreadable": [
+            {"table": row.table.value, "key": row.key, "error": row.error}
+            for row in report.unreadable
+        ],
     }
--- a/src/siskinward/daemon/entry/deployment_report.py
+++ b/src/siskinward/daemon/entry/deployment_report.py
@@ -17,6 +17,7 @@
 from siskinward.protocol.heartbeats import decode_vm
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import ServiceName
 from siskinward.state.serving import ServingConfiguration
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.outbound_connection import ExchangeFailedError
@@ -39,6 +40,15 @@
     error: str
 
 
+@frozen
+class TargetCount:
+    """How many targets of a service say that they are in a state."""
+
+    service: ServiceName
+    state: str
+    count: int
+
+
 @frozen
 class VmReport:
     """One VM that the store names; the figures are None where it did not answer."""
@@ -60,7 +70,7 @@
 
     configuration: ServingConfiguration | None
     evacuated: frozenset[DomainName]
-    targets: dict[tuple[str, str], int]
+    targets: tuple[TargetCount, ...]
     vms: tuple[VmReport, ...]
     unreadable: tuple[UnreadableRow, ...]
 
@@ -106,8 +116,8 @@
                     evacuated.add(domain)
         return configuration, frozenset(evacuated)
 
-    def _count_targets(self, rows: tuple[Row, ...]) -> dict[tuple[str, str], int]:
-        counts: Counter[tuple[str, str]] = Counter()
+    def _count_targets(self, rows: tuple[Row, ...]) -> tuple[TargetCount, ...]:
+        counts: Counter[tuple[ServiceName, str]] = Counter()
         for row in rows:
             try:
                 record = self._platform.decode_target(row)
@@ -115,7 +125,9 @@
                 self._note_unreadable(StoreTable.TARGETS, row, error)
                 continue
             counts[record.service, "ready" if record.is_ready else "draining"] += 1
-        return dict(sorted(counts.items()))
+        return tuple(
+            TargetCount(service, state, count) for (service, state), count in sorted(counts.items())
+        )
 
     def _read_vms(self, rows: tuple[Row, ...]) -> list[EntryVm]:
         vms = []
--- a/tests/console/test_platform_commands.py
+++ b/tests/console/test_platform_commands.py
@@ -10,6 +10,7 @@
 from click.testing import CliRunner
 
 from siskinward.console.application import main
+from siskinward.console.commands.status import as_mapping
 from siskinward.console.commands.status import describe_deployment
 from siskinward.daemon.entry.deployment_report import DeploymentReader
 from siskinward.daemon.entry.deployment_report import DeploymentReport
@@ -73,6 +74,16 @@
     assert any(line.startswith("unreadable: targets/i-broken: ") for line in lines)
 
 
+def test_status_for_programs_is_json() -> None:
+    with paused_kernel() as kernel:
+        report = kernel.run(read_report)
+    told = json.loads(json.dumps(as_mapping(report)))
+    assert told["configuration_version"] == 4
+    assert {"service": "bookings", "state": "draining", "count": 1} in told["targets"]
+    assert [row["key"] for row in told["unreadable"]] == ["i-broken"]
+    assert len(told["vms"]) == 4
+
+
 def test_status_without_the_store_says_so() -> None:
     with paused_kernel() as kernel, pytest.raises(StoreError, match="503"):
         kernel.run(read_report, StoreFault.BUSY)
