Say which VMs were killed where a request has no line

Ruled out: a line at each send; it would double the log for requests that end well.

Change: `explain` of an id without a line names the VMs that ended without saying so.

Conclusion: an engineer learns why there is no line.

--- a/src/siskinward/console/commands/explain.py
+++ b/src/siskinward/console/commands/explain.py
@@ -63,4 +63,10 @@
             " under load; look at other VMs' logs or at a longer time",
             err=True,
         )
+        for line in book.sudden_ends():
+            click.echo(
+                f"{line.vm} was killed after {line.at_s:.3f} s of its clock and started again;"
+                " requests that it had then left no line and got no answer",
+                err=True,
+            )
     return bool(requests)
--- a/src/siskinward/console/request_story.py
+++ b/src/siskinward/console/request_story.py
@@ -26,6 +26,7 @@
     "store-lost",
     "store-regained",
 )
+STOPPED_KIND = "stopped"
 STATE_LINES = 6
 TARGET_LINES = 2
 
@@ -78,6 +79,17 @@
             and reason in (line.fields.get("reason"), str(line.fields.get("status")))
         ]
 
+    def sudden_ends(self) -> list[LogLine]:
+        """The last line of each process that ended without saying so; a later start shows it."""
+        last: dict[str, LogLine] = {}
+        ends = []
+        for line in self.lines:
+            before = last.get(line.vm)
+            if line.kind == "start" and before is not None and before.kind != STOPPED_KIND:
+                ends.append(before)
+            last[line.vm] = line
+        return ends
+
     def reasons(self) -> list[str]:
         """Every reason that a request ended for."""
         return sorted({line.fields["reason"] for line in self.lines if "reason" in line.fields})
--- a/tests/console/test_explain.py
+++ b/tests/console/test_explain.py
@@ -82,5 +82,25 @@
     assert "1 lines could not be read" in result.output
 
 
+def test_explain_names_the_vms_that_were_killed_for_an_id_without_a_line(
+    paused_kernel: Any, tmp_path: Path
+) -> None:
+    async def kill_one() -> bytes:
+        site = Site(SiteSettings())
+        await site.start()
+        await site.restart_vm(VM)
+        await curio.sleep(1.0)
+        lines = bytes(site.logs[VM] + site.logs["vm-deb-a-0"])
+        await site.stop()
+        return lines
+
+    path = tmp_path / "vms.log"
+    path.write_bytes(paused_kernel.run(kill_one))
+    result = CliRunner().invoke(main, ["explain", "attempt-9999", str(path)])
+    assert result.exit_code == 1
+    assert f"{VM} was killed after" in result.output
+    assert "vm-deb-a-0 was killed" not in result.output
+
+
 def test_explain_without_a_log_is_wrong_usage() -> None:
     assert CliRunner().invoke(main, ["explain", "attempt-0001"]).exit_code == 2
