Follow a table from the version of its first page

Cause, by reading: a table of more than 500 rows is read in pages, each as of its own moment, and the copy's position was the version of the last page. A row of an earlier page that changed in between was missed, and the feed, asked from there, never told of it: a target that leaves while a VM starts could stay in use.

Ruled out: one page for all; the store gives 500 rows or 1 MB at most.

Conclusion: what changed since the first page comes again by the feed, and is taken once.

--- a/src/siskinward/platform/_store.py
+++ b/src/siskinward/platform/_store.py
@@ -53,15 +53,18 @@
         """Read all rows of a table; raises ``StoreError``."""
         rows: list[Row] = []
         start = ""
+        position: int | None = None
         while True:
             query = {"table": TABLE_NAMES[table], "part": PART, "limit": str(PAGE_ROWS)}
             if start:
                 query["from"] = start
             answer = await self._call("rows-get", query)
             rows.extend(_decode_row(row) for row in answer["rows"])
-            if not answer.get("more_pages"):
+            if position is None:
                 # Later pages may be newer than the first; the feed repeats what lies between.
-                return Snapshot(tuple(rows), int(answer["ver"]))
+                position = int(answer["ver"])
+            if not answer.get("more_pages"):
+                return Snapshot(tuple(rows), position)
             start = rows[-1].key + "\x00"
 
     async def read_changes(
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -9,8 +9,12 @@
 import pytest
 from attrs import evolve
 
+from siskinward.coordination.steering.rows import Changes
+from siskinward.coordination.steering.rows import StoreTable
 from siskinward.daemon.entry import replication
 from siskinward.daemon.entry.process import SETTINGS_CHECK_S
+from siskinward.platform import _store
+from siskinward.platform.adapter import PlatformAdapter
 from siskinward.platform.standins import SiteSettings
 from siskinward.platform.standins import StoreFault
 from siskinward.platform.standins import TargetStandIn
@@ -393,6 +397,27 @@
     run_site(scenario, SiteSettings(vms_per_zone=24))
 
 
+def test_change_between_two_pages_of_a_table_is_not_missed(
+    run_site: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_store, "PAGE_ROWS", 2)
+
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        client = PlatformAdapter().create_store(site.vms[VM].steering.entry)
+        first = sorted(site.targets)[0]
+        reading = await curio.spawn(client.read_table, StoreTable.TARGETS)
+        # The first page is on its way back, the second not asked for yet.
+        await curio.sleep(1.2 * site.store.delay_s)
+        await site.report(site.targets[first], "draining")
+        snapshot = await reading.join()
+        changes = await client.read_changes(StoreTable.TARGETS, snapshot.position, 0.0)
+        assert isinstance(changes, Changes)
+        rows = (*snapshot.rows, *changes.rows)
+        assert any(row.key == first and b"draining" in (row.value or b"") for row in rows)
+
+    run_site(scenario)
+
+
 def test_vms_in_step_ask_one_another_for_nothing(
     run_site: Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
