Keep one copy of token buckets, keys, fingerprints and stand-in settings

Cause, by reading the whole change: token buckets stood four times (and once more in rate_shares), the key of an Authorization field and the fingerprint of a request twice each beside the project's own, the settings file of a stand-in VM four times, the operator's and targets' writes to the stand-in's store in the site and in the soak. The weights of regions were worked out for each placement though they change with targets only; a load report found its sender by a pass over all VMs. `Target.known_since_s` and two limits of FrontServer were read by nothing.

Change: TokenBucket, bearer_key, fingerprint_of, render_settings, StoreStandIn.publish and report serve all; weights are kept until targets change, and VMs are found by their incarnation. The soak no longer names rows or fields of the platform. A request's fingerprint now includes its route, as that of the older processes does: equal paths at different hosts are told apart.

Ruled out: one bucket for link budgets too (bytes with debts), and the rendezvous scores of the older parts, which are other numbers and would move their assignments.

Conclusion: behaviour stays as it was but for the fingerprint's route.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 from attrs import field
 
 from siskinward.platform._headers import HEADERS
-from siskinward.platform.standins._site import HOST_NAME
+from siskinward.platform.standins import HOST_NAME
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
--- a/soak/series.py
+++ b/soak/series.py
@@ -10,12 +10,15 @@
 from attrs import define
 from attrs import frozen
 
-from siskinward.platform.standins import SiteSettings
+from siskinward.platform.standins import FRONT_PORT
+from siskinward.platform.standins import STORE_PORT
+from siskinward.platform.standins import OperatorConfiguration
 from siskinward.platform.standins import StoreFault
 from siskinward.platform.standins import StoreStandIn
 from siskinward.platform.standins import TargetFault
 from siskinward.platform.standins import TargetStandIn
 from siskinward.platform.standins import create_configuration
+from siskinward.platform.standins import render_settings
 from siskinward.state.serving import ServingBounds
 from siskinward.transport.clock import read_clock_s
 from soak.callers import Callers
@@ -28,10 +31,8 @@
 from soak.promises import Withdrawal
 from soak.vm_process import VmProcess
 
-STORE_PORT = 8205
 TARGET_PORT = 8080
-FRONT_PORT = 8206
-ZONES = {"bud-a": "budapest", "bud-b": "budapest", "deb-a": "debrecen", "pec-a": "pecs"}
+DOMAIN_REGIONS = {"bud-a": "budapest", "bud-b": "budapest", "deb-a": "debrecen", "pec-a": "pecs"}
 SERVICES = ("listings", "bookings")
 START_S = 4.0
 JUDGED_S = 2.0
@@ -39,23 +40,6 @@
 CHECK_S = 1.0
 WITHDRAWN_KEY = "spare-key-1"
 KEYS = ("key-1", "key-2", WITHDRAWN_KEY)
-SETTINGS = """\
-node_name = "{name}"
-ip = "{host}"
-zone = "{zone}"
-region = "{region}"
-internal_ports = [7600, 7615]
-seeds = []
-bounds = ["quota_slack=20"]
-[zones]
-{zones}
-[listen]
-front = "{host}:8206"
-ready = "{host}:8201"
-directory = "{host}:8209"
-[platform]
-address = "{store}:8205"
-"""
 PROXY_FAULTS = {
     FaultKind.STORE_DELAY: ProxyFault.DELAY,
     FaultKind.STORE_CUT_TO: ProxyFault.CUT_TO_SERVER,
@@ -118,7 +102,7 @@
     target_proxies: list[LoopbackProxy]
     callers: Callers
     checker: PromiseChecker
-    configuration: Any
+    configuration: OperatorConfiguration
 
     async def play(self) -> SoakResult:
         """Start everything, let the faults happen, check, and end it all."""
@@ -151,7 +135,7 @@
         await self._publish()
         for target in self.targets:
             await target.start()
-            await self.store.put("servers", target.name, target.encode_entry())
+            await self.store.report(target)
         for vm in self.vms:
             vm.start()
         await curio.spawn(self._watch, daemon=True)
@@ -160,7 +144,7 @@
         await curio.spawn(self._check_periodically, daemon=True)
 
     async def _publish(self) -> None:
-        await self.store.put("op", "config", self.configuration.encode())
+        await self.store.publish(self.configuration)
 
     async def _watch(self) -> None:
         while True:
@@ -263,9 +247,7 @@
         _each(self.vms, VmProcess.note_interference)
 
     async def _withdraw_key(self) -> None:
-        keys = self.configuration.spec("tenants", "account-1")["api_keys"]
-        if WITHDRAWN_KEY in keys:
-            keys.remove(WITHDRAWN_KEY)
+        if self.configuration.withdraw_key("account-1", WITHDRAWN_KEY):
             await self._publish()
             self.checker.withdrawn_keys.append(Withdrawal(WITHDRAWN_KEY, read_clock_s()))
 
@@ -273,8 +255,7 @@
         """Let a target leave, unless its service has lost one already."""
         drained = {withdrawal.name.split("-")[0] for withdrawal in self.checker.drained}
         if target.service not in drained:
-            target.heartbeat += 1
-            await self.store.put("servers", target.name, target.encode_entry("draining"))
+            await self.store.report(target, "draining")
             self.checker.drained.append(Withdrawal(target.name, read_clock_s()))
 
 
@@ -290,9 +271,6 @@
     store = StoreStandIn(f"{prefix}.200.1", STORE_PORT)
     targets = [_create_target(prefix, number) for number in range(settings.targets)]
     vms = [_create_vm(settings, prefix, number) for number in range(settings.vms)]
-    site = SiteSettings(
-        services=SERVICES, rate_per_s=settings.rate_per_s, burst=settings.rate_per_s
-    )
     callers = Callers(vms, FRONT_PORT, Random(settings.seed), KEYS)
     checker = PromiseChecker(bounds, targets, vms, callers.calls)
     owed = settings.rate_per_s * bounds.quota_window_s + settings.rate_per_s
@@ -311,32 +289,26 @@
         ],
         callers=callers,
         checker=checker,
-        configuration=create_configuration(site),
+        configuration=create_configuration(SERVICES, settings.rate_per_s, settings.rate_per_s),
     )
 
 
 def _create_target(prefix: str, number: int) -> TargetStandIn:
     service = SERVICES[number % len(SERVICES)]
-    zone = list(ZONES)[number // len(SERVICES) % len(ZONES)]
+    domain = list(DOMAIN_REGIONS)[number // len(SERVICES) % len(DOMAIN_REGIONS)]
     target = TargetStandIn(
-        f"{service}-{number}", service, f"{prefix}.64.{number + 1}", TARGET_PORT, zone
+        f"{service}-{number}", service, f"{prefix}.64.{number + 1}", TARGET_PORT, domain
     )
     target.advertised_host = f"{prefix}.65.{number + 1}"
     return target
 
 
 def _create_vm(settings: SoakSettings, prefix: str, number: int) -> VmProcess:
-    zone = list(ZONES)[number % len(ZONES)]
+    domain = list(DOMAIN_REGIONS)[number % len(DOMAIN_REGIONS)]
     name, host = f"vm-{number}", f"{prefix}.1.{number + 1}"
+    store_host = f"{prefix}.201.{number + 1}"
     file = settings.directory / f"{name}.toml"
-    zones = "\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items())
-    text = SETTINGS.format(
-        name=name,
-        host=host,
-        zone=zone,
-        region=ZONES[zone],
-        zones=zones,
-        store=f"{prefix}.201.{number + 1}",
+    file.write_text(
+        render_settings(name, host, domain, DOMAIN_REGIONS, store_host, ["quota_slack=20"])
     )
-    file.write_text(text)
     return VmProcess(name, host, file, settings.directory / f"{name}.log")
--- a/src/siskinward/coordination/admission/rate_shares.py
+++ b/src/siskinward/coordination/admission/rate_shares.py
@@ -5,7 +5,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from attrs import define
+from siskinward.coordination.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -19,14 +19,6 @@
 MIN_BURST = 1.0
 
 
-@define
-class _Bucket:
-    """Requests that may start now; begins empty, so that a change of owner adds none."""
-
-    filled_at_s: float
-    level: float = 0.0
-
-
 class RateShares:
     """Splits the limit of a region and service over its targets by their slots.
 
@@ -37,7 +29,7 @@
 
     def __init__(self) -> None:
         self._share_per_s: dict[TargetName, float] = {}
-        self._buckets: dict[TargetName, _Bucket] = {}
+        self._buckets: dict[TargetName, TokenBucket] = {}
 
     def set_configuration(
         self, configuration: Configuration, service: ServiceName, domain: DomainName
@@ -67,21 +59,20 @@
         share_per_s = self._share_per_s.get(target)
         if share_per_s is None:
             return inf
-        return self._filled(target, share_per_s, now_s).level
+        return self._filled(target, share_per_s, now_s).tokens
 
     def start(self, target: TargetName, now_s: float) -> None:
         """Charge one request."""
         share_per_s = self._share_per_s.get(target)
         if share_per_s is not None:
-            self._filled(target, share_per_s, now_s).level -= 1.0
+            self._filled(target, share_per_s, now_s).tokens -= 1.0
 
-    def _filled(self, target: TargetName, share_per_s: float, now_s: float) -> _Bucket:
-        bucket = self._buckets.setdefault(target, _Bucket(now_s))
+    def _filled(self, target: TargetName, share_per_s: float, now_s: float) -> TokenBucket:
+        # It begins empty, so that a change of owner adds none.
+        bucket = self._buckets.setdefault(target, TokenBucket(0.0, now_s))
         burst = max(MIN_BURST, share_per_s * BURST_S)
         fill_per_s = max(share_per_s - burst, share_per_s / 2)
-        gained = (now_s - bucket.filled_at_s) * fill_per_s
-        bucket.level = min(burst, bucket.level + gained)
-        bucket.filled_at_s = now_s
+        bucket.refill(fill_per_s, burst, now_s)
         return bucket
 
 
--- a/src/siskinward/coordination/steering/account_shares.py
+++ b/src/siskinward/coordination/steering/account_shares.py
@@ -13,6 +13,8 @@
 from attrs import define
 from attrs import frozen
 
+from siskinward.coordination.token_bucket import TokenBucket
+
 if TYPE_CHECKING:
     from siskinward.coordination.steering.fleet import Fleet
     from siskinward.state.identifiers import AccountName
@@ -37,9 +39,7 @@
 
 
 @define
-class _Bucket:
-    tokens: float
-    refilled_at_s: float
+class _Bucket(TokenBucket):
     fraction: float
 
 
@@ -96,11 +96,7 @@
 
     def try_take(self, account: AccountPolicy, silent_since_s: float, now_s: float) -> bool:
         """Take one request's token, of what was earned since the account's issuer is silent."""
-        bucket = self._refill(account, silent_since_s, now_s)
-        if bucket.tokens < 1.0:
-            return False
-        bucket.tokens -= 1.0
-        return True
+        return self._refill(account, silent_since_s, now_s).try_take()
 
     def retry_after_s(self, account: AccountPolicy) -> float:
         """When the next token is due."""
@@ -121,11 +117,8 @@
         if bucket is None or bucket.refilled_at_s < since_s:
             fraction = self._fraction(account.name, now_s)
             bucket = self._buckets[account.name] = _Bucket(0.0, since_s, fraction)
-        elapsed_s = max(0.0, now_s - bucket.refilled_at_s)
         rate_per_s = account.rate_per_s * bucket.fraction
-        capacity = max(1.0, rate_per_s * self._settings.holding_s)
-        bucket.tokens = min(capacity, bucket.tokens + rate_per_s * elapsed_s)
-        bucket.refilled_at_s = now_s
+        bucket.refill(rate_per_s, max(1.0, rate_per_s * self._settings.holding_s), now_s)
         return bucket
 
     def _fraction(self, account: AccountName, now_s: float) -> float:
--- a/src/siskinward/coordination/steering/account_tokens.py
+++ b/src/siskinward/coordination/steering/account_tokens.py
@@ -14,6 +14,7 @@
 from attrs import define
 from attrs import frozen
 
+from siskinward.coordination.token_bucket import TokenBucket
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import IncarnationId
 
@@ -59,11 +60,9 @@
 
 
 @define
-class _Bucket:
+class _Bucket(TokenBucket):
     """Tokens of one account; refused requests are told to come back one after the other."""
 
-    tokens: float
-    refilled_at_s: float
     next_return_s: float = 0.0
 
 
@@ -117,14 +116,9 @@
         if bucket is None:
             bucket = self._buckets[account.name] = _Bucket(at_takeover, since_s)
         elif bucket.refilled_at_s < since_s:
-            earned = rate_per_s * (since_s - bucket.refilled_at_s)
-            bucket.tokens = min(bucket.tokens + earned, at_takeover)
-            bucket.refilled_at_s = since_s
+            bucket.refill(rate_per_s, at_takeover, since_s)
         slack = self.bounds.quota_slack_requests * self._settings.slack_part
-        capacity = max(1.0, (account.burst_requests + slack) * scale)
-        earned = rate_per_s * max(0.0, now_s - bucket.refilled_at_s)
-        bucket.tokens = min(bucket.tokens + earned, capacity)
-        bucket.refilled_at_s = now_s
+        bucket.refill(rate_per_s, max(1.0, (account.burst_requests + slack) * scale), now_s)
         return bucket
 
     def _retry_after_s(
--- a/src/siskinward/coordination/steering/crash_guard.py
+++ b/src/siskinward/coordination/steering/crash_guard.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from hashlib import blake2b
-
 from attrs import define
 from attrs import frozen
 
@@ -40,15 +38,6 @@
     lost_s: float
 
 
-def fingerprint_of(method: str, target: str, account: str, body: bytes) -> str:
-    """Identify a request that comes again with the same path, caller and body."""
-    digest = blake2b(digest_size=8)
-    for part in (method.encode(), target.encode(), account.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 class CrashGuard:
     """Counts targets lost under each fingerprint, here and at other VMs."""
 
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -118,6 +118,7 @@
         self._assumed = domains * settings.unknown_vms_per_domain
         self.settings = settings
         self._peers: dict[VmName, _Peer] = {}
+        self._introduced: dict[IncarnationId, _Peer] = {}
 
     @property
     def interval_s(self) -> float:
@@ -153,9 +154,12 @@
             return False
         peer = self._peers.get(sender.vm)
         if peer is None or peer.identity.incarnation != sender.incarnation:
+            if peer is not None:
+                self._introduced.pop(peer.identity.incarnation, None)
             peer = self._peers[sender.vm] = _Peer(sender)
         elif peer.heartbeat is not None and heartbeat.number <= peer.heartbeat.number:
             return False
+        self._introduced[sender.incarnation] = peer
         is_news = now_s - peer.last_heard_s > self.timeout_s
         peer.heartbeat = heartbeat
         peer.last_heard_s = now_s
@@ -166,9 +170,7 @@
 
         None if the sender has not introduced itself by a heartbeat, or the report is old.
         """
-        peer = next(
-            (p for p in self._peers.values() if p.identity.incarnation == report.incarnation), None
-        )
+        peer = self._introduced.get(report.incarnation)
         if peer is None or peer.heartbeat is None or report.number <= peer.heartbeat.number:
             return None
         peer.heartbeat = evolve(
--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -100,6 +100,8 @@
         self._targets = targets
         self._gate = gate
         self._random = random
+        self._weights: dict[ServiceName, dict[RegionName, float]] = {}
+        self._weights_revision = -1
         self.warmup_rates_per_s: dict[ServiceName, float] = {}
 
     def choose(self, request: PlacementRequest, now_s: float) -> Placed | NoCapacity | NoTarget:
@@ -154,9 +156,7 @@
             shuffled = self._random.sample(candidates, len(candidates))
             return sorted(shuffled, key=lambda target: target.load / target.record.slots)
         key = f"{request.service}/{request.object_key}"
-        weights = region_weights(
-            self._targets.slots_by_region(request.service), self._regions, self._region
-        )
+        weights = self._region_weights(request.service)
         return sorted(
             candidates,
             key=lambda target: rendezvous_score(key, target.name)
@@ -165,6 +165,15 @@
             reverse=True,
         )
 
+    def _region_weights(self, service: ServiceName) -> dict[RegionName, float]:
+        if self._weights_revision != self._targets.revision:
+            self._weights_revision = self._targets.revision
+            self._weights.clear()
+        if service not in self._weights:
+            slots = self._targets.slots_by_region(service)
+            self._weights[service] = region_weights(slots, self._regions, self._region)
+        return self._weights[service]
+
     def _bears_cold_request(self, target: Target, now_s: float) -> bool:
         rate_per_s = self.warmup_rates_per_s.get(target.record.service, 0.0)
         is_free = target.load < target.record.slots
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -39,7 +39,6 @@
 
     record: TargetRecord
     region: RegionName
-    known_since_s: float
     cold_until_s: float = -inf
     suspended_until_s: float = -inf
     failures: int = 0
@@ -82,7 +81,10 @@
 
 
 class TargetTable:
-    """All targets, by name and by service."""
+    """All targets, by name and by service.
+
+    ``revision`` changes with what targets say of themselves and with evacuations.
+    """
 
     def __init__(
         self, settings: TargetSettings, domain_regions: dict[DomainName, RegionName]
@@ -93,6 +95,7 @@
         self._by_service: dict[ServiceName, dict[TargetName, Target]] = {}
         self._evacuated: dict[DomainName, float] = {}
         self._warmups_s: dict[ServiceName, float] = {}
+        self.revision = 0
 
     def get(self, name: TargetName) -> Target | None:
         """Return a target by its name."""
@@ -125,6 +128,7 @@
 
     def put(self, record: TargetRecord, now_s: float) -> None:
         """Take in what a target says of itself."""
+        self.revision += 1
         known = self._targets.get(record.name)
         cold_until_s = now_s + record.warmup_left_s if record.warmup_left_s > 0 else -inf
         if known is not None and known.record.started_ms == record.started_ms:
@@ -136,12 +140,13 @@
         region = self._domain_regions.get(record.failure_domain)
         if region is None:
             return
-        target = Target(record, region, now_s, cold_until_s)
+        target = Target(record, region, cold_until_s)
         self._targets[record.name] = target
         self._by_service.setdefault(record.service, {})[record.name] = target
 
     def remove(self, name: TargetName) -> None:
         """Drop a target that has left."""
+        self.revision += 1
         target = self._targets.pop(name, None)
         if target is not None:
             del self._by_service[target.record.service][name]
@@ -168,6 +173,7 @@
 
     def set_evacuated(self, domains: Iterable[DomainName], now_s: float) -> None:
         """Set the failure domains whose targets get nothing; returning ones may be cold."""
+        self.revision += 1
         evacuated = set(domains)
         returned = set(self._evacuated) - evacuated
         self._evacuated = {domain: self._evacuated.get(domain, now_s) for domain in evacuated}
--- a/src/siskinward/coordination/steering/warmup.py
+++ b/src/siskinward/coordination/steering/warmup.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define
+from siskinward.coordination.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.fleet import Fleet
@@ -20,18 +20,12 @@
 BURST_REQUESTS = 1.0
 
 
-@define
-class _Pace:
-    tokens: float
-    refilled_at_s: float
-
-
 class WarmupGate:
     """Lets requests through to cold targets at their warm-up rate."""
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        self._paces: dict[TargetName, _Pace] = {}
+        self._paces: dict[TargetName, TokenBucket] = {}
 
     def may_send(self, target: Target, rate_per_s: float, now_s: float) -> bool:
         """Whether this VM may send one request now; ``take`` notes that it did."""
@@ -50,9 +44,7 @@
             return False
         return self._fleet.owner_of(target.name, now_s).vm == self._fleet.own.vm
 
-    def _refill(self, target: Target, rate_per_s: float, now_s: float) -> _Pace:
-        pace = self._paces.setdefault(target.name, _Pace(BURST_REQUESTS, now_s))
-        elapsed_s = max(0.0, now_s - pace.refilled_at_s)
-        pace.tokens = min(BURST_REQUESTS, pace.tokens + rate_per_s * elapsed_s)
-        pace.refilled_at_s = now_s
+    def _refill(self, target: Target, rate_per_s: float, now_s: float) -> TokenBucket:
+        pace = self._paces.setdefault(target.name, TokenBucket(BURST_REQUESTS, now_s))
+        pace.refill(rate_per_s, BURST_REQUESTS, now_s)
         return pace
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -6,8 +6,8 @@
 
 from attrs import define
 
+from siskinward.coordination.fingerprints import fingerprint_of
 from siskinward.coordination.steering.admission_queue import Rejected
-from siskinward.coordination.steering.crash_guard import fingerprint_of
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import PlacementRequest
 from siskinward.daemon.entry.dispatcher import Claim
@@ -23,6 +23,7 @@
 from siskinward.daemon.entry.sender import SendFailure
 from siskinward.daemon.entry.sender import Unknown
 from siskinward.protocol.steering_headers import bearer_key
+from siskinward.state.identifiers import AccountName
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpResponse
 
@@ -40,6 +41,7 @@
     from siskinward.transport.front_server import Arrival
     from siskinward.transport.http_messages import HttpRequest
 
+NO_ACCOUNT = AccountName("")
 RETRY_SOON_S = 0.25
 RETRY_LATER_S = 1.0
 # Connections that could not be opened reached no target; they are bounded on their own.
@@ -96,8 +98,8 @@
             raise _refused(Reason.NO_ROUTE)
         account = self._account_of(request, route)
         deadline_s = arrival.received_s + self._time_left_s(request, route)
-        name = account.name if account else ""
-        fingerprint = fingerprint_of(request.method, request.target, name, request.body)
+        name = account.name if account else NO_ACCOUNT
+        fingerprint = fingerprint_of(name, route.name, request.method, request.target, request.body)
         if self._steering.crashes.is_blocked(fingerprint, arrival.received_s):
             raise _refused(Reason.CRASHES_TARGETS, RETRY_LATER_S)
         service = self._steering.splitter.choose(route)
--- a/src/siskinward/platform/standins/_site.py
+++ b/src/siskinward/platform/standins/_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tomllib
 from random import Random
 from typing import Any
 
@@ -15,6 +16,12 @@
 from siskinward.platform._headers import HEADERS
 from siskinward.platform._settings import decode_settings
 from siskinward.platform.adapter import PlatformAdapter
+from siskinward.platform.standins._operator_configuration import HOST_NAME
+from siskinward.platform.standins._operator_configuration import create_configuration
+from siskinward.platform.standins._settings_text import DIRECTORY_PORT
+from siskinward.platform.standins._settings_text import FRONT_PORT as FRONT_PORT
+from siskinward.platform.standins._settings_text import STORE_PORT
+from siskinward.platform.standins._settings_text import render_settings
 from siskinward.platform.standins._store import StoreStandIn
 from siskinward.platform.standins._target import TargetStandIn
 from siskinward.state.serving import EntrySettings
@@ -25,13 +32,7 @@
 from siskinward.transport.outbound_connection import OutboundConnection
 
 STORE_HOST = "10.200.0.1"
-STORE_PORT = 8205
-FRONT_PORT = 8206
-DIRECTORY_PORT = 8209
-READINESS_PORT = 8201
-PEER_PORT = 7600
 TARGET_PORT = 8080
-HOST_NAME = "site.example"
 CALL_TIMEOUT_S = 10.0
 # Longer than any call to the store, so that no task is left behind.
 STOP_SETTLE_S = 5.0
@@ -50,27 +51,6 @@
     burst: float = 0.0
 
 
-@define
-class OperatorConfiguration:
-    """What the operator writes; each ``encode`` has a higher version."""
-
-    resources: list[dict[str, Any]]
-    version: int = 1
-
-    def encode(self) -> bytes:
-        """The next version in full."""
-        self.version += 3
-        return json.dumps({"version": f"r{self.version}", "resources": self.resources}).encode()
-
-    def spec(self, kind: str, name: str) -> dict[str, Any]:
-        """The changeable part of one entry."""
-        for resource in self.resources:
-            if resource["type"] == kind and resource["metadata"].get("name") == name:
-                spec: dict[str, Any] = resource["spec"]
-                return spec
-        raise KeyError(f"{kind} {name}")
-
-
 @define
 class ChangeableSettings:
     """Settings of a VM that a test may replace, as the platform replaces its file."""
@@ -98,7 +78,9 @@
         self.vms: dict[str, EntryProcess] = {}
         self.logs: dict[str, bytearray] = {}
         self.sources: dict[str, ChangeableSettings] = {}
-        self.configuration = create_configuration(settings)
+        self.configuration = create_configuration(
+            settings.services, settings.rate_per_s, settings.burst
+        )
         self._attempts = 0
         self._store_task: Any = None
         for number, zone in enumerate(settings.zones, start=1):
@@ -151,12 +133,11 @@
 
     async def publish(self) -> None:
         """Write the operator's configuration."""
-        await self.store.put("op", "config", self.configuration.encode())
+        await self.store.publish(self.configuration)
 
     async def report(self, target: TargetStandIn, state: str = "ready") -> None:
         """Write what a target says of itself."""
-        target.heartbeat += 1
-        await self.store.put("servers", target.name, target.encode_entry(state))
+        await self.store.report(target, state)
 
     async def call(
         self,
@@ -231,74 +212,5 @@
         self.targets[name] = TargetStandIn(name, service, host, TARGET_PORT, zone)
 
     def _entry_settings(self, name: str, zone: str, host: str) -> EntrySettings:
-        document = {
-            "node_name": name,
-            "ip": host,
-            "zone": zone,
-            "region": self._settings.zones[zone],
-            "internal_ports": [PEER_PORT, PEER_PORT + 15],
-            "seeds": [],
-            "zones": self._settings.zones,
-            "listen": {
-                "front": f"{host}:{FRONT_PORT}",
-                "ready": f"{host}:{READINESS_PORT}",
-                "directory": f"{host}:{DIRECTORY_PORT}",
-            },
-            "platform": {"address": f"{STORE_HOST}:{STORE_PORT}"},
-        }
-        return decode_settings(document)
-
-
-def create_configuration(settings: SiteSettings) -> OperatorConfiguration:
-    """The operator's first configuration: a route and a service each, two accounts."""
-    resources: list[dict[str, Any]] = []
-    for service in settings.services:
-        resources.append(_route(service))
-        resources.append(
-            {
-                "type": "services",
-                "metadata": {"name": service},
-                "spec": {
-                    "health_path": "/health",
-                    "max_connections": 330,
-                    "warmup": "3s",
-                    "warmup_per_s": 4.0,
-                },
-            }
-        )
-    for number in (1, 2):
-        account: dict[str, Any] = {
-            "api_keys": [f"key-{number}", f"spare-key-{number}"],
-            "priority": 1,
-            "rate_per_s": settings.rate_per_s,
-            "burst": settings.burst,
-            "allowed_regions": [],
-        }
-        resources.append(
-            {"type": "tenants", "metadata": {"name": f"account-{number}"}, "spec": account}
-        )
-    limits = {
-        "max_header_bytes": 16384,
-        "max_body_bytes": 1 << 20,
-        "header_timeout": "3000ms",
-        "idle_timeout": "15000ms",
-    }
-    resources.append({"type": "limits", "metadata": {}, "spec": limits})
-    return OperatorConfiguration(resources)
-
-
-def _route(service: str) -> dict[str, Any]:
-    spec: dict[str, Any] = {
-        "host": HOST_NAME,
-        "prefix": f"/{service}/",
-        "route_type": "unsafe" if service == "bookings" else "safe",
-        "timeout": "2000ms",
-        "target_latency": "400ms",
-        "priority": 2,
-        "service": service,
-        "max_attempts": 2,
-        "public": False,
-        "sticky": True,
-        "allowed_regions": [],
-    }
-    return {"type": "routes", "metadata": {"name": f"r-{service}"}, "spec": spec}
+        text = render_settings(name, host, zone, self._settings.zones, STORE_HOST)
+        return decode_settings(tomllib.loads(text))
--- a/src/siskinward/platform/standins/_store.py
+++ b/src/siskinward/platform/standins/_store.py
@@ -5,6 +5,7 @@
 import base64
 import json
 from enum import Enum
+from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
@@ -19,6 +20,10 @@
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.sockets import listen
 
+if TYPE_CHECKING:
+    from siskinward.platform.standins._operator_configuration import OperatorConfiguration
+    from siskinward.platform.standins._target import TargetStandIn
+
 PAGE_ROWS = 500
 SILENCE_S = 3600.0
 
@@ -71,6 +76,15 @@
         await self._changed.set()
         return self._version
 
+    async def publish(self, configuration: OperatorConfiguration) -> None:
+        """Write the operator's next configuration."""
+        await self.put("op", "config", configuration.encode())
+
+    async def report(self, target: TargetStandIn, state: str = "ready") -> None:
+        """Write what a target says of itself."""
+        target.heartbeat += 1
+        await self.put("servers", target.name, target.encode_entry(state))
+
     def drop_history(self) -> None:
         """Forget which rows changed."""
         self._history.clear()
--- a/src/siskinward/platform/standins/demo.py
+++ b/src/siskinward/platform/standins/demo.py
@@ -15,7 +15,7 @@
 from attrs import field
 
 from siskinward.platform._headers import HEADERS
-from siskinward.platform.standins._site import FRONT_PORT
+from siskinward.platform.standins._settings_text import FRONT_PORT
 from siskinward.platform.standins._site import Site
 from siskinward.platform.standins._site import SiteSettings
 from siskinward.platform.standins._target import RunRecord
--- a/src/siskinward/protocol/caller_http.py
+++ b/src/siskinward/protocol/caller_http.py
@@ -21,6 +21,7 @@
 from siskinward.coordination.outcomes import Outcome
 from siskinward.coordination.outcomes import RefusalReason
 from siskinward.coordination.outcomes import Unknown
+from siskinward.protocol.steering_headers import bearer_key
 
 if TYPE_CHECKING:
     from expression import Result
@@ -30,7 +31,6 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
-BEARER_PREFIX = b"bearer "
 IDEMPOTENCY_KEY_LIMIT_BYTES = 256
 MS_PER_S = 1000.0
 
@@ -89,7 +89,7 @@
     deadline_s = _deadline_s(found.get(b"x-deadline-ms"), service.timeout_s)
     if deadline_s is None:
         return Error(RefusalReason.MALFORMED)
-    key_text = _bearer_key(found.get(b"authorization"))
+    key_text = bearer_key(found.get(b"authorization"))
     return Ok(
         CallerRequest(
             key_text,
@@ -151,9 +151,3 @@
     if not value.isdigit():
         return None
     return min(int(value) / MS_PER_S, timeout_s)
-
-
-def _bearer_key(value: bytes | None) -> str | None:
-    if value is None or not value.lower().startswith(BEARER_PREFIX):
-        return None
-    return value[len(BEARER_PREFIX) :].strip().decode("latin-1")
--- a/src/siskinward/transport/decision_log.py
+++ b/src/siskinward/transport/decision_log.py
@@ -16,6 +16,7 @@
 from attrs import define
 from attrs import frozen
 
+from siskinward.coordination.token_bucket import TokenBucket
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
@@ -58,9 +59,7 @@
 
 
 @define
-class _Allowance:
-    lines: float
-    refilled_at_s: float
+class _Allowance(TokenBucket):
     left_out: int = 0
 
 
@@ -79,11 +78,11 @@
         """Write a line unless its kind has used up its allowance."""
         now_s = read_clock_s()
         allowance = self._allowance(kind, now_s)
-        if allowance.lines < 1.0 or len(self._buffer) > self._settings.buffer_limit_bytes:
+        has_room = len(self._buffer) <= self._settings.buffer_limit_bytes
+        if not has_room or not allowance.try_take():
             allowance.left_out += 1
             self.lines_left_out += 1
             return
-        allowance.lines -= 1.0
         line: dict[str, Any] = {"at_s": round(now_s, 4), "vm": self._vm, "kind": kind}
         if allowance.left_out:
             line["left_out"] = allowance.left_out
@@ -116,8 +115,5 @@
         allowance = self._allowances.get(kind)
         if allowance is None:
             allowance = self._allowances[kind] = _Allowance(settings.burst_lines, now_s)
-        elapsed_s = max(0.0, now_s - allowance.refilled_at_s)
-        lines = allowance.lines + settings.lines_per_s * elapsed_s
-        allowance.lines = min(settings.burst_lines, lines)
-        allowance.refilled_at_s = now_s
+        allowance.refill(settings.lines_per_s, settings.burst_lines, now_s)
         return allowance
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -32,8 +32,6 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-READ_AHEAD_REQUESTS = 16
-READ_AHEAD_LIMIT_BYTES = 256 * 1024
 DRAIN_POLL_S = 0.05
 # A response that the caller does not read holds its connection no longer than this.
 WRITE_TIMEOUT_S = 10.0
--- a/tests/console/test_platform_commands.py
+++ b/tests/console/test_platform_commands.py
@@ -19,6 +19,7 @@
 from siskinward.platform.standins import Site
 from siskinward.platform.standins import SiteSettings
 from siskinward.platform.standins import StoreFault
+from siskinward.platform.standins import render_settings
 from siskinward.standins.paused_clock import paused_kernel
 
 if TYPE_CHECKING:
@@ -26,21 +27,13 @@
 
 VM = "vm-bud-a-0"
 DEAD_VM = "vm-deb-a-1"
-SETTINGS = """
-node_name = "vm-1"
-ip = "10.1.0.8"
-zone = "bud-a"
-region = "budapest"
-internal_ports = [7600, 7615]
-[zones]
-bud-a = "budapest"
-[listen]
-front = "10.1.0.8:8206"
-ready = "10.1.0.8:8201"
-directory = "10.1.0.8:8209"
-[platform]
-address = "10.200.1.7:8205"
-"""
+SETTINGS = render_settings(
+    "vm-1",
+    "10.1.0.8",
+    "bud-a",
+    {"bud-a": "budapest"},
+    "10.200.1.7",
+)
 
 
 async def read_report(fault: StoreFault | None = None) -> DeploymentReport:
--- a/tests/coordination/steering/test_fleet.py
+++ b/tests/coordination/steering/test_fleet.py
@@ -59,6 +59,22 @@
     assert len(fleet.live(2.3)) == 2
 
 
+def test_fleet_load_report_of_a_vm_that_the_store_named_is_taken_after_its_heartbeat() -> None:
+    fleet = fleet_of(1)
+    fleet.learn([entry_vm(1)], 0.0)
+    report = LoadReport(entry_vm(1).incarnation, 2)
+    assert fleet.on_report(report, 1.0) is None
+    fleet.on_heartbeat(heartbeat(entry_vm(1), 1), 1.0)
+    assert fleet.on_report(report, 1.1) is not None
+
+
+def test_fleet_load_report_of_a_replaced_process_is_not_taken() -> None:
+    fleet = fleet_of(1)
+    fleet.on_heartbeat(heartbeat(entry_vm(1), 1), 1.0)
+    fleet.on_heartbeat(heartbeat(entry_vm(1, incarnation="b"), 1), 2.0)
+    assert fleet.on_report(LoadReport(entry_vm(1).incarnation, 9), 2.1) is None
+
+
 def test_fleet_load_report_of_a_stranger_is_not_taken() -> None:
     fleet = fleet_of(2)
     assert fleet.on_report(LoadReport(entry_vm(5).incarnation, 3), 0.1) is None
--- a/tests/coordination/steering/test_limits.py
+++ b/tests/coordination/steering/test_limits.py
@@ -7,16 +7,17 @@
 from steering_fixtures import SERVICE
 from steering_fixtures import fleet_of
 
+from siskinward.coordination.fingerprints import fingerprint_of
 from siskinward.coordination.steering.admission_queue import AdmissionQueue
 from siskinward.coordination.steering.admission_queue import Queued
 from siskinward.coordination.steering.admission_queue import QueueSettings
 from siskinward.coordination.steering.admission_queue import Rejected
 from siskinward.coordination.steering.crash_guard import CrashGuard
 from siskinward.coordination.steering.crash_guard import CrashGuardSettings
-from siskinward.coordination.steering.crash_guard import fingerprint_of
 from siskinward.coordination.steering.retry_budget import RetryBudget
 from siskinward.coordination.steering.retry_budget import RetrySettings
 from siskinward.coordination.steering.splits import RouteSplitter
+from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import ServiceName
 from siskinward.state.serving import Repeatability
 from siskinward.state.serving import ServedRoute
@@ -55,7 +56,7 @@
 
 def test_crash_guard_blocks_after_three_confirmed_losses_anywhere() -> None:
     guards = [CrashGuard(CrashGuardSettings()) for _ in range(3)]
-    key = fingerprint_of("GET", "/poison", "guild", b"")
+    key = fingerprint_of(AccountName("guild"), "r-1", "GET", "/poison", b"")
     for number, guard in enumerate(guards):
         guard.on_connection_lost(key, f"target-{number}", 1.0)
         guard.on_target_gone(f"target-{number}", 1.2)
@@ -84,11 +85,11 @@
 
 
 def test_fingerprint_tells_bodies_accounts_and_paths_apart() -> None:
-    one = fingerprint_of("POST", "/a", "guild", b"x")
+    one = fingerprint_of(AccountName("guild"), "r-1", "POST", "/a", b"x")
     others = {
-        fingerprint_of("POST", "/a", "guild", b"y"),
-        fingerprint_of("POST", "/a", "choir", b"x"),
-        fingerprint_of("POST", "/ag", "uild", b"x"),
+        fingerprint_of(AccountName("guild"), "r-1", "POST", "/a", b"y"),
+        fingerprint_of(AccountName("choir"), "r-1", "POST", "/a", b"x"),
+        fingerprint_of(AccountName("uild"), "r-1", "POST", "/ag", b"x"),
     }
     assert one not in others
     assert len(others) == 3
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -14,6 +14,7 @@
 from siskinward.platform._targets import decode_target
 from siskinward.platform._units import WireError
 from siskinward.platform._units import read_time_s
+from siskinward.platform.standins import render_settings
 from siskinward.state.serving import Repeatability
 from siskinward.state.serving import ServingIndex
 
@@ -134,22 +135,14 @@
         decode_target("i-1", entry)
 
 
-SETTINGS = """
-node_name = "vm-1"
-ip = "10.1.0.8"
-zone = "bud-a"
-region = "budapest"
-internal_ports = [7600, 7615]
-bounds = ["drain=2000ms", "quota_slack=20", "some_new_bound=7"]
-[zones]
-bud-a = "budapest"
-[listen]
-front = "10.1.0.8:8206"
-ready = "10.1.0.8:8201"
-directory = "10.1.0.8:8209"
-[platform]
-address = "10.200.1.7:8205"
-"""
+SETTINGS = render_settings(
+    "vm-1",
+    "10.1.0.8",
+    "bud-a",
+    {"bud-a": "budapest"},
+    "10.200.1.7",
+    ["drain=2000ms", "quota_slack=20", "some_new_bound=7"],
+)
 
 
 def test_settings_file_is_read(tmp_path: Path) -> None:
