Follow a store that comes back from an old copy of itself

Cause: a copy of a table only ever went forward by version.

Positions are now pairs of the store's era and a version. A VM goes over to a newer era by a whole read, from the store or from any VM that has it. HeldRows keeps what was known better than the copy (newer row, missing row, removed row) for a limited time or until the row changes in the new era, so that configuration, keys, drains, removals and evacuations do not go back. VMs write their own rows again. store-era log line, _store_era and _rows_held metrics, a soak fault, and the same fault in the store's stand-in.

Ruled out: deciding by row versions alone. Reused numbers make a new write look like an old one; the writers' own numbers (configuration version, a target's start and heartbeat count) do not.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 
 GAP_S = (0.2, 1.6)
 REPEAT_COUNT = (1, 3)
+RESTORES = (0, 0, 1, 2)
 DURATIONS_S = (0.2, 0.8, 2.0, 4.0)
 
 
@@ -41,6 +42,7 @@
     TARGET_DRAIN = "target-drain"
     KEY_WITHDRAWN = "key-withdrawn"
     CONFIGURATION = "configuration"
+    STORE_RESTORED = "store-restored"
 
 
 @frozen
@@ -56,10 +58,11 @@
 def draw_faults(seed: int, length_s: float, vms: int, targets: int) -> list[Fault]:
     """Draw faults that start before ``length_s``; the same seed gives the same faults."""
     random = Random(seed)
-    faults: list[Fault] = []
+    faults = _draw_restores(Random(f"restores of {seed}"), length_s)
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.STORE_RESTORED]
     at_s = random.uniform(*GAP_S)
     while at_s < length_s:
-        kind = random.choice(list(FaultKind))
+        kind = random.choice(kinds)
         count = targets if kind.value.startswith("target") else vms
         for step in range(random.randint(*REPEAT_COUNT)):
             indexes = random.sample(range(count), random.randint(1, max(1, count // 3)))
@@ -68,3 +71,17 @@
                 faults.append(Fault(kind, start_s, random.choice(DURATIONS_S), tuple(indexes)))
         at_s += random.uniform(*GAP_S)
     return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_restores(random: Random, length_s: float) -> list[Fault]:
+    """Draw how often the store comes back from a copy, which is ``for_s`` old.
+
+    These are drawn apart from the other faults, so that the seeds of earlier failures still draw
+    the faults that they had.
+    """
+    return [
+        Fault(
+            FaultKind.STORE_RESTORED, random.uniform(0.0, length_s), random.choice(DURATIONS_S), ()
+        )
+        for _ in range(random.choice(RESTORES))
+    ]
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -38,6 +38,9 @@
 RECOVERY_CHECK_S = 2.0
 RESTART_POLL_S = 0.1
 CHECK_S = 1.0
+STORE_AWAY_S = 0.5
+# The operator and the targets notice the loss and write again after this time.
+WRITTEN_AGAIN_S = 0.5
 WITHDRAWN_KEY = "spare-key-1"
 KEYS = ("key-1", "key-2", WITHDRAWN_KEY)
 PROXY_FAULTS = {
@@ -188,6 +191,8 @@
                 await self._inject_connection_fault(fault, store_proxies)
             case FaultKind.STORE_FORGET_HISTORY:
                 self.store.drop_history()
+            case FaultKind.STORE_RESTORED:
+                await self._restore_store(fault)
             case FaultKind.KEY_WITHDRAWN:
                 await self._withdraw_key()
             case FaultKind.CONFIGURATION:
@@ -247,6 +252,22 @@
         self.store.fault = StoreFault.NONE
         _for_each(self.vms, VmProcess.record_disturbance)
 
+    async def _restore_store(self, fault: Fault) -> None:
+        """Take the store away and bring it back from a copy that is ``for_s`` old."""
+        copy = self.store.take_copy()
+        await curio.sleep(fault.for_s)
+        _for_each(self.vms, VmProcess.record_disturbance)
+        self.store.fault = StoreFault.BUSY
+        await curio.sleep(STORE_AWAY_S)
+        await self.store.come_back_from(copy)
+        self.store.fault = StoreFault.NONE
+        await curio.sleep(WRITTEN_AGAIN_S)
+        await self._publish()
+        drained = {withdrawal.name for withdrawal in self.checker.drained}
+        for target in self.targets:
+            await self.store.report(target, "draining" if target.name in drained else "ready")
+        _for_each(self.vms, VmProcess.record_disturbance)
+
     async def _withdraw_key(self) -> None:
         if self.configuration.withdraw_key("account-1", WITHDRAWN_KEY):
             await self._publish()
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 
 from siskinward.coordination.steering.hashing import rendezvous_score
+from siskinward.coordination.steering.rows import Position
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
@@ -49,21 +50,22 @@
     """State that a VM sends to all others.
 
     ``number`` is a sequence number that counts heartbeats and load reports. ``positions`` are the
-    content versions of the VM's table copies, and ``ages_s`` the time since the store last
-    confirmed each copy. ``in_flight`` counts the VM's requests at targets, by ``short_id`` of the
-    target's name.
-    ``demand_per_s`` is the request rate of each client account at this VM. ``crashing_requests``
-    counts the targets lost to a request, by its fingerprint.
+    content positions of the VM's table copies, ``held`` the numbers of rows that it holds against
+    the store's, and ``ages_s`` the time since the store last confirmed each copy. ``in_flight``
+    counts the VM's requests at targets, by ``short_id`` of the target's name. ``demand_per_s`` is
+    the request rate of each client account at this VM. ``crashing_requests`` counts the targets
+    lost to a request, by its fingerprint.
     """
 
     sender: EntryVm
     number: int
     state: VmState
-    positions: dict[str, int] = field(factory=dict)
+    positions: dict[str, Position] = field(factory=dict)
     ages_s: dict[str, float] = field(factory=dict)
     in_flight: dict[int, int] = field(factory=dict)
     demand_per_s: dict[AccountName, float] = field(factory=dict)
     crashing_requests: dict[str, int] = field(factory=dict)
+    held: dict[str, int] = field(factory=dict)
 
 
 @frozen
@@ -72,7 +74,7 @@
 
     incarnation: IncarnationId
     number: int
-    positions: dict[str, int] = field(factory=dict)
+    positions: dict[str, Position] = field(factory=dict)
     ages_s: dict[str, float] = field(factory=dict)
     in_flight: dict[int, int] = field(factory=dict)
 
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -24,6 +24,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from siskinward.coordination.steering.rows import Position
     from siskinward.coordination.steering.rows import TableCopy
     from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
     from siskinward.daemon.entry.steering import Steering
@@ -140,14 +141,15 @@
             in_flight=self._in_flight(),
             demand_per_s=steering.shares.publish(),
             crashing_requests=steering.crashes.own_losses(now_s),
+            held={name: copy.held_count for name, copy in self._loaded().items()},
         )
 
     def _loaded(self) -> dict[str, TableCopy]:
         copies = {table.value: self._steering.tables[table] for table in FOLLOWED_TABLES}
         return {name: copy for name, copy in copies.items() if copy.is_loaded}
 
-    def _positions(self) -> dict[str, int]:
-        return {name: copy.content_version for name, copy in self._loaded().items()}
+    def _positions(self) -> dict[str, Position]:
+        return {name: copy.content_position for name, copy in self._loaded().items()}
 
     def _ages_s(self, now_s: float) -> dict[str, float]:
         return {
--- a/src/siskinward/daemon/entry/metrics_page.py
+++ b/src/siskinward/daemon/entry/metrics_page.py
@@ -127,9 +127,26 @@
             if confirmed_s > -inf:
                 ages.add_metric((table.value,), now_s - confirmed_s)
         yield ages
+        yield from self._store_eras()
         yield self._retry_budget(now_s)
         yield self._targets(now_s)
 
+    def _store_eras(self) -> Iterator[Any]:
+        from prometheus_client.core import GaugeMetricFamily
+
+        eras = GaugeMetricFamily(
+            PREFIX + "store_era", "Times that the store came back from a copy.", labels=("table",)
+        )
+        held = GaugeMetricFamily(
+            PREFIX + "rows_held", "Rows held against an older store.", labels=("table",)
+        )
+        for table in (StoreTable.OPERATOR, StoreTable.TARGETS):
+            copy = self._steering.tables[table]
+            eras.add_metric((table.value,), copy.position.era)
+            held.add_metric((table.value,), copy.held_count)
+        yield eras
+        yield held
+
     def _retry_budget(self, now_s: float) -> Any:
         from prometheus_client.core import GaugeMetricFamily
 
--- a/src/siskinward/daemon/entry/ports.py
+++ b/src/siskinward/daemon/entry/ports.py
@@ -14,7 +14,9 @@
 
     from siskinward.coordination.steering.rows import Changes
     from siskinward.coordination.steering.rows import HistoryDropped
+    from siskinward.coordination.steering.rows import Position
     from siskinward.coordination.steering.rows import Row
+    from siskinward.coordination.steering.rows import RowRevision
     from siskinward.coordination.steering.rows import Snapshot
     from siskinward.coordination.steering.rows import StoreTable
     from siskinward.protocol.steering_headers import SteeringHeaders
@@ -66,13 +68,13 @@
         ...
 
     async def read_changes(
-        self, table: StoreTable, after: int, wait_s: float
+        self, table: StoreTable, after: Position, wait_s: float
     ) -> Changes | HistoryDropped:
         """Read what changed after a position, waiting for the first change."""
         ...
 
-    async def write_row(self, table: StoreTable, key: str, value: bytes) -> int:
-        """Write one row; returns its version."""
+    async def write_row(self, table: StoreTable, key: str, value: bytes) -> Position:
+        """Write one row; returns the position of the write."""
         ...
 
     async def remove_row(self, table: StoreTable, key: str, version: int) -> None:
@@ -101,6 +103,10 @@
         """Decode the row that describes a target; raise ``SiskinwardError`` if it is invalid."""
         ...
 
+    def revision_of(self, row: Row) -> RowRevision | None:
+        """Return the writer's own numbering of a row; None if it has none or is unreadable."""
+        ...
+
     def decode_lookup(self, request: HttpRequest) -> LookupRequest | None:
         """Decode a caller's look-up; None if the request is something else."""
         ...
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -49,6 +49,7 @@
     from collections.abc import Callable
     from random import Random
 
+    from siskinward.coordination.steering.rows import Position
     from siskinward.daemon.entry.ports import Platform
     from siskinward.daemon.entry.ports import SettingsSource
     from siskinward.daemon.entry.steering import Steering
@@ -79,10 +80,12 @@
     ) -> None:
         self._settings = settings
         self._source = source
-        self._registration: int | None = None
+        self._registration: Position | None = None
         self._log = log
         self._tasks: list[Any] = []
-        self._steering = create_steering(settings, SteeringSettings(), read_clock_s(), random)
+        self._steering = create_steering(
+            settings, SteeringSettings(), platform.revision_of, read_clock_s(), random
+        )
         self._store = platform.create_store(settings)
         self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id)
         self._dispatcher = Dispatcher(self._steering)
@@ -103,9 +106,14 @@
         self._lookups = FrontServer(lookup_handler.handle_lookup)
         self._readiness = FrontServer(lookup_handler.handle_readiness)
         self._metrics = FrontServer(metrics_page.handle)
-        updates = StoreUpdates(self._steering, platform, self._log, self._set_limits)
+        self._updates = StoreUpdates(self._steering, platform, self._log, self._set_limits)
         self._replication = Replication(
-            ReplicationSettings(), self._steering, self._store, updates, self._log, self._on_change
+            ReplicationSettings(),
+            self._steering,
+            self._store,
+            self._updates,
+            self._log,
+            self._on_change,
         )
         self._heartbeats = HeartbeatExchange(
             self._steering, self._datagrams, quota, self._log, self._replication.on_heartbeat
@@ -128,7 +136,7 @@
         """Listen, and start following the store and exchanging heartbeats."""
         self._log.write("start", {"incarnation": self._steering.fleet.own.incarnation})
         await self._spawn_servers()
-        await self._spawn(self._register)
+        await self._spawn(self._stay_registered)
         for table in (StoreTable.OPERATOR, StoreTable.TARGETS):
             await self._spawn(self._replication.follow, table)
         await self._spawn(self._heartbeats.send_periodically, self._after_heartbeat)
@@ -161,6 +169,17 @@
         await self._spawn(RowServer(self._replication.find_missing_rows).serve, peers)
         await self._spawn(self._datagrams.receive, self._heartbeats.receive)
 
+    async def _stay_registered(self) -> None:
+        """Register this VM, and again whenever the store comes back from an older copy."""
+        while True:
+            await self._register()
+            while not self._is_registration_lost():
+                await curio.sleep(REGISTRATION_RETRY_S)
+
+    def _is_registration_lost(self) -> bool:
+        era = max(copy.position.era for copy in self._steering.tables.values())
+        return self._registration is None or self._registration.era < era
+
     async def _register(self) -> None:
         """Register this VM in the store and read the other VMs, retrying until both succeed."""
         own = self._steering.fleet.own
@@ -182,7 +201,7 @@
             return
         vm = self._steering.fleet.own.vm
         try:
-            await self._store.remove_row(StoreTable.VMS, vm, self._registration)
+            await self._store.remove_row(StoreTable.VMS, vm, self._registration.version)
         except SiskinwardError as error:
             self._log.write("not-deregistered", {"error": str(error)})
 
@@ -230,6 +249,7 @@
         await self._dispatcher.dispatch_all_waiting()
 
     async def _after_heartbeat(self) -> None:
+        self._updates.release_held(read_clock_s())
         self._update_ready_state()
         await self._dispatcher.dispatch_all_waiting()
 
--- a/src/siskinward/daemon/entry/replication.py
+++ b/src/siskinward/daemon/entry/replication.py
@@ -9,7 +9,9 @@
 import curio
 from attrs import frozen
 
+from siskinward.coordination.steering.rows import UNREAD
 from siskinward.coordination.steering.rows import HistoryDropped
+from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.protocol.heartbeats import PeerMessageError
 from siskinward.protocol.heartbeats import Referral
@@ -21,15 +23,18 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from typing import Any
 
     from siskinward.coordination.steering.fleet import Heartbeat
     from siskinward.coordination.steering.rows import Changes
-    from siskinward.coordination.steering.rows import Snapshot
     from siskinward.daemon.entry.ports import Store
     from siskinward.daemon.entry.steering import Steering
     from siskinward.daemon.entry.store_updates import StoreUpdates
+    from siskinward.state.identifiers import IncarnationId
     from siskinward.transport.decision_log import DecisionLog
 
+    _Pull = Callable[[StoreTable, Heartbeat], Awaitable[Any]]
+
 STORE_SOURCE = "store"
 FOLLOWED_TABLES = (StoreTable.OPERATOR, StoreTable.TARGETS)
 
@@ -75,6 +80,7 @@
         self._log = log
         self._on_change = on_change
         self._pulling: set[StoreTable] = set()
+        self._held_rows_asked: dict[tuple[StoreTable, IncarnationId], int] = {}
         self._is_store_lost = False
         self._random = Random(steering.fleet.own.vm)
 
@@ -112,16 +118,19 @@
     async def on_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
         """Compare another VM's table versions with the copies here; fetch newer rows."""
         for table in FOLLOWED_TABLES:
-            version = heartbeat.positions.get(table.value, 0)
+            position = heartbeat.positions.get(table.value)
+            if position is None:
+                continue
             copy = self._steering.tables[table]
-            # A copy is complete up to its position, so only a version beyond it has rows to fetch.
-            if version > copy.position or (version and not copy.is_loaded):
-                if table not in self._pulling:
-                    self._pulling.add(table)
-                    await curio.spawn(self._pull, table, heartbeat, daemon=True)
-            elif copy.is_loaded:
-                age_s = heartbeat.ages_s.get(table.value, float("inf"))
+            # A copy is complete up to its position, so only one beyond it has rows to fetch.
+            if position > copy.position or not copy.is_loaded:
+                await self._start_pull(table, self._pull_from, heartbeat)
+                continue
+            if position.era == copy.position.era:
+                age_s = heartbeat.ages_s.get(table.value, inf)
                 copy.confirmed_s = max(copy.confirmed_s, now_s - age_s)
+            if self._lacks_held_rows(table, heartbeat):
+                await self._start_pull(table, self._pull_held_rows, heartbeat)
 
     def _is_read_due(self, table: StoreTable) -> bool:
         now_s = read_clock_s()
@@ -141,15 +150,42 @@
                 return update
         return await self._store.read_table(table)
 
-    async def _pull(self, table: StoreTable, heartbeat: Heartbeat) -> None:
+    def _lacks_held_rows(self, table: StoreTable, heartbeat: Heartbeat) -> bool:
+        """Whether a VM holds more rows against the store than this one, and was not asked yet."""
+        copy = self._steering.tables[table]
+        if heartbeat.held.get(table.value, 0) <= copy.held_count:
+            return False
+        asked_era = self._held_rows_asked.get((table, heartbeat.sender.incarnation), -1)
+        return heartbeat.positions[table.value].era == copy.position.era > asked_era
+
+    async def _start_pull(self, table: StoreTable, pull: _Pull, heartbeat: Heartbeat) -> None:
+        if table not in self._pulling:
+            self._pulling.add(table)
+            await curio.spawn(self._pull, table, pull, heartbeat, daemon=True)
+
+    async def _pull(self, table: StoreTable, pull: _Pull, heartbeat: Heartbeat) -> None:
         """Fetch the rows that a heartbeat announces, from its sender or a host it refers to."""
         try:
-            await self._pull_from(table, heartbeat)
+            await pull(table, heartbeat)
         except (OSError, PeerMessageError) as error:
             self._log.write("rows-not-fetched", {"peer": heartbeat.sender.vm, "error": str(error)})
         finally:
             self._pulling.discard(table)
 
+    async def _pull_held_rows(self, table: StoreTable, heartbeat: Heartbeat) -> None:
+        host = heartbeat.sender.host
+        request = RowsRequest(table.value, UNREAD, self._steering.fleet.own.host)
+        reply = await fetch_rows(host, self._steering.entry.peer_port, request)
+        if not isinstance(reply, Snapshot):
+            return
+        era = reply.position.era
+        self._held_rows_asked = {
+            key: asked_era for key, asked_era in self._held_rows_asked.items() if asked_era >= era
+        }
+        self._held_rows_asked[(table, heartbeat.sender.incarnation)] = era
+        if self._updates.adopt_held(table, reply, source=heartbeat.sender.vm, now_s=read_clock_s()):
+            await self._on_change(False)
+
     async def _pull_from(self, table: StoreTable, heartbeat: Heartbeat) -> None:
         copy = self._steering.tables[table]
         wanted_position = heartbeat.positions[table.value]
@@ -157,7 +193,7 @@
         hosts: tuple[str, ...] = ()
         for _ in range(self._settings.pull_attempts):
             host = self._random.choice(hosts) if hosts else heartbeat.sender.host
-            position = copy.position if copy.is_loaded else -1
+            position = copy.position if copy.is_loaded else UNREAD
             request = RowsRequest(table.value, position, self._steering.fleet.own.host)
             match await fetch_rows(host, self._steering.entry.peer_port, request):
                 case Referral(hosts=hosts):
@@ -177,7 +213,7 @@
     ) -> None:
         changed = self._updates.apply(table, update, source=source, now_s=read_clock_s())
         copy = self._steering.tables[table]
-        if update.position >= copy.content_version:
+        if update.position >= copy.content_position:
             copy.confirmed_s = max(copy.confirmed_s, confirmed_s)
         if changed:
             # Only VMs that read the change from the store announce it. If every VM did, each change
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -4,6 +4,7 @@
 
 import secrets
 from random import Random
+from typing import TYPE_CHECKING
 
 from attrs import define
 from attrs import field
@@ -32,6 +33,9 @@
 from siskinward.state.serving import EntrySettings
 from siskinward.state.serving import ServingIndex
 
+if TYPE_CHECKING:
+    from siskinward.coordination.steering.held_rows import RevisionOf
+
 INCARNATION_BYTES = 6
 
 
@@ -68,7 +72,11 @@
 
 
 def create_steering(
-    entry: EntrySettings, settings: SteeringSettings, now_s: float, random: Random | None = None
+    entry: EntrySettings,
+    settings: SteeringSettings,
+    revision_of: RevisionOf,
+    now_s: float,
+    random: Random | None = None,
 ) -> Steering:
     """Create the decision components of a VM that has just started."""
     own = EntryVm(
@@ -87,7 +95,7 @@
         settings=settings,
         entry=entry,
         fleet=fleet,
-        tables={table: TableCopy() for table in StoreTable},
+        tables={table: TableCopy(table, revision_of) for table in StoreTable},
         targets=targets,
         placement=Placement(
             settings.placement,
--- a/src/siskinward/daemon/entry/store_updates.py
+++ b/src/siskinward/daemon/entry/store_updates.py
@@ -28,6 +28,8 @@
 # A copy that is unconfirmed for longer may mean a store outage. For as long after an outage,
 # removed targets expire after a delay, because their expired rows may be written again.
 STORE_OUTAGE_S = 2.0
+# Source in logs of rows that take effect because another row is no longer held against them.
+HOLD_SOURCE = "hold-ended"
 
 
 class StoreUpdates:
@@ -59,11 +61,44 @@
         copy = self._steering.tables[table]
         if copy.is_loaded and self._was_store_unreachable(copy, now_s):
             self._store_recovered_s = now_s
-        rows = copy.apply(update)
-        for row in rows:
-            self._apply_row(table, row, source, now_s)
+        era = copy.position.era
+        rows = copy.apply(update, now_s)
+        if copy.position.era > era:
+            self._record_era(table, copy, source)
         if table is StoreTable.VMS:
             self._steering.fleet.on_membership_loaded()
+        return self._apply_rows(table, rows, source, now_s)
+
+    def adopt_held(
+        self, table: StoreTable, snapshot: Snapshot, *, source: str, now_s: float
+    ) -> bool:
+        """Take over the rows that another VM holds; return whether any row changed."""
+        rows = self._steering.tables[table].adopt_held(snapshot, now_s)
+        return self._apply_rows(table, rows, source, now_s)
+
+    def release_held(self, now_s: float) -> None:
+        """Use the store's rows again where the time of a held row is over."""
+        for table, copy in self._steering.tables.items():
+            if copy.held_count:
+                self._apply_rows(table, copy.release_held(now_s), HOLD_SOURCE, now_s)
+
+    def _record_era(self, table: StoreTable, copy: TableCopy, source: str) -> None:
+        self._log.write(
+            "store-era",
+            {
+                "table": table.value,
+                "era": copy.position.era,
+                "position": copy.position.version,
+                "held_rows": copy.held_count,
+                "source": source,
+            },
+        )
+
+    def _apply_rows(
+        self, table: StoreTable, rows: tuple[Row, ...], source: str, now_s: float
+    ) -> bool:
+        for row in rows:
+            self._apply_row(table, row, source, now_s)
         if table is StoreTable.OPERATOR and rows:
             self._steering.targets.set_evacuated(self._evacuated, now_s)
         return bool(rows)
--- a/src/siskinward/platform/_store.py
+++ b/src/siskinward/platform/_store.py
@@ -10,6 +10,7 @@
 
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import HistoryDropped
+from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Row
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.rows import StoreTable
@@ -25,6 +26,8 @@
 
 CALL_TIMEOUT_S = 1.0
 PAGE_ROWS = 500
+# Counts the times that the store came back from an old copy of itself.
+ERA_HEADER = b"store-era"
 # Every call names a part of its table; only the unnamed part is used.
 PART = ""
 # ``op`` holds the operator's configuration, ``servers`` the status rows of targets.
@@ -54,39 +57,47 @@
         """Read all rows of a table; raises ``StoreError``."""
         rows: list[Row] = []
         start = ""
-        position: int | None = None
+        position: Position | None = None
         while True:
             query = {"table": TABLE_NAMES[table], "part": PART, "limit": str(PAGE_ROWS)}
             if start:
                 query["from"] = start
-            answer = await self._get_decoded("rows-get", query)
+            response = await self._get("rows-get", query, CALL_TIMEOUT_S)
+            answer = _decode_body("rows-get", response)
             rows.extend(_decode_row(row) for row in answer["rows"])
             if position is None:
                 # Later pages may be newer than the first one. With the first page's position, the
                 # next read of changes returns whatever changed between the pages.
-                position = int(answer["ver"])
+                position = _decode_position(response, answer)
+            if _decode_era(response) != position.era:
+                raise StoreError("rows-get", "the store came back from a copy between two pages")
             if not answer.get("more_pages"):
                 return Snapshot(tuple(rows), position)
             start = rows[-1].key + "\x00"
 
     async def read_changes(
-        self, table: StoreTable, after: int, wait_s: float
+        self, table: StoreTable, after: Position, wait_s: float
     ) -> Changes | HistoryDropped:
-        """Read the changes after a position, waiting for the first one; raises ``StoreError``."""
+        """Read the changes after a position, waiting for the first one; raises ``StoreError``.
+
+        An answer of another era says nothing about the versions after ``after``.
+        """
         query = {
             "table": TABLE_NAMES[table],
-            "after": str(after),
+            "after": str(after.version),
             "wait_ms": str(int(wait_s * 1000)),
         }
         response = await self._get("rows-feed", query, CALL_TIMEOUT_S + wait_s)
         if response.status == 410:
             return HistoryDropped()
         answer = _decode_body("rows-feed", response)
+        if _decode_era(response) != after.era:
+            return HistoryDropped()
         rows = tuple(_decode_row(row) for row in answer["rows"])
-        return Changes(rows, after, int(answer["ver"]))
+        return Changes(rows, after, _decode_position(response, answer))
 
-    async def write_row(self, table: StoreTable, key: str, value: bytes) -> int:
-        """Write a row and return its version; raises ``StoreError``."""
+    async def write_row(self, table: StoreTable, key: str, value: bytes) -> Position:
+        """Write a row and return the position of the write; raises ``StoreError``."""
         row = {**_row_id(table, key), "value": base64.b64encode(value).decode()}
         return await self._transact({"precondition": [], "writes": [row], "remove": []})
 
@@ -96,14 +107,11 @@
         condition = {**row_id, "ver": version}
         await self._transact({"precondition": [condition], "writes": [], "remove": [row_id]})
 
-    async def _transact(self, body: dict[str, Any]) -> int:
+    async def _transact(self, body: dict[str, Any]) -> Position:
         headers = (*self._headers(), (b"content-type", b"application/json"))
         request = HttpRequest("POST", "/v1/rows-tx", headers, json.dumps(body).encode())
         response = await self._exchange("rows-tx", request, CALL_TIMEOUT_S)
-        return int(_decode_body("rows-tx", response)["ver"])
-
-    async def _get_decoded(self, call: str, query: dict[str, str]) -> dict[str, Any]:
-        return _decode_body(call, await self._get(call, query, CALL_TIMEOUT_S))
+        return _decode_position(response, _decode_body("rows-tx", response))
 
     async def _get(self, call: str, query: dict[str, str], timeout_s: float) -> HttpResponse:
         request = HttpRequest("GET", f"/v1/{call}?{urlencode(query)}", self._headers())
@@ -155,6 +163,15 @@
     return body
 
 
+def _decode_era(response: HttpResponse) -> int:
+    era = response.header(ERA_HEADER)
+    return int(era) if era is not None and era.isdigit() else 0
+
+
+def _decode_position(response: HttpResponse, answer: dict[str, Any]) -> Position:
+    return Position(_decode_era(response), int(answer["ver"]))
+
+
 def _decode_row(row: dict[str, Any]) -> Row:
     # A removed row has the field ``removed`` and no value.
     is_removed = bool(row.get("removed"))
--- a/src/siskinward/platform/adapter.py
+++ b/src/siskinward/platform/adapter.py
@@ -9,6 +9,7 @@
 from siskinward.platform._control_requests import is_readiness_probe
 from siskinward.platform._headers import HEADERS
 from siskinward.platform._operator import decode_operator_row
+from siskinward.platform._revisions import revision_of
 from siskinward.platform._settings import SettingsFile
 from siskinward.platform._store import StoreClient
 from siskinward.platform._targets import decode_target
@@ -17,6 +18,7 @@
     from pathlib import Path
 
     from siskinward.coordination.steering.rows import Row
+    from siskinward.coordination.steering.rows import RowRevision
     from siskinward.daemon.entry.ports import Evacuation
     from siskinward.daemon.entry.ports import LookupRequest
     from siskinward.state.serving import EntrySettings
@@ -47,6 +49,10 @@
         """Decode a target's status row."""
         return decode_target(row.key, row.value or b"")
 
+    def revision_of(self, row: Row) -> RowRevision | None:
+        """Return a configuration's version, or a target's start and heartbeat count."""
+        return revision_of(row)
+
     def decode_lookup(self, request: HttpRequest) -> LookupRequest | None:
         """Decode a caller's look-up; None for any other request."""
         return decode_lookup(request)
--- a/src/siskinward/platform/standins/_store.py
+++ b/src/siskinward/platform/standins/_store.py
@@ -12,6 +12,7 @@
 
 import curio
 from attrs import define
+from attrs import frozen
 
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.front_server import Arrival
@@ -49,10 +50,20 @@
     version: int
 
 
+@frozen
+class StoreCopy:
+    """The store's rows, history and version at one moment."""
+
+    rows: dict[tuple[str, str], _Row]
+    history: tuple[_Row, ...]
+    version: int
+
+
 class StoreStandIn:
     """Keeps rows in memory and serves them over HTTP.
 
-    ``fault`` affects every call: the store cannot limit it to some of its callers.
+    ``fault`` affects every call: the store cannot limit it to some of its callers. ``era`` counts
+    the times that the store came back from a copy.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -63,6 +74,7 @@
         self._compacted_version = 0
         self._version = 0
         self._changed = curio.Event()
+        self.era = 0
         self.fault = StoreFault.NONE
         self.delay_s = 0.004
         self.calls: dict[str, int] = {}
@@ -97,6 +109,19 @@
         self._history.clear()
         self._compacted_version = self._version
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of the rows, to come back from."""
+        return StoreCopy(dict(self._rows), tuple(self._history), self._version)
+
+    async def come_back_from(self, copy: StoreCopy) -> None:
+        """Lose everything that was written since a copy was taken, versions included."""
+        self._rows = dict(copy.rows)
+        self._history = list(copy.history)
+        self._compacted_version = min(self._compacted_version, copy.version)
+        self._version = copy.version
+        self.era += 1
+        await self._changed.set()
+
     def keys(self, table: str) -> set[str]:
         """Return the keys of a table's rows."""
         return {key for name, key in self._rows if name == table}
@@ -109,7 +134,7 @@
         await curio.sleep(self.delay_s)
         match self.fault:
             case StoreFault.BUSY:
-                return HttpResponse(503)
+                return self._refuse(503)
             case StoreFault.SILENT:
                 await curio.sleep(SILENCE_S)
             case StoreFault.LOSES_ANSWERS:
@@ -129,7 +154,7 @@
             case "rows-tx":
                 return await self._transact(json.loads(request.body))
             case _:
-                return HttpResponse(404)
+                return self._refuse(404)
 
     def _get(self, query: dict[str, str]) -> HttpResponse:
         start = query.get("from", "")
@@ -145,8 +170,8 @@
         after = int(query["after"])
         deadline_s = read_clock_s() + int(query.get("wait_ms", 0)) / 1000.0
         while True:
-            if after < self._compacted_version:
-                return HttpResponse(410)
+            if after < self._compacted_version or after > self._version:
+                return self._refuse(410)
             rows = [
                 row for row in self._history if row.version > after and row.table == query["table"]
             ]
@@ -160,7 +185,7 @@
         for condition in body["precondition"]:
             row = self._rows.get((condition["table"], condition["key"]))
             if (row.version if row else 0) != condition["ver"]:
-                return HttpResponse(412, (), json.dumps({"rows": []}).encode())
+                return self._refuse(412)
         for write in body["writes"]:
             await self.put(write["table"], write["key"], base64.b64decode(write["value"]))
         for row_id in body["remove"]:
@@ -174,9 +199,14 @@
             "ver": self._version,
             "now": f"{int(read_clock_s() * 1000)}ms",
         }
-        return HttpResponse(
-            200, ((b"content-type", b"application/json"),), json.dumps(body).encode()
-        )
+        headers = ((b"content-type", b"application/json"), *self._era_header())
+        return HttpResponse(200, headers, json.dumps(body).encode())
+
+    def _refuse(self, status: int) -> HttpResponse:
+        return HttpResponse(status, self._era_header(), json.dumps({"rows": []}).encode())
+
+    def _era_header(self) -> tuple[tuple[bytes, bytes], ...]:
+        return ((b"store-era", str(self.era).encode()),)
 
 
 def _encode(row: _Row) -> dict[str, Any]:
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -14,7 +14,9 @@
 from siskinward.coordination.steering.fleet import Heartbeat
 from siskinward.coordination.steering.fleet import LoadReport
 from siskinward.coordination.steering.fleet import VmState
+from siskinward.coordination.steering.held_rows import HeldRow
 from siskinward.coordination.steering.rows import Changes
+from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Row
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.state.identifiers import AccountName
@@ -28,6 +30,11 @@
 REFERRAL_TYPE = 2
 # The tables in the order in which a load report lists their positions and ages.
 REPORTED_TABLES = ("operator", "targets")
+# A heartbeat counts the held rows of a table beside its position, under this suffix.
+HELD_SUFFIX = "-held"
+# A position is sent as one integer, whose lower bits are the version; before the store first comes
+# back from a copy it equals the version, which is all that earlier releases send and understand.
+VERSION_BITS = 40
 FRAME_LIMIT_BYTES = 32 * 1024 * 1024
 
 
@@ -43,7 +50,7 @@
     """Requests the rows that a copy of ``table`` at ``position`` lacks; sent by ``host``."""
 
     table: str
-    position: int
+    position: Position
     host: str
 
 
@@ -65,7 +72,7 @@
         _encode_vm(sender),
         heartbeat.number,
         int(heartbeat.state),
-        heartbeat.positions,
+        _encode_positions(heartbeat),
         heartbeat.ages_s,
         heartbeat.in_flight,
         heartbeat.demand_per_s,
@@ -80,7 +87,7 @@
         REPORT_TYPE,
         report.incarnation,
         report.number,
-        [report.positions.get(name, 0) for name in REPORTED_TABLES],
+        [_encode_position(report.positions.get(name, Position())) for name in REPORTED_TABLES],
         [int(report.ages_s.get(name, 0.0) * 1000) for name in REPORTED_TABLES],
         report.in_flight,
     )
@@ -134,7 +141,16 @@
         sender=EntryVm(*vm),
         number=int(number),
         state=VmState(state),
-        positions=dict(positions),
+        positions={
+            name: _decode_position(value)
+            for name, value in positions.items()
+            if not name.endswith(HELD_SUFFIX)
+        },
+        held={
+            name.removesuffix(HELD_SUFFIX): int(value)
+            for name, value in positions.items()
+            if name.endswith(HELD_SUFFIX)
+        },
         ages_s=dict(ages_s),
         in_flight=dict(in_flight),
         demand_per_s=dict(demand),
@@ -152,7 +168,7 @@
     return LoadReport(
         incarnation=IncarnationId(str(incarnation)),
         number=int(number),
-        positions={name: int(positions[name]) for name in loaded},
+        positions={name: _decode_position(positions[name]) for name in loaded},
         ages_s={name: ages[name] / 1000.0 for name in loaded},
         in_flight=dict(in_flight),
     )
@@ -160,44 +176,76 @@
 
 def encode_rows_request(request: RowsRequest) -> bytes:
     """Encode a request for rows."""
-    return bytes(msgpack.packb((request.table, request.position, request.host)))
+    return bytes(msgpack.packb((request.table, _encode_position(request.position), request.host)))
 
 
 def decode_rows_request(data: bytes) -> RowsRequest:
     """Decode a request for rows; raises ``PeerMessageError``."""
     try:
         table, position, host = _unpack(data)
-        return RowsRequest(str(table), int(position), str(host))
+        return RowsRequest(str(table), _decode_position(position), str(host))
     except (TypeError, ValueError) as error:
         raise PeerMessageError(f"malformed request for rows: {error}") from error
 
 
-def encode_rows_reply(reply: RowsReply) -> bytes:
-    """Encode the reply to a request for rows."""
+def encode_rows_reply(reply: RowsReply, now_s: float = 0.0) -> bytes:
+    """Encode the reply to a request for rows; held rows are sent with the time that is left."""
     match reply:
         case Referral(hosts=hosts):
             fields: tuple[Any, ...] = (REFERRAL_TYPE, hosts)
         case Snapshot() | Changes():
-            after = reply.after if isinstance(reply, Changes) else None
+            after = _encode_position(reply.after) if isinstance(reply, Changes) else None
             rows = [(row.key, row.value, row.version) for row in reply.rows]
-            fields = (ROWS_TYPE, after, reply.position, rows)
+            fields = (ROWS_TYPE, after, _encode_position(reply.position), rows)
+            if isinstance(reply, Snapshot) and reply.held:
+                fields = (*fields, [_encode_held(held, now_s) for held in reply.held])
     return zlib.compress(msgpack.packb(fields))
 
 
-def decode_rows_reply(data: bytes) -> RowsReply:
+def decode_rows_reply(data: bytes, now_s: float = 0.0) -> RowsReply:
     """Decode the reply to a request for rows; raises ``PeerMessageError``."""
     try:
         message_type, *rest = _unpack(zlib.decompress(data))
         if message_type == REFERRAL_TYPE:
             (hosts,) = rest
             return Referral(tuple(str(host) for host in hosts))
-        after, position, fields = rest
+        after, position, fields, *more = rest
         rows = tuple(Row(str(key), value, int(version)) for key, value, version in fields)
+        held = tuple(_decode_held(item, now_s) for item in (more[0] if more else ()))
     except (TypeError, ValueError, zlib.error) as error:
         raise PeerMessageError(f"malformed reply with rows: {error}") from error
     if after is None:
-        return Snapshot(rows, int(position))
-    return Changes(rows, int(after), int(position))
+        return Snapshot(rows, _decode_position(position), held)
+    return Changes(rows, _decode_position(after), _decode_position(position))
+
+
+def _encode_position(position: Position) -> int:
+    if position.version < 0:
+        return position.version
+    return (position.era << VERSION_BITS) + position.version
+
+
+def _decode_position(value: Any) -> Position:
+    number = int(value)
+    if number < 0:
+        return Position(0, number)
+    return Position(number >> VERSION_BITS, number & ((1 << VERSION_BITS) - 1))
+
+
+def _encode_positions(heartbeat: Heartbeat) -> dict[str, int]:
+    positions = {name: _encode_position(value) for name, value in heartbeat.positions.items()}
+    held = {name + HELD_SUFFIX: count for name, count in heartbeat.held.items()}
+    return positions | held
+
+
+def _encode_held(held: HeldRow, now_s: float) -> tuple[Any, ...]:
+    row = held.row
+    return (row.key, row.value, row.version, max(0.0, held.until_s - now_s))
+
+
+def _decode_held(fields: Any, now_s: float) -> HeldRow:
+    key, value, version, left_s = fields
+    return HeldRow(Row(str(key), value, int(version)), now_s + float(left_s))
 
 
 def _encode_vm(vm: EntryVm) -> tuple[Any, ...]:
--- a/src/siskinward/transport/peer_rows.py
+++ b/src/siskinward/transport/peer_rows.py
@@ -9,6 +9,8 @@
 import curio
 from attrs import frozen
 
+from siskinward.coordination.steering.rows import Position
+from siskinward.coordination.steering.rows import Snapshot
 from siskinward.protocol.heartbeats import FRAME_LIMIT_BYTES
 from siskinward.protocol.heartbeats import PeerMessageError
 from siskinward.protocol.heartbeats import Referral
@@ -17,6 +19,7 @@
 from siskinward.protocol.heartbeats import decode_rows_request
 from siskinward.protocol.heartbeats import encode_rows_reply
 from siskinward.protocol.heartbeats import encode_rows_request
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 from siskinward.transport.sockets import connect
 
@@ -24,7 +27,6 @@
     from collections.abc import Callable
 
     from siskinward.coordination.steering.rows import Changes
-    from siskinward.coordination.steering.rows import Snapshot
     from siskinward.protocol.heartbeats import RowsReply
 
 EXCHANGE_TIMEOUT_S = 2.0
@@ -41,7 +43,7 @@
             sock = await connect(host, port)
             async with sock:
                 await _send_frame(sock, encode_rows_request(request))
-                return decode_rows_reply(await _receive_frame(sock))
+                return decode_rows_reply(await _receive_frame(sock), read_clock_s())
     except curio.TaskTimeout:
         raise OSError("timed out waiting for rows") from None
 
@@ -51,8 +53,8 @@
     """Encoded rows of ``table`` from position ``after`` to ``position``."""
 
     table: str
-    after: int
-    position: int
+    after: Position
+    position: Position
     data: bytes
 
 
@@ -63,7 +65,7 @@
         self._find = find
         self._active_transfers = 0
         self._served_hosts: dict[str, deque[str]] = {}
-        self._served_positions: dict[str, int] = {}
+        self._served_positions: dict[str, Position] = {}
         self._last_encoded: _EncodedRows | None = None
 
     async def serve(self, listener: Any) -> None:
@@ -95,16 +97,20 @@
             await _send_frame(sock, self._encode(request, update))
         finally:
             self._active_transfers -= 1
-        if update.position > self._served_positions.get(request.table, -1):
+        served = self._served_positions.get(request.table)
+        if served is None or update.position > served:
             self._served_hosts[request.table] = deque(maxlen=MAX_REFERRED_HOSTS)
             self._served_positions[request.table] = update.position
         self._served_hosts[request.table].append(request.host)
 
     def _encode(self, request: RowsRequest, update: Snapshot | Changes) -> bytes:
+        if isinstance(update, Snapshot) and update.held:
+            return encode_rows_reply(update, read_clock_s())
         key = (request.table, request.position, update.position)
         last = self._last_encoded
         if last is None or (last.table, last.after, last.position) != key:
-            last = self._last_encoded = _EncodedRows(*key, encode_rows_reply(update))
+            data = encode_rows_reply(update, read_clock_s())
+            last = self._last_encoded = _EncodedRows(*key, data)
         return last.data
 
 
--- a/tests/coordination/steering/test_rows.py
+++ b/tests/coordination/steering/test_rows.py
@@ -5,11 +5,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from siskinward.coordination.steering.rows import UNREAD
 from siskinward.coordination.steering.rows import Changes
+from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Row
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.rows import TableCopy
 
+NOW_S = 0.0
+
+
+def at(version: int) -> Position:
+    return Position(0, version)
+
 
 class _Store:
     """A table with all its past states, by version."""
@@ -32,11 +40,11 @@
     def snapshot(self, position: int) -> Snapshot:
         latest = {row.key: row for row in self.history[:position] if row.key is not None}
         rows = tuple(row for row in latest.values() if row.value is not None)
-        return Snapshot(rows, position)
+        return Snapshot(rows, at(position))
 
     def changes(self, after: int, position: int) -> Changes:
         rows = tuple(row for row in self.history if after < row.version <= position)
-        return Changes(rows, after, position)
+        return Changes(rows, at(after), at(position))
 
 
 def contents(copy: TableCopy) -> dict[str, bytes]:
@@ -61,9 +69,9 @@
         after, position = sorted((min(one, store.version), min(other, store.version)))
         before = copy.position
         update = store.snapshot(position) if is_whole else store.changes(after, position)
-        copy.apply(update)
+        copy.apply(update, NOW_S)
         assert copy.position >= before
-        assert contents(copy) == store.states[copy.position]
+        assert contents(copy) == store.states[copy.position.version]
 
 
 @given(writes=WRITES, positions=st.lists(st.integers(0, 12), max_size=6))
@@ -72,32 +80,34 @@
 ) -> None:
     store = _Store()
     source, receiver = TableCopy(), TableCopy()
-    source.apply(store.snapshot(0))
+    source.apply(store.snapshot(0), NOW_S)
     for (key, value), _ in zip(writes, range(12), strict=False):
         store.write(key, value)
-        source.apply(store.changes(source.position, store.version))
-        if source.position in positions:
-            receiver.apply(source.changes_after(receiver.position if receiver.is_loaded else -1))
-    receiver.apply(source.changes_after(receiver.position if receiver.is_loaded else -1))
+        source.apply(store.changes(source.position.version, store.version), NOW_S)
+        if source.position.version in positions:
+            update = source.changes_after(receiver.position if receiver.is_loaded else UNREAD)
+            receiver.apply(update, NOW_S)
+    update = source.changes_after(receiver.position if receiver.is_loaded else UNREAD)
+    receiver.apply(update, NOW_S)
     assert contents(receiver) == contents(source)
     assert receiver.position == source.position
 
 
 def test_copy_without_a_first_snapshot_takes_no_changes() -> None:
     copy = TableCopy()
-    assert copy.apply(Changes((Row("a", b"1", 1),), 0, 1)) == ()
+    assert copy.apply(Changes((Row("a", b"1", 1),), at(0), at(1)), NOW_S) == ()
     assert not copy.is_loaded
 
 
-def test_copy_content_version_stands_still_while_other_tables_change() -> None:
+def test_copy_content_position_stands_still_while_other_tables_change() -> None:
     copy = TableCopy()
-    copy.apply(Snapshot((Row("a", b"1", 3),), 5))
-    copy.apply(Changes((), 5, 90))
-    assert (copy.content_version, copy.position) == (5, 90)
+    copy.apply(Snapshot((Row("a", b"1", 3),), at(5)), NOW_S)
+    copy.apply(Changes((), at(5), at(90)), NOW_S)
+    assert (copy.content_position, copy.position) == (at(5), at(90))
 
 
 def test_copy_snapshot_reports_what_was_removed_meanwhile() -> None:
     copy = TableCopy()
-    copy.apply(Snapshot((Row("a", b"1", 1), Row("b", b"1", 2)), 2))
-    changed = copy.apply(Snapshot((Row("b", b"1", 2), Row("c", b"1", 4)), 5))
+    copy.apply(Snapshot((Row("a", b"1", 1), Row("b", b"1", 2)), at(2)), NOW_S)
+    changed = copy.apply(Snapshot((Row("b", b"1", 2), Row("c", b"1", 4)), at(5)), NOW_S)
     assert changed == (Row("c", b"1", 4), Row("a", None, 5))
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -374,8 +374,8 @@
     encode, send = peer_rows.encode_rows_reply, peer_rows._send_frame
     rows_replies: set[bytes] = set()
 
-    def record_rows(reply: RowsReply) -> bytes:
-        data = encode(reply)
+    def record_rows(reply: RowsReply, now_s: float = 0.0) -> bytes:
+        data = encode(reply, now_s)
         if not isinstance(reply, Referral):
             rows_replies.add(data)
         return data
--- a/tests/transport/test_peer_rows.py
+++ b/tests/transport/test_peer_rows.py
@@ -7,7 +7,9 @@
 import curio
 import pytest
 
+from siskinward.coordination.steering.held_rows import HeldRow
 from siskinward.coordination.steering.rows import Changes
+from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Row
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.protocol.heartbeats import PeerMessageError
@@ -50,9 +52,9 @@
 
 async def fetch_many(count: int) -> tuple[list[RowsReply], RowsReply]:
     """Send ``count`` requests at once; then take all transfer slots again and send one more."""
-    server = RowServer(lambda request: Changes(ROWS, request.position, 9))
+    server = RowServer(lambda request: Changes(ROWS, request.position, Position(1, 9)))
     task = await curio.spawn(server.serve, listen(HOST, PORT), daemon=True)
-    request = RowsRequest(TABLE, 5, "10.0.0.9")
+    request = RowsRequest(TABLE, Position(1, 5), "10.0.0.9")
     asked = [await curio.spawn(fetch_rows, HOST, PORT, request) for _ in range(count)]
     replies = [await one.join() for one in asked]
     again = [
@@ -76,7 +78,14 @@
 
 
 @pytest.mark.parametrize(
-    "reply", [Snapshot(ROWS, 9), Changes(ROWS, 3, 9), Referral(("10.0.0.2",)), Referral(())]
+    "reply",
+    [
+        Snapshot(ROWS, Position(0, 9)),
+        Snapshot(ROWS, Position(3, 9), (HeldRow(Row("config", b"y", 12), 4.5),)),
+        Changes(ROWS, Position(2, 3), Position(2, 9)),
+        Referral(("10.0.0.2",)),
+        Referral(()),
+    ],
 )
 def test_rows_reply_round_trip(reply: RowsReply) -> None:
     assert decode_rows_reply(encode_rows_reply(reply)) == reply
