Keep retry hints within their limit, and report a VM's answer that is no JSON object

A hint was cut to retry_after_limit_s first and then lengthened by up to half of it. The jitter now ends at the limit. A JSON answer that is no object raised TypeError in the console; it is an error that names the address.

Looked at and left: a path prefix /a that matches /ab. The platform's pages say that every prefix begins and ends with a slash, and its store takes only such configurations.

--- a/src/siskinward/console/_front.py
+++ b/src/siskinward/console/_front.py
@@ -39,8 +39,17 @@
     if result.is_error():
         message = f"the VM at {host}:{port} does not answer: {result.error.detail}"
         raise PlatformUnavailableError(message, "Ask another VM.")
+    return decode_answer(result.ok.body, f"{host}:{port}")
+
+
+def decode_answer(body: bytes, address: str) -> dict[str, Any]:
+    """Decode a VM's answer; raises ``PlatformUnavailableError`` unless it is a JSON object."""
     try:
-        return dict(json.loads(result.ok.body))
+        answer = json.loads(body)
     except ValueError as error:
-        message = f"{host}:{port} does not answer like a VM: {error}"
+        message = f"{address} does not answer like a VM: {error}"
         raise PlatformUnavailableError(message, "Check the address.") from error
+    if not isinstance(answer, dict):
+        message = f"{address} does not answer like a VM: expected a JSON object, found {answer!r}"
+        raise PlatformUnavailableError(message, "Check the address.")
+    return answer
--- a/src/siskinward/console/application.py
+++ b/src/siskinward/console/application.py
@@ -17,6 +17,7 @@
     "history",
     "key",
     "lookup",
+    "losses",
     "measure",
     "node",
     "publish",
--- /dev/null
+++ b/src/siskinward/console/losses.py
@@ -0,0 +1,109 @@
+"""Says why requests were refused, failed or answered late, from the logs of entry VMs."""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import Any
+
+from attrs import define
+from attrs import field
+
+from siskinward.console.vm_logs import REQUEST_KINDS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from siskinward.console.vm_logs import LogLine
+
+SUCCESSES = range(200, 300)
+# A wait at the VM that took less of the latency objective than this is not what made it late.
+WAIT_SHARE = 0.1
+
+
+class Loss(Enum):
+    """Why a request earned less than it could, apart from the reasons of refusals."""
+
+    FAILED = "the target failed it"
+    SENT_AGAIN = "late: sent again after a first try"
+    WAITED = "late: waited at the VM"
+    QUEUED = "late: sent to a target without a free slot"
+    COLD = "late: cold run at the first choice"
+    COLD_SPILL = "late: cold run at another choice"
+    SLOW = "late: warm run with a free slot"
+
+
+@define
+class LossTable:
+    """Counts of requests by why they lost, for each value of a grouping field."""
+
+    totals: Counter[str] = field(factory=Counter)
+    losses: dict[str, Counter[str]] = field(factory=dict)
+
+    def add(self, group: str, loss: str | None) -> None:
+        """Count a request; ``loss`` is None if it was answered in time."""
+        self.totals[group] += 1
+        if loss is not None:
+            self.losses.setdefault(group, Counter())[loss] += 1
+
+    def format(self) -> list[str]:
+        """Return the table as lines, the group with the most losses first."""
+        lines = []
+        for group in sorted(self.totals, key=self._lost, reverse=True):
+            lines.append(f"{group}: {self._lost(group)} of {self.totals[group]} requests")
+            lines += [
+                f"  {count:7d}  {loss}"
+                for loss, count in self.losses.get(group, Counter()).most_common()
+            ]
+        return lines
+
+    def _lost(self, group: str) -> int:
+        return sum(self.losses.get(group, Counter()).values())
+
+
+def classify(fields: dict[str, Any]) -> str | None:
+    """Return why a logged request lost; None if it was answered in time."""
+    if "reason" in fields:
+        return f"refused: {fields['reason']}"
+    if fields["status"] not in SUCCESSES:
+        return Loss.FAILED.value
+    objective_ms = fields.get("objective_ms")
+    if objective_ms is None or fields["took_ms"] <= objective_ms:
+        return None
+    return _classify_late(fields, objective_ms).value
+
+
+def _classify_late(fields: dict[str, Any], objective_ms: float) -> Loss:
+    sends = fields["sends"]
+    if len(sends) > 1:
+        return Loss.SENT_AGAIN
+    send = sends[0]
+    if not send.get("is_warm", True):
+        return Loss.COLD if send["choice"] == 0 else Loss.COLD_SPILL
+    if fields["waited_ms"] > WAIT_SHARE * objective_ms:
+        return Loss.WAITED
+    return Loss.QUEUED if send["load"] > send["slots"] else Loss.SLOW
+
+
+def tabulate(lines: Iterable[LogLine], group_by: str, window_s: float) -> LossTable:
+    """Count the losses of all request lines by a field of theirs, ``vm`` or ``window``.
+
+    A window counts from the first line of the same VM, since the clocks of VMs differ.
+    """
+    table = LossTable()
+    first_s: dict[str, float] = {}
+    for line in lines:
+        started_s = first_s.setdefault(line.vm, line.at_s)
+        if line.kind not in REQUEST_KINDS:
+            continue
+        match group_by:
+            case "vm":
+                group = line.vm
+            case "window":
+                since_s = (line.at_s - started_s) // window_s * window_s
+                group = f"from {since_s:5.0f} s"
+            case _:
+                group = str(line.fields.get(group_by) or "-")
+        table.add(group, classify(line.fields))
+    return table
--- a/src/siskinward/coordination/retries/_retry_after.py
+++ b/src/siskinward/coordination/retries/_retry_after.py
@@ -32,9 +32,10 @@
     def jittered_s(self, wait_s: float) -> float:
         """Return ``wait_s``, raised or cut to the limits, plus a random fraction of it.
 
-        The jitter only adds, so that no caller retries before ``wait_s``, unless that exceeds
-        ``retry_after_limit_s``.
+        The jitter only adds, so that no caller retries before ``wait_s``, unless no room is left
+        for it below ``retry_after_limit_s``.
         """
-        least_s = max(wait_s, self._settings.retry_after_min_s)
-        bounded_s = min(least_s, self._settings.retry_after_limit_s)
-        return bounded_s * (1.0 + self._random.uniform(0.0, self._settings.retry_after_jitter))
+        settings = self._settings
+        least_s = max(wait_s, settings.retry_after_min_s)
+        bounded_s = min(least_s, settings.retry_after_limit_s / (1.0 + settings.retry_after_jitter))
+        return bounded_s * (1.0 + self._random.uniform(0.0, settings.retry_after_jitter))
--- a/tests/console/test_front_commands.py
+++ b/tests/console/test_front_commands.py
@@ -9,6 +9,8 @@
 import pytest
 from click.testing import CliRunner
 
+from siskinward.console._errors import PlatformUnavailableError
+from siskinward.console._front import decode_answer
 from siskinward.console.application import main
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
@@ -79,3 +81,9 @@
     result = CliRunner().invoke(main, ["status", "--vm", f"127.0.0.1:{port}"])
     assert result.exit_code == 4
     assert "does not answer" in result.output
+
+
+@pytest.mark.parametrize("body", [b"7", b"[1]", b'[["a", 1]]', b"not json", b"null"])
+def test_answer_that_is_no_json_object_is_reported_with_its_address(body: bytes) -> None:
+    with pytest.raises(PlatformUnavailableError, match="10.0.0.1:80"):
+        decode_answer(body, "10.0.0.1:80")
