Spill to a target that has the object warm before requests queue at the first one

Cause: at the top of the wave an object's first target is full while the target to which it spilled before has free slots and has it warm; requests queued at the first one and came late. Nothing knew where an object is warm. VMs now tell one another new pairs of object and target in their load reports (WarmTargets), and Placement sends to a free warm target once the first one has no free slot.

Logs name the objective, whether a send was warm, domains and slots, for siskinward losses. The ranking of targets is a module of its own. Heartbeats without an age confirm nothing any more; the test failed before. Target.smoothed_latency_s was read by nothing and is gone.

--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -13,6 +13,7 @@
 
 from siskinward.coordination.steering.hashing import rendezvous_score
 from siskinward.coordination.steering.rows import Position
+from siskinward.coordination.steering.warm_targets import WarmPair
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
@@ -54,7 +55,8 @@
     the store's, and ``ages_s`` the time since the store last confirmed each copy. ``in_flight``
     counts the VM's requests at targets, by ``short_id`` of the target's name. ``demand_per_s`` is
     the request rate of each client account at this VM. ``crashing_requests`` counts the targets
-    lost to a request, by its fingerprint.
+    lost to a request, by its fingerprint. ``warm`` names objects that began to run at targets.
+    ``slow`` counts by target's ``short_id`` how many more runs were slow than not.
     """
 
     sender: EntryVm
@@ -66,6 +68,8 @@
     demand_per_s: dict[AccountName, float] = field(factory=dict)
     crashing_requests: dict[str, int] = field(factory=dict)
     held: dict[str, int] = field(factory=dict)
+    warm: tuple[WarmPair, ...] = ()
+    slow: dict[int, int] = field(factory=dict)
 
 
 @frozen
@@ -77,6 +81,8 @@
     positions: dict[str, Position] = field(factory=dict)
     ages_s: dict[str, float] = field(factory=dict)
     in_flight: dict[int, int] = field(factory=dict)
+    warm: tuple[WarmPair, ...] = ()
+    slow: dict[int, int] = field(factory=dict)
 
 
 @frozen
@@ -185,6 +191,8 @@
             positions=report.positions,
             ages_s=report.ages_s,
             in_flight=report.in_flight,
+            warm=report.warm,
+            slow=report.slow,
         )
         peer.last_received_s = now_s
         return peer.heartbeat
--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -11,10 +11,11 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from attrs import evolve
 from attrs import frozen
 
-from siskinward.coordination.steering.hashing import rendezvous_score
-from siskinward.coordination.steering.locality import region_weights
+from siskinward.coordination.steering.ranking import TargetRanking
+from siskinward.coordination.steering.ranking import object_name
 from siskinward.coordination.steering.targets import Target
 from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import ServiceName
@@ -24,7 +25,9 @@
     from collections.abc import Collection
     from random import Random
 
+    from siskinward.coordination.steering.slow_targets import SlowTargets
     from siskinward.coordination.steering.targets import TargetTable
+    from siskinward.coordination.steering.warm_targets import WarmTargets
     from siskinward.coordination.steering.warmup import WarmupLimiter
 
 
@@ -34,13 +37,16 @@
 
     Only the first ``choices`` targets in an object's ranking serve it: on further targets, a cold
     run costs more than it gains. ``first_overcommit`` and ``other_overcommit`` allow requests
-    beyond the slots of the first and the other targets, as a share of their slots. A target whose
+    beyond the slots of the first and the other targets, as a share of their slots. Before requests
+    queue at the first target, ``spills_to_warm`` sends them to a free one that has the object warm
+    from an earlier spill. A target whose
     error share exceeds ``error_limit``, and ``error_ratio`` times the median of all candidates,
     gets one request at a time.
     """
 
     choices: int = 2
     first_overcommit: float = 0.67
+    spills_to_warm: bool = True
     other_overcommit: float = 0.0
     error_limit: float = 0.4
     error_ratio: float = 2.0
@@ -62,10 +68,14 @@
 
 @frozen
 class Placed:
-    """The chosen target; ``choice`` counts the full targets that rank before it."""
+    """The chosen target; ``choice`` counts the full targets that rank before it.
+
+    ``is_warm`` states whether the object ran there lately.
+    """
 
     target: Target
     choice: int
+    is_warm: bool = False
 
 
 @frozen
@@ -98,16 +108,16 @@
         regions: frozenset[RegionName],
         targets: TargetTable,
         warmup_limiter: WarmupLimiter,
+        warm: WarmTargets,
+        slow: SlowTargets,
         random: Random,
     ) -> None:
         self._settings = settings
-        self._region = region
-        self._regions = regions
+        self._ranking = TargetRanking(region, regions, targets, random)
         self._targets = targets
         self._warmup_limiter = warmup_limiter
-        self._random = random
-        self._weights: dict[ServiceName, dict[RegionName, float]] = {}
-        self._weights_revision = -1
+        self._warm = warm
+        self._slow = slow
         self.warmup_rates_per_s: dict[ServiceName, float] = {}
 
     def choose(self, request: PlacementRequest, now_s: float) -> Placed | NoCapacity | NoTarget:
@@ -115,8 +125,14 @@
         candidates = self._candidates(request, now_s)
         if not candidates:
             return NoTarget()
+        return self._choose_among(request, self._slow.without_avoided(candidates, now_s), now_s)
+
+    def _choose_among(
+        self, request: PlacementRequest, candidates: list[Target], now_s: float
+    ) -> Placed | NoCapacity:
+        ranked = self._ranking.rank(request.service, request.object_key, candidates)
         warm_seen = 0
-        for target in self._rank(request, candidates):
+        for target in ranked:
             if target.is_cold(now_s):
                 if self._accepts_cold_request(target, now_s):
                     return Placed(target, warm_seen)
@@ -125,6 +141,10 @@
                 if target.in_flight == 0:
                     return Placed(target, warm_seen)
                 continue
+            if warm_seen == 0 and target.load >= target.record.slots:
+                warm = self._find_warm(request, ranked, target, now_s)
+                if warm is not None:
+                    return Placed(warm, 1)
             if self._has_capacity(target, warm_seen):
                 return Placed(target, warm_seen)
             warm_seen += 1
@@ -132,9 +152,33 @@
                 break
         return NoCapacity()
 
+    def _warm_targets(
+        self, request: PlacementRequest, ranked: list[Target], now_s: float
+    ) -> list[Target]:
+        return [target for target in ranked if self._is_warm(request, target, now_s)]
+
+    def _is_warm(self, request: PlacementRequest, target: Target, now_s: float) -> bool:
+        if target.is_cold(now_s):
+            return False
+        key = object_name(request.service, request.object_key)
+        return self._warm.is_warm(key, target.name, now_s, since_s=target.cold_since_s)
+
+    def _find_warm(
+        self, request: PlacementRequest, ranked: list[Target], full: Target, now_s: float
+    ) -> Target | None:
+        """Find a target with a free slot that has the object warm, besides the ``full`` one."""
+        if not request.object_key or not self._settings.spills_to_warm:
+            return None
+        for target in self._warm_targets(request, ranked, now_s):
+            if target is not full and target.load < target.record.slots:
+                return target
+        return None
+
     def considered(self, request: PlacementRequest, now_s: float) -> list[ConsideredTarget]:
         """Return the targets that rank first for a request, to log when none has capacity."""
-        ordered = self._rank(request, self._candidates(request, now_s))
+        ordered = self._ranking.rank(
+            request.service, request.object_key, self._candidates(request, now_s)
+        )
         return [
             ConsideredTarget(item.name, item.load, item.record.slots, item.state_name(now_s))
             for item in ordered[: self._settings.choices]
@@ -145,11 +189,17 @@
         usable = self._targets.usable(service, now_s)
         return sum(max(0, target.record.slots - target.load) for target in usable)
 
-    def record_sent(self, target: Target, now_s: float) -> None:
-        """Count a request that is sent to a target."""
+    def record_sent(self, request: PlacementRequest, placed: Placed, now_s: float) -> Placed:
+        """Count a request that is sent to a target; return whether its object is warm there."""
+        target = placed.target
+        is_warm = self._is_warm(request, target, now_s)
         target.in_flight += 1
+        if request.object_key:
+            key = object_name(request.service, request.object_key)
+            self._warm.record_run(key, target.name, now_s)
         if target.is_cold(now_s):
             self._warmup_limiter.record_sent(target)
+        return evolve(placed, is_warm=is_warm)
 
     def _candidates(self, request: PlacementRequest, now_s: float) -> list[Target]:
         usable = self._targets.usable(request.service, now_s)
@@ -157,29 +207,6 @@
             usable = [target for target in usable if target.region in request.home_regions]
         return _exclude_tried(usable, request.tried)
 
-    def _rank(self, request: PlacementRequest, candidates: list[Target]) -> list[Target]:
-        if not request.object_key:
-            shuffled = self._random.sample(candidates, len(candidates))
-            return sorted(shuffled, key=lambda target: target.load / target.record.slots)
-        key = f"{request.service}/{request.object_key}"
-        weights = self._region_weights(request.service)
-        return sorted(
-            candidates,
-            key=lambda target: rendezvous_score(key, target.name)
-            * weights[target.region]
-            * target.record.slots,
-            reverse=True,
-        )
-
-    def _region_weights(self, service: ServiceName) -> dict[RegionName, float]:
-        if self._weights_revision != self._targets.revision:
-            self._weights_revision = self._targets.revision
-            self._weights.clear()
-        if service not in self._weights:
-            slots = self._targets.slots_by_region(service)
-            self._weights[service] = region_weights(slots, self._regions, self._region)
-        return self._weights[service]
-
     def _accepts_cold_request(self, target: Target, now_s: float) -> bool:
         rate_per_s = self.warmup_rates_per_s.get(target.record.service, 0.0)
         is_free = target.load < target.record.slots
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -21,7 +21,7 @@
 
 @frozen
 class TargetSettings:
-    """Suspension of unreachable targets, and smoothing of their error rates and latencies.
+    """Suspension of unreachable targets, and smoothing of their error rates.
 
     A target is suspended for ``min_suspend_s`` after the first failed connection, twice as long
     after each further one, up to ``max_suspend_s``. A target whose entry went missing while the
@@ -32,7 +32,6 @@
     min_suspend_s: float = 0.5
     max_suspend_s: float = 2.0
     error_smoothing: float = 0.2
-    latency_smoothing: float = 0.2
 
 
 @define(eq=False)
@@ -46,10 +45,10 @@
     record: TargetRecord
     region: RegionName
     cold_until_s: float = -inf
+    cold_since_s: float = -inf
     suspended_until_s: float = -inf
     connect_failures: int = 0
     error_share: float = 0.0
-    smoothed_latency_s: float | None = None
     in_flight: int = 0
     in_flight_elsewhere: int = 0
     expires_at_s: float = inf
@@ -60,6 +59,12 @@
         """Name of the target."""
         return self.record.name
 
+    def set_cold(self, until_s: float, now_s: float) -> None:
+        """Limit the target to its warm-up rate until a time; it has lost its cache."""
+        if not self.is_cold(now_s) and until_s > now_s:
+            self.cold_since_s = now_s
+        self.cold_until_s = until_s
+
     def is_cold(self, now_s: float) -> bool:
         """Return whether the target is limited to its warm-up rate."""
         return now_s < self.cold_until_s
@@ -145,14 +150,15 @@
         cold_until_s = now_s + record.warmup_left_s if record.warmup_left_s > 0 else -inf
         if known is not None and known.record.started_ms == record.started_ms:
             known.record = record
-            known.cold_until_s = cold_until_s
+            known.set_cold(cold_until_s, now_s)
             known.expires_at_s = inf
             return
         self.remove(record.name)
         region = self._domain_regions.get(record.failure_domain)
         if region is None:
             return
-        target = Target(record, region, cold_until_s)
+        target = Target(record, region)
+        target.set_cold(cold_until_s, now_s)
         self._targets[record.name] = target
         self._by_service.setdefault(record.service, {})[record.name] = target
 
@@ -198,16 +204,12 @@
         for target in self._targets.values():
             if target.record.failure_domain in returned:
                 warmup_s = self._warmups_s.get(target.record.service, 0.0)
-                target.cold_until_s = max(target.cold_until_s, now_s + warmup_s)
+                target.set_cold(max(target.cold_until_s, now_s + warmup_s), now_s)
 
-    def on_answer(self, target: Target, latency_s: float) -> None:
+    def on_answer(self, target: Target) -> None:
         """Record a request that the target completed."""
         target.connect_failures = 0
         target.error_share *= 1.0 - self._settings.error_smoothing
-        previous_s = latency_s if target.smoothed_latency_s is None else target.smoothed_latency_s
-        target.smoothed_latency_s = previous_s + self._settings.latency_smoothing * (
-            latency_s - previous_s
-        )
 
     def on_error(self, target: Target) -> None:
         """Record a request that the target failed or rejected."""
@@ -241,4 +243,4 @@
         target.needs_probe = False
         target.connect_failures = 0
         target.error_share = 0.0
-        target.cold_until_s = now_s + warmup_left_s if warmup_left_s > 0 else -inf
+        target.set_cold(now_s + warmup_left_s if warmup_left_s > 0 else -inf, now_s)
--- a/src/siskinward/daemon/entry/dispatcher.py
+++ b/src/siskinward/daemon/entry/dispatcher.py
@@ -64,8 +64,7 @@
         if isinstance(choice, NoTarget):
             return choice
         if isinstance(choice, Placed) and not self._queue(service).waiting:
-            self._record_start(choice, now_s)
-            return choice
+            return self._record_start(request.placement, choice, now_s)
         return await self._wait(request, now_s)
 
     async def release(self, target: Target) -> None:
@@ -88,8 +87,7 @@
             waiter = waiters[entry.number]
             choice = self._steering.placement.choose(waiter.claim.placement, now_s)
             if isinstance(choice, Placed):
-                self._record_start(choice, now_s)
-                waiter.placed = choice
+                waiter.placed = self._record_start(waiter.claim.placement, choice, now_s)
                 self._queue(service).remove(entry)
                 del waiters[entry.number]
                 await waiter.is_placed.set()
@@ -126,9 +124,9 @@
         assert waiter.placed is not None
         return waiter.placed
 
-    def _record_start(self, choice: Placed, now_s: float) -> None:
-        self._steering.placement.record_sent(choice.target, now_s)
+    def _record_start(self, request: PlacementRequest, choice: Placed, now_s: float) -> Placed:
         self._queue(choice.target.record.service).record_start(now_s)
+        return self._steering.placement.record_sent(request, choice, now_s)
 
     def _queue(self, service: ServiceName) -> AdmissionQueue:
         queue = self._queues.get(service)
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -61,6 +61,7 @@
             self._steering.issuer.update_membership(now_s)
             self._steering.targets.remove_expired(now_s)
             self._update_load_elsewhere(now_s)
+            self._update_slow_targets(now_s)
             if self._is_heartbeat_due(step, now_s):
                 await self.send()
             else:
@@ -96,10 +97,12 @@
         match message:
             case Heartbeat():
                 self._apply_heartbeat(message, now_s)
+                self._steering.warm.record_announced(message.warm, now_s)
                 await self._on_heartbeat(message, now_s)
             case LoadReport():
                 heartbeat = self._steering.fleet.on_report(message, now_s)
                 if heartbeat is not None:
+                    self._steering.warm.record_announced(message.warm, now_s)
                     await self._on_heartbeat(heartbeat, now_s)
             case TokenAsk():
                 await self._quota.on_ask(message, host)
@@ -127,6 +130,8 @@
             positions=self._positions(),
             ages_s=self._ages_s(now_s),
             in_flight=self._in_flight(),
+            warm=self._steering.warm.next_announcements(),
+            slow=self._steering.slow.own_excess(now_s),
         )
 
     def _create(self, now_s: float) -> Heartbeat:
@@ -141,6 +146,8 @@
             in_flight=self._in_flight(),
             demand_per_s=steering.shares.publish(),
             crashing_requests=steering.crashes.own_losses(now_s),
+            warm=steering.warm.next_announcements(),
+            slow=steering.slow.own_excess(now_s),
             held={name: copy.held_count for name, copy in self._loaded().items()},
         )
 
@@ -164,6 +171,15 @@
             if target.in_flight
         }
 
+    def _update_slow_targets(self, now_s: float) -> None:
+        heartbeats = self._steering.fleet.heartbeats(now_s)
+        found = set(self._steering.slow.update((item.slow for item in heartbeats), now_s))
+        if not found:
+            return
+        for target in self._steering.targets.all():
+            if short_id(target.name) in found:
+                self._log.write("target-slow", {"target": target.name, "load": target.load})
+
     def _update_load_elsewhere(self, now_s: float) -> None:
         heartbeats = self._steering.fleet.heartbeats(now_s)
         for target in self._steering.targets.all():
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -134,7 +134,15 @@
 
     async def start(self) -> None:
         """Listen, and start following the store and exchanging heartbeats."""
-        self._log.write("start", {"incarnation": self._steering.fleet.own.incarnation})
+        own = self._steering.fleet.own
+        self._log.write(
+            "start",
+            {
+                "incarnation": own.incarnation,
+                "failure_domain": own.failure_domain,
+                "region": own.region,
+            },
+        )
         await self._spawn_servers()
         await self._spawn(self._stay_registered)
         for table in (StoreTable.OPERATOR, StoreTable.TARGETS):
--- a/src/siskinward/daemon/entry/replication.py
+++ b/src/siskinward/daemon/entry/replication.py
@@ -189,7 +189,7 @@
     async def _pull_from(self, table: StoreTable, heartbeat: Heartbeat) -> None:
         copy = self._steering.tables[table]
         wanted_position = heartbeat.positions[table.value]
-        age_s = heartbeat.ages_s.get(table.value, 0.0)
+        age_s = heartbeat.ages_s.get(table.value, inf)
         hosts: tuple[str, ...] = ()
         for _ in range(self._settings.pull_attempts):
             host = self._random.choice(hosts) if hosts else heartbeat.sender.host
--- a/src/siskinward/daemon/entry/request_context.py
+++ b/src/siskinward/daemon/entry/request_context.py
@@ -22,13 +22,14 @@
 
     The request log has the fields under these names. ``choice`` counts the full targets that
     ranked before this one. ``load`` is the known number of requests at the target from all VMs,
-    this request included.
+    this request included; ``is_warm`` whether its object ran there lately, as far as known.
     """
 
     target: TargetName
     choice: int
     load: int
     slots: int
+    is_warm: bool
     outcome: str
     took_ms: float
 
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.placement import Placed
+    from siskinward.coordination.steering.slow_targets import Run
     from siskinward.daemon.entry.dispatcher import Dispatcher
     from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
     from siskinward.daemon.entry.request_log import RequestLog
@@ -46,6 +47,8 @@
 BLOCKED_RETRY_AFTER_S = 1.0
 # Failed connects reached no target and don't count as attempts; they have a limit of their own.
 MAX_FAILED_CONNECTS = 3
+# Counts of requests at a target lag, so a run with more of the slots taken may have queued.
+QUEUE_FREE_SHARE = 0.7
 
 
 @define
@@ -198,10 +201,13 @@
         )
         # A request that must not run twice runs to its end even if its caller disconnects.
         context.arrival.survives_disconnect = not context.route.is_idempotent
+        run = self._start_run(context, placed, started_s)
+        result: SendResult | None = None
         try:
             result = await self._sender.send(outgoing, target)
         finally:
             context.arrival.survives_disconnect = False
+            self._end_run(run, result)
             await self._dispatcher.release(target)
         if not (isinstance(result, NotRun) and result.reason is SendFailure.SHED):
             # A target that sheds with free slots may accept the next attempt, and its cache is warm
@@ -211,9 +217,28 @@
         took_ms = round((read_clock_s() - started_s) * 1000, 1)
         outcome = _outcome_text(result)
         slots = target.record.slots
-        context.sends.append(SendRecord(target.name, placed.choice, load, slots, outcome, took_ms))
+        context.sends.append(
+            SendRecord(target.name, placed.choice, load, slots, placed.is_warm, outcome, took_ms)
+        )
         return result
 
+    def _start_run(self, context: RequestContext, placed: Placed, now_s: float) -> Run:
+        target = placed.target
+        return self._steering.slow.on_sent(
+            target,
+            is_warm=placed.is_warm,
+            is_queued=target.load > QUEUE_FREE_SHARE * target.record.slots,
+            objective_s=context.route.latency_objective_s,
+            now_s=now_s,
+        )
+
+    def _end_run(self, run: Run, result: SendResult | None) -> None:
+        is_timeout = isinstance(result, OutcomeUnknown) and result.reason is SendFailure.TIMEOUT
+        is_answered = isinstance(result, Answered)
+        self._steering.slow.on_ended(
+            run, is_answered=is_answered, is_timeout=is_timeout, now_s=read_clock_s()
+        )
+
     def _respond_or_retry(self, context: RequestContext, result: SendResult) -> HttpResponse | None:
         """Return the answer for the caller, or None to send again; raise a refusal otherwise."""
         match result:
--- a/src/siskinward/daemon/entry/request_log.py
+++ b/src/siskinward/daemon/entry/request_log.py
@@ -57,6 +57,7 @@
             fields["route"] = context.route.name
             fields["account"] = context.account.name if context.account else None
             fields["service"] = context.service
+            fields["objective_ms"] = round(context.route.latency_objective_s * 1000)
             object_key = arrival.request.header(self._headers.object_key) or b""
             fields["object"] = object_key.decode("latin-1")
             fields["sends"] = [asdict(send) for send in context.sends]
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -96,7 +96,7 @@
             )
         except ExchangeFailedError as error:
             return await self._classify_failure(outgoing, target, error)
-        return self._classify_response(outgoing, target, response, read_clock_s() - started_s)
+        return self._classify_response(outgoing, target, response)
 
     def _encode(self, outgoing: OutgoingRequest, target: Target, left_s: float) -> HttpRequest:
         names = self._headers
@@ -117,7 +117,7 @@
         return HttpRequest(request.method, request.target, tuple(headers), request.body)
 
     def _classify_response(
-        self, outgoing: OutgoingRequest, target: Target, response: HttpResponse, took_s: float
+        self, outgoing: OutgoingRequest, target: Target, response: HttpResponse
     ) -> SendResult:
         targets = self._steering.targets
         if response.status == MISDIRECTED:
@@ -142,7 +142,7 @@
         if is_error:
             targets.on_error(target)
         else:
-            targets.on_answer(target, took_s)
+            targets.on_answer(target)
         headers = tuple(end_to_end_headers(response.headers))
         return Answered(HttpResponse(response.status, headers, response.body), is_error)
 
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -25,9 +25,13 @@
 from siskinward.coordination.steering.retry_budget import RetrySettings
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.coordination.steering.rows import TableCopy
+from siskinward.coordination.steering.slow_targets import SlowTargets
+from siskinward.coordination.steering.slow_targets import SlowTargetSettings
 from siskinward.coordination.steering.splits import RouteSplitter
 from siskinward.coordination.steering.targets import TargetSettings
 from siskinward.coordination.steering.targets import TargetTable
+from siskinward.coordination.steering.warm_targets import WarmSettings
+from siskinward.coordination.steering.warm_targets import WarmTargets
 from siskinward.coordination.steering.warmup import WarmupLimiter
 from siskinward.state.identifiers import IncarnationId
 from siskinward.state.serving import EntrySettings
@@ -46,6 +50,8 @@
     fleet: FleetSettings = field(factory=FleetSettings)
     targets: TargetSettings = field(factory=TargetSettings)
     placement: PlacementSettings = field(factory=PlacementSettings)
+    slow: SlowTargetSettings = field(factory=SlowTargetSettings)
+    warm: WarmSettings = field(factory=WarmSettings)
     queue: QueueSettings = field(factory=QueueSettings)
     shares: ShareSettings = field(factory=ShareSettings)
     tokens: TokenSettings = field(factory=TokenSettings)
@@ -63,6 +69,8 @@
     tables: dict[StoreTable, TableCopy]
     targets: TargetTable
     placement: Placement
+    warm: WarmTargets
+    slow: SlowTargets
     shares: AccountShares
     issuer: TokenIssuer
     retries: RetryBudget
@@ -91,6 +99,8 @@
     fleet = Fleet(own, settings.fleet, len(entry.domain_regions))
     targets = TargetTable(settings.targets, entry.domain_regions)
     warmup_limiter = WarmupLimiter(fleet)
+    warm = WarmTargets(settings.warm)
+    slow = SlowTargets(settings.slow)
     return Steering(
         settings=settings,
         entry=entry,
@@ -103,8 +113,12 @@
             frozenset(entry.domain_regions.values()),
             targets,
             warmup_limiter,
+            warm,
+            slow,
             random or Random(),
         ),
+        warm=warm,
+        slow=slow,
         shares=AccountShares(settings.shares, fleet, now_s),
         issuer=TokenIssuer(settings.tokens, entry.bounds, fleet),
         retries=RetryBudget(settings.retries, entry.bounds, fleet),
--- a/src/siskinward/daemon/entry/store_updates.py
+++ b/src/siskinward/daemon/entry/store_updates.py
@@ -174,6 +174,8 @@
             {
                 "target": record.name,
                 "service": record.service,
+                "failure_domain": record.failure_domain,
+                "slots": record.slots,
                 "ready": record.is_ready,
                 "warmup_left_s": record.warmup_left_s,
                 "version": row.version,
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -19,6 +19,7 @@
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Row
 from siskinward.coordination.steering.rows import Snapshot
+from siskinward.coordination.steering.warm_targets import WarmPair
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import IncarnationId
 
@@ -30,6 +31,10 @@
 REFERRAL_TYPE = 2
 # The tables in the order in which a load report lists their positions and ages.
 REPORTED_TABLES = ("operator", "targets")
+# Warm pairs and slow targets travel among the counts of requests in flight, where earlier releases
+# ignore them.
+WARM_KEY = "warm"
+SLOW_KEY = "slow"
 # A heartbeat counts the held rows of a table beside its position, under this suffix.
 HELD_SUFFIX = "-held"
 # A position is sent as one integer, whose lower bits are the version; before the store first comes
@@ -74,7 +79,7 @@
         int(heartbeat.state),
         _encode_positions(heartbeat),
         heartbeat.ages_s,
-        heartbeat.in_flight,
+        _encode_in_flight(heartbeat),
         heartbeat.demand_per_s,
         heartbeat.crashing_requests,
     )
@@ -89,7 +94,7 @@
         report.number,
         [_encode_position(report.positions.get(name, Position())) for name in REPORTED_TABLES],
         [int(report.ages_s.get(name, 0.0) * 1000) for name in REPORTED_TABLES],
-        report.in_flight,
+        _encode_in_flight(report),
     )
     return bytes(msgpack.packb(fields))
 
@@ -152,7 +157,9 @@
             if name.endswith(HELD_SUFFIX)
         },
         ages_s=dict(ages_s),
-        in_flight=dict(in_flight),
+        in_flight=_decode_in_flight(in_flight),
+        warm=_decode_warm(in_flight),
+        slow=_decode_slow(in_flight),
         demand_per_s=dict(demand),
         crashing_requests=dict(crashing_requests),
     )
@@ -170,7 +177,9 @@
         number=int(number),
         positions={name: _decode_position(positions[name]) for name in loaded},
         ages_s={name: ages[name] / 1000.0 for name in loaded},
-        in_flight=dict(in_flight),
+        in_flight=_decode_in_flight(in_flight),
+        warm=_decode_warm(in_flight),
+        slow=_decode_slow(in_flight),
     )
 
 
@@ -238,6 +247,32 @@
     return positions | held
 
 
+def _encode_in_flight(message: Heartbeat | LoadReport) -> dict[Any, Any]:
+    fields: dict[Any, Any] = dict(message.in_flight)
+    if message.warm:
+        fields[WARM_KEY] = [number for pair in message.warm for number in _pair_ids(pair)]
+    if message.slow:
+        fields[SLOW_KEY] = message.slow
+    return fields
+
+
+def _pair_ids(pair: WarmPair) -> tuple[int, int]:
+    return (pair.object_id, pair.target_id)
+
+
+def _decode_in_flight(fields: dict[Any, Any]) -> dict[int, int]:
+    return {key: int(count) for key, count in fields.items() if isinstance(key, int)}
+
+
+def _decode_warm(fields: dict[Any, Any]) -> tuple[WarmPair, ...]:
+    ids = iter(fields.get(WARM_KEY, ()))
+    return tuple(WarmPair(int(one), int(other)) for one, other in zip(ids, ids, strict=True))
+
+
+def _decode_slow(fields: dict[Any, Any]) -> dict[int, int]:
+    return {int(key): int(count) for key, count in fields.get(SLOW_KEY, {}).items()}
+
+
 def _encode_held(held: HeldRow, now_s: float) -> tuple[Any, ...]:
     row = held.row
     return (row.key, row.value, row.version, max(0.0, held.until_s - now_s))
--- a/tests/coordination/steering/load_model.py
+++ b/tests/coordination/steering/load_model.py
@@ -23,8 +23,13 @@
 from siskinward.coordination.steering.placement import Placement
 from siskinward.coordination.steering.placement import PlacementRequest
 from siskinward.coordination.steering.placement import PlacementSettings
+from siskinward.coordination.steering.slow_targets import Run
+from siskinward.coordination.steering.slow_targets import SlowTargets
+from siskinward.coordination.steering.slow_targets import SlowTargetSettings
 from siskinward.coordination.steering.targets import TargetSettings
 from siskinward.coordination.steering.targets import TargetTable
+from siskinward.coordination.steering.warm_targets import WarmSettings
+from siskinward.coordination.steering.warm_targets import WarmTargets
 from siskinward.coordination.steering.warmup import WarmupLimiter
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import RegionName
@@ -33,8 +38,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from siskinward.coordination.steering.targets import Target
-
 
 @frozen
 class LoadSettings:
@@ -52,6 +55,10 @@
     vms_per_region: int = 3
     heartbeat_s: float = 0.2
     wait_limit_s: float = 0.16
+    slow_targets: tuple[str, ...] = ()
+    slow_ratio: float = 12.0
+    slow_from_s: float = 8.0
+    slow_until_s: float = 17.0
     seed: int = 7
 
 
@@ -76,7 +83,7 @@
     slots: int
     cache_size: int
     running: int = 0
-    queue: list[tuple[float, str, int]] = field(factory=list)
+    queue: list[tuple[float, str, int, Run]] = field(factory=list)
     warm: OrderedDict[str, None] = field(factory=OrderedDict)
 
     def access(self, object_key: str) -> bool:
@@ -91,20 +98,20 @@
 
 def choose_placement(
     placement: Placement, table: TargetTable, request: PlacementRequest, now_s: float
-) -> Target | None:
+) -> Placed | None:
     """Choose a target by the placement under test."""
     choice = placement.choose(request, now_s)
-    return choice.target if isinstance(choice, Placed) else None
+    return choice if isinstance(choice, Placed) else None
 
 
-def choose_randomly(random: Random) -> Callable[..., Target | None]:
+def choose_randomly(random: Random) -> Callable[..., Placed | None]:
     """Return a function that chooses any target with a free slot, as the baseline."""
 
     def choose(
         placement: Placement, table: TargetTable, request: PlacementRequest, now_s: float
-    ) -> Target | None:
+    ) -> Placed | None:
         free = [item for item in table.usable(SERVICE, now_s) if item.load < item.record.slots]
-        return random.choice(free) if free else None
+        return Placed(random.choice(free), 0) if free else None
 
     return choose
 
@@ -115,8 +122,9 @@
     def __init__(
         self,
         settings: LoadSettings,
-        choose: Callable[..., Target | None],
+        choose: Callable[..., Placed | None],
         placement: PlacementSettings | None = None,
+        slow: SlowTargetSettings | None = None,
     ) -> None:
         self._settings = settings
         self._choose = choose
@@ -125,12 +133,14 @@
         self._targets: dict[TargetName, _ModelTarget] = {}
         self._tables: list[TargetTable] = []
         self._placements: list[Placement] = []
+        self._warm: list[WarmTargets] = []
+        self._slow: list[SlowTargets] = []
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
         self.now_s = 0.0
         self.result = LoadResult()
         for vm in range(settings.vms_per_region * len(self._regions)):
-            self._add_vm(vm, placement or PlacementSettings())
+            self._add_vm(vm, placement or PlacementSettings(), slow or SlowTargetSettings())
 
     def run(self) -> LoadResult:
         """Simulate all arrivals until every request has ended."""
@@ -141,7 +151,7 @@
             event()
         return self.result
 
-    def _add_vm(self, vm: int, placement: PlacementSettings) -> None:
+    def _add_vm(self, vm: int, placement: PlacementSettings, slow: SlowTargetSettings) -> None:
         regions = {DomainName(f"{name}-1"): RegionName(name) for name in self._regions}
         table = TargetTable(TargetSettings(), regions)
         for region, count in self._settings.targets.items():
@@ -155,6 +165,8 @@
         region = RegionName(self._regions[vm % len(self._regions)])
         fleet = fleet_of(len(self._regions) * self._settings.vms_per_region, own=vm)
         self._tables.append(table)
+        self._warm.append(WarmTargets(WarmSettings()))
+        self._slow.append(SlowTargets(slow))
         self._placements.append(
             Placement(
                 placement,
@@ -162,6 +174,8 @@
                 frozenset(regions.values()),
                 table,
                 WarmupLimiter(fleet),
+                self._warm[-1],
+                self._slow[-1],
                 self._random,
             )
         )
@@ -181,43 +195,55 @@
 
     def _try(self, vm: int, object_key: str, arrived_s: float) -> None:
         request = PlacementRequest(SERVICE, object_key, frozenset())
-        target = self._choose(self._placements[vm], self._tables[vm], request, self.now_s)
-        if target is not None:
-            target.in_flight += 1
-            self._send(vm, target, object_key, arrived_s)
+        placed = self._choose(self._placements[vm], self._tables[vm], request, self.now_s)
+        if placed is not None:
+            is_queued = placed.target.load >= placed.target.record.slots
+            placed = self._placements[vm].record_sent(request, placed, self.now_s)
+            run = self._slow[vm].on_sent(
+                placed.target,
+                is_warm=placed.is_warm,
+                is_queued=is_queued,
+                objective_s=self._settings.objective_s,
+                now_s=self.now_s,
+            )
+            self._send(vm, run, object_key, arrived_s)
         elif self.now_s - arrived_s < self._settings.wait_limit_s:
             self._at(self.now_s + 0.02, lambda: self._try(vm, object_key, arrived_s))
         else:
             self.result.rejected += 1
 
-    def _send(self, vm: int, target: Target, object_key: str, arrived_s: float) -> None:
-        model = self._targets[target.name]
+    def _send(self, vm: int, run: Run, object_key: str, arrived_s: float) -> None:
+        model = self._targets[run.target.name]
         if model.running < model.slots:
-            self._start(vm, target, object_key, arrived_s)
+            self._start(vm, run, object_key, arrived_s)
         else:
-            model.queue.append((arrived_s, object_key, vm))
+            model.queue.append((arrived_s, object_key, vm, run))
 
-    def _start(self, vm: int, target: Target, object_key: str, arrived_s: float) -> None:
-        model = self._targets[target.name]
+    def _start(self, vm: int, run: Run, object_key: str, arrived_s: float) -> None:
+        model = self._targets[run.target.name]
         model.running += 1
         is_warm = model.access(object_key)
         self.result.cold_runs += not is_warm
         mean_s = self._settings.warm_s if is_warm else self._settings.cold_s
-        took_s = mean_s * self._random.uniform(0.85, 1.15)
-        self._at(self.now_s + took_s, lambda: self._end(vm, target, arrived_s))
+        took_s = mean_s * self._random.uniform(0.85, 1.15) * self._slowdown(run.target.name)
+        self._at(self.now_s + took_s, lambda: self._end(vm, run, arrived_s))
 
-    def _end(self, vm: int, target: Target, arrived_s: float) -> None:
-        model = self._targets[target.name]
+    def _slowdown(self, name: str) -> float:
+        settings = self._settings
+        is_slow = settings.slow_from_s <= self.now_s < settings.slow_until_s
+        return settings.slow_ratio if is_slow and name in settings.slow_targets else 1.0
+
+    def _end(self, vm: int, run: Run, arrived_s: float) -> None:
+        model = self._targets[run.target.name]
         model.running -= 1
-        target.in_flight -= 1
+        run.target.in_flight -= 1
+        self._slow[vm].on_ended(run, is_answered=True, is_timeout=False, now_s=self.now_s)
         if self.now_s - arrived_s <= self._settings.objective_s:
             self.result.in_time += 1
         else:
             self.result.late += 1
         if model.queue:
-            waiting_s, object_key, other = model.queue.pop(0)
-            waiting = self._tables[other].get(target.name)
-            assert waiting is not None
+            waiting_s, object_key, other, waiting = model.queue.pop(0)
             self._start(other, waiting, object_key, waiting_s)
 
     def _exchange_counts(self) -> None:
@@ -225,9 +251,20 @@
         if self.now_s > self._settings.duration_s + 10.0:
             return
         self._at(self.now_s + self._settings.heartbeat_s, self._exchange_counts)
+        self._exchange_runs()
         for name in self._targets:
             known = [table.get(name) for table in self._tables]
             total = sum(target.in_flight for target in known if target)
             for target in known:
                 if target:
                     target.in_flight_elsewhere = total - target.in_flight
+
+    def _exchange_runs(self) -> None:
+        """Tell every VM where objects ran and which targets were slow for the others."""
+        pairs = [warm.next_announcements() for warm in self._warm]
+        excess = [slow.own_excess(self.now_s) for slow in self._slow]
+        for vm in range(len(self._tables)):
+            for other in range(len(self._tables)):
+                if other != vm:
+                    self._warm[vm].record_announced(pairs[other], self.now_s)
+            self._slow[vm].update([item for i, item in enumerate(excess) if i != vm], self.now_s)
--- a/tests/coordination/steering/test_placement.py
+++ b/tests/coordination/steering/test_placement.py
@@ -21,8 +21,12 @@
 from siskinward.coordination.steering.placement import Placement
 from siskinward.coordination.steering.placement import PlacementRequest
 from siskinward.coordination.steering.placement import PlacementSettings
+from siskinward.coordination.steering.slow_targets import SlowTargets
+from siskinward.coordination.steering.slow_targets import SlowTargetSettings
 from siskinward.coordination.steering.targets import TargetSettings
 from siskinward.coordination.steering.targets import TargetTable
+from siskinward.coordination.steering.warm_targets import WarmSettings
+from siskinward.coordination.steering.warm_targets import WarmTargets
 from siskinward.coordination.steering.warmup import WarmupLimiter
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import RegionName
@@ -34,13 +38,22 @@
 # this load would need 51 slots, and there are only 36.
 SCALE_DAY = LoadSettings(targets={"budapest": 6, "debrecen": 2, "pecs": 4}, rate_per_s=79.0)
 # A hot account and an evacuated region: only 6 targets for 100 requests per second.
+# Statements of an invoicing service, at targets with many slots.
+STATEMENTS = LoadSettings(
+    targets={"budapest": 6, "debrecen": 2, "pecs": 6},
+    rate_per_s=240.0,
+    slots=9,
+    objects_per_region=56,
+    cached_objects=54,
+)
 HALF_LOST = LoadSettings(targets={"budapest": 1, "debrecen": 2, "pecs": 3}, rate_per_s=100.0)
 
 
 def placement_of(table: TargetTable, region: RegionName, vm: int = 0) -> Placement:
     limiter = WarmupLimiter(fleet_of(8, own=vm))
     regions = frozenset(DOMAINS.values())
-    return Placement(PlacementSettings(), region, regions, table, limiter, Random(vm))
+    warm, slow = WarmTargets(WarmSettings()), SlowTargets(SlowTargetSettings())
+    return Placement(PlacementSettings(), region, regions, table, limiter, warm, slow, Random(vm))
 
 
 def table_of(counts: dict[RegionName, int], **fields: object) -> TargetTable:
@@ -85,6 +98,39 @@
     assert chosen.score > 1.05 * longer.score
 
 
+def test_placement_slow_targets_are_avoided_while_they_are_slow() -> None:
+    # Five of fourteen targets take twelve times as long for nine seconds; no connection breaks.
+    slow = ("budapest-0", "budapest-2", "budapest-4", "pecs-1", "pecs-3")
+    load = evolve(STATEMENTS, duration_s=18.0, slow_targets=slow)
+    avoiding = LoadModel(load, choose_placement, slow=SlowTargetSettings(is_enabled=True)).run()
+    staying = LoadModel(load, choose_placement, slow=SlowTargetSettings(is_enabled=False)).run()
+    assert avoiding.score > staying.score + 0.02
+    assert avoiding.in_time > staying.in_time
+
+
+def test_placement_without_slow_targets_avoids_none() -> None:
+    avoiding = LoadModel(SCALE_DAY, choose_placement, slow=SlowTargetSettings(is_enabled=True))
+    ignoring = LoadModel(SCALE_DAY, choose_placement, slow=SlowTargetSettings(is_enabled=False))
+    assert avoiding.run() == ignoring.run()
+
+
+def test_placement_spills_to_a_target_that_has_the_object_warm_before_the_first_queues() -> None:
+    table = table_of({BUDAPEST: 4})
+    placement = placement_of(table, BUDAPEST)
+    request = request_of("o1")
+    while isinstance(choice := placement.choose(request, 0.0), Placed):
+        placement.record_sent(request, choice, 0.0)
+        if choice.choice == 1:
+            break
+    assert isinstance(choice, Placed)
+    first = next(target for target in table.all() if target.in_flight > 1)
+    first.in_flight = first.record.slots
+    spilled = placement.choose(request, 0.0)
+    assert isinstance(spilled, Placed) and spilled.target is choice.target
+    unspilled = placement.choose(request_of("o1", tried=frozenset({choice.target.name})), 0.0)
+    assert isinstance(unspilled, Placed) and unspilled.target is first
+
+
 def test_placement_calm_load_is_answered_in_time() -> None:
     result = LoadModel(evolve(SCALE_DAY, rate_per_s=40.0), choose_placement).run()
     assert result.rejected == 0
@@ -123,7 +169,7 @@
     placement = placement_of(table, BUDAPEST)
     used: dict[str, int] = {}
     while isinstance(choice := placement.choose(request_of("o1"), 0.0), Placed):
-        placement.record_sent(choice.target, 0.0)
+        placement.record_sent(request_of("o1"), choice, 0.0)
         used[choice.target.name] = used.get(choice.target.name, 0) + 1
     assert choice == NoCapacity()
     assert sorted(used.values()) == [3, 5]
@@ -138,7 +184,7 @@
         table.on_error(first.target)
     trial = placement.choose(request_of("o1"), 0.0)
     assert isinstance(trial, Placed) and trial.target is first.target
-    placement.record_sent(first.target, 0.0)
+    placement.record_sent(request_of("o1"), trial, 0.0)
     other = placement.choose(request_of("o1"), 0.0)
     assert isinstance(other, Placed) and other.target is not first.target
     for target in table.all():
@@ -157,7 +203,7 @@
         for step in range(100):
             choice = placement.choose(request_of(f"o{step}"), step / 100)
             if isinstance(choice, Placed):
-                placement.record_sent(choice.target, step / 100)
+                placement.record_sent(request_of(f"o{step}"), choice, step / 100)
                 sent += 1
     assert 4 <= sent <= 5
 
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -9,7 +9,10 @@
 import pytest
 from attrs import evolve
 
+from siskinward.coordination.steering.fleet import Heartbeat
+from siskinward.coordination.steering.fleet import VmState
 from siskinward.coordination.steering.rows import Changes
+from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.daemon.entry import replication
 from siskinward.daemon.entry.process import SETTINGS_CHECK_S
@@ -440,3 +443,23 @@
         assert not requested
 
     run_site(scenario, SiteSettings(vms_per_zone=6))
+
+
+def test_heartbeat_without_an_age_confirms_nothing(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        own, other = site.vms[VM].steering, site.vms["vm-bud-a-1"].steering
+        table = StoreTable.OPERATOR
+        await site.publish()
+        await curio.sleep(CONFIGURATION_BOUND_S)
+        site.store.fault = StoreFault.BUSY
+        await curio.sleep(3.0)
+        own.tables[table].position = Position()
+        confirmed_s = own.tables[table].confirmed_s
+        position = other.tables[table].content_position
+        heartbeat = Heartbeat(other.fleet.own, 10**6, VmState.READY, {table.value: position})
+        await site.vms[VM]._replication.on_heartbeat(heartbeat, read_clock_s())
+        await curio.sleep(0.1)
+        assert own.tables[table].position >= position
+        assert own.tables[table].confirmed_s - confirmed_s < 1.0
+
+    run_site(scenario)
