Avoid targets whose runs take three times the usual time, by what all VMs see

Cause: a target that turned slow or silent stayed the first choice of its objects for as long as it was ready; requests timed out there one after another, since the count of requests at a target falls with every timeout. Each VM saw few of them. VMs now compare runs with the usual time of the service, warm and cold apart, also of requests still unanswered, and report the targets where more runs were slow than not. A target with four more, over all VMs, is avoided for 2 s, then 4 s, 8 s.

Tried first: three runs more, and runs counted as not queued up to the last slot.

--- a/src/siskinward/coordination/steering/slow_targets.py
+++ b/src/siskinward/coordination/steering/slow_targets.py
@@ -36,7 +36,7 @@
     runs by ``slow_smoothing``, so that a slow target does not make slowness usual.
     """
 
-    is_enabled: bool = False
+    is_enabled: bool = True
     slow_ratio: float = 3.0
     min_excess: int = 4
     window_s: float = 2.0
