Judge a target by its latest runs, also while all its slots are taken

One of them took 74 requests that timed out and was never avoided: it had answered a moment before, so its good runs outweighed the slow ones for 2 s, and from then on every request found more requests than slots there and was left out as queued. Slow runs now count since the start of the last run that was not slow, and a run at a full target counts as slow once it takes more than its queue explains.

--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -56,7 +56,7 @@
     counts the VM's requests at targets, by ``short_id`` of the target's name. ``demand_per_s`` is
     the request rate of each client account at this VM. ``crashing_requests`` counts the targets
     lost to a request, by its fingerprint. ``warm`` names objects that began to run at targets.
-    ``slow`` counts by target's ``short_id`` how many more runs were slow than not.
+    ``slow`` counts by target's ``short_id`` the latest runs that were slow.
     """
 
     sender: EntryVm
--- a/src/siskinward/coordination/steering/slow_targets.py
+++ b/src/siskinward/coordination/steering/slow_targets.py
@@ -2,12 +2,13 @@
 
 Handles targets that go on as the first choice of their objects while requests time out there, one
 after another. Each VM compares its runs with those of all targets of the service, warm and cold
-ones apart, and tells the others where more of them were slow than not.
+ones apart, and tells the others where the latest ones were slow.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from math import inf
 from typing import TYPE_CHECKING
 
 from attrs import define
@@ -28,17 +29,19 @@
 class SlowTargetSettings:
     """When a target counts as slow, and for how long it is avoided.
 
-    A run is slow once it takes ``slow_ratio`` times the usual time. A target is avoided for
-    ``min_avoid_s`` when the VMs together saw ``min_excess`` more slow runs than others there within
-    ``window_s``, and twice as long each time that it is slow again soon, up to ``max_avoid_s``.
-    Until there are runs to compare with, a warm run is expected to take the latency objective and a
-    cold one ``cold_ratio`` times that. The usual time follows the runs by ``smoothing``, and slow
-    runs by ``slow_smoothing``, so that a slow target does not make slowness usual.
+    A run is slow once it takes ``slow_ratio`` times the usual time, or more in proportion if the
+    target had more requests than slots. A target is avoided for ``min_avoid_s`` when the VMs
+    together have seen ``min_slow_runs`` slow runs since its last other run, and twice as long each
+    time that it is slow again soon, up to ``max_avoid_s``. Runs that ended more than ``window_s``
+    ago don't count. Until there are runs to compare with, a warm run is expected to take the
+    latency objective and a cold one ``cold_ratio`` times that. The usual time follows the runs by
+    ``smoothing``, and slow runs by ``slow_smoothing``, so that a slow target does not make slowness
+    usual.
     """
 
     is_enabled: bool = True
     slow_ratio: float = 3.0
-    min_excess: int = 4
+    min_slow_runs: int = 5
     window_s: float = 2.0
     min_avoid_s: float = 2.0
     max_avoid_s: float = 8.0
@@ -49,11 +52,13 @@
 
 @define(eq=False)
 class Run:
-    """One request at a target; one that ``is_queued`` may have waited for a slot there."""
+    """One request at a target; ``load_ratio`` is the load there at its start, 1 if all slots are
+    taken.
+    """
 
     target: Target
     is_warm: bool
-    is_queued: bool
+    load_ratio: float
     objective_s: float
     started_s: float
 
@@ -66,14 +71,18 @@
 
 @define
 class _Observations:
-    """Ends of a target's recent runs: +1 for a slow run, -1 for another."""
+    """The latest start of a run that was not slow, and the starts and ends of later slow runs."""
+
+    sound_start_s: float = -inf
+    slow: deque[tuple[float, float]] = field(factory=deque)
 
-    signs: deque[tuple[float, int]] = field(factory=deque)
+    def record_sound(self, start_s: float) -> None:
+        self.sound_start_s = max(self.sound_start_s, start_s)
 
-    def excess(self, since_s: float) -> int:
-        while self.signs and self.signs[0][0] < since_s:
-            self.signs.popleft()
-        return sum(sign for _, sign in self.signs)
+    def count_slow(self, since_s: float) -> int:
+        while self.slow and self.slow[0][1] < since_s:
+            self.slow.popleft()
+        return sum(start_s > self.sound_start_s for start_s, _ in self.slow)
 
 
 class SlowTargets:
@@ -86,11 +95,10 @@
         self._observations: dict[int, _Observations] = {}
         self._avoided: dict[int, _Avoidance] = {}
 
-    def on_sent(
-        self, target: Target, *, is_warm: bool, is_queued: bool, objective_s: float, now_s: float
-    ) -> Run:
-        """Record a request that is sent to a target."""
-        run = Run(target, is_warm, is_queued, objective_s, now_s)
+    def on_sent(self, target: Target, *, is_warm: bool, objective_s: float, now_s: float) -> Run:
+        """Record a request that is sent to a target, whose load includes it already."""
+        load_ratio = target.load / target.record.slots
+        run = Run(target, is_warm, load_ratio, objective_s, now_s)
         self._running.setdefault(short_id(target.name), set()).add(run)
         return run
 
@@ -101,37 +109,43 @@
         runs.discard(run)
         if not runs:
             self._running.pop(target_id, None)
-        if run.is_queued or not (is_answered or is_timeout):
+        if not (is_answered or is_timeout):
             return
         is_slow = self._is_slow(run, now_s)
         observations = self._observations.setdefault(target_id, _Observations())
-        observations.signs.append((now_s, 1 if is_slow else -1))
-        if is_answered:
+        if is_slow:
+            observations.slow.append((run.started_s, now_s))
+        else:
+            observations.record_sound(run.started_s)
+        if is_answered and run.load_ratio < 1.0:
             self._record_usual(run, is_slow, now_s)
 
-    def own_excess(self, now_s: float) -> dict[int, int]:
-        """Return by target how many more runs of this VM were slow than not, where any were."""
+    def own_slow_runs(self, now_s: float) -> dict[int, int]:
+        """Return by target how many runs of this VM were slow since the last that was not."""
         since_s = now_s - self._settings.window_s
-        excess: dict[int, int] = {}
-        for target_id in [*self._observations]:
-            excess[target_id] = self._observations[target_id].excess(since_s)
-            if not self._observations[target_id].signs:
-                del self._observations[target_id]
+        counts: dict[int, int] = {}
+        for target_id, observations in self._observations.items():
+            counts[target_id] = observations.count_slow(since_s)
         for target_id, runs in self._running.items():
-            slow = sum(not run.is_queued and self._is_slow(run, now_s) for run in runs)
-            excess[target_id] = excess.get(target_id, 0) + slow
-        return {target_id: number for target_id, number in excess.items() if number > 0}
+            sound_start_s = self._sound_start_s(target_id)
+            slow = sum(run.started_s > sound_start_s and self._is_slow(run, now_s) for run in runs)
+            counts[target_id] = counts.get(target_id, 0) + slow
+        return {target_id: number for target_id, number in counts.items() if number > 0}
+
+    def _sound_start_s(self, target_id: int) -> float:
+        observations = self._observations.get(target_id)
+        return observations.sound_start_s if observations else -inf
 
     def update(self, others: Iterable[Mapping[int, int]], now_s: float) -> list[int]:
         """Add up what all VMs saw; return the ids of targets that are avoided from now on."""
-        totals = self.own_excess(now_s)
-        for excess in others:
-            for target_id, number in excess.items():
+        totals = self.own_slow_runs(now_s)
+        for counts in others:
+            for target_id, number in counts.items():
                 totals[target_id] = totals.get(target_id, 0) + number
         found = [
             target_id
             for target_id, number in totals.items()
-            if number >= self._settings.min_excess and not self._is_avoided(target_id, now_s)
+            if number >= self._settings.min_slow_runs and not self._is_avoided(target_id, now_s)
         ]
         for target_id in found:
             self._avoid(target_id, now_s)
@@ -160,12 +174,18 @@
 
     def _drop_ended(self, now_s: float) -> None:
         since_s = now_s - self._settings.max_avoid_s
+        self._observations = {
+            target_id: item
+            for target_id, item in self._observations.items()
+            if item.slow or item.sound_start_s > since_s
+        }
         self._avoided = {
             target_id: item for target_id, item in self._avoided.items() if item.until_s > since_s
         }
 
     def _is_slow(self, run: Run, now_s: float) -> bool:
-        return now_s - run.started_s > self._settings.slow_ratio * self._expected_s(run)
+        limit_s = self._settings.slow_ratio * self._expected_s(run) * max(1.0, run.load_ratio)
+        return now_s - run.started_s > limit_s
 
     def _expected_s(self, run: Run) -> float:
         usual_s = self._usual_s.get((run.target.record.service, run.is_warm))
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -131,7 +131,7 @@
             ages_s=self._ages_s(now_s),
             in_flight=self._in_flight(),
             warm=self._steering.warm.next_announcements(),
-            slow=self._steering.slow.own_excess(now_s),
+            slow=self._steering.slow.own_slow_runs(now_s),
         )
 
     def _create(self, now_s: float) -> Heartbeat:
@@ -147,7 +147,7 @@
             demand_per_s=steering.shares.publish(),
             crashing_requests=steering.crashes.own_losses(now_s),
             warm=steering.warm.next_announcements(),
-            slow=steering.slow.own_excess(now_s),
+            slow=steering.slow.own_slow_runs(now_s),
             held={name: copy.held_count for name, copy in self._loaded().items()},
         )
 
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -47,8 +47,6 @@
 BLOCKED_RETRY_AFTER_S = 1.0
 # Failed connects reached no target and don't count as attempts; they have a limit of their own.
 MAX_FAILED_CONNECTS = 3
-# Counts of requests at a target lag, so a run with more of the slots taken may have queued.
-QUEUE_FREE_SHARE = 0.7
 
 
 @define
@@ -227,7 +225,6 @@
         return self._steering.slow.on_sent(
             target,
             is_warm=placed.is_warm,
-            is_queued=target.load > QUEUE_FREE_SHARE * target.record.slots,
             objective_s=context.route.latency_objective_s,
             now_s=now_s,
         )
--- a/tests/coordination/steering/load_model.py
+++ b/tests/coordination/steering/load_model.py
@@ -197,12 +197,10 @@
         request = PlacementRequest(SERVICE, object_key, frozenset())
         placed = self._choose(self._placements[vm], self._tables[vm], request, self.now_s)
         if placed is not None:
-            is_queued = placed.target.load >= placed.target.record.slots
             placed = self._placements[vm].record_sent(request, placed, self.now_s)
             run = self._slow[vm].on_sent(
                 placed.target,
                 is_warm=placed.is_warm,
-                is_queued=is_queued,
                 objective_s=self._settings.objective_s,
                 now_s=self.now_s,
             )
@@ -262,7 +260,7 @@
     def _exchange_runs(self) -> None:
         """Tell every VM where objects ran and which targets were slow for the others."""
         pairs = [warm.next_announcements() for warm in self._warm]
-        excess = [slow.own_excess(self.now_s) for slow in self._slow]
+        excess = [slow.own_slow_runs(self.now_s) for slow in self._slow]
         for vm in range(len(self._tables)):
             for other in range(len(self._tables)):
                 if other != vm:
