--- a/src/siskinward/console/losses.py
+++ b/src/siskinward/console/losses.py
@@ -20,6 +20,8 @@
 SUCCESSES = range(200, 300)
 # A wait at the VM that took less of the latency objective than this is not what made it late.
 WAIT_SHARE = 0.1
+# A VM's log is never silent for this long, so a larger step means another clock.
+CLOCK_JUMP_S = 60.0
 
 
 class Loss(Enum):
@@ -86,23 +88,40 @@
     return Loss.QUEUED if send["load"] > send["slots"] else Loss.SLOW
 
 
+@define
+class _VmClock:
+    """Time since a VM's first line, over restarts."""
+
+    base_s: float
+    last_s: float = 0.0
+
+    def elapsed_s(self, line: LogLine) -> float:
+        elapsed_s = line.at_s - self.base_s
+        # The start line itself may be missing or unreadable.
+        if line.kind == "start" or abs(elapsed_s - self.last_s) > CLOCK_JUMP_S:
+            self.base_s = line.at_s - self.last_s
+            return self.last_s
+        self.last_s = elapsed_s
+        return elapsed_s
+
+
 def tabulate(lines: Iterable[LogLine], group_by: str, window_s: float) -> LossTable:
     """Count the losses of all request lines by a field of theirs, ``vm`` or ``window``.
 
-    A window counts from the first line of the same VM, since the clocks of VMs differ.
+    A window counts from the first line of the same VM, since the clocks of VMs differ. A VM that
+    starts again with another clock goes on from its last line, without the time that it was down.
     """
     table = LossTable()
-    first_s: dict[str, float] = {}
+    clocks: dict[str, _VmClock] = {}
     for line in lines:
-        started_s = first_s.setdefault(line.vm, line.at_s)
+        elapsed_s = clocks.setdefault(line.vm, _VmClock(line.at_s)).elapsed_s(line)
         if line.kind not in REQUEST_KINDS:
             continue
         match group_by:
             case "vm":
                 group = line.vm
             case "window":
-                since_s = (line.at_s - started_s) // window_s * window_s
-                group = f"from {since_s:5.0f} s"
+                group = f"from {elapsed_s // window_s * window_s:5.0f} s"
             case _:
                 group = str(line.fields.get(group_by) or "-")
         table.add(group, classify(line.fields))
--- a/src/siskinward/coordination/steering/warm_targets.py
+++ b/src/siskinward/coordination/steering/warm_targets.py
@@ -59,6 +59,11 @@
         self._announced_s: dict[WarmPair, float] = {}
         self._announcements: list[_Announcement] = []
 
+    @property
+    def pair_count(self) -> int:
+        """Number of remembered pairs."""
+        return sum(len(targets) for targets in self._used_s.values())
+
     def record_run(self, object_key: str, target: str, now_s: float) -> None:
         """Record that this VM sends a request for an object to a target."""
         pair = WarmPair(short_id(object_key), short_id(target))
@@ -88,21 +93,13 @@
         used_s = self._used_s.get(short_id(object_key), {}).get(short_id(target), -inf)
         return used_s > max(since_s, now_s - self._settings.keep_s)
 
-    def forget_run(self, object_key: str, target: str) -> None:
-        """Forget a pair whose request did not run."""
-        pair = WarmPair(short_id(object_key), short_id(target))
-        self._used_s.get(pair.object_id, {}).pop(pair.target_id, None)
-        self._announced_s.pop(pair, None)
-
-    def has_objects(self, target: str, now_s: float) -> bool:
-        """Return whether any object ran at a target lately."""
-        target_id = short_id(target)
-        since_s = now_s - self._settings.keep_s
-        return any(targets.get(target_id, since_s) > since_s for targets in self._used_s.values())
-
     def _record(self, pair: WarmPair, now_s: float) -> None:
         targets = self._used_s.setdefault(pair.object_id, {})
         targets[pair.target_id] = now_s
+        since_s = now_s - self._settings.keep_s
+        for target_id in [key for key, used_s in targets.items() if used_s <= since_s]:
+            del targets[target_id]
+            self._announced_s.pop(WarmPair(pair.object_id, target_id), None)
         self._used_s.move_to_end(pair.object_id)
         while len(self._used_s) > self._settings.max_objects:
             object_id, dropped = self._used_s.popitem(last=False)
--- a/tests/console/test_losses.py
+++ b/tests/console/test_losses.py
@@ -80,6 +80,23 @@
     assert "no VM read" in by_service.output
 
 
+@pytest.mark.parametrize("kind", ["start", "ready"])
+def test_losses_windows_go_on_after_a_restart_with_another_clock(tmp_path: Path, kind: str) -> None:
+    restart = {"kind": kind, "incarnation": "b"}
+    log = write_log(
+        tmp_path / "vm.log",
+        [
+            ("vm-1", 64_000.0, request(took_ms=100.0)),
+            ("vm-1", 64_004.0, request(took_ms=100.0)),
+            ("vm-1", 12.0, restart),
+            ("vm-1", 14.5, request()),
+        ],
+    )
+    output = CliRunner().invoke(main, ["losses", log, "--by", "window"]).output
+    assert "from     6 s: 1 of 1 requests" in output
+    assert "-" not in output.partition("Not in")[0]
+
+
 def test_losses_without_requests_fails(tmp_path: Path) -> None:
     log = write_log(tmp_path / "vm.log", [])
     assert CliRunner().invoke(main, ["losses", log]).exit_code != 0
--- a/tests/coordination/steering/test_warm_targets.py
+++ b/tests/coordination/steering/test_warm_targets.py
@@ -58,3 +58,10 @@
         own.record_run(f"listings/o{number}", "t1", float(number))
     warm = [own.is_warm(f"listings/o{n}", "t1", 3.0, since_s=-inf) for n in range(3)]
     assert warm == [False, True, True]
+
+
+def test_pairs_with_targets_that_are_gone_are_forgotten() -> None:
+    own = WarmTargets(SETTINGS)
+    for number in range(100):
+        own.record_run("listings/o1", f"t{number}", number * SETTINGS.keep_s)
+    assert own.pair_count == 1
