Count the time in which lost entries may return from the store's recovery

Cause: a VM that was cut off takes its own failed reads for an outage of the store, and for 2 s after it reaches the store again it keeps a removed target for 2.3 s more, since an entry that lapsed in an outage may return. Counted from the removal, that ends up to 4.3 s after the recovery and 2.3 s after the removal, where 2.0 s are allowed. An entry that is missing 2.3 s after the recovery is gone, whenever its removal was noticed.

The new test fails before and passes after.

--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -173,12 +173,15 @@
         """Remove the target whose entry was deleted or can't be decoded."""
         self.remove(TargetName(key))
 
-    def schedule_expiry(self, key: str, now_s: float) -> None:
-        """Let a target expire if its entry, lost in a store outage, does not return in time."""
+    def schedule_expiry(self, key: str, store_recovered_s: float) -> None:
+        """Let a target expire if its entry, lost in a store outage, does not return in time.
+
+        The time to return counts from the store's recovery, whenever its loss is noticed.
+        """
         target = self._targets.get(TargetName(key))
         if target is not None:
             target.expires_at_s = min(
-                target.expires_at_s, now_s + self._settings.missing_entry_grace_s
+                target.expires_at_s, store_recovered_s + self._settings.missing_entry_grace_s
             )
 
     def remove_expired(self, now_s: float) -> None:
--- a/src/siskinward/daemon/entry/store_updates.py
+++ b/src/siskinward/daemon/entry/store_updates.py
@@ -160,7 +160,7 @@
         if row.value is None:
             is_after_outage = now_s - self._store_recovered_s < STORE_OUTAGE_S
             if is_after_outage:
-                targets.schedule_expiry(row.key, now_s)
+                targets.schedule_expiry(row.key, self._store_recovered_s)
             else:
                 targets.remove_by_key(row.key)
             self._log.write(
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -463,3 +463,28 @@
         assert own.tables[table].confirmed_s - confirmed_s < 1.0
 
     run_site(scenario)
+
+
+def test_target_removed_soon_after_the_store_is_reached_again_gets_nothing_in_time(
+    run_site: Any,
+) -> None:
+    # A VM that was cut off takes its own failed reads for an outage of the store. Removed entries
+    # may return for a while then, counted from when the store is reached again.
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        leaving = site.targets["listings-bud-a-0"]
+        steering, updates = site.vms[VM].steering, site.vms[VM]._updates
+        updates.record_read_failure(read_clock_s())
+        copy = steering.tables[StoreTable.TARGETS]
+        copy.confirmed_s = read_clock_s() - 5.0
+        unchanged = Changes((), copy.position, copy.position)
+        updates.apply(StoreTable.TARGETS, unchanged, source="store", now_s=read_clock_s())
+        copy.confirmed_s = read_clock_s()
+        await curio.sleep(1.2)
+        await site.store.put("servers", leaving.name, None)
+        await curio.sleep(DRAIN_BOUND_S)
+        since_s = read_clock_s()
+        for number in range(20):
+            assert (await site.call(VM, f"/listings/{number}")).status == 200
+        assert runs_after([leaving], since_s) == 0
+
+    run_site(scenario)
