Give up on a VM that does not answer a connection before it holds up the others

Cause: a VM fetches a table from one host at a time, for up to 2 s. When the VM that read a change from the store lost power right after announcing it, the fetch from it lasted until then, and the announcements of the others were passed over; the configuration came by the VM's own read of the store after 1.9 s, or too late. Connecting now ends after 0.8 s.

The new test fails before and passes after.

--- a/src/siskinward/transport/peer_rows.py
+++ b/src/siskinward/transport/peer_rows.py
@@ -30,6 +30,8 @@
     from siskinward.protocol.heartbeats import RowsReply
 
 EXCHANGE_TIMEOUT_S = 2.0
+# A VM fetches a table from one host at a time, so a dead host must not hold up the others for long.
+CONNECT_TIMEOUT_S = 0.8
 LENGTH_SIZE_BYTES = 4
 # More transfers at once would share the link so thinly that no receiver could soon pass rows on.
 MAX_CONCURRENT_TRANSFERS = 8
@@ -39,11 +41,11 @@
 async def fetch_rows(host: str, port: int, request: RowsRequest) -> RowsReply:
     """Request rows from another VM. Raises ``OSError`` or ``PeerMessageError``."""
     try:
-        async with curio.timeout_after(EXCHANGE_TIMEOUT_S):
+        async with curio.timeout_after(CONNECT_TIMEOUT_S):
             sock = await connect(host, port)
-            async with sock:
-                await _send_frame(sock, encode_rows_request(request))
-                return decode_rows_reply(await _receive_frame(sock), read_clock_s())
+        async with curio.timeout_after(EXCHANGE_TIMEOUT_S), sock:
+            await _send_frame(sock, encode_rows_request(request))
+            return decode_rows_reply(await _receive_frame(sock), read_clock_s())
     except curio.TaskTimeout:
         raise OSError("timed out waiting for rows") from None
 
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -11,6 +11,7 @@
 
 from siskinward.coordination.steering.fleet import Heartbeat
 from siskinward.coordination.steering.fleet import VmState
+from siskinward.coordination.steering.rows import UNREAD
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import StoreTable
@@ -22,13 +23,13 @@
 from siskinward.platform.standins import StoreFault
 from siskinward.platform.standins import TargetStandIn
 from siskinward.protocol.heartbeats import Referral
+from siskinward.protocol.heartbeats import RowsRequest
 from siskinward.transport import peer_rows
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from siskinward.platform.standins import Site
     from siskinward.protocol.heartbeats import RowsReply
-    from siskinward.protocol.heartbeats import RowsRequest
     from siskinward.standins.memory_network import MemoryNetwork
 
 VM = "vm-bud-a-0"
@@ -488,3 +489,17 @@
         assert runs_after([leaving], since_s) == 0
 
     run_site(scenario)
+
+
+def test_fetch_from_a_vm_that_lost_power_leaves_time_to_fetch_from_another(run_site: Any) -> None:
+    # The VM that read a change from the store lost power right after it announced it.
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        dead, own = site.vms["vm-bud-a-1"].steering.entry, site.vms[VM].steering.entry
+        network.cut_hosts = {dead.host}
+        request = RowsRequest(StoreTable.OPERATOR.value, UNREAD, own.host)
+        started_s = read_clock_s()
+        with pytest.raises(OSError, match="timed out"):
+            await peer_rows.fetch_rows(dead.host, own.peer_port, request)
+        assert read_clock_s() - started_s <= CONFIGURATION_BOUND_S / 2
+
+    run_site(scenario)
