Write once what the change of the store's eras and of placement wrote twice

WarmTargets kept two maps of the same pairs in step; LossTable kept totals beside the counts that they follow from; heartbeats worked out the five fields of a load report again and read the fleet's heartbeats twice a step; an object's name was put together up to three times a request; the time of return of 2.3 s, the two followed tables, the reading of several logs and the store's outage before it comes back from a copy stood twice; Row was defined beside the held rows and re-exported; TableCopy and the codec of rows had defaults that only tests used; the loads of the benchmark and of the placement tests were copies. The test of slow targets uses the benchmark's load: the same numbers with other region names and the same bound.

Looked at and left: the three maps of SlowTargets by target, whose entries end at different times; the log kind store-era, named like the position's era; shapes of constructors and of settings classes.

--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -20,6 +20,9 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1] / "tests" / "coordination" / "steering"))
 
+from load_model import HALF_LOST  # noqa: E402
+from load_model import INVOICES  # noqa: E402
+from load_model import SLOW_INVOICE_TARGETS  # noqa: E402
 from load_model import LoadModel  # noqa: E402
 from load_model import LoadSettings  # noqa: E402
 from load_model import choose_placement  # noqa: E402
@@ -27,22 +30,11 @@
 from siskinward.coordination.steering.placement import PlacementSettings  # noqa: E402
 from siskinward.coordination.steering.slow_targets import SlowTargetSettings  # noqa: E402
 
-INVOICES = LoadSettings(
-    targets={"taipei": 6, "taichung": 2, "kaohsiung": 6},
-    rate_per_s=240.0,
-    slots=9,
-    objects_per_region=56,
-    cached_objects=54,
-    duration_s=18.0,
-)
-SLOW = ("taipei-0", "taipei-2", "taipei-4", "kaohsiung-1", "kaohsiung-3")
 LOADS = {
     "invoices, mean rate": INVOICES,
     "invoices, top of the wave": evolve(INVOICES, rate_per_s=370.0),
-    "invoices, five of 14 targets slow": evolve(INVOICES, slow_targets=SLOW),
-    "listings, half of the targets lost": LoadSettings(
-        targets={"budapest": 1, "debrecen": 2, "pecs": 3}, rate_per_s=100.0, duration_s=18.0
-    ),
+    "invoices, five of 14 targets slow": evolve(INVOICES, slow_targets=SLOW_INVOICE_TARGETS),
+    "listings, half of the targets lost": evolve(HALF_LOST, duration_s=INVOICES.duration_s),
 }
 
 
@@ -80,9 +72,11 @@
     seeds = parser.parse_args().seeds
     for name, load in LOADS.items():
         print(name)
-        all_on = mean(scores(load, VARIANTS["all on"], seeds))
-        for label, variant in VARIANTS.items():
-            values = scores(load, variant, seeds)
+        values_by_label = {
+            label: scores(load, variant, seeds) for label, variant in VARIANTS.items()
+        }
+        all_on = mean(values_by_label["all on"])
+        for label, values in values_by_label.items():
             print(
                 f"  {label:30} {mean(values):.4f}  {min(values):.4f} to {max(values):.4f}"
                 f"  {mean(values) - all_on:+.4f}"
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -257,10 +257,7 @@
         copy = self.store.take_copy()
         await curio.sleep(fault.for_s)
         _for_each(self.vms, VmProcess.record_disturbance)
-        self.store.fault = StoreFault.BUSY
-        await curio.sleep(STORE_AWAY_S)
-        await self.store.come_back_from(copy)
-        self.store.fault = StoreFault.NONE
+        await self.store.come_back_from(copy, away_s=STORE_AWAY_S)
         await curio.sleep(WRITTEN_AGAIN_S)
         await self._publish()
         drained = {withdrawal.name for withdrawal in self.checker.drained}
--- a/src/siskinward/console/_front.py
+++ b/src/siskinward/console/_front.py
@@ -46,10 +46,9 @@
     """Decode a VM's answer; raises ``PlatformUnavailableError`` unless it is a JSON object."""
     try:
         answer = json.loads(body)
+        if not isinstance(answer, dict):
+            raise ValueError(f"expected a JSON object, found {answer!r}")
     except ValueError as error:
         message = f"{address} does not answer like a VM: {error}"
         raise PlatformUnavailableError(message, "Check the address.") from error
-    if not isinstance(answer, dict):
-        message = f"{address} does not answer like a VM: expected a JSON object, found {answer!r}"
-        raise PlatformUnavailableError(message, "Check the address.")
     return answer
--- a/src/siskinward/console/commands/explain.py
+++ b/src/siskinward/console/commands/explain.py
@@ -10,6 +10,7 @@
 from siskinward.console._exit_codes import ExitCode
 from siskinward.console.vm_logs import VmLogs
 from siskinward.console.vm_logs import format_timeline
+from siskinward.console.vm_logs import read_vm_logs
 
 
 @click.command()
@@ -31,9 +32,7 @@
         files.insert(0, click.open_file(request_id, errors="replace"))
     if not files:
         raise click.UsageError("Name at least one log, or '-' for standard input.")
-    vm_logs = VmLogs()
-    for file in files:
-        vm_logs.read(file)
+    vm_logs = read_vm_logs(files)
     if vm_logs.unreadable:
         click.echo(f"{vm_logs.unreadable} lines could not be read and were skipped", err=True)
     if reason is not None:
--- a/src/siskinward/console/commands/losses.py
+++ b/src/siskinward/console/commands/losses.py
@@ -9,7 +9,7 @@
 
 from siskinward.console._exit_codes import ExitCode
 from siskinward.console.losses import tabulate
-from siskinward.console.vm_logs import VmLogs
+from siskinward.console.vm_logs import read_vm_logs
 
 GROUPS = ("service", "route", "account", "vm", "window")
 NOT_IN_LOGS = (
@@ -30,12 +30,10 @@
 
     Exit codes: 0 printed, 1 no request in the logs.
     """
-    vm_logs = VmLogs()
-    for file in logs:
-        vm_logs.read(file)
+    vm_logs = read_vm_logs(logs)
     table = tabulate(vm_logs.lines, group_by, window_s)
     click.echo("\n".join(table.format()))
     if vm_logs.unreadable or vm_logs.left_out:
         click.echo(f"{vm_logs.unreadable} lines unreadable, {vm_logs.left_out} left out under load")
     click.echo(NOT_IN_LOGS, err=True)
-    ctx.exit(ExitCode.OK if table.totals else ExitCode.INVALID_INPUT)
+    ctx.exit(ExitCode.OK if table.counts else ExitCode.INVALID_INPUT)
--- a/src/siskinward/console/losses.py
+++ b/src/siskinward/console/losses.py
@@ -38,30 +38,30 @@
 
 @define
 class LossTable:
-    """Counts of requests by why they lost, for each value of a grouping field."""
+    """Counts of requests by why they lost, for each value of a grouping field.
 
-    totals: Counter[str] = field(factory=Counter)
-    losses: dict[str, Counter[str]] = field(factory=dict)
+    The key None counts those that were answered in time.
+    """
+
+    counts: dict[str, Counter[str | None]] = field(factory=dict)
 
     def add(self, group: str, loss: str | None) -> None:
         """Count a request; ``loss`` is None if it was answered in time."""
-        self.totals[group] += 1
-        if loss is not None:
-            self.losses.setdefault(group, Counter())[loss] += 1
+        self.counts.setdefault(group, Counter())[loss] += 1
 
     def format(self) -> list[str]:
         """Return the table as lines, the group with the most losses first."""
         lines = []
-        for group in sorted(self.totals, key=self._lost, reverse=True):
-            lines.append(f"{group}: {self._lost(group)} of {self.totals[group]} requests")
+        for group in sorted(self.counts, key=self._lost, reverse=True):
+            counts = self.counts[group]
+            lines.append(f"{group}: {self._lost(group)} of {counts.total()} requests")
             lines += [
-                f"  {count:7d}  {loss}"
-                for loss, count in self.losses.get(group, Counter()).most_common()
+                f"  {count:7d}  {loss}" for loss, count in counts.most_common() if loss is not None
             ]
         return lines
 
     def _lost(self, group: str) -> int:
-        return sum(self.losses.get(group, Counter()).values())
+        return self.counts[group].total() - self.counts[group][None]
 
 
 def classify(fields: dict[str, Any]) -> str | None:
--- a/src/siskinward/console/vm_logs.py
+++ b/src/siskinward/console/vm_logs.py
@@ -130,6 +130,14 @@
         return earlier[starts[-1] :] if starts else earlier
 
 
+def read_vm_logs(files: Iterable[Iterable[str]]) -> VmLogs:
+    """Read the logs of several files."""
+    vm_logs = VmLogs()
+    for file in files:
+        vm_logs.read(file)
+    return vm_logs
+
+
 def _parse(text: str) -> LogLine | None:
     try:
         fields = json.loads(text)
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -191,7 +191,6 @@
             positions=report.positions,
             ages_s=report.ages_s,
             in_flight=report.in_flight,
-            warm=report.warm,
             slow=report.slow,
         )
         peer.last_received_s = now_s
--- a/src/siskinward/coordination/steering/held_rows.py
+++ b/src/siskinward/coordination/steering/held_rows.py
@@ -8,34 +8,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from collections.abc import Iterable
-from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 from attrs import define
 from attrs import frozen
 
-MAX_REMOVED_ROWS = 1000
-
+from siskinward.coordination.steering.row import Row
 
-@frozen
-class Row:
-    """One row as of ``version``; ``value`` is None where the row was removed."""
-
-    key: str
-    value: bytes | None
-    version: int
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
 
+    from siskinward.coordination.steering.row import RevisionOf
 
-@frozen(order=True)
-class RowRevision:
-    """The writer's own numbering of a row: the writer's start time, and a count since then."""
-
-    started_ms: int
-    number: int
-
-
-RevisionOf = Callable[[Row], RowRevision | None]
+MAX_REMOVED_ROWS = 1000
 
 
 @frozen
--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -15,7 +15,6 @@
 from attrs import frozen
 
 from siskinward.coordination.steering.ranking import TargetRanking
-from siskinward.coordination.steering.ranking import object_name
 from siskinward.coordination.steering.targets import Target
 from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import ServiceName
@@ -65,6 +64,11 @@
     home_regions: frozenset[RegionName]
     tried: frozenset[TargetName] = frozenset()
 
+    @property
+    def object_name(self) -> str:
+        """Name of the object among those of all services; empty if there is none."""
+        return f"{self.service}/{self.object_key}" if self.object_key else ""
+
 
 @frozen
 class Placed:
@@ -130,7 +134,7 @@
     def _choose_among(
         self, request: PlacementRequest, candidates: list[Target], now_s: float
     ) -> Placed | NoCapacity:
-        ranked = self._ranking.rank(request.service, request.object_key, candidates)
+        ranked = self._ranking.rank(request.service, request.object_name, candidates)
         warm_seen = 0
         for target in ranked:
             if target.is_cold(now_s):
@@ -152,16 +156,12 @@
                 break
         return NoCapacity()
 
-    def _warm_targets(
-        self, request: PlacementRequest, ranked: list[Target], now_s: float
-    ) -> list[Target]:
-        return [target for target in ranked if self._is_warm(request, target, now_s)]
-
     def _is_warm(self, request: PlacementRequest, target: Target, now_s: float) -> bool:
         if target.is_cold(now_s):
             return False
-        key = object_name(request.service, request.object_key)
-        return self._warm.is_warm(key, target.name, now_s, since_s=target.cold_since_s)
+        return self._warm.is_warm(
+            request.object_name, target.name, now_s, since_s=target.cold_since_s
+        )
 
     def _find_warm(
         self, request: PlacementRequest, ranked: list[Target], full: Target, now_s: float
@@ -169,16 +169,16 @@
         """Find a target with a free slot that has the object warm, besides the ``full`` one."""
         if not request.object_key or not self._settings.spills_to_warm:
             return None
-        for target in self._warm_targets(request, ranked, now_s):
-            if target is not full and target.load < target.record.slots:
+        for target in ranked:
+            is_free = target is not full and target.load < target.record.slots
+            if is_free and self._is_warm(request, target, now_s):
                 return target
         return None
 
     def considered(self, request: PlacementRequest, now_s: float) -> list[ConsideredTarget]:
         """Return the targets that rank first for a request, to log when none has capacity."""
-        ordered = self._ranking.rank(
-            request.service, request.object_key, self._candidates(request, now_s)
-        )
+        candidates = self._candidates(request, now_s)
+        ordered = self._ranking.rank(request.service, request.object_name, candidates)
         return [
             ConsideredTarget(item.name, item.load, item.record.slots, item.state_name(now_s))
             for item in ordered[: self._settings.choices]
@@ -190,13 +190,12 @@
         return sum(max(0, target.record.slots - target.load) for target in usable)
 
     def record_sent(self, request: PlacementRequest, placed: Placed, now_s: float) -> Placed:
-        """Count a request that is sent to a target; return whether its object is warm there."""
+        """Count a request that is sent to a target; return the placement with ``is_warm`` set."""
         target = placed.target
         is_warm = self._is_warm(request, target, now_s)
         target.in_flight += 1
         if request.object_key:
-            key = object_name(request.service, request.object_key)
-            self._warm.record_run(key, target.name, now_s)
+            self._warm.record_run(request.object_name, target.name, now_s)
         if target.is_cold(now_s):
             self._warmup_limiter.record_sent(target)
         return evolve(placed, is_warm=is_warm)
--- a/src/siskinward/coordination/steering/ranking.py
+++ b/src/siskinward/coordination/steering/ranking.py
@@ -19,11 +19,6 @@
     from siskinward.state.identifiers import ServiceName
 
 
-def object_name(service: ServiceName, object_key: str) -> str:
-    """Return the name of an object among those of all services."""
-    return f"{service}/{object_key}"
-
-
 class TargetRanking:
     """Ranks targets by weighted rendezvous hashing, or by load for requests without an object."""
 
@@ -41,16 +36,17 @@
         self._weights: dict[ServiceName, dict[RegionName, float]] = {}
         self._weights_revision = -1
 
-    def rank(self, service: ServiceName, object_key: str, candidates: list[Target]) -> list[Target]:
-        """Return the candidates, the preferred one first; an empty key stands for no object."""
-        if not object_key:
+    def rank(
+        self, service: ServiceName, object_name: str, candidates: list[Target]
+    ) -> list[Target]:
+        """Return the candidates, the preferred one first; an empty name stands for no object."""
+        if not object_name:
             shuffled = self._random.sample(candidates, len(candidates))
             return sorted(shuffled, key=lambda target: target.load / target.record.slots)
-        name = object_name(service, object_key)
         weights = self._region_weights(service)
         return sorted(
             candidates,
-            key=lambda target: rendezvous_score(name, target.name)
+            key=lambda target: rendezvous_score(object_name, target.name)
             * weights[target.region]
             * target.record.slots,
             reverse=True,
--- a/src/siskinward/coordination/steering/rows.py
+++ b/src/siskinward/coordination/steering/rows.py
@@ -11,20 +11,9 @@
 from siskinward.coordination.steering.held_rows import HeldRow
 from siskinward.coordination.steering.held_rows import HeldRows
 from siskinward.coordination.steering.held_rows import HoldSettings
-from siskinward.coordination.steering.held_rows import RevisionOf
-from siskinward.coordination.steering.held_rows import Row
-from siskinward.coordination.steering.held_rows import RowRevision
-
-__all__ = [
-    "Changes",
-    "HistoryDropped",
-    "Position",
-    "Row",
-    "RowRevision",
-    "Snapshot",
-    "StoreTable",
-    "TableCopy",
-]
+from siskinward.coordination.steering.row import ENTRY_RETURN_S
+from siskinward.coordination.steering.row import RevisionOf
+from siskinward.coordination.steering.row import Row
 
 MAX_HISTORY_ROWS = 4000
 
@@ -37,13 +26,17 @@
     VMS = "vms"
 
 
+# The tables that entry VMs follow while they run; the third is read at a start only.
+FOLLOWED_TABLES = (StoreTable.OPERATOR, StoreTable.TARGETS)
+
+
 # An evacuation that the operator ended may be requested again within these times, so its row is
 # held for less time than operators allow for an evacuation to take effect. A target's row that
 # still exists after four heartbeats belongs to a live target; one that is still missing after the
 # usual time of return belongs to none.
 HOLD_SETTINGS = {
     StoreTable.OPERATOR: HoldSettings(older_s=10.0, missing_s=10.0, removed_s=3.0),
-    StoreTable.TARGETS: HoldSettings(older_s=10.0, missing_s=2.3, removed_s=8.0),
+    StoreTable.TARGETS: HoldSettings(older_s=10.0, missing_s=ENTRY_RETURN_S, removed_s=8.0),
     StoreTable.VMS: HoldSettings(older_s=0.0, missing_s=0.0, removed_s=0.0),
 }
 
@@ -86,10 +79,6 @@
     """The store no longer has the requested changes; the whole table has to be read."""
 
 
-def _no_revision(row: Row) -> RowRevision | None:
-    return None
-
-
 class TableCopy:
     """Copy of one table, and the position in the store's sequence of transactions that it reflects.
 
@@ -99,9 +88,7 @@
     held rows override the store's; ``rows`` and the changes that ``apply`` returns include them.
     """
 
-    def __init__(
-        self, table: StoreTable = StoreTable.VMS, revision_of: RevisionOf = _no_revision
-    ) -> None:
+    def __init__(self, table: StoreTable, revision_of: RevisionOf) -> None:
         self.position = Position()
         self.content_position = Position()
         self.is_loaded = False
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -8,6 +8,7 @@
 from attrs import define
 from attrs import frozen
 
+from siskinward.coordination.steering.row import ENTRY_RETURN_S
 from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import TargetName
 from siskinward.state.serving import TargetRecord
@@ -28,7 +29,7 @@
     store was unavailable is kept for ``missing_entry_grace_s``.
     """
 
-    missing_entry_grace_s: float = 2.3
+    missing_entry_grace_s: float = ENTRY_RETURN_S
     min_suspend_s: float = 0.5
     max_suspend_s: float = 2.0
     error_smoothing: float = 0.2
--- a/src/siskinward/coordination/steering/warm_targets.py
+++ b/src/siskinward/coordination/steering/warm_targets.py
@@ -44,6 +44,14 @@
     target_id: int
 
 
+@define
+class _Use:
+    """When a pair was last used, as far as known, and when any VM last announced it."""
+
+    used_s: float
+    announced_s: float = -inf
+
+
 @define
 class _Announcement:
     pair: WarmPair
@@ -55,30 +63,27 @@
 
     def __init__(self, settings: WarmSettings) -> None:
         self._settings = settings
-        self._used_s: OrderedDict[int, dict[int, float]] = OrderedDict()
-        self._announced_s: dict[WarmPair, float] = {}
+        self._uses: OrderedDict[int, dict[int, _Use]] = OrderedDict()
         self._announcements: list[_Announcement] = []
 
     @property
     def pair_count(self) -> int:
         """Number of remembered pairs."""
-        return sum(len(targets) for targets in self._used_s.values())
+        return sum(len(targets) for targets in self._uses.values())
 
-    def record_run(self, object_key: str, target: str, now_s: float) -> None:
+    def record_run(self, object_name: str, target: str, now_s: float) -> None:
         """Record that this VM sends a request for an object to a target."""
-        pair = WarmPair(short_id(object_key), short_id(target))
-        self._record(pair, now_s)
-        last_s = self._announced_s.get(pair)
-        if last_s is None or now_s - last_s >= self._settings.announce_again_s:
-            self._announced_s[pair] = now_s
+        pair = WarmPair(short_id(object_name), short_id(target))
+        use = self._record(pair, now_s)
+        if now_s - use.announced_s >= self._settings.announce_again_s:
+            use.announced_s = now_s
             reports = self._settings.reports_per_announcement
             self._announcements.append(_Announcement(pair, reports))
 
     def record_announced(self, pairs: Iterable[WarmPair], now_s: float) -> None:
         """Record pairs that another VM announced."""
         for pair in pairs:
-            self._record(pair, now_s)
-            self._announced_s[pair] = now_s
+            self._record(pair, now_s).announced_s = now_s
 
     def next_announcements(self) -> tuple[WarmPair, ...]:
         """Return the pairs to send with the next report."""
@@ -88,20 +93,19 @@
         self._announcements = [item for item in self._announcements if item.reports_left > 0]
         return pairs
 
-    def is_warm(self, object_key: str, target: str, now_s: float, *, since_s: float) -> bool:
+    def is_warm(self, object_name: str, target: str, now_s: float, *, since_s: float) -> bool:
         """Return whether an object ran lately at a target that lost its cache at ``since_s``."""
-        used_s = self._used_s.get(short_id(object_key), {}).get(short_id(target), -inf)
-        return used_s > max(since_s, now_s - self._settings.keep_s)
+        use = self._uses.get(short_id(object_name), {}).get(short_id(target))
+        return use is not None and use.used_s > max(since_s, now_s - self._settings.keep_s)
 
-    def _record(self, pair: WarmPair, now_s: float) -> None:
-        targets = self._used_s.setdefault(pair.object_id, {})
-        targets[pair.target_id] = now_s
+    def _record(self, pair: WarmPair, now_s: float) -> _Use:
+        targets = self._uses.setdefault(pair.object_id, {})
+        use = targets.setdefault(pair.target_id, _Use(now_s))
+        use.used_s = now_s
         since_s = now_s - self._settings.keep_s
-        for target_id in [key for key, used_s in targets.items() if used_s <= since_s]:
+        for target_id in [key for key, item in targets.items() if item.used_s <= since_s]:
             del targets[target_id]
-            self._announced_s.pop(WarmPair(pair.object_id, target_id), None)
-        self._used_s.move_to_end(pair.object_id)
-        while len(self._used_s) > self._settings.max_objects:
-            object_id, dropped = self._used_s.popitem(last=False)
-            for target_id in dropped:
-                self._announced_s.pop(WarmPair(object_id, target_id), None)
+        self._uses.move_to_end(pair.object_id)
+        while len(self._uses) > self._settings.max_objects:
+            self._uses.popitem(last=False)
+        return use
--- a/src/siskinward/daemon/entry/deployment_report.py
+++ b/src/siskinward/daemon/entry/deployment_report.py
@@ -24,7 +24,7 @@
 from siskinward.transport.outbound_connection import OutboundConnection
 
 if TYPE_CHECKING:
-    from siskinward.coordination.steering.rows import Row
+    from siskinward.coordination.steering.row import Row
     from siskinward.daemon.entry.ports import Platform
     from siskinward.state.serving import EntrySettings
 
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -13,7 +13,7 @@
 from siskinward.coordination.steering.fleet import Heartbeat
 from siskinward.coordination.steering.fleet import LoadReport
 from siskinward.coordination.steering.hashing import short_id
-from siskinward.daemon.entry.replication import FOLLOWED_TABLES
+from siskinward.coordination.steering.rows import FOLLOWED_TABLES
 from siskinward.protocol.heartbeats import PeerMessageError
 from siskinward.protocol.heartbeats import decode_datagram
 from siskinward.protocol.heartbeats import encode_heartbeat
@@ -60,8 +60,9 @@
             self._steering.shares.update_demand(now_s)
             self._steering.issuer.update_membership(now_s)
             self._steering.targets.remove_expired(now_s)
-            self._update_load_elsewhere(now_s)
-            self._update_slow_targets(now_s)
+            heartbeats = self._steering.fleet.heartbeats(now_s)
+            self._update_load_elsewhere(heartbeats)
+            self._update_slow_targets(heartbeats, now_s)
             if self._is_heartbeat_due(step, now_s):
                 await self.send()
             else:
@@ -136,18 +137,18 @@
 
     def _create(self, now_s: float) -> Heartbeat:
         steering = self._steering
-        self._number += 1
+        report = self._create_report(now_s)
         return Heartbeat(
             sender=steering.fleet.own,
-            number=self._number,
+            number=report.number,
             state=steering.fleet.state,
-            positions=self._positions(),
-            ages_s=self._ages_s(now_s),
-            in_flight=self._in_flight(),
+            positions=report.positions,
+            ages_s=report.ages_s,
+            in_flight=report.in_flight,
+            warm=report.warm,
+            slow=report.slow,
             demand_per_s=steering.shares.publish(),
             crashing_requests=steering.crashes.own_losses(now_s),
-            warm=steering.warm.next_announcements(),
-            slow=steering.slow.own_slow_runs(now_s),
             held={name: copy.held_count for name, copy in self._loaded().items()},
         )
 
@@ -171,8 +172,7 @@
             if target.in_flight
         }
 
-    def _update_slow_targets(self, now_s: float) -> None:
-        heartbeats = self._steering.fleet.heartbeats(now_s)
+    def _update_slow_targets(self, heartbeats: list[Heartbeat], now_s: float) -> None:
         found = set(self._steering.slow.update((item.slow for item in heartbeats), now_s))
         if not found:
             return
@@ -180,8 +180,7 @@
             if short_id(target.name) in found:
                 self._log.write("target-slow", {"target": target.name, "load": target.load})
 
-    def _update_load_elsewhere(self, now_s: float) -> None:
-        heartbeats = self._steering.fleet.heartbeats(now_s)
+    def _update_load_elsewhere(self, heartbeats: list[Heartbeat]) -> None:
         for target in self._steering.targets.all():
             key = short_id(target.name)
             target.in_flight_elsewhere = sum(
--- a/src/siskinward/daemon/entry/metrics_page.py
+++ b/src/siskinward/daemon/entry/metrics_page.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from siskinward.coordination.steering.rows import StoreTable
+from siskinward.coordination.steering.rows import FOLLOWED_TABLES
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpResponse
 
@@ -122,7 +122,7 @@
             "Time since the store vouched for a table.",
             labels=("table",),
         )
-        for table in (StoreTable.OPERATOR, StoreTable.TARGETS):
+        for table in FOLLOWED_TABLES:
             confirmed_s = steering.tables[table].confirmed_s
             if confirmed_s > -inf:
                 ages.add_metric((table.value,), now_s - confirmed_s)
@@ -140,7 +140,7 @@
         held = GaugeMetricFamily(
             PREFIX + "rows_held", "Rows held against an older store.", labels=("table",)
         )
-        for table in (StoreTable.OPERATOR, StoreTable.TARGETS):
+        for table in FOLLOWED_TABLES:
             copy = self._steering.tables[table]
             eras.add_metric((table.value,), copy.position.era)
             held.add_metric((table.value,), copy.held_count)
--- a/src/siskinward/daemon/entry/ports.py
+++ b/src/siskinward/daemon/entry/ports.py
@@ -12,11 +12,11 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from siskinward.coordination.steering.row import Row
+    from siskinward.coordination.steering.row import RowRevision
     from siskinward.coordination.steering.rows import Changes
     from siskinward.coordination.steering.rows import HistoryDropped
     from siskinward.coordination.steering.rows import Position
-    from siskinward.coordination.steering.rows import Row
-    from siskinward.coordination.steering.rows import RowRevision
     from siskinward.coordination.steering.rows import Snapshot
     from siskinward.coordination.steering.rows import StoreTable
     from siskinward.protocol.steering_headers import SteeringHeaders
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -11,6 +11,7 @@
 from attrs import evolve
 
 from siskinward.coordination.steering.fleet import VmState
+from siskinward.coordination.steering.rows import FOLLOWED_TABLES
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.daemon.entry.dispatcher import Dispatcher
 from siskinward.daemon.entry.heartbeats import HeartbeatExchange
@@ -145,7 +146,7 @@
         )
         await self._spawn_servers()
         await self._spawn(self._stay_registered)
-        for table in (StoreTable.OPERATOR, StoreTable.TARGETS):
+        for table in FOLLOWED_TABLES:
             await self._spawn(self._replication.follow, table)
         await self._spawn(self._heartbeats.send_periodically, self._after_heartbeat)
         await self._spawn(close_idle_periodically, self._pool)
--- a/src/siskinward/daemon/entry/replication.py
+++ b/src/siskinward/daemon/entry/replication.py
@@ -9,6 +9,7 @@
 import curio
 from attrs import frozen
 
+from siskinward.coordination.steering.rows import FOLLOWED_TABLES
 from siskinward.coordination.steering.rows import UNREAD
 from siskinward.coordination.steering.rows import HistoryDropped
 from siskinward.coordination.steering.rows import Snapshot
@@ -36,7 +37,6 @@
     _Pull = Callable[[StoreTable, Heartbeat], Awaitable[Any]]
 
 STORE_SOURCE = "store"
-FOLLOWED_TABLES = (StoreTable.OPERATOR, StoreTable.TARGETS)
 
 
 @frozen
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -38,7 +38,7 @@
 from siskinward.state.serving import ServingIndex
 
 if TYPE_CHECKING:
-    from siskinward.coordination.steering.held_rows import RevisionOf
+    from siskinward.coordination.steering.row import RevisionOf
 
 INCARNATION_BYTES = 6
 
--- a/src/siskinward/daemon/entry/store_updates.py
+++ b/src/siskinward/daemon/entry/store_updates.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from siskinward.coordination.steering.row import Row
     from siskinward.coordination.steering.rows import Changes
-    from siskinward.coordination.steering.rows import Row
     from siskinward.coordination.steering.rows import Snapshot
     from siskinward.coordination.steering.rows import TableCopy
     from siskinward.daemon.entry.ports import Platform
--- a/src/siskinward/platform/_operator.py
+++ b/src/siskinward/platform/_operator.py
@@ -9,7 +9,7 @@
 from siskinward.state.identifiers import DomainName
 
 if TYPE_CHECKING:
-    from siskinward.coordination.steering.rows import Row
+    from siskinward.coordination.steering.row import Row
     from siskinward.state.serving import ServingConfiguration
 
 CONFIGURATION_KEY = "config"
--- a/src/siskinward/platform/_revisions.py
+++ b/src/siskinward/platform/_revisions.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from siskinward.coordination.steering.rows import Row
-from siskinward.coordination.steering.rows import RowRevision
+from siskinward.coordination.steering.row import Row
+from siskinward.coordination.steering.row import RowRevision
 from siskinward.platform._configuration import decode_configuration
 from siskinward.platform._operator import CONFIGURATION_KEY
 from siskinward.platform._operator import EVACUATION_PREFIX
--- a/src/siskinward/platform/_store.py
+++ b/src/siskinward/platform/_store.py
@@ -8,10 +8,10 @@
 from typing import Any
 from urllib.parse import urlencode
 
+from siskinward.coordination.steering.row import Row
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import HistoryDropped
 from siskinward.coordination.steering.rows import Position
-from siskinward.coordination.steering.rows import Row
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.state.errors import SiskinwardError
--- a/src/siskinward/platform/adapter.py
+++ b/src/siskinward/platform/adapter.py
@@ -17,8 +17,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from siskinward.coordination.steering.rows import Row
-    from siskinward.coordination.steering.rows import RowRevision
+    from siskinward.coordination.steering.row import Row
+    from siskinward.coordination.steering.row import RowRevision
     from siskinward.daemon.entry.ports import Evacuation
     from siskinward.daemon.entry.ports import LookupRequest
     from siskinward.state.serving import EntrySettings
--- a/src/siskinward/platform/standins/_store.py
+++ b/src/siskinward/platform/standins/_store.py
@@ -113,13 +113,16 @@
         """Return a copy of the rows, to come back from."""
         return StoreCopy(dict(self._rows), tuple(self._history), self._version)
 
-    async def come_back_from(self, copy: StoreCopy) -> None:
-        """Lose everything that was written since a copy was taken, versions included."""
+    async def come_back_from(self, copy: StoreCopy, *, away_s: float) -> None:
+        """Refuse calls for a while, then lose what was written since the copy, versions too."""
+        self.fault = StoreFault.BUSY
+        await curio.sleep(away_s)
         self._rows = dict(copy.rows)
         self._history = list(copy.history)
         self._compacted_version = min(self._compacted_version, copy.version)
         self._version = copy.version
         self.era += 1
+        self.fault = StoreFault.NONE
         await self._changed.set()
 
     def keys(self, table: str) -> set[str]:
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgpack
+from attrs import astuple
 from attrs import frozen
 
 from siskinward.coordination.steering.account_tokens import TokenAsk
@@ -15,9 +16,9 @@
 from siskinward.coordination.steering.fleet import LoadReport
 from siskinward.coordination.steering.fleet import VmState
 from siskinward.coordination.steering.held_rows import HeldRow
+from siskinward.coordination.steering.row import Row
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import Position
-from siskinward.coordination.steering.rows import Row
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.warm_targets import WarmPair
 from siskinward.state.identifiers import AccountName
@@ -197,7 +198,7 @@
         raise PeerMessageError(f"malformed request for rows: {error}") from error
 
 
-def encode_rows_reply(reply: RowsReply, now_s: float = 0.0) -> bytes:
+def encode_rows_reply(reply: RowsReply, now_s: float) -> bytes:
     """Encode the reply to a request for rows; held rows are sent with the time that is left."""
     match reply:
         case Referral(hosts=hosts):
@@ -211,7 +212,7 @@
     return zlib.compress(msgpack.packb(fields))
 
 
-def decode_rows_reply(data: bytes, now_s: float = 0.0) -> RowsReply:
+def decode_rows_reply(data: bytes, now_s: float) -> RowsReply:
     """Decode the reply to a request for rows; raises ``PeerMessageError``."""
     try:
         message_type, *rest = _unpack(zlib.decompress(data))
@@ -250,16 +251,12 @@
 def _encode_in_flight(message: Heartbeat | LoadReport) -> dict[Any, Any]:
     fields: dict[Any, Any] = dict(message.in_flight)
     if message.warm:
-        fields[WARM_KEY] = [number for pair in message.warm for number in _pair_ids(pair)]
+        fields[WARM_KEY] = [id_ for pair in message.warm for id_ in astuple(pair)]
     if message.slow:
         fields[SLOW_KEY] = message.slow
     return fields
 
 
-def _pair_ids(pair: WarmPair) -> tuple[int, int]:
-    return (pair.object_id, pair.target_id)
-
-
 def _decode_in_flight(fields: dict[Any, Any]) -> dict[int, int]:
     return {key: int(count) for key, count in fields.items() if isinstance(key, int)}
 
--- a/src/siskinward/transport/peer_rows.py
+++ b/src/siskinward/transport/peer_rows.py
@@ -86,7 +86,7 @@
                     return
                 if self._active_transfers >= MAX_CONCURRENT_TRANSFERS:
                     hosts = tuple(self._served_hosts.get(request.table, ()))
-                    await _send_frame(sock, encode_rows_reply(Referral(hosts)))
+                    await _send_frame(sock, encode_rows_reply(Referral(hosts), read_clock_s()))
                 else:
                     await self._send_rows(sock, request, update)
         except (curio.TaskTimeout, OSError, PeerMessageError):
--- a/tests/coordination/steering/load_model.py
+++ b/tests/coordination/steering/load_model.py
@@ -62,6 +62,23 @@
     seed: int = 7
 
 
+# Orgonahaz on its scale days: 79 listings per second at 12 targets of 3 slots. With cold targets
+# this load would need 51 slots, and there are only 36.
+SCALE_DAY = LoadSettings(targets={"budapest": 6, "debrecen": 2, "pecs": 4}, rate_per_s=79.0)
+# A hot account and an evacuated region: only 6 targets for 100 requests per second.
+HALF_LOST = LoadSettings(targets={"budapest": 1, "debrecen": 2, "pecs": 3}, rate_per_s=100.0)
+# Statements of an invoicing service, at targets with many slots.
+INVOICES = LoadSettings(
+    targets={"taipei": 6, "taichung": 2, "kaohsiung": 6},
+    rate_per_s=240.0,
+    slots=9,
+    objects_per_region=56,
+    cached_objects=54,
+    duration_s=18.0,
+)
+SLOW_INVOICE_TARGETS = ("taipei-0", "taipei-2", "taipei-4", "kaohsiung-1", "kaohsiung-3")
+
+
 @define
 class LoadResult:
     """Counts of requests by outcome, and of runs without a cached object."""
@@ -260,9 +277,10 @@
     def _exchange_runs(self) -> None:
         """Tell every VM where objects ran and which targets were slow for the others."""
         pairs = [warm.next_announcements() for warm in self._warm]
-        excess = [slow.own_slow_runs(self.now_s) for slow in self._slow]
+        slow_runs = [slow.own_slow_runs(self.now_s) for slow in self._slow]
         for vm in range(len(self._tables)):
             for other in range(len(self._tables)):
                 if other != vm:
                     self._warm[vm].record_announced(pairs[other], self.now_s)
-            self._slow[vm].update([item for i, item in enumerate(excess) if i != vm], self.now_s)
+            others = [item for i, item in enumerate(slow_runs) if i != vm]
+            self._slow[vm].update(others, self.now_s)
--- a/tests/coordination/steering/test_placement.py
+++ b/tests/coordination/steering/test_placement.py
@@ -6,6 +6,10 @@
 
 import pytest
 from attrs import evolve
+from load_model import HALF_LOST
+from load_model import INVOICES
+from load_model import SCALE_DAY
+from load_model import SLOW_INVOICE_TARGETS
 from load_model import LoadModel
 from load_model import LoadSettings
 from load_model import choose_placement
@@ -34,20 +38,6 @@
 BUDAPEST, DEBRECEN, PECS = (RegionName(name) for name in ("budapest", "debrecen", "pecs"))
 DOMAINS = {DomainName(f"{name}-1"): name for name in (BUDAPEST, DEBRECEN, PECS)}
 
-# Orgonahaz on its scale days: 79 listings per second at 12 targets of 3 slots. With cold targets
-# this load would need 51 slots, and there are only 36.
-SCALE_DAY = LoadSettings(targets={"budapest": 6, "debrecen": 2, "pecs": 4}, rate_per_s=79.0)
-# A hot account and an evacuated region: only 6 targets for 100 requests per second.
-# Statements of an invoicing service, at targets with many slots.
-STATEMENTS = LoadSettings(
-    targets={"budapest": 6, "debrecen": 2, "pecs": 6},
-    rate_per_s=240.0,
-    slots=9,
-    objects_per_region=56,
-    cached_objects=54,
-)
-HALF_LOST = LoadSettings(targets={"budapest": 1, "debrecen": 2, "pecs": 3}, rate_per_s=100.0)
-
 
 def placement_of(table: TargetTable, region: RegionName, vm: int = 0) -> Placement:
     limiter = WarmupLimiter(fleet_of(8, own=vm))
@@ -100,8 +90,7 @@
 
 def test_placement_slow_targets_are_avoided_while_they_are_slow() -> None:
     # Five of fourteen targets take twelve times as long for nine seconds; no connection breaks.
-    slow = ("budapest-0", "budapest-2", "budapest-4", "pecs-1", "pecs-3")
-    load = evolve(STATEMENTS, duration_s=18.0, slow_targets=slow)
+    load = evolve(INVOICES, slow_targets=SLOW_INVOICE_TARGETS)
     avoiding = LoadModel(load, choose_placement, slow=SlowTargetSettings(is_enabled=True)).run()
     staying = LoadModel(load, choose_placement, slow=SlowTargetSettings(is_enabled=False)).run()
     assert avoiding.score > staying.score + 0.02
--- a/tests/coordination/steering/test_rows.py
+++ b/tests/coordination/steering/test_rows.py
@@ -5,11 +5,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from siskinward.coordination.steering.row import Row
 from siskinward.coordination.steering.rows import UNREAD
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import Position
-from siskinward.coordination.steering.rows import Row
 from siskinward.coordination.steering.rows import Snapshot
+from siskinward.coordination.steering.rows import StoreTable
 from siskinward.coordination.steering.rows import TableCopy
 
 NOW_S = 0.0
@@ -19,6 +20,11 @@
     return Position(0, version)
 
 
+def new_copy() -> TableCopy:
+    """Return an empty copy of a table whose writers number nothing."""
+    return TableCopy(StoreTable.VMS, lambda row: None)
+
+
 class _Store:
     """A table with all its past states, by version."""
 
@@ -64,7 +70,7 @@
     store = _Store()
     for key, value in writes:
         store.write(key, value)
-    copy = TableCopy()
+    copy = new_copy()
     for is_whole, one, other in steps:
         after, position = sorted((min(one, store.version), min(other, store.version)))
         before = copy.position
@@ -79,7 +85,7 @@
     writes: list[tuple[str, bytes | None]], positions: list[int]
 ) -> None:
     store = _Store()
-    source, receiver = TableCopy(), TableCopy()
+    source, receiver = new_copy(), new_copy()
     source.apply(store.snapshot(0), NOW_S)
     for (key, value), _ in zip(writes, range(12), strict=False):
         store.write(key, value)
@@ -94,20 +100,20 @@
 
 
 def test_copy_without_a_first_snapshot_takes_no_changes() -> None:
-    copy = TableCopy()
+    copy = new_copy()
     assert copy.apply(Changes((Row("a", b"1", 1),), at(0), at(1)), NOW_S) == ()
     assert not copy.is_loaded
 
 
 def test_copy_content_position_stands_still_while_other_tables_change() -> None:
-    copy = TableCopy()
+    copy = new_copy()
     copy.apply(Snapshot((Row("a", b"1", 3),), at(5)), NOW_S)
     copy.apply(Changes((), at(5), at(90)), NOW_S)
     assert (copy.content_position, copy.position) == (at(5), at(90))
 
 
 def test_copy_snapshot_reports_what_was_removed_meanwhile() -> None:
-    copy = TableCopy()
+    copy = new_copy()
     copy.apply(Snapshot((Row("a", b"1", 1), Row("b", b"1", 2)), at(2)), NOW_S)
     changed = copy.apply(Snapshot((Row("b", b"1", 2), Row("c", b"1", 4)), at(5)), NOW_S)
     assert changed == (Row("c", b"1", 4), Row("a", None, 5))
--- a/tests/coordination/steering/test_rows_after_restore.py
+++ b/tests/coordination/steering/test_rows_after_restore.py
@@ -9,11 +9,11 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
+from siskinward.coordination.steering.row import Row
+from siskinward.coordination.steering.row import RowRevision
 from siskinward.coordination.steering.rows import UNREAD
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import Position
-from siskinward.coordination.steering.rows import Row
-from siskinward.coordination.steering.rows import RowRevision
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.coordination.steering.rows import TableCopy
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -8,6 +8,8 @@
 import curio
 import pytest
 from attrs import evolve
+from site_calls import call_all
+from site_calls import runs_after
 
 from siskinward.coordination.steering.fleet import Heartbeat
 from siskinward.coordination.steering.fleet import VmState
@@ -40,19 +42,6 @@
 ROWS_TRANSFER_S = 0.2
 
 
-def runs_after(targets: list[TargetStandIn], since_s: float) -> int:
-    return sum(run.started_s > since_s for target in targets for run in target.runs)
-
-
-async def call_all(site: Site, rounds: int, path: str = "/listings/{}") -> list[int]:
-    """Send ``rounds`` requests for different objects to each VM, to spread them over targets."""
-    statuses = []
-    for number in range(rounds):
-        for vm in site.vms:
-            statuses.append((await site.call(vm, path.format(number))).status)
-    return statuses
-
-
 def test_new_configuration_is_active_on_every_vm_in_time(run_site: Any) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
         site.configuration.spec("routes", "r-listings")["prefix"] = "/moved/"
@@ -378,7 +367,7 @@
     encode, send = peer_rows.encode_rows_reply, peer_rows._send_frame
     rows_replies: set[bytes] = set()
 
-    def record_rows(reply: RowsReply, now_s: float = 0.0) -> bytes:
+    def record_rows(reply: RowsReply, now_s: float) -> bytes:
         data = encode(reply, now_s)
         if not isinstance(reply, Referral):
             rows_replies.add(data)
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -10,8 +10,9 @@
 from typing import Any
 
 import curio
+from site_calls import call_all
+from site_calls import runs_after
 
-from siskinward.platform.standins import StoreFault
 from siskinward.platform.standins import TargetStandIn
 from siskinward.transport.clock import read_clock_s
 
@@ -42,10 +43,7 @@
 
 
 async def come_back(site: Site, copy: Any) -> None:
-    site.store.fault = StoreFault.BUSY
-    await curio.sleep(AWAY_S)
-    await site.store.come_back_from(copy)
-    site.store.fault = StoreFault.NONE
+    await site.store.come_back_from(copy, away_s=AWAY_S)
 
 
 async def move_listings(site: Site, path: str) -> None:
@@ -60,15 +58,7 @@
 
 
 async def statuses(site: Site, path: str, rounds: int = 1, key: str = "key-1") -> set[int]:
-    return {
-        (await site.call(vm, path.format(number), key=key)).status
-        for number in range(rounds)
-        for vm in site.vms
-    }
-
-
-def runs_after(target: TargetStandIn, since_s: float) -> int:
-    return sum(run.started_s > since_s for run in target.runs)
+    return set(await call_all(site, rounds, path, key))
 
 
 async def assert_gets_nothing(site: Site, target: TargetStandIn, for_s: float) -> None:
@@ -76,7 +66,7 @@
     while read_clock_s() < since_s + for_s:
         await statuses(site, "/listings/{}", rounds=6)
         await curio.sleep(0.2)
-    assert runs_after(target, since_s) == 0
+    assert runs_after([target], since_s) == 0
 
 
 def test_lost_configuration_stays_in_force_and_later_ones_are_followed(run_site: Any) -> None:
@@ -155,12 +145,12 @@
         site.targets[new.name] = new
         since_s = read_clock_s()
         await assert_gets_nothing(site, old, WRITTEN_AGAIN_S)
-        assert runs_after(new, since_s) > 0
+        assert runs_after([new], since_s) > 0
         await site.report(new)
         await curio.sleep(10.0)
         since_s = read_clock_s()
         assert await statuses(site, "/listings/{}", rounds=10) == {200}
-        assert runs_after(new, since_s) > 0
+        assert runs_after([new], since_s) > 0
 
     run_site(scenario)
 
--- a/tests/transport/test_peer_rows.py
+++ b/tests/transport/test_peer_rows.py
@@ -8,9 +8,9 @@
 import pytest
 
 from siskinward.coordination.steering.held_rows import HeldRow
+from siskinward.coordination.steering.row import Row
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import Position
-from siskinward.coordination.steering.rows import Row
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.protocol.heartbeats import PeerMessageError
 from siskinward.protocol.heartbeats import Referral
@@ -26,6 +26,7 @@
 
 HOST, PORT = "10.0.0.1", 7600
 TABLE = "operator"
+NOW_S = 0.0
 TRANSFER_S = 0.2
 ROWS = (Row("config", b"x" * 40, 7), Row("evacuate/a", None, 9))
 
@@ -45,7 +46,7 @@
 
 def _decode(data: bytes) -> RowsReply | None:
     try:
-        return decode_rows_reply(data)
+        return decode_rows_reply(data, NOW_S)
     except PeerMessageError:
         return None
 
@@ -88,10 +89,12 @@
     ],
 )
 def test_rows_reply_round_trip(reply: RowsReply) -> None:
-    assert decode_rows_reply(encode_rows_reply(reply)) == reply
+    assert decode_rows_reply(encode_rows_reply(reply, NOW_S), NOW_S) == reply
 
 
-@pytest.mark.parametrize("data", [b"", b"not compressed", encode_rows_reply(Referral(()))[:-4]])
+@pytest.mark.parametrize(
+    "data", [b"", b"not compressed", encode_rows_reply(Referral(()), NOW_S)[:-4]]
+)
 def test_unreadable_rows_reply_is_refused(data: bytes) -> None:
     with pytest.raises(PeerMessageError):
-        decode_rows_reply(data)
+        decode_rows_reply(data, NOW_S)
