Pass over exactly the tests that KNOWN-RED.txt lists

Change: a line 'test: NODE-ID' makes the run expect that test to fail. One that passes, or an entry that names no test, fails the run; the listed tests that failed are printed. No test is listed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,9 +6,13 @@
 
 import pytest
 from hypothesis import settings
+from known_red import pytest_collection_modifyitems as pytest_collection_modifyitems
+from known_red import pytest_terminal_summary as pytest_terminal_summary
 
 from siskinward.standins import paused_clock
 
+pytest_plugins = ["pytester"]
+
 settings.register_profile("repeatable", derandomize=True, deadline=None, print_blob=True)
 settings.load_profile("repeatable")
 
