Read, log and show the rate limits that targets state

Cause: nothing in logs or metrics said which limit of a target a VM knows, so 'no VM reads it' and 'each VM keeps to it alone' could not be told apart: both predict the arrivals of the incident. Change: LimitReader decodes the header of each answer; a change is logged as target-limit, the limit in force is a metric. A malformed value is logged and changes nothing; an answer that was not run, or a probe's, states a limit but ends none. The stand-in of targets states limits and records all arrivals. No decision uses the limit yet.

--- a/src/siskinward/daemon/entry/metrics_page.py
+++ b/src/siskinward/daemon/entry/metrics_page.py
@@ -130,6 +130,7 @@
         yield from self._store_eras()
         yield self._retry_budget(now_s)
         yield self._targets(now_s)
+        yield self._target_limits()
 
     def _store_eras(self) -> Iterator[Any]:
         from prometheus_client.core import GaugeMetricFamily
@@ -171,3 +172,17 @@
         for labels, count in counts.items():
             family.add_metric(labels, count)
         return family
+
+    def _target_limits(self) -> Any:
+        from prometheus_client.core import GaugeMetricFamily
+
+        family = GaugeMetricFamily(
+            PREFIX + "target_limit_per_second",
+            "Rate limits that targets state.",
+            labels=("service", "target"),
+        )
+        for target in self._steering.targets.all():
+            rate_per_s = self._steering.limits.rate_per_s(target.name)
+            if rate_per_s is not None:
+                family.add_metric((target.record.service, target.name), rate_per_s)
+        return family
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -15,6 +15,7 @@
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.daemon.entry.dispatcher import Dispatcher
 from siskinward.daemon.entry.heartbeats import HeartbeatExchange
+from siskinward.daemon.entry.limit_reader import LimitReader
 from siskinward.daemon.entry.lookup_handler import LookupHandler
 from siskinward.daemon.entry.metrics import EntryMetrics
 from siskinward.daemon.entry.metrics_page import MetricsPage
@@ -90,7 +91,8 @@
         self._store = platform.create_store(settings)
         self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id)
         self._dispatcher = Dispatcher(self._steering)
-        sender = Sender(self._steering, platform.headers, self._pool)
+        limit_reader = LimitReader(self._steering, platform.headers, self._log)
+        sender = Sender(self._steering, platform.headers, self._pool, limit_reader)
         metrics = EntryMetrics()
         self._datagrams = PeerDatagramSocket(settings.host, settings.peer_port)
         quota = QuotaEnforcer(QuotaSettings(), self._steering, self._datagrams)
@@ -101,7 +103,9 @@
         metrics_page = MetricsPage(
             metrics, self._steering, self._dispatcher, self._store, self._log
         )
-        self._probes = TargetProber(self._steering, platform.headers, self._pool, self._log)
+        self._probes = TargetProber(
+            self._steering, platform.headers, self._pool, limit_reader, self._log
+        )
         lookup_handler = LookupHandler(self._steering, platform)
         self._front = FrontServer(handler.handle)
         self._lookups = FrontServer(lookup_handler.handle_lookup)
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.targets import Target
+    from siskinward.daemon.entry.limit_reader import LimitReader
     from siskinward.daemon.entry.steering import Steering
     from siskinward.protocol.steering_headers import SteeringHeaders
     from siskinward.transport.target_pool import TargetPool
@@ -78,10 +79,17 @@
 class Sender:
     """Encodes the request for a target, sends it and classifies the outcome."""
 
-    def __init__(self, steering: Steering, headers: SteeringHeaders, pool: TargetPool) -> None:
+    def __init__(
+        self,
+        steering: Steering,
+        headers: SteeringHeaders,
+        pool: TargetPool,
+        limit_reader: LimitReader,
+    ) -> None:
         self._steering = steering
         self._headers = headers
         self._pool = pool
+        self._limit_reader = limit_reader
 
     async def send(self, outgoing: OutgoingRequest, target: Target) -> SendResult:
         """Send a request to a target and wait for its answer until the deadline."""
@@ -127,6 +135,7 @@
         if load is not None:
             target.record_reported_load(load.requests)
         if response.header(self._headers.not_run) is not None:
+            self._limit_reader.read(response, target, may_end_limit=False)
             is_full = load is not None and load.requests >= load.slots
             if is_full:
                 return NotRun(SendFailure.FULL)
@@ -137,6 +146,7 @@
         if not is_matching or response.header(self._headers.signature) is None:
             targets.on_error(target)
             return OutcomeUnknown(SendFailure.GARBLED)
+        self._limit_reader.read(response, target, may_end_limit=True)
         self._steering.crashes.on_answer(outgoing.fingerprint)
         is_error = response.status >= SERVER_ERROR
         if is_error:
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -28,6 +28,7 @@
 from siskinward.coordination.steering.slow_targets import SlowTargets
 from siskinward.coordination.steering.slow_targets import SlowTargetSettings
 from siskinward.coordination.steering.splits import RouteSplitter
+from siskinward.coordination.steering.target_limits import TargetLimits
 from siskinward.coordination.steering.targets import TargetSettings
 from siskinward.coordination.steering.targets import TargetTable
 from siskinward.coordination.steering.warm_targets import WarmSettings
@@ -71,6 +72,7 @@
     placement: Placement
     warm: WarmTargets
     slow: SlowTargets
+    limits: TargetLimits
     shares: AccountShares
     issuer: TokenIssuer
     retries: RetryBudget
@@ -119,6 +121,7 @@
         ),
         warm=warm,
         slow=slow,
+        limits=TargetLimits(),
         shares=AccountShares(settings.shares, fleet, now_s),
         issuer=TokenIssuer(settings.tokens, entry.bounds, fleet),
         retries=RetryBudget(settings.retries, entry.bounds, fleet),
--- a/src/siskinward/daemon/entry/target_prober.py
+++ b/src/siskinward/daemon/entry/target_prober.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.targets import Target
+    from siskinward.daemon.entry.limit_reader import LimitReader
     from siskinward.daemon.entry.steering import Steering
     from siskinward.protocol.steering_headers import SteeringHeaders
     from siskinward.transport.decision_log import DecisionLog
@@ -26,16 +27,23 @@
 class TargetProber:
     """Probes targets at their service's health path.
 
-    Only three things are taken from a probe: whether the target answers, its name and its
-    remaining warm-up time. The health that a target reports is ignored: it may be wrong either way.
+    Only four things are taken from a probe: whether the target answers, its name, its remaining
+    warm-up time and a rate limit. The health that a target reports is ignored: it may be wrong
+    either way.
     """
 
     def __init__(
-        self, steering: Steering, headers: SteeringHeaders, pool: TargetPool, log: DecisionLog
+        self,
+        steering: Steering,
+        headers: SteeringHeaders,
+        pool: TargetPool,
+        limit_reader: LimitReader,
+        log: DecisionLog,
     ) -> None:
         self._steering = steering
         self._headers = headers
         self._pool = pool
+        self._limit_reader = limit_reader
         self._log = log
         self._probing: set[str] = set()
 
@@ -80,6 +88,7 @@
             targets.remove(target.name)
             self._log.write("target-replaced", {"target": target.name, "by": name.decode()})
             return
+        self._limit_reader.read(response, target, may_end_limit=False)
         warmup_ms = response.header(self._headers.warmup_left_ms) or b"0"
         warmup_left_s = int(warmup_ms) / 1000.0 if warmup_ms.isdigit() else service.warmup_s
         targets.on_reached(target, warmup_left_s, read_clock_s())
--- a/src/siskinward/platform/_headers.py
+++ b/src/siskinward/platform/_headers.py
@@ -16,4 +16,5 @@
     load=b"x-backend-load",
     not_run=b"x-not-executed",
     warmup_left_ms=b"x-warmup-ms",
+    rate_limit=b"server-limit",
 )
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -51,7 +51,9 @@
 
     Reports at most ``slots`` requests as running and the others as waiting, and sheds requests
     while ``4 * slots`` are being handled. ``fault`` affects the next ``remaining_faults``
-    requests. ``advertised_host`` is where callers reach the target, if that is not ``host``.
+    requests. ``rate_limit`` is stated in every answer, as given. ``arrivals_s`` has the time of
+    each request that reached the target, probes included, misdirected ones not. ``advertised_host``
+    is where callers reach the target, if that is not ``host``.
     """
 
     name: str
@@ -66,7 +68,9 @@
     remaining_faults: int = 1_000_000
     warmup_left_ms: int = 0
     advertised_host: str = ""
+    rate_limit: str | None = None
     runs: list[RunRecord] = field(factory=list)
+    arrivals_s: list[float] = field(factory=list)
     probes: int = 0
     heartbeat: int = 1
     _running: int = 0
@@ -147,14 +151,15 @@
         return bool(http.our_state is h11.DONE)
 
     async def _handle(self, request: HttpRequest, sock: Any) -> HttpResponse | None:
-        if request.target == "/health":
-            self.probes += 1
-            return self._health()
         expected = request.header(HEADERS.expected_target)
         if expected is not None and expected.decode() != self.name:
             return HttpResponse(421, ((HEADERS.target, self.name.encode()),))
+        self.arrivals_s.append(read_clock_s())
+        if request.target == "/health":
+            self.probes += 1
+            return self._health()
         if self._try_inject(TargetFault.SHEDS) or self._running >= self.slots * 4:
-            return HttpResponse(503, ((HEADERS.not_run, b"1"), self._load()))
+            return HttpResponse(503, ((HEADERS.not_run, b"1"), self._load(), *self._limit()))
         return await self._run(request, sock)
 
     async def _run(self, request: HttpRequest, sock: Any) -> HttpResponse | None:
@@ -184,6 +189,7 @@
             (HEADERS.attempt_id, record.attempt_id.encode()),
             (HEADERS.signature, f"{self.name}.{record.attempt_id}".encode()),
             self._load(),
+            *self._limit(),
         )
         return HttpResponse(status, headers, f"{self.name} ran {record.attempt_id}".encode())
 
@@ -209,10 +215,16 @@
         load = f"{running},{self._running - running},{self.slots}"
         return (HEADERS.load, load.encode())
 
+    def _limit(self) -> tuple[tuple[bytes, bytes], ...]:
+        if self.rate_limit is None:
+            return ()
+        return ((HEADERS.rate_limit, self.rate_limit.encode()),)
+
     def _health(self) -> HttpResponse:
         headers = (
             (HEADERS.target, self.name.encode()),
             (HEADERS.warmup_left_ms, str(self.warmup_left_ms).encode()),
+            *self._limit(),
         )
         return HttpResponse(200, headers)
 
--- a/src/siskinward/protocol/steering_headers.py
+++ b/src/siskinward/protocol/steering_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -12,6 +13,7 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 BEARER = b"bearer "
+RATE_LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -34,7 +36,8 @@
     """Lower-case names of the header fields, which the platform adapter defines.
 
     ``signature`` marks responses that the target itself produced, ``not_run`` its responses to
-    requests that it did not run.
+    requests that it did not run. In ``rate_limit`` a target states how many requests a second it
+    accepts from all VMs together.
     """
 
     attempt_id: bytes
@@ -47,6 +50,7 @@
     load: bytes
     not_run: bytes
     warmup_left_ms: bytes
+    rate_limit: bytes
 
 
 @frozen
@@ -66,6 +70,35 @@
     return ReportedLoad(running + waiting, slots)
 
 
+@frozen
+class RateLimit:
+    """The header states a rate limit."""
+
+    rate_per_s: float
+
+
+@frozen
+class NoRateLimit:
+    """The header is missing: no rate limit is stated."""
+
+
+@frozen
+class MalformedRateLimit:
+    """The header holds no decimal number."""
+
+    text: str
+
+
+def decode_rate_limit(value: bytes | None) -> RateLimit | NoRateLimit | MalformedRateLimit:
+    """Decode a rate limit in requests per second, a decimal number without sign or exponent."""
+    if value is None:
+        return NoRateLimit()
+    text = value.decode("latin-1").strip()
+    if not RATE_LIMIT_PATTERN.fullmatch(text):
+        return MalformedRateLimit(text)
+    return RateLimit(float(text))
+
+
 def bearer_key(value: bytes | None) -> str | None:
     """Return the key of an ``Authorization`` field, or None if it holds no bearer token."""
     if value is None or not value.lower().startswith(BEARER):
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import pytest
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from pathlib import Path
 
 FILE_NAME = "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from siskinward.platform._headers import HEADERS
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.outbound_connection import OutboundConnection
 
@@ -13,18 +14,14 @@
     from siskinward.standins.memory_network import MemoryNetwork
 
 VM = "vm-bud-a-0"
+SAME_OBJECT = ((HEADERS.object_key, b"1"),)
 
 
 def test_metrics_show_requests_refusals_and_ages(run_site: Any) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
         await site.call(VM)
         await site.call(VM, key="stolen")
-        address = site.vms[VM].steering.entry.metrics
-        connection = OutboundConnection(address.host, address.port)
-        await connection.connect(1.0)
-        request = HttpRequest("GET", "/metrics", ((b"host", b"vm"),))
-        text = (await connection.exchange(request, 1.0)).body.decode()
-        await connection.close()
+        text = await read_metrics(site)
         requests = 'siskinward_entry_requests_total{service="listings",status="200"} 1.0'
         assert requests in text
         assert 'siskinward_entry_refusals_total{reason="key-unknown",service=""} 1.0' in text
@@ -34,3 +31,39 @@
         assert 'siskinward_entry_targets{service="listings",state="usable"} 4.0' in text
 
     run_site(scenario)
+
+
+def test_stated_limit_is_logged_and_shown_until_it_ends(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        for target in site.targets.values():
+            target.rate_limit = "1.5"
+        await site.call(VM, headers=SAME_OBJECT)
+        name = next(target.name for target in site.targets.values() if target.runs)
+        line = f'siskinward_entry_target_limit_per_second{{service="listings",target="{name}"}} 1.5'
+        assert line in await read_metrics(site)
+        for target in site.targets.values():
+            target.rate_limit = "a few"
+        await site.call(VM, headers=SAME_OBJECT)
+        assert line in await read_metrics(site)
+        for target in site.targets.values():
+            target.rate_limit = None
+        await site.call(VM, headers=SAME_OBJECT)
+        assert line not in await read_metrics(site)
+        logged = [item for item in site.lines(VM) if item["kind"].startswith("target-limit")]
+        assert [item.get("rate_per_s", item.get("value")) for item in logged] == [
+            1.5,
+            "a few",
+            None,
+        ]
+
+    run_site(scenario)
+
+
+async def read_metrics(site: Site) -> str:
+    address = site.vms[VM].steering.entry.metrics
+    connection = OutboundConnection(address.host, address.port)
+    await connection.connect(1.0)
+    request = HttpRequest("GET", "/metrics", ((b"host", b"vm"),))
+    text = (await connection.exchange(request, 1.0)).body.decode()
+    await connection.close()
+    return text
