--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import curio
+
 from siskinward.platform._headers import HEADERS
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.outbound_connection import OutboundConnection
@@ -14,6 +16,7 @@
     from siskinward.standins.memory_network import MemoryNetwork
 
 VM = "vm-bud-a-0"
+LOG_FLUSH_S = 1.0
 SAME_OBJECT = ((HEADERS.object_key, b"1"),)
 
 
@@ -49,6 +52,7 @@
             target.rate_limit = None
         await site.call(VM, headers=SAME_OBJECT)
         assert line not in await read_metrics(site)
+        await curio.sleep(LOG_FLUSH_S)
         logged = [item for item in site.lines(VM) if item["kind"].startswith("target-limit")]
         assert [item.get("rate_per_s", item.get("value")) for item in logged] == [
             1.5,
