--- a/src/siskinward/coordination/steering/account_tokens.py
+++ b/src/siskinward/coordination/steering/account_tokens.py
@@ -2,9 +2,7 @@
 
 Handles accounts with few requests at each VM, where a divided limit would leave one VM short while
 another has tokens to spare. One VM, selected by rendezvous hashing among the live ones, issues an
-account's tokens at the account's rate, scaled by the fraction of all VMs that it reaches: each side
-of a partition has its own issuer, and together they issue no more than the whole rate. Unused
-tokens expire soon.
+account's tokens at the account's rate. Unused tokens expire soon.
 """
 
 from __future__ import annotations
@@ -14,13 +12,14 @@
 from attrs import define
 from attrs import frozen
 
-from siskinward.coordination.token_bucket import TokenBucket
+from siskinward.coordination.steering.fleet_buckets import FleetBuckets
+from siskinward.coordination.steering.fleet_buckets import FleetLimit
 from siskinward.state.identifiers import AccountName
-from siskinward.state.identifiers import IncarnationId
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.fleet import EntryVm
     from siskinward.coordination.steering.fleet import Fleet
+    from siskinward.coordination.steering.fleet_buckets import FleetBucket
     from siskinward.state.serving import AccountPolicy
     from siskinward.state.serving import ServingBounds
 
@@ -48,11 +47,10 @@
 class TokenSettings:
     """Tokens of an issuer after a takeover, and the lifetime of tokens.
 
-    When the live VMs change, another VM may have been the issuer before and have granted the burst:
-    the issuer starts with no more than the rate earns in ``takeover_s``. ``token_ttl_s`` bounds how
-    long a VM may hold tokens. The bucket holds the burst and, to absorb uneven arrivals,
-    ``slack_fraction`` of the requests that operators tolerate beyond a limit. Rejected callers are
-    told to retry after at most ``max_retry_after_s``.
+    After a takeover the issuer has no more tokens than the rate earns in ``takeover_s``.
+    ``token_ttl_s`` bounds how long a VM may hold tokens. The bucket holds the burst and, to absorb
+    uneven arrivals, ``slack_fraction`` of the requests that operators tolerate beyond a limit.
+    Rejected callers are told to retry after at most ``max_retry_after_s``.
     """
 
     takeover_s: float = 0.4
@@ -61,13 +59,6 @@
     max_retry_after_s: float = 2.0
 
 
-@define
-class _Bucket(TokenBucket):
-    """Token bucket of one account; it schedules the retries of rejected requests one by one."""
-
-    next_retry_s: float = 0.0
-
-
 @define
 class _Batch:
     tokens: int
@@ -81,9 +72,7 @@
         self._settings = settings
         self.bounds = bounds
         self._fleet = fleet
-        self._buckets: dict[AccountName, _Bucket] = {}
-        self._incarnations: frozenset[IncarnationId] = frozenset()
-        self._unchanged_since_s = 0.0
+        self._buckets = FleetBuckets(settings.takeover_s, fleet)
 
     def issuer_of(self, account: AccountName, now_s: float) -> EntryVm:
         """Return the VM that issues an account's tokens, by this VM's view of the live VMs."""
@@ -95,40 +84,24 @@
 
     def update_membership(self, now_s: float) -> None:
         """Check whether the live VMs have changed; call it about once per heartbeat."""
-        incarnations = frozenset(vm.incarnation for vm in self._fleet.live(now_s))
-        if incarnations != self._incarnations:
-            self._incarnations = incarnations
-            self._unchanged_since_s = now_s
+        self._buckets.update_membership(now_s)
 
     def grant(self, account: AccountPolicy, ask: TokenAsk, now_s: float) -> TokenGrant:
         """Issue tokens, at most as many as wanted."""
         self.update_membership(now_s)
-        scale = min(
-            1.0, self._fleet.unsuspected_vm_count(now_s) / self._fleet.presumed_vm_count(now_s)
-        )
-        bucket = self._refill(account, scale, now_s)
+        bucket = self._buckets.refill(account.name, self._limit_of(account), now_s)
         granted = min(max(0, ask.wanted), int(bucket.tokens))
         bucket.tokens -= granted
-        retry_after_s = 0.0 if granted else self._retry_after_s(bucket, account, scale, now_s)
+        retry_after_s = 0.0 if granted else self._retry_after_s(bucket, account, now_s)
         return TokenGrant(ask.number, account.name, granted, retry_after_s)
 
-    def _refill(self, account: AccountPolicy, scale: float, now_s: float) -> _Bucket:
-        rate_per_s = account.rate_per_s * scale
-        takeover_tokens = rate_per_s * self._settings.takeover_s
-        since_s = self._unchanged_since_s
-        bucket = self._buckets.get(account.name)
-        if bucket is None:
-            bucket = self._buckets[account.name] = _Bucket(takeover_tokens, since_s)
-        elif bucket.refilled_at_s < since_s:
-            bucket.refill(rate_per_s, takeover_tokens, since_s)
+    def _limit_of(self, account: AccountPolicy) -> FleetLimit:
         slack = self.bounds.quota_slack_requests * self._settings.slack_fraction
-        bucket.refill(rate_per_s, max(1.0, (account.burst_requests + slack) * scale), now_s)
-        return bucket
+        return FleetLimit(account.rate_per_s, account.burst_requests + slack)
 
-    def _retry_after_s(
-        self, bucket: _Bucket, account: AccountPolicy, scale: float, now_s: float
-    ) -> float:
-        next_token_s = 1.0 / max(account.rate_per_s * scale, 1.0 / self._settings.max_retry_after_s)
+    def _retry_after_s(self, bucket: FleetBucket, account: AccountPolicy, now_s: float) -> float:
+        rate_per_s = account.rate_per_s * self._buckets.scale(now_s)
+        next_token_s = 1.0 / max(rate_per_s, 1.0 / self._settings.max_retry_after_s)
         latest_s = now_s + self._settings.max_retry_after_s
         bucket.next_retry_s = min(max(bucket.next_retry_s, now_s) + next_token_s, latest_s)
         return bucket.next_retry_s - now_s
