Hold requests to the rate limits that targets state, over all VMs together

Callers saw nothing; targets in need got three to four times the rate that they had named. Class: what a target says of itself reached one VM's memory at most and bound nobody. Change: VMs tell one another what they heard from targets; the latest statement counts. One VM, by rendezvous hashing among the live ones, issues a target's tokens at the stated rate, scaled by the VMs that it reaches, as for client accounts. First sends, second tries and probes each take a token. Without one, the target is left out until there may be one; when all are left out, requests are refused at once (targets-limited) with a time at which the limits have room. A shed by a target that states a limit sends the next try elsewhere. Why it works: a token exists once, so the sum over the VMs can't exceed the issuer's rate, whoever sends; the parts of a cut issue parts of the rate.

--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -13,6 +13,7 @@
 
 from siskinward.coordination.steering.hashing import rendezvous_score
 from siskinward.coordination.steering.rows import Position
+from siskinward.coordination.steering.target_limits import LimitReport
 from siskinward.coordination.steering.warm_targets import WarmPair
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
@@ -56,7 +57,8 @@
     counts the VM's requests at targets, by ``short_id`` of the target's name. ``demand_per_s`` is
     the request rate of each client account at this VM. ``crashing_requests`` counts the targets
     lost to a request, by its fingerprint. ``warm`` names objects that began to run at targets.
-    ``slow`` counts by target's ``short_id`` the latest runs that were slow.
+    ``slow`` counts by target's ``short_id`` the latest runs that were slow. ``limits`` are the rate
+    limits that the VM heard from targets.
     """
 
     sender: EntryVm
@@ -70,6 +72,7 @@
     held: dict[str, int] = field(factory=dict)
     warm: tuple[WarmPair, ...] = ()
     slow: dict[int, int] = field(factory=dict)
+    limits: tuple[LimitReport, ...] = ()
 
 
 @frozen
@@ -83,6 +86,7 @@
     in_flight: dict[int, int] = field(factory=dict)
     warm: tuple[WarmPair, ...] = ()
     slow: dict[int, int] = field(factory=dict)
+    limits: tuple[LimitReport, ...] = ()
 
 
 @frozen
--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -24,6 +24,7 @@
     from collections.abc import Collection
     from random import Random
 
+    from siskinward.coordination.steering.limit_pauses import LimitPauses
     from siskinward.coordination.steering.slow_targets import SlowTargets
     from siskinward.coordination.steering.targets import TargetTable
     from siskinward.coordination.steering.warm_targets import WarmTargets
@@ -56,13 +57,15 @@
     """A request to be placed.
 
     ``object_key`` is empty if the request concerns no object, so that all targets rank alike. Empty
-    ``home_regions`` allow all regions. ``tried`` targets are not chosen again.
+    ``home_regions`` allow all regions. ``tried`` targets are not chosen again, and targets that
+    state a rate limit only while ``allows_limited``.
     """
 
     service: ServiceName
     object_key: str
     home_regions: frozenset[RegionName]
     tried: frozenset[TargetName] = frozenset()
+    allows_limited: bool = True
 
     @property
     def object_name(self) -> str:
@@ -87,6 +90,13 @@
     """Usable targets exist, but none can take the request now."""
 
 
+@frozen
+class LimitsUsedUp:
+    """Usable targets exist, but the rate limits that they state are used up."""
+
+    targets: tuple[Target, ...]
+
+
 @frozen
 class NoTarget:
     """No usable target exists."""
@@ -114,6 +124,7 @@
         warmup_limiter: WarmupLimiter,
         warm: WarmTargets,
         slow: SlowTargets,
+        limit_pauses: LimitPauses,
         random: Random,
     ) -> None:
         self._settings = settings
@@ -122,14 +133,27 @@
         self._warmup_limiter = warmup_limiter
         self._warm = warm
         self._slow = slow
+        self._limit_pauses = limit_pauses
         self.warmup_rates_per_s: dict[ServiceName, float] = {}
 
-    def choose(self, request: PlacementRequest, now_s: float) -> Placed | NoCapacity | NoTarget:
+    def choose(
+        self, request: PlacementRequest, now_s: float
+    ) -> Placed | NoCapacity | LimitsUsedUp | NoTarget:
         """Choose a target with capacity."""
         candidates = self._candidates(request, now_s)
         if not candidates:
             return NoTarget()
-        return self._choose_among(request, self._slow.without_avoided(candidates, now_s), now_s)
+        unpaused = self._within_limits(request, candidates, now_s)
+        if not unpaused:
+            return LimitsUsedUp(tuple(candidates))
+        return self._choose_among(request, self._slow.without_avoided(unpaused, now_s), now_s)
+
+    def _within_limits(
+        self, request: PlacementRequest, candidates: list[Target], now_s: float
+    ) -> list[Target]:
+        if request.allows_limited:
+            return self._limit_pauses.without_paused(candidates, now_s)
+        return self._limit_pauses.without_limited(candidates)
 
     def _choose_among(
         self, request: PlacementRequest, candidates: list[Target], now_s: float
@@ -180,10 +204,15 @@
         candidates = self._candidates(request, now_s)
         ordered = self._ranking.rank(request.service, request.object_name, candidates)
         return [
-            ConsideredTarget(item.name, item.load, item.record.slots, item.state_name(now_s))
+            ConsideredTarget(item.name, item.load, item.record.slots, self._state_name(item, now_s))
             for item in ordered[: self._settings.choices]
         ]
 
+    def _state_name(self, target: Target, now_s: float) -> str:
+        if self._limit_pauses.is_paused(target.name, now_s):
+            return "limited"
+        return target.state_name(now_s)
+
     def free_slots(self, service: ServiceName, now_s: float) -> int:
         """Return the free slots at the usable targets of a service."""
         usable = self._targets.usable(service, now_s)
@@ -191,13 +220,21 @@
 
     def record_sent(self, request: PlacementRequest, placed: Placed, now_s: float) -> Placed:
         """Count a request that is sent to a target; return the placement with ``is_warm`` set."""
+        self.reserve(placed, now_s)
+        return self.record_run(request, placed, now_s)
+
+    def reserve(self, placed: Placed, now_s: float) -> None:
+        """Take a slot of a target, which is released whether or not the request is sent."""
+        placed.target.in_flight += 1
+        if placed.target.is_cold(now_s):
+            self._warmup_limiter.record_sent(placed.target)
+
+    def record_run(self, request: PlacementRequest, placed: Placed, now_s: float) -> Placed:
+        """Record what runs at a target; return the placement with ``is_warm`` set."""
         target = placed.target
         is_warm = self._is_warm(request, target, now_s)
-        target.in_flight += 1
         if request.object_key:
             self._warm.record_run(request.object_name, target.name, now_s)
-        if target.is_cold(now_s):
-            self._warmup_limiter.record_sent(target)
         return evolve(placed, is_warm=is_warm)
 
     def _candidates(self, request: PlacementRequest, now_s: float) -> list[Target]:
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -13,6 +13,8 @@
 from siskinward.coordination.steering.fleet import Heartbeat
 from siskinward.coordination.steering.fleet import LoadReport
 from siskinward.coordination.steering.hashing import short_id
+from siskinward.coordination.steering.limit_tokens import LimitAsk
+from siskinward.coordination.steering.limit_tokens import LimitGrant
 from siskinward.coordination.steering.rows import FOLLOWED_TABLES
 from siskinward.protocol.heartbeats import PeerMessageError
 from siskinward.protocol.heartbeats import decode_datagram
@@ -26,6 +28,7 @@
 
     from siskinward.coordination.steering.rows import Position
     from siskinward.coordination.steering.rows import TableCopy
+    from siskinward.daemon.entry.limit_enforcer import LimitEnforcer
     from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
     from siskinward.daemon.entry.steering import Steering
     from siskinward.transport.decision_log import DecisionLog
@@ -43,12 +46,14 @@
         steering: Steering,
         datagrams: PeerDatagramSocket,
         quota: QuotaEnforcer,
+        limits: LimitEnforcer,
         log: DecisionLog,
         on_heartbeat: Callable[[Heartbeat, float], Awaitable[None]],
     ) -> None:
         self._steering = steering
         self._datagrams = datagrams
         self._quota = quota
+        self._limits = limits
         self._log = log
         self._on_heartbeat = on_heartbeat
         self._number = 0
@@ -60,6 +65,7 @@
             self._steering.shares.update_demand(now_s)
             self._steering.issuer.update_membership(now_s)
             self._steering.targets.remove_expired(now_s)
+            self._steering.limit_tokens.update_membership(now_s)
             self._steering.limits.retain(item.name for item in self._steering.targets.all())
             heartbeats = self._steering.fleet.heartbeats(now_s)
             self._update_load_elsewhere(heartbeats)
@@ -98,10 +104,12 @@
             return
         match message:
             case Heartbeat():
+                self._apply_limits(message, host, now_s)
                 self._apply_heartbeat(message, now_s)
                 self._steering.warm.record_announced(message.warm, now_s)
                 await self._on_heartbeat(message, now_s)
             case LoadReport():
+                self._apply_limits(message, host, now_s)
                 heartbeat = self._steering.fleet.on_report(message, now_s)
                 if heartbeat is not None:
                     self._steering.warm.record_announced(message.warm, now_s)
@@ -110,6 +118,20 @@
                 await self._quota.on_ask(message, host)
             case TokenGrant():
                 await self._quota.on_grant(message)
+            case LimitAsk():
+                await self._limits.on_ask(message, host)
+            case LimitGrant():
+                await self._limits.on_grant(message)
+
+    def _apply_limits(self, message: Heartbeat | LoadReport, host: str, now_s: float) -> None:
+        changed = self._steering.limits.apply_reports(message.limits, now_s)
+        if not changed:
+            return
+        for target in self._steering.targets.all():
+            if short_id(target.name) in changed:
+                rate_per_s = self._steering.limits.rate_per_s(target.name)
+                fields = {"target": target.name, "rate_per_s": rate_per_s, "told_by": host}
+                self._log.write("target-limit", fields)
 
     def _apply_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
         if self._steering.fleet.on_heartbeat(heartbeat, now_s):
@@ -134,6 +156,7 @@
             in_flight=self._in_flight(),
             warm=self._steering.warm.next_announcements(),
             slow=self._steering.slow.own_slow_runs(now_s),
+            limits=self._steering.limits.own_reports(now_s),
         )
 
     def _create(self, now_s: float) -> Heartbeat:
@@ -148,6 +171,7 @@
             in_flight=report.in_flight,
             warm=report.warm,
             slow=report.slow,
+            limits=report.limits,
             demand_per_s=steering.shares.publish(),
             crashing_requests=steering.crashes.own_losses(now_s),
             held={name: copy.held_count for name, copy in self._loaded().items()},
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -15,10 +15,12 @@
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.daemon.entry.dispatcher import Dispatcher
 from siskinward.daemon.entry.heartbeats import HeartbeatExchange
+from siskinward.daemon.entry.limit_enforcer import LimitEnforcer
 from siskinward.daemon.entry.limit_reader import LimitReader
 from siskinward.daemon.entry.lookup_handler import LookupHandler
 from siskinward.daemon.entry.metrics import EntryMetrics
 from siskinward.daemon.entry.metrics_page import MetricsPage
+from siskinward.daemon.entry.peer_asks import AskSettings
 from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
 from siskinward.daemon.entry.quota_enforcer import QuotaSettings
 from siskinward.daemon.entry.replication import Replication
@@ -90,12 +92,13 @@
         )
         self._store = platform.create_store(settings)
         self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id)
-        self._dispatcher = Dispatcher(self._steering)
         limit_reader = LimitReader(self._steering, platform.headers, self._log)
         sender = Sender(self._steering, platform.headers, self._pool, limit_reader)
         metrics = EntryMetrics()
         self._datagrams = PeerDatagramSocket(settings.host, settings.peer_port)
         quota = QuotaEnforcer(QuotaSettings(), self._steering, self._datagrams)
+        limits = LimitEnforcer(AskSettings(), self._steering, self._datagrams)
+        self._dispatcher = Dispatcher(self._steering, limits)
         request_log = RequestLog(self._steering, platform.headers, metrics, self._log)
         handler = RequestHandler(
             self._steering, platform.headers, self._dispatcher, sender, quota, request_log
@@ -104,7 +107,7 @@
             metrics, self._steering, self._dispatcher, self._store, self._log
         )
         self._probes = TargetProber(
-            self._steering, platform.headers, self._pool, limit_reader, self._log
+            self._steering, platform.headers, self._pool, limits, limit_reader, self._log
         )
         lookup_handler = LookupHandler(self._steering, platform)
         self._front = FrontServer(handler.handle)
@@ -121,7 +124,12 @@
             self._on_change,
         )
         self._heartbeats = HeartbeatExchange(
-            self._steering, self._datagrams, quota, self._log, self._replication.on_heartbeat
+            self._steering,
+            self._datagrams,
+            quota,
+            limits,
+            self._log,
+            self._replication.on_heartbeat,
         )
 
     @property
--- a/src/siskinward/daemon/entry/refusals.py
+++ b/src/siskinward/daemon/entry/refusals.py
@@ -19,6 +19,7 @@
     NO_CAPACITY = "no-capacity"
     CRASHES_TARGETS = "crashes-targets"
     TARGETS_SHED = "targets-shed"
+    TARGETS_LIMITED = "targets-limited"
     OUTCOME_UNKNOWN = "outcome-unknown"
     TIMEOUT = "timeout"
     TIMEOUT_UNSENT = "timeout-unsent"
@@ -34,6 +35,7 @@
     Reason.NO_CAPACITY: 503,
     Reason.CRASHES_TARGETS: 503,
     Reason.TARGETS_SHED: 503,
+    Reason.TARGETS_LIMITED: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.TIMEOUT: 504,
     Reason.TIMEOUT_UNSENT: 503,
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -11,6 +11,7 @@
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import PlacementRequest
 from siskinward.daemon.entry.dispatcher import DispatchRequest
+from siskinward.daemon.entry.dispatcher import LimitReached
 from siskinward.daemon.entry.quota_enforcer import OverQuota
 from siskinward.daemon.entry.quota_enforcer import WithinQuota
 from siskinward.daemon.entry.refusals import Reason
@@ -30,6 +31,7 @@
 if TYPE_CHECKING:
     from siskinward.coordination.steering.placement import Placed
     from siskinward.coordination.steering.slow_targets import Run
+    from siskinward.coordination.steering.targets import Target
     from siskinward.daemon.entry.dispatcher import Dispatcher
     from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
     from siskinward.daemon.entry.request_log import RequestLog
@@ -157,14 +159,20 @@
             case NoTarget():
                 raise self._create_refusal(context, Reason.NO_TARGET, RETRY_AFTER_S)
             case Rejected(retry_after_s=retry_after_s):
-                now_s = read_clock_s()
-                placement = self._steering.placement
-                context.considered = placement.considered(request.placement, now_s)
-                context.free_slots = placement.free_slots(context.service, now_s)
+                self._record_considered(context, request)
                 raise self._create_refusal(context, Reason.NO_CAPACITY, retry_after_s)
+            case LimitReached(retry_after_s=retry_after_s):
+                self._record_considered(context, request)
+                raise self._create_refusal(context, Reason.TARGETS_LIMITED, retry_after_s)
             case placed:
                 return placed
 
+    def _record_considered(self, context: RequestContext, request: DispatchRequest) -> None:
+        now_s = read_clock_s()
+        placement = self._steering.placement
+        context.considered = placement.considered(request.placement, now_s)
+        context.free_slots = placement.free_slots(context.service, now_s)
+
     def _placement_request(self, context: RequestContext) -> PlacementRequest:
         route = context.route
         object_key = context.arrival.request.header(self._headers.object_key) or b""
@@ -207,9 +215,7 @@
             context.arrival.survives_disconnect = False
             self._end_run(run, result)
             await self._dispatcher.release(target)
-        if not (isinstance(result, NotRun) and result.reason is SendFailure.SHED):
-            # A target that sheds with free slots may accept the next attempt, and its cache is warm
-            # for the object, so it stays a candidate.
+        if not self._may_try_again(target, result):
             context.tried.append(target.name)
         context.may_have_run = context.may_have_run or isinstance(result, OutcomeUnknown)
         took_ms = round((read_clock_s() - started_s) * 1000, 1)
@@ -220,6 +226,15 @@
         )
         return result
 
+    def _may_try_again(self, target: Target, result: SendResult) -> bool:
+        """Return whether a target stays a candidate for the next attempt.
+
+        A target that sheds with free slots may accept it, and its cache is warm for the object. One
+        that states a rate limit sheds because it is in need.
+        """
+        is_shed = isinstance(result, NotRun) and result.reason is SendFailure.SHED
+        return is_shed and self._steering.limits.rate_per_s(target.name) is None
+
     def _start_run(self, context: RequestContext, placed: Placed, now_s: float) -> Run:
         target = placed.target
         return self._steering.slow.on_sent(
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -19,6 +19,9 @@
 from siskinward.coordination.steering.fleet import EntryVm
 from siskinward.coordination.steering.fleet import Fleet
 from siskinward.coordination.steering.fleet import FleetSettings
+from siskinward.coordination.steering.limit_pauses import LimitPauses
+from siskinward.coordination.steering.limit_tokens import LimitTokenIssuer
+from siskinward.coordination.steering.limit_tokens import LimitTokenSettings
 from siskinward.coordination.steering.placement import Placement
 from siskinward.coordination.steering.placement import PlacementSettings
 from siskinward.coordination.steering.retry_budget import RetryBudget
@@ -56,6 +59,7 @@
     queue: QueueSettings = field(factory=QueueSettings)
     shares: ShareSettings = field(factory=ShareSettings)
     tokens: TokenSettings = field(factory=TokenSettings)
+    limit_tokens: LimitTokenSettings = field(factory=LimitTokenSettings)
     retries: RetrySettings = field(factory=RetrySettings)
     crashes: CrashGuardSettings = field(factory=CrashGuardSettings)
 
@@ -73,6 +77,8 @@
     warm: WarmTargets
     slow: SlowTargets
     limits: TargetLimits
+    limit_tokens: LimitTokenIssuer
+    limit_pauses: LimitPauses
     shares: AccountShares
     issuer: TokenIssuer
     retries: RetryBudget
@@ -103,6 +109,9 @@
     warmup_limiter = WarmupLimiter(fleet)
     warm = WarmTargets(settings.warm)
     slow = SlowTargets(settings.slow)
+    limits = TargetLimits()
+    limit_tokens = LimitTokenIssuer(settings.limit_tokens, limits, fleet)
+    limit_pauses = LimitPauses(limits, limit_tokens, fleet)
     return Steering(
         settings=settings,
         entry=entry,
@@ -117,11 +126,14 @@
             warmup_limiter,
             warm,
             slow,
+            limit_pauses,
             random or Random(),
         ),
         warm=warm,
         slow=slow,
-        limits=TargetLimits(),
+        limits=limits,
+        limit_tokens=limit_tokens,
+        limit_pauses=limit_pauses,
         shares=AccountShares(settings.shares, fleet, now_s),
         issuer=TokenIssuer(settings.tokens, entry.bounds, fleet),
         retries=RetryBudget(settings.retries, entry.bounds, fleet),
--- a/src/siskinward/daemon/entry/target_prober.py
+++ b/src/siskinward/daemon/entry/target_prober.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.targets import Target
+    from siskinward.daemon.entry.limit_enforcer import LimitEnforcer
     from siskinward.daemon.entry.limit_reader import LimitReader
     from siskinward.daemon.entry.steering import Steering
     from siskinward.protocol.steering_headers import SteeringHeaders
@@ -37,12 +38,14 @@
         steering: Steering,
         headers: SteeringHeaders,
         pool: TargetPool,
+        limits: LimitEnforcer,
         limit_reader: LimitReader,
         log: DecisionLog,
     ) -> None:
         self._steering = steering
         self._headers = headers
         self._pool = pool
+        self._limits = limits
         self._limit_reader = limit_reader
         self._log = log
         self._probing: set[str] = set()
@@ -66,7 +69,7 @@
     async def _check(self, target: Target) -> None:
         index = self._steering.index
         service = index.configuration.services.get(target.record.service) if index else None
-        if service is None:
+        if service is None or not await self._limits.try_take(target.name):
             return
         host = (b"host", target.record.address.encode())
         request = HttpRequest("GET", service.health_path, (host,))
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from math import inf
 from typing import Any
 
 import msgpack
@@ -16,26 +17,33 @@
 from siskinward.coordination.steering.fleet import LoadReport
 from siskinward.coordination.steering.fleet import VmState
 from siskinward.coordination.steering.held_rows import HeldRow
+from siskinward.coordination.steering.limit_tokens import LimitAsk
+from siskinward.coordination.steering.limit_tokens import LimitGrant
 from siskinward.coordination.steering.row import Row
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Snapshot
+from siskinward.coordination.steering.target_limits import LimitReport
 from siskinward.coordination.steering.warm_targets import WarmPair
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import TargetName
 
 HEARTBEAT_TYPE = 1
 REPORT_TYPE = 2
 ASK_TYPE = 3
 GRANT_TYPE = 4
+LIMIT_ASK_TYPE = 5
+LIMIT_GRANT_TYPE = 6
 ROWS_TYPE = 1
 REFERRAL_TYPE = 2
 # The tables in the order in which a load report lists their positions and ages.
 REPORTED_TABLES = ("operator", "targets")
-# Warm pairs and slow targets travel among the counts of requests in flight, where earlier releases
-# ignore them.
+# Warm pairs, slow targets and rate limits travel among the counts of requests in flight, where
+# earlier releases ignore them.
 WARM_KEY = "warm"
 SLOW_KEY = "slow"
+LIMITS_KEY = "limits"
 # A heartbeat counts the held rows of a table beside its position, under this suffix.
 HELD_SUFFIX = "-held"
 # A position is sent as one integer, whose lower bits are the version; before the store first comes
@@ -44,7 +52,7 @@
 FRAME_LIMIT_BYTES = 32 * 1024 * 1024
 
 
-PeerMessage = Heartbeat | LoadReport | TokenAsk | TokenGrant
+PeerMessage = Heartbeat | LoadReport | TokenAsk | TokenGrant | LimitAsk | LimitGrant
 
 
 class PeerMessageError(ValueError):
@@ -118,6 +126,18 @@
     return bytes(msgpack.packb(fields))
 
 
+def encode_limit_message(message: LimitAsk | LimitGrant) -> bytes:
+    """Encode a request for a token of a target's limit, or the reply to one, as one datagram."""
+    fields: tuple[object, ...]
+    match message:
+        case LimitAsk(number=number, target=target, report=report):
+            fields = (LIMIT_ASK_TYPE, number, target, *_encode_limit(report))
+        case LimitGrant(number=number, is_granted=is_granted):
+            retry_after_ms = round(message.retry_after_s * 1000)
+            fields = (LIMIT_GRANT_TYPE, number, is_granted, retry_after_ms)
+    return bytes(msgpack.packb(fields))
+
+
 def decode_datagram(data: bytes) -> PeerMessage:
     """Decode a datagram; raises ``PeerMessageError``."""
     fields = _unpack(data)
@@ -135,6 +155,12 @@
                 number, account, amount, retry_after_ms = rest
                 name = AccountName(str(account))
                 return TokenGrant(int(number), name, int(amount), int(retry_after_ms) / 1000)
+            case type_ if type_ == LIMIT_ASK_TYPE:
+                number, target, *report = rest
+                return LimitAsk(int(number), TargetName(str(target)), _decode_limit(report))
+            case type_ if type_ == LIMIT_GRANT_TYPE:
+                number, is_granted, retry_after_ms = rest
+                return LimitGrant(int(number), bool(is_granted), int(retry_after_ms) / 1000)
             case _:
                 raise PeerMessageError(f"unknown message type {message_type!r}")
     except (TypeError, ValueError, AttributeError) as error:
@@ -161,6 +187,7 @@
         in_flight=_decode_in_flight(in_flight),
         warm=_decode_warm(in_flight),
         slow=_decode_slow(in_flight),
+        limits=_decode_limits(in_flight),
         demand_per_s=dict(demand),
         crashing_requests=dict(crashing_requests),
     )
@@ -181,6 +208,7 @@
         in_flight=_decode_in_flight(in_flight),
         warm=_decode_warm(in_flight),
         slow=_decode_slow(in_flight),
+        limits=_decode_limits(in_flight),
     )
 
 
@@ -254,6 +282,8 @@
         fields[WARM_KEY] = [id_ for pair in message.warm for id_ in astuple(pair)]
     if message.slow:
         fields[SLOW_KEY] = message.slow
+    if message.limits:
+        fields[LIMITS_KEY] = [_encode_limit(report) for report in message.limits]
     return fields
 
 
@@ -270,6 +300,25 @@
     return {int(key): int(count) for key, count in fields.get(SLOW_KEY, {}).items()}
 
 
+def _encode_limit(report: LimitReport) -> tuple[int, float | None, int]:
+    return (report.target_id, report.rate_per_s, round(report.age_s * 1000))
+
+
+def _decode_limit(fields: Any) -> LimitReport:
+    target_id, rate_per_s, age_ms = fields
+    if rate_per_s is not None and not 0 <= float(rate_per_s) < inf:
+        raise ValueError(f"rate limit {rate_per_s!r} is no rate")
+    return LimitReport(
+        int(target_id),
+        None if rate_per_s is None else float(rate_per_s),
+        max(0, int(age_ms)) / 1000,
+    )
+
+
+def _decode_limits(fields: dict[Any, Any]) -> tuple[LimitReport, ...]:
+    return tuple(_decode_limit(item) for item in fields.get(LIMITS_KEY, ()))
+
+
 def _encode_held(held: HeldRow, now_s: float) -> tuple[Any, ...]:
     row = held.row
     return (row.key, row.value, row.version, max(0.0, held.until_s - now_s))
--- a/tests/coordination/steering/load_model.py
+++ b/tests/coordination/steering/load_model.py
@@ -18,6 +18,7 @@
 from steering_fixtures import SERVICE
 from steering_fixtures import fleet_of
 from steering_fixtures import target_record
+from steering_fixtures import unlimited_pauses
 
 from siskinward.coordination.steering.placement import Placed
 from siskinward.coordination.steering.placement import Placement
@@ -193,6 +194,7 @@
                 WarmupLimiter(fleet),
                 self._warm[-1],
                 self._slow[-1],
+                unlimited_pauses(fleet),
                 self._random,
             )
         )
--- a/tests/coordination/steering/steering_fixtures.py
+++ b/tests/coordination/steering/steering_fixtures.py
@@ -9,6 +9,10 @@
 from siskinward.coordination.steering.fleet import FleetSettings
 from siskinward.coordination.steering.fleet import Heartbeat
 from siskinward.coordination.steering.fleet import VmState
+from siskinward.coordination.steering.limit_pauses import LimitPauses
+from siskinward.coordination.steering.limit_tokens import LimitTokenIssuer
+from siskinward.coordination.steering.limit_tokens import LimitTokenSettings
+from siskinward.coordination.steering.target_limits import TargetLimits
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
@@ -46,6 +50,12 @@
     return fleet
 
 
+def unlimited_pauses(fleet: Fleet) -> LimitPauses:
+    """Return the pauses of targets that state no rate limits."""
+    limits = TargetLimits()
+    return LimitPauses(limits, LimitTokenIssuer(LimitTokenSettings(), limits, fleet), fleet)
+
+
 def account(rate_per_s: float = 40.0, burst_requests: float = 40.0) -> AccountPolicy:
     """Return a client account with a rate limit."""
     name = AccountName("parish-guild")
--- a/tests/coordination/steering/test_placement.py
+++ b/tests/coordination/steering/test_placement.py
@@ -17,6 +17,7 @@
 from steering_fixtures import SERVICE
 from steering_fixtures import fleet_of
 from steering_fixtures import target_record
+from steering_fixtures import unlimited_pauses
 
 from siskinward.coordination.steering.locality import region_weights
 from siskinward.coordination.steering.placement import NoCapacity
@@ -40,10 +41,18 @@
 
 
 def placement_of(table: TargetTable, region: RegionName, vm: int = 0) -> Placement:
-    limiter = WarmupLimiter(fleet_of(8, own=vm))
-    regions = frozenset(DOMAINS.values())
-    warm, slow = WarmTargets(WarmSettings()), SlowTargets(SlowTargetSettings())
-    return Placement(PlacementSettings(), region, regions, table, limiter, warm, slow, Random(vm))
+    fleet = fleet_of(8, own=vm)
+    return Placement(
+        PlacementSettings(),
+        region,
+        frozenset(DOMAINS.values()),
+        table,
+        WarmupLimiter(fleet),
+        WarmTargets(WarmSettings()),
+        SlowTargets(SlowTargetSettings()),
+        unlimited_pauses(fleet),
+        Random(vm),
+    )
 
 
 def table_of(counts: dict[RegionName, int], **fields: object) -> TargetTable:
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -17,6 +17,8 @@
 
 VM = "vm-bud-a-0"
 LOG_FLUSH_S = 1.0
+# A target that states 1.5 requests a second accepts the next one after this time.
+LIMIT_PAUSE_S = 1.0
 SAME_OBJECT = ((HEADERS.object_key, b"1"),)
 
 
@@ -46,10 +48,12 @@
         assert line in await read_metrics(site)
         for target in site.targets.values():
             target.rate_limit = "a few"
+        await curio.sleep(LIMIT_PAUSE_S)
         await site.call(VM, headers=SAME_OBJECT)
         assert line in await read_metrics(site)
         for target in site.targets.values():
             target.rate_limit = None
+        await curio.sleep(LIMIT_PAUSE_S)
         await site.call(VM, headers=SAME_OBJECT)
         assert line not in await read_metrics(site)
         await curio.sleep(LOG_FLUSH_S)
--- /dev/null
+++ b/tests/protocol/test_heartbeat_messages.py
@@ -0,0 +1,64 @@
+"""Datagrams and rows between entry VMs: limits round-trip, and malformed bytes raise one error."""
+
+from __future__ import annotations
+
+from math import inf
+from math import nan
+from typing import Any
+
+import msgpack
+import pytest
+
+from siskinward.coordination.steering.fleet import EntryVm
+from siskinward.coordination.steering.fleet import Heartbeat
+from siskinward.coordination.steering.fleet import LoadReport
+from siskinward.coordination.steering.fleet import VmState
+from siskinward.coordination.steering.limit_tokens import LimitAsk
+from siskinward.coordination.steering.limit_tokens import LimitGrant
+from siskinward.coordination.steering.target_limits import LimitReport
+from siskinward.protocol.heartbeats import PeerMessageError
+from siskinward.protocol.heartbeats import decode_datagram
+from siskinward.protocol.heartbeats import encode_heartbeat
+from siskinward.protocol.heartbeats import encode_limit_message
+from siskinward.protocol.heartbeats import encode_report
+from siskinward.state.identifiers import DomainName
+from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import RegionName
+from siskinward.state.identifiers import TargetName
+from siskinward.state.identifiers import VmName
+
+LIMITS = (LimitReport(4_000_000_000, 1.25, 0.5), LimitReport(7, None, 3.0))
+VM = EntryVm(
+    VmName("vm-1"), IncarnationId("a"), "10.0.0.1", 80, DomainName("bud-a"), RegionName("budapest")
+)
+
+
+def test_limits_travel_with_heartbeats_and_load_reports() -> None:
+    heartbeat = decode_datagram(
+        encode_heartbeat(Heartbeat(VM, 1, VmState.READY, in_flight={5: 2}, limits=LIMITS))
+    )
+    report = decode_datagram(
+        encode_report(LoadReport(VM.incarnation, 2, in_flight={5: 2}, limits=LIMITS))
+    )
+    assert isinstance(heartbeat, Heartbeat)
+    assert isinstance(report, LoadReport)
+    assert heartbeat.limits == report.limits == LIMITS
+    assert heartbeat.in_flight == report.in_flight == {5: 2}
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        LimitAsk(3, TargetName("i-1"), LIMITS[0]),
+        LimitGrant(3, True, 0.0),
+        LimitGrant(4, False, 0.75),
+    ],
+)
+def test_limit_messages_round_trip(message: LimitAsk | LimitGrant) -> None:
+    assert decode_datagram(encode_limit_message(message)) == message
+
+
+@pytest.mark.parametrize("rate_per_s", [nan, inf, -inf, -1.0, "two", [1.0]])
+def test_report_of_a_rate_that_is_none_is_malformed(rate_per_s: Any) -> None:
+    with pytest.raises(PeerMessageError):
+        decode_datagram(msgpack.packb([5, 1, "i-1", 7, rate_per_s, 0]))
