Go on hearing other VMs after a malformed datagram

Cause: decoding let OverflowError through (an infinite number), and VMs with fields of other types were recorded. The error ended the task that receives datagrams: the VM heard no heartbeat, asked in vain for tokens and counted as partitioned until it was restarted.

--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import zlib
-from math import inf
+from math import isfinite
 from typing import Any
 
 import msgpack
@@ -25,9 +25,13 @@
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.target_limits import LimitReport
 from siskinward.coordination.steering.warm_targets import WarmPair
+from siskinward.state.addresses import is_ip_address
 from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
+from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import TargetName
+from siskinward.state.identifiers import VmName
 
 HEARTBEAT_TYPE = 1
 REPORT_TYPE = 2
@@ -49,6 +53,8 @@
 # A position is sent as one integer, whose lower bits are the version; before the store first comes
 # back from a copy it equals the version, which is all that earlier releases send and understand.
 VERSION_BITS = 40
+# What the decoding of a field of another type or size raises.
+MALFORMED = (TypeError, ValueError, AttributeError, OverflowError)
 FRAME_LIMIT_BYTES = 32 * 1024 * 1024
 
 
@@ -163,14 +169,14 @@
                 return LimitGrant(int(number), bool(is_granted), int(retry_after_ms) / 1000)
             case _:
                 raise PeerMessageError(f"unknown message type {message_type!r}")
-    except (TypeError, ValueError, AttributeError) as error:
+    except MALFORMED as error:
         raise PeerMessageError(f"malformed datagram: {error}") from error
 
 
 def _decode_heartbeat(fields: list[Any]) -> Heartbeat:
     vm, number, state, positions, ages_s, in_flight, demand, crashing_requests = fields
     return Heartbeat(
-        sender=EntryVm(*vm),
+        sender=_decode_vm(vm),
         number=int(number),
         state=VmState(state),
         positions={
@@ -183,13 +189,13 @@
             for name, value in positions.items()
             if name.endswith(HELD_SUFFIX)
         },
-        ages_s=dict(ages_s),
+        ages_s=_decode_numbers(ages_s),
         in_flight=_decode_in_flight(in_flight),
         warm=_decode_warm(in_flight),
         slow=_decode_slow(in_flight),
         limits=_decode_limits(in_flight),
-        demand_per_s=dict(demand),
-        crashing_requests=dict(crashing_requests),
+        demand_per_s={AccountName(name): rate for name, rate in _decode_numbers(demand).items()},
+        crashing_requests={str(key): int(count) for key, count in crashing_requests.items()},
     )
 
 
@@ -222,7 +228,7 @@
     try:
         table, position, host = _unpack(data)
         return RowsRequest(str(table), _decode_position(position), str(host))
-    except (TypeError, ValueError) as error:
+    except MALFORMED as error:
         raise PeerMessageError(f"malformed request for rows: {error}") from error
 
 
@@ -248,13 +254,13 @@
             (hosts,) = rest
             return Referral(tuple(str(host) for host in hosts))
         after, position, fields, *more = rest
-        rows = tuple(Row(str(key), value, int(version)) for key, value, version in fields)
+        rows = tuple(_decode_row(item) for item in fields)
         held = tuple(_decode_held(item, now_s) for item in (more[0] if more else ()))
-    except (TypeError, ValueError, zlib.error) as error:
+        if after is None:
+            return Snapshot(rows, _decode_position(position), held)
+        return Changes(rows, _decode_position(after), _decode_position(position))
+    except (*MALFORMED, zlib.error) as error:
         raise PeerMessageError(f"malformed reply with rows: {error}") from error
-    if after is None:
-        return Snapshot(rows, _decode_position(position), held)
-    return Changes(rows, _decode_position(after), _decode_position(position))
 
 
 def _encode_position(position: Position) -> int:
@@ -306,8 +312,8 @@
 
 def _decode_limit(fields: Any) -> LimitReport:
     target_id, rate_per_s, age_ms = fields
-    if rate_per_s is not None and not 0 <= float(rate_per_s) < inf:
-        raise ValueError(f"rate limit {rate_per_s!r} is no rate")
+    if rate_per_s is not None and _decode_number(rate_per_s) < 0:
+        raise ValueError(f"expected a rate limit of 0 or more, found {rate_per_s!r}")
     return LimitReport(
         int(target_id),
         None if rate_per_s is None else float(rate_per_s),
@@ -325,8 +331,26 @@
 
 
 def _decode_held(fields: Any, now_s: float) -> HeldRow:
-    key, value, version, left_s = fields
-    return HeldRow(Row(str(key), value, int(version)), now_s + float(left_s))
+    *row, left_s = fields
+    return HeldRow(_decode_row(row), now_s + _decode_number(left_s))
+
+
+def _decode_row(fields: Any) -> Row:
+    key, value, version = fields
+    if value is not None and not isinstance(value, bytes):
+        raise TypeError(f"row {key!r} holds no bytes: {value!r}")
+    return Row(str(key), value, int(version))
+
+
+def _decode_number(value: Any) -> float:
+    number = float(value)
+    if not isfinite(number):
+        raise ValueError(f"expected a finite number, found {value!r}")
+    return number
+
+
+def _decode_numbers(fields: Any) -> dict[str, float]:
+    return {str(name): _decode_number(value) for name, value in fields.items()}
 
 
 def _encode_vm(vm: EntryVm) -> tuple[Any, ...]:
@@ -341,6 +365,21 @@
     )
 
 
+def _decode_vm(fields: Any) -> EntryVm:
+    vm, incarnation, host, front_port, domain, region, *link_mbps = fields
+    if not is_ip_address(host):
+        raise ValueError(f"expected the IP address of VM {vm!r}, found {host!r}")
+    return EntryVm(
+        vm=VmName(str(vm)),
+        incarnation=IncarnationId(str(incarnation)),
+        host=host,
+        front_port=int(front_port),
+        failure_domain=DomainName(str(domain)),
+        region=RegionName(str(region)),
+        link_mbps=_decode_number(link_mbps[0]) if link_mbps else 0.0,
+    )
+
+
 def encode_vm(vm: EntryVm) -> bytes:
     """Encode a VM's identity, as it is written to the store."""
     return bytes(msgpack.packb(_encode_vm(vm)))
@@ -349,8 +388,8 @@
 def decode_vm(data: bytes) -> EntryVm:
     """Decode a VM's identity; raises ``PeerMessageError``."""
     try:
-        return EntryVm(*_unpack(data))
-    except (TypeError, ValueError) as error:
+        return _decode_vm(_unpack(data))
+    except MALFORMED as error:
         raise PeerMessageError(f"malformed VM identity: {error}") from error
 
 
--- a/src/siskinward/transport/peer_datagram_socket.py
+++ b/src/siskinward/transport/peer_datagram_socket.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -12,6 +13,7 @@
     from collections.abc import Iterable
 
 DATAGRAM_LIMIT_BYTES = 60_000
+_LOGGER = logging.getLogger(__name__)
 
 
 class PeerDatagramSocket:
@@ -24,10 +26,16 @@
         self.failed_sends = 0
 
     async def receive(self, on_datagram: Callable[[bytes, str], Any]) -> None:
-        """Pass each datagram and its sender's host to ``on_datagram`` until cancelled."""
+        """Pass each datagram and its sender's host to ``on_datagram`` until cancelled.
+
+        A datagram that raises an unexpected error is logged, and the next one is received.
+        """
         while True:
             data, address = await self._socket.recvfrom(DATAGRAM_LIMIT_BYTES)
-            await on_datagram(data, address[0])
+            try:
+                await on_datagram(data, address[0])
+            except Exception:
+                _LOGGER.exception("datagram from %s was not processed", address[0])
 
     async def send(self, data: bytes, hosts: Iterable[str]) -> None:
         """Send one datagram to each host except this VM's own."""
