Go on following the store after a malformed row

Cause: numbers beyond all size, infinite ones, ports above 65535 and JSON nested too deep raised errors other than DecodeError. Each ended the task that reads the table, in every VM that read the row in turn; then nobody learnt of new targets or configurations. A target at such an address cost its callers an unhandled error at each connect. Change: numbers have at most 15 digits, durations are finite and not negative, addresses are IP addresses with a port, and whatever else a row raises is logged as row-unreadable.

--- a/src/siskinward/daemon/entry/store_updates.py
+++ b/src/siskinward/daemon/entry/store_updates.py
@@ -6,9 +6,7 @@
 
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.daemon.entry.ports import Evacuation
-from siskinward.protocol.heartbeats import PeerMessageError
 from siskinward.protocol.heartbeats import decode_vm
-from siskinward.state.errors import SiskinwardError
 from siskinward.state.serving import ServingConfiguration
 from siskinward.state.serving import ServingIndex
 
@@ -119,7 +117,8 @@
                 case StoreTable.VMS:
                     if row.value is not None:
                         self._steering.fleet.add_peers([decode_vm(row.value)], now_s)
-        except (SiskinwardError, PeerMessageError) as error:
+        except Exception as error:
+            # Whatever is wrong with one row, the others have to be followed.
             if table is StoreTable.TARGETS:
                 self._steering.targets.remove_by_key(row.key)
             self._log.write(
--- a/src/siskinward/platform/_configuration.py
+++ b/src/siskinward/platform/_configuration.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from siskinward.platform._units import DecodeError
 from siskinward.platform._units import read_duration_s
+from siskinward.platform._units import read_json
 from siskinward.platform._units import read_mapping
 from siskinward.platform._units import read_number
 from siskinward.platform._units import read_text
@@ -54,10 +54,7 @@
 
 
 def _parse_document(value: bytes) -> dict[str, Any]:
-    try:
-        document = json.loads(value)
-    except ValueError as error:
-        raise DecodeError("config", f"expected JSON: {error}") from error
+    document = read_json(value, "config")
     if not isinstance(document, dict):
         raise DecodeError("config", "expected a table")
     return document
--- a/src/siskinward/platform/_store.py
+++ b/src/siskinward/platform/_store.py
@@ -14,6 +14,7 @@
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.rows import StoreTable
+from siskinward.protocol.counts import decode_count
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.errors import StepError
 from siskinward.transport.http_messages import HttpRequest
@@ -156,7 +157,7 @@
         raise StoreError(call, f"status {response.status}")
     try:
         body = json.loads(response.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise StoreError(call, f"expected JSON: {error}") from error
     if not isinstance(body, dict) or "ver" not in body:
         raise StoreError(call, "the answer has no version (field ver)")
@@ -164,8 +165,7 @@
 
 
 def _decode_era(response: HttpResponse) -> int:
-    era = response.header(ERA_HEADER)
-    return int(era) if era is not None and era.isdigit() else 0
+    return decode_count(response.header(ERA_HEADER)) or 0
 
 
 def _decode_position(response: HttpResponse, answer: dict[str, Any]) -> Position:
--- a/src/siskinward/platform/_targets.py
+++ b/src/siskinward/platform/_targets.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import json
-
 from siskinward.platform._units import DecodeError
 from siskinward.platform._units import read_address
 from siskinward.platform._units import read_duration_s
+from siskinward.platform._units import read_json
 from siskinward.platform._units import read_mapping
 from siskinward.platform._units import read_number
 from siskinward.platform._units import read_text
@@ -25,10 +24,7 @@
     counts its heartbeats since then, and ``zone`` is its failure domain.
     """
     where = f"target {name}"
-    try:
-        entry = json.loads(value)
-    except ValueError as error:
-        raise DecodeError(where, f"expected JSON: {error}") from error
+    entry = read_json(value, where)
     info = read_mapping(entry, "info", where)
     status = read_mapping(entry, "status", where)
     host, port = read_address(entry.get("address"), f"{where}.address")
--- a/src/siskinward/platform/_units.py
+++ b/src/siskinward/platform/_units.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import json
+import re
 from typing import Any
 
+from siskinward.protocol.counts import decode_count
+from siskinward.state.addresses import is_ip_address
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.errors import StepError
 
+# Integers below this are exact as floating point numbers.
+LARGEST_NUMBER = 10.0**15
+LARGEST_PORT = 65535
+VERSION_PATTERN = re.compile(r"r[0-9]{1,15}")
 SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0}
 
 
@@ -24,15 +32,17 @@
             number = value.removesuffix(unit)
             if number != value:
                 try:
-                    return float(number) * seconds
+                    duration_s = float(number) * seconds
                 except ValueError:
                     break
+                if 0 <= duration_s < LARGEST_NUMBER:
+                    return duration_s
     raise DecodeError(where, f"expected a duration such as 1500ms or 2.5s, found {value!r}")
 
 
 def read_version(value: object, where: str) -> int:
     """Parse a configuration version such as ``r12``."""
-    if isinstance(value, str) and value[:1] == "r" and value[1:].isdigit():
+    if isinstance(value, str) and VERSION_PATTERN.fullmatch(value):
         return int(value[1:])
     raise DecodeError(where, f"expected a version such as r12, found {value!r}")
 
@@ -48,10 +58,12 @@
 def read_number(
     fields: dict[str, Any], name: str, where: str, default: float | None = None
 ) -> float:
-    """Return a numeric field; raises ``DecodeError`` if it is not a number."""
+    """Return a numeric field; raises ``DecodeError`` if it is no number of usual size."""
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise DecodeError(f"{where}.{name}", f"expected a number, found {value!r}")
+    if not -LARGEST_NUMBER < value < LARGEST_NUMBER:
+        raise DecodeError(f"{where}.{name}", "expected a number of at most 15 digits")
     return value
 
 
@@ -65,7 +77,16 @@
 
 def read_address(value: object, where: str) -> tuple[str, int]:
     """Parse an address such as ``10.1.0.8:8206`` into host and port."""
-    host, separator, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if not separator or not port.isdigit() or not host:
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    number = decode_count(port.encode())
+    if number is None or not 0 < number <= LARGEST_PORT or not is_ip_address(host):
         raise DecodeError(where, f"expected an address such as 10.1.0.8:8206, found {value!r}")
-    return host, int(port)
+    return host, number
+
+
+def read_json(value: bytes, where: str) -> Any:
+    """Parse JSON; raises ``DecodeError`` if the bytes are none, or nested too deep."""
+    try:
+        return json.loads(value)
+    except (ValueError, RecursionError) as error:
+        raise DecodeError(where, f"expected JSON: {error}") from error
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -51,9 +51,10 @@
 
     Reports at most ``slots`` requests as running and the others as waiting, and sheds requests
     while ``4 * slots`` are being handled. ``fault`` affects the next ``remaining_faults``
-    requests. ``rate_limit`` is stated in every answer, as given. ``arrivals_s`` has the time of
-    each request that reached the target, probes included, misdirected ones not. ``advertised_host``
-    is where callers reach the target, if that is not ``host``.
+    requests. ``rate_limit`` is stated in every answer, as given, and ``extra_headers`` precede the
+    others. ``arrivals_s`` has the time of each request that reached the target, probes included,
+    misdirected ones not. ``advertised_host`` is where callers reach the target, if that is not
+    ``host``.
     """
 
     name: str
@@ -69,6 +70,7 @@
     warmup_left_ms: int = 0
     advertised_host: str = ""
     rate_limit: str | None = None
+    extra_headers: tuple[tuple[bytes, bytes], ...] = ()
     runs: list[RunRecord] = field(factory=list)
     arrivals_s: list[float] = field(factory=list)
     probes: int = 0
@@ -186,6 +188,7 @@
             return None
         status = 500 if self._try_inject(TargetFault.FAILS) else 200
         headers = (
+            *self.extra_headers,
             (HEADERS.attempt_id, record.attempt_id.encode()),
             (HEADERS.signature, f"{self.name}.{record.attempt_id}".encode()),
             self._load(),
@@ -222,6 +225,7 @@
 
     def _health(self) -> HttpResponse:
         headers = (
+            *self.extra_headers,
             (HEADERS.target, self.name.encode()),
             (HEADERS.warmup_left_ms, str(self.warmup_left_ms).encode()),
             *self._limit(),
