Lose no answer to a number of thousands of digits in a header

Cause: int() refuses more than 4,300 digits. In X-Backend-Load or Keep-Alive of an answer the error closed the caller's connection after the request had run, so the caller's retry ran a safe request again; in X-Warmup-Ms it ended the probe, which was repeated ten times a second; in the caller's X-Deadline-Ms it ended the request without an answer. Change: decode_count reads at most 15 digits; anything else counts as not stated. Loads of targets are read the same way as before otherwise.

--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -23,6 +23,7 @@
 from siskinward.daemon.entry.sender import OutcomeUnknown
 from siskinward.daemon.entry.sender import OutgoingRequest
 from siskinward.daemon.entry.sender import SendFailure
+from siskinward.protocol.counts import decode_count
 from siskinward.protocol.steering_headers import bearer_key
 from siskinward.state.identifiers import AccountName
 from siskinward.transport.clock import read_clock_s
@@ -130,10 +131,10 @@
         return account
 
     def _time_left_s(self, request: HttpRequest, route: ServedRoute) -> float:
-        stated = request.header(self._headers.time_left_ms)
-        if stated is None or not stated.isdigit():
+        time_left_ms = decode_count(request.header(self._headers.time_left_ms))
+        if time_left_ms is None:
             return route.timeout_s
-        return min(int(stated) / 1000.0, route.timeout_s)
+        return min(time_left_ms / 1000.0, route.timeout_s)
 
     async def _serve(self, context: RequestContext) -> HttpResponse:
         while True:
--- a/src/siskinward/daemon/entry/target_prober.py
+++ b/src/siskinward/daemon/entry/target_prober.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from siskinward.protocol.counts import decode_count
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.outbound_connection import ExchangeFailedError
@@ -92,7 +93,7 @@
             self._log.write("target-replaced", {"target": target.name, "by": name.decode()})
             return
         self._limit_reader.read(response, target, may_end_limit=False)
-        warmup_ms = response.header(self._headers.warmup_left_ms) or b"0"
-        warmup_left_s = int(warmup_ms) / 1000.0 if warmup_ms.isdigit() else service.warmup_s
+        warmup_ms = decode_count(response.header(self._headers.warmup_left_ms) or b"0")
+        warmup_left_s = service.warmup_s if warmup_ms is None else warmup_ms / 1000.0
         targets.on_reached(target, warmup_left_s, read_clock_s())
         self._log.write("target-reached", {"target": target.name, "warmup_left_s": warmup_left_s})
--- a/src/siskinward/protocol/caller_http.py
+++ b/src/siskinward/protocol/caller_http.py
@@ -21,6 +21,7 @@
 from siskinward.coordination.outcomes import Outcome
 from siskinward.coordination.outcomes import RefusalReason
 from siskinward.coordination.outcomes import Unknown
+from siskinward.protocol.counts import decode_count
 from siskinward.protocol.steering_headers import bearer_key
 
 if TYPE_CHECKING:
@@ -148,6 +149,5 @@
 def _deadline_s(value: bytes | None, timeout_s: float) -> float | None:
     if value is None:
         return timeout_s
-    if not value.isdigit():
-        return None
-    return min(int(value) / MS_PER_S, timeout_s)
+    time_left_ms = decode_count(value)
+    return None if time_left_ms is None else min(time_left_ms / MS_PER_S, timeout_s)
--- a/src/siskinward/protocol/steering_headers.py
+++ b/src/siskinward/protocol/steering_headers.py
@@ -7,6 +7,8 @@
 
 from attrs import frozen
 
+from siskinward.protocol.counts import decode_count
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -63,11 +65,12 @@
 
 def decode_load(value: bytes | None) -> ReportedLoad | None:
     """Decode ``running,waiting,slots``, or return None if the value is missing or malformed."""
-    parts = (value or b"").split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ReportedLoad(running + waiting, slots)
+    counts = [decode_count(part.strip()) for part in (value or b"").split(b",")]
+    match counts:
+        case [int(running), int(waiting), int(slots)]:
+            return ReportedLoad(running + waiting, slots)
+        case _:
+            return None
 
 
 @frozen
--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -10,6 +10,7 @@
 import h11
 from attrs import frozen
 
+from siskinward.protocol.counts import decode_count
 from siskinward.transport.client_protocol import encode_request
 from siskinward.transport.client_protocol import read_response
 from siskinward.transport.clock import read_clock_s
@@ -136,8 +137,9 @@
     keep_alive = response.header(b"keep-alive") or b""
     for item in keep_alive.split(b","):
         name, _, value = item.strip().partition(b"=")
-        if name == b"timeout" and value.isdigit():
-            return max(int(value) - KEEP_ALIVE_MARGIN_S, 0.0)
+        timeout_s = decode_count(value)
+        if name == b"timeout" and timeout_s is not None:
+            return max(timeout_s - KEEP_ALIVE_MARGIN_S, 0.0)
     return DEFAULT_KEEP_ALIVE_S
 
 
