Let a warm-up time that a target states to one VM's probe bind all VMs

A VM that probed a target and learnt that it is cold kept that to itself: the others sent at full rate until a row of the store said so, 11 requests in one second where 4 a second are allowed. And a row written before the probe ended the time at the VM that knew it. Change: load reports and heartbeats carry the warm-up times that the VM's own probes found; a row shortens none of them. A time that is assumed, because the target was too busy to answer, is not passed on.

--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -14,6 +14,7 @@
 from siskinward.coordination.steering.hashing import rendezvous_score
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.target_limits import LimitReport
+from siskinward.coordination.steering.targets import WarmupReport
 from siskinward.coordination.steering.warm_targets import WarmPair
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import DomainName
@@ -58,7 +59,7 @@
     the request rate of each client account at this VM. ``crashing_requests`` counts the targets
     lost to a request, by its fingerprint. ``warm`` names objects that began to run at targets.
     ``slow`` counts by target's ``short_id`` the latest runs that were slow. ``limits`` are the rate
-    limits that the VM heard from targets.
+    limits that the VM heard from targets, ``warmups`` the warm-up times that its probes found.
     """
 
     sender: EntryVm
@@ -73,6 +74,7 @@
     warm: tuple[WarmPair, ...] = ()
     slow: dict[int, int] = field(factory=dict)
     limits: tuple[LimitReport, ...] = ()
+    warmups: tuple[WarmupReport, ...] = ()
 
 
 @frozen
@@ -87,6 +89,7 @@
     warm: tuple[WarmPair, ...] = ()
     slow: dict[int, int] = field(factory=dict)
     limits: tuple[LimitReport, ...] = ()
+    warmups: tuple[WarmupReport, ...] = ()
 
 
 @frozen
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -8,12 +8,14 @@
 from attrs import define
 from attrs import frozen
 
+from siskinward.coordination.steering.hashing import short_id
 from siskinward.coordination.steering.row import ENTRY_RETURN_S
 from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import TargetName
 from siskinward.state.serving import TargetRecord
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
 
     from siskinward.state.identifiers import DomainName
@@ -35,10 +37,20 @@
     error_smoothing: float = 0.2
 
 
+@frozen
+class WarmupReport:
+    """A warm-up time that a target, named by its ``short_id``, stated to a VM's probe."""
+
+    target_id: int
+    left_s: float
+
+
 @define(eq=False)
 class Target:
     """One target as seen by this VM.
 
+    ``probed_cold_until_s`` is the end of the warm-up time that it stated to a probe of this VM.
+
     ``in_flight`` counts this VM's requests at the target, ``in_flight_elsewhere`` those of other
     VMs. ``error_share`` is an exponential moving average between 0 and 1.
     """
@@ -47,6 +59,7 @@
     region: RegionName
     cold_until_s: float = -inf
     cold_since_s: float = -inf
+    probed_cold_until_s: float = -inf
     suspended_until_s: float = -inf
     connect_failures: int = 0
     error_share: float = 0.0
@@ -151,7 +164,8 @@
         cold_until_s = now_s + record.warmup_left_s if record.warmup_left_s > 0 else -inf
         if known is not None and known.record.started_ms == record.started_ms:
             known.record = record
-            known.set_cold(cold_until_s, now_s)
+            # The row may have been written before the target stated its warm-up time to the probe.
+            known.set_cold(max(cold_until_s, known.probed_cold_until_s), now_s)
             known.expires_at_s = inf
             return
         self.remove(record.name)
@@ -242,9 +256,34 @@
             if target.needs_probe and now_s >= target.suspended_until_s
         ]
 
-    def on_reached(self, target: Target, warmup_left_s: float, now_s: float) -> None:
-        """Record an answered probe, in which the target reported its remaining warm-up time."""
+    def on_reached(
+        self, target: Target, warmup_left_s: float, now_s: float, *, is_stated: bool
+    ) -> None:
+        """Record a probe that reached a target, and its remaining warm-up time.
+
+        Only a time that the target itself stated, ``is_stated``, is reported to the other VMs.
+        """
         target.needs_probe = False
         target.connect_failures = 0
         target.error_share = 0.0
-        target.set_cold(now_s + warmup_left_s if warmup_left_s > 0 else -inf, now_s)
+        cold_until_s = now_s + warmup_left_s if warmup_left_s > 0 else -inf
+        target.probed_cold_until_s = cold_until_s if is_stated else -inf
+        target.set_cold(cold_until_s, now_s)
+
+    def own_warmups(self, now_s: float) -> tuple[WarmupReport, ...]:
+        """Return the warm-up times that targets stated to probes of this VM."""
+        return tuple(
+            WarmupReport(short_id(target.name), target.probed_cold_until_s - now_s)
+            for target in self._targets.values()
+            if now_s < target.probed_cold_until_s
+        )
+
+    def apply_warmups(self, reports: Collection[WarmupReport], now_s: float) -> None:
+        """Record the warm-up times that targets stated to another VM."""
+        if not reports:
+            return
+        cold_until_s = {report.target_id: now_s + report.left_s for report in reports}
+        for target in self._targets.values():
+            until_s = cold_until_s.get(short_id(target.name), -inf)
+            if until_s > target.cold_until_s:
+                target.set_cold(until_s, now_s)
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -104,12 +104,12 @@
             return
         match message:
             case Heartbeat():
-                self._apply_limits(message, host, now_s)
+                self._apply_statements(message, host, now_s)
                 self._apply_heartbeat(message, now_s)
                 self._steering.warm.record_announced(message.warm, now_s)
                 await self._on_heartbeat(message, now_s)
             case LoadReport():
-                self._apply_limits(message, host, now_s)
+                self._apply_statements(message, host, now_s)
                 heartbeat = self._steering.fleet.on_report(message, now_s)
                 if heartbeat is not None:
                     self._steering.warm.record_announced(message.warm, now_s)
@@ -123,12 +123,16 @@
             case LimitGrant():
                 await self._limits.on_grant(message)
 
-    def _apply_limits(self, message: Heartbeat | LoadReport, host: str, now_s: float) -> None:
+    def _apply_statements(self, message: Heartbeat | LoadReport, host: str, now_s: float) -> None:
+        """Record what targets stated to another VM."""
+        self._steering.targets.apply_warmups(message.warmups, now_s)
         changed = self._steering.limits.apply_reports(message.limits, now_s)
-        if not changed:
-            return
+        if changed:
+            self._log_limits(changed, host)
+
+    def _log_limits(self, target_ids: list[int], host: str) -> None:
         for target in self._steering.targets.all():
-            if short_id(target.name) in changed:
+            if short_id(target.name) in target_ids:
                 rate_per_s = self._steering.limits.rate_per_s(target.name)
                 fields = {"target": target.name, "rate_per_s": rate_per_s, "told_by": host}
                 self._log.write("target-limit", fields)
@@ -157,6 +161,7 @@
             warm=self._steering.warm.next_announcements(),
             slow=self._steering.slow.own_slow_runs(now_s),
             limits=self._steering.limits.own_reports(now_s),
+            warmups=self._steering.targets.own_warmups(now_s),
         )
 
     def _create(self, now_s: float) -> Heartbeat:
@@ -172,6 +177,7 @@
             warm=report.warm,
             slow=report.slow,
             limits=report.limits,
+            warmups=report.warmups,
             demand_per_s=steering.shares.publish(),
             crashing_requests=steering.crashes.own_losses(now_s),
             held={name: copy.held_count for name, copy in self._loaded().items()},
--- a/src/siskinward/daemon/entry/target_prober.py
+++ b/src/siskinward/daemon/entry/target_prober.py
@@ -82,7 +82,7 @@
         except ExchangeFailedError as error:
             if error.phase is SendPhase.SENT and error.is_timeout:
                 # The target accepted the connection: it is reachable, but too busy to answer.
-                targets.on_reached(target, service.warmup_s, read_clock_s())
+                targets.on_reached(target, service.warmup_s, read_clock_s(), is_stated=False)
                 return
             targets.on_unreachable(target, read_clock_s())
             self._log.write("target-unreached", {"target": target.name, "error": error.detail})
@@ -95,5 +95,6 @@
         self._limit_reader.read(response, target, may_end_limit=False)
         warmup_ms = decode_count(response.header(self._headers.warmup_left_ms) or b"0")
         warmup_left_s = service.warmup_s if warmup_ms is None else warmup_ms / 1000.0
-        targets.on_reached(target, warmup_left_s, read_clock_s())
+        is_stated = warmup_ms is not None
+        targets.on_reached(target, warmup_left_s, read_clock_s(), is_stated=is_stated)
         self._log.write("target-reached", {"target": target.name, "warmup_left_s": warmup_left_s})
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -24,6 +24,7 @@
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.target_limits import LimitReport
+from siskinward.coordination.steering.targets import WarmupReport
 from siskinward.coordination.steering.warm_targets import WarmPair
 from siskinward.state.addresses import is_ip_address
 from siskinward.state.identifiers import AccountName
@@ -43,11 +44,11 @@
 REFERRAL_TYPE = 2
 # The tables in the order in which a load report lists their positions and ages.
 REPORTED_TABLES = ("operator", "targets")
-# Warm pairs, slow targets and rate limits travel among the counts of requests in flight, where
-# earlier releases ignore them.
+# What follows travels among the counts of requests in flight, where earlier releases ignore it.
 WARM_KEY = "warm"
 SLOW_KEY = "slow"
 LIMITS_KEY = "limits"
+WARMUPS_KEY = "warmups"
 # A heartbeat counts the held rows of a table beside its position, under this suffix.
 HELD_SUFFIX = "-held"
 # A position is sent as one integer, whose lower bits are the version; before the store first comes
@@ -194,6 +195,7 @@
         warm=_decode_warm(in_flight),
         slow=_decode_slow(in_flight),
         limits=_decode_limits(in_flight),
+        warmups=_decode_warmups(in_flight),
         demand_per_s={AccountName(name): rate for name, rate in _decode_numbers(demand).items()},
         crashing_requests={str(key): int(count) for key, count in crashing_requests.items()},
     )
@@ -215,6 +217,7 @@
         warm=_decode_warm(in_flight),
         slow=_decode_slow(in_flight),
         limits=_decode_limits(in_flight),
+        warmups=_decode_warmups(in_flight),
     )
 
 
@@ -288,6 +291,10 @@
         fields[WARM_KEY] = [id_ for pair in message.warm for id_ in astuple(pair)]
     if message.slow:
         fields[SLOW_KEY] = message.slow
+    if message.warmups:
+        fields[WARMUPS_KEY] = {
+            item.target_id: round(item.left_s * 1000) for item in message.warmups
+        }
     if message.limits:
         fields[LIMITS_KEY] = [_encode_limit(report) for report in message.limits]
     return fields
@@ -321,6 +328,11 @@
     )
 
 
+def _decode_warmups(fields: dict[Any, Any]) -> tuple[WarmupReport, ...]:
+    warmups_ms = fields.get(WARMUPS_KEY, {})
+    return tuple(WarmupReport(int(key), int(left) / 1000) for key, left in warmups_ms.items())
+
+
 def _decode_limits(fields: dict[Any, Any]) -> tuple[LimitReport, ...]:
     return tuple(_decode_limit(item) for item in fields.get(LIMITS_KEY, ()))
 
--- a/tests/protocol/test_heartbeat_messages.py
+++ b/tests/protocol/test_heartbeat_messages.py
@@ -16,6 +16,7 @@
 from siskinward.coordination.steering.limit_tokens import LimitAsk
 from siskinward.coordination.steering.limit_tokens import LimitGrant
 from siskinward.coordination.steering.target_limits import LimitReport
+from siskinward.coordination.steering.targets import WarmupReport
 from siskinward.protocol.heartbeats import PeerMessageError
 from siskinward.protocol.heartbeats import decode_datagram
 from siskinward.protocol.heartbeats import encode_heartbeat
@@ -27,22 +28,28 @@
 from siskinward.state.identifiers import TargetName
 from siskinward.state.identifiers import VmName
 
+WARMUPS = (WarmupReport(9, 2.5),)
 LIMITS = (LimitReport(4_000_000_000, 1.25, 0.5), LimitReport(7, None, 3.0))
 VM = EntryVm(
     VmName("vm-1"), IncarnationId("a"), "10.0.0.1", 80, DomainName("bud-a"), RegionName("budapest")
 )
 
 
-def test_limits_travel_with_heartbeats_and_load_reports() -> None:
+def test_statements_of_targets_travel_with_heartbeats_and_load_reports() -> None:
     heartbeat = decode_datagram(
-        encode_heartbeat(Heartbeat(VM, 1, VmState.READY, in_flight={5: 2}, limits=LIMITS))
+        encode_heartbeat(
+            Heartbeat(VM, 1, VmState.READY, in_flight={5: 2}, limits=LIMITS, warmups=WARMUPS)
+        )
     )
     report = decode_datagram(
-        encode_report(LoadReport(VM.incarnation, 2, in_flight={5: 2}, limits=LIMITS))
+        encode_report(
+            LoadReport(VM.incarnation, 2, in_flight={5: 2}, limits=LIMITS, warmups=WARMUPS)
+        )
     )
     assert isinstance(heartbeat, Heartbeat)
     assert isinstance(report, LoadReport)
     assert heartbeat.limits == report.limits == LIMITS
+    assert heartbeat.warmups == report.warmups == WARMUPS
     assert heartbeat.in_flight == report.in_flight == {5: 2}
 
 
