Pass on the last readable limit of a target whose later ones are malformed

Cause: only what a VM heard itself is passed on, and a malformed limit was not heard. Once the VMs that had heard the readable one were replaced, their successors knew of none: 25 requests in 4 s where 12 are allowed. Change: a VM that knows a limit and gets a malformed one from its target reports the known limit as its own, with its age. Result: test_last_limit_before_malformed_ones_outlives_the_vms_that_heard_it failed before, passes now.

--- a/src/siskinward/coordination/steering/target_limits.py
+++ b/src/siskinward/coordination/steering/target_limits.py
@@ -57,6 +57,15 @@
             self._heard[short_id(target)] = self._latest[short_id(target)] = stated
         return rate_per_s != known_per_s
 
+    def record_malformed(self, target: TargetName) -> None:
+        """Record an answer with a malformed limit: the last one stays in force.
+
+        This VM reports it from now on, so that it outlives the VMs that heard it.
+        """
+        stated = self._latest.get(short_id(target))
+        if stated is not None and stated.rate_per_s is not None:
+            self._heard[short_id(target)] = stated
+
     def apply_reports(self, reports: Iterable[LimitReport], now_s: float) -> list[int]:
         """Record another VM's statements; return the ids of targets whose limit has changed."""
         return [report.target_id for report in reports if self._apply(report, now_s)]
--- a/src/siskinward/daemon/entry/limit_reader.py
+++ b/src/siskinward/daemon/entry/limit_reader.py
@@ -37,6 +37,7 @@
             case NoRateLimit() if may_end_limit:
                 self._record(target, None)
             case MalformedRateLimit(text=text):
+                self._steering.limits.record_malformed(target.name)
                 self._log.write("target-limit-malformed", {"target": target.name, "value": text})
             case _:
                 return
--- a/tests/coordination/steering/test_target_limits.py
+++ b/tests/coordination/steering/test_target_limits.py
@@ -106,6 +106,15 @@
     assert limits.rate_per_s(TARGET) == 5.0
 
 
+def test_malformed_limit_passes_on_the_last_one_with_its_age() -> None:
+    limits = TargetLimits()
+    limits.record_malformed(TARGET)
+    assert limits.own_reports(1.0) == ()
+    limits.apply_reports(stated(2.0, 0.0).own_reports(1.0), 1.0)
+    limits.record_malformed(TARGET)
+    assert [(item.rate_per_s, item.age_s) for item in limits.own_reports(4.0)] == [(2.0, 4.0)]
+
+
 def test_end_of_a_limit_is_reported_and_then_forgotten() -> None:
     limits = stated(2.0, 0.0)
     limits.record_answer(TARGET, None, 1.0)
--- a/tests/platform/test_stated_limits.py
+++ b/tests/platform/test_stated_limits.py
@@ -128,6 +128,24 @@
     run_site(scenario)
 
 
+def test_last_limit_before_malformed_ones_outlives_the_vms_that_heard_it(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        limited = site.targets[LIMITED]
+        state_limit([limited], "1.3")
+        stated_s = read_clock_s()
+        load = Load(site, rate_per_s=24.0)
+        await load.run(4.0)
+        state_limit([limited], "many")
+        for vm in list(site.vms):
+            await load.run(3.0)
+            await site.restart_vm(vm)
+            await curio.sleep(1.0)
+        await load.run(8.0)
+        check_limit(limited, 1.3, stated_s + CONTACT_S)
+
+    run_site(scenario)
+
+
 def test_limits_of_all_targets_bind_and_excess_is_refused_at_once(run_site: Any) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
         state_limit(listings(site), "1.5")
