Let targets state limits in the soak, and check what they got

Limits of single targets and of all, in series, readable or not, drawn apart so that earlier seeds keep their faults. All arrivals count, probes and sheds too, from whichever VM, by the platform's bound.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,9 @@
 REPEAT_COUNT = (1, 3)
 RESTORES = (0, 0, 1, 2)
 DURATIONS_S = (0.2, 0.8, 2.0, 4.0)
+LIMIT_GAP_S = (2.0, 8.0)
+LIMIT_DURATIONS_S = (2.0, 5.0, 9.0)
+RATE_LIMITS = ("0", "0.5", "1.3", "1.8", "4", "12.5", "many", "")
 
 
 class FaultKind(Enum):
@@ -43,23 +46,34 @@
     KEY_WITHDRAWN = "key-withdrawn"
     CONFIGURATION = "configuration"
     STORE_RESTORED = "store-restored"
+    TARGET_LIMIT = "target-limit"
+
+
+# Drawn apart from the other faults, so that the seeds of earlier failures still draw the faults
+# that they had.
+DRAWN_APART = (FaultKind.STORE_RESTORED, FaultKind.TARGET_LIMIT)
 
 
 @frozen
 class Fault:
-    """One fault, ``at_s`` after the start, on the VMs or targets at ``indexes`` of their lists."""
+    """One fault, ``at_s`` after the start, on the VMs or targets at ``indexes`` of their lists.
+
+    ``rate_limit`` is what targets state as their limit; empty for other kinds.
+    """
 
     kind: FaultKind
     at_s: float
     for_s: float
     indexes: tuple[int, ...]
+    rate_limit: str = ""
 
 
 def draw_faults(seed: int, length_s: float, vms: int, targets: int) -> list[Fault]:
     """Draw faults that start before ``length_s``; the same seed gives the same faults."""
     random = Random(seed)
     faults = _draw_restores(Random(f"restores of {seed}"), length_s)
-    kinds = [kind for kind in FaultKind if kind is not FaultKind.STORE_RESTORED]
+    faults += _draw_limits(Random(f"limits of {seed}"), length_s, targets)
+    kinds = [kind for kind in FaultKind if kind not in DRAWN_APART]
     at_s = random.uniform(*GAP_S)
     while at_s < length_s:
         kind = random.choice(kinds)
@@ -74,14 +88,27 @@
 
 
 def _draw_restores(random: Random, length_s: float) -> list[Fault]:
-    """Draw how often the store comes back from a copy, which is ``for_s`` old.
-
-    These are drawn apart from the other faults, so that the seeds of earlier failures still draw
-    the faults that they had.
-    """
+    """Draw how often the store comes back from a copy, which is ``for_s`` old."""
     return [
         Fault(
             FaultKind.STORE_RESTORED, random.uniform(0.0, length_s), random.choice(DURATIONS_S), ()
         )
         for _ in range(random.choice(RESTORES))
     ]
+
+
+def _draw_limits(random: Random, length_s: float, targets: int) -> list[Fault]:
+    """Draw limits that targets state, of single targets and of all, some of them in series."""
+    faults = []
+    at_s = random.uniform(*GAP_S)
+    while at_s < length_s:
+        count = random.choice((1, 1, 2, targets))
+        indexes = tuple(random.sample(range(targets), count))
+        for_s = random.choice(LIMIT_DURATIONS_S)
+        for step in range(random.randint(*REPEAT_COUNT)):
+            start_s = at_s + step * for_s
+            rate_limit = random.choice(RATE_LIMITS)
+            if start_s < length_s:
+                faults.append(Fault(FaultKind.TARGET_LIMIT, start_s, for_s, indexes, rate_limit))
+        at_s += random.uniform(*LIMIT_GAP_S)
+    return faults
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,6 +11,7 @@
 from siskinward.platform.standins import TargetStandIn
 from siskinward.state.serving import ServingBounds
 from soak.callers import Call
+from soak.stated_limits import StatedLimits
 from soak.vm_process import VmProcess
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
     calls: list[Call]
     withdrawn_keys: list[Withdrawal] = field(factory=list)
     drained: list[Withdrawal] = field(factory=list)
+    limits: StatedLimits = field(factory=StatedLimits)
     quota_in_window: float = 0.0
     broken: list[str] = field(factory=list)
     check_counts: dict[str, int] = field(factory=dict)
@@ -77,6 +79,7 @@
         self._check_repeats()
         self._check_withdrawn_keys()
         self._check_drained()
+        self.check_limits()
         self._check_graceful_shutdown()
         self._check_recovery(recovered_since_s)
         for vm in self.vms:
@@ -168,6 +171,11 @@
                     )
             self._count_checks("drained targets")
 
+    def check_limits(self) -> None:
+        """Check that no target got more requests than the limits that it stated allow."""
+        self._count_checks("stated limits", len(self.limits.periods))
+        self._report(self.limits.excesses())
+
     def _check_graceful_shutdown(self) -> None:
         """Check that a VM that is shutting down answers the requests that it has read."""
         for call in self.calls:
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -120,6 +120,7 @@
                 self.checker.check_all(since_s)
             else:
                 self.checker.check_invariants()
+                self.checker.check_limits()
         finally:
             for vm in self.vms:
                 vm.destroy()
@@ -181,6 +182,7 @@
                 _for_each(vms, VmProcess.kill)
             case FaultKind.ALL_VMS_KILL:
                 _for_each(self.vms, VmProcess.kill)
+                self.checker.limits.forget_unreadable(read_clock_s())
             case FaultKind.VM_RELOAD:
                 _for_each(vms, VmProcess.reload)
             case FaultKind.VM_PAUSE:
@@ -220,6 +222,8 @@
                     await target.start()
             case FaultKind.TARGET_DRAIN:
                 await self._drain(targets[0])
+            case FaultKind.TARGET_LIMIT:
+                await self._state_limits(fault, targets)
             case _ if fault.kind in PROXY_FAULTS:
                 await self._inject_proxy_fault(fault, proxies)
             case _:
@@ -229,6 +233,16 @@
                 for target in targets:
                     target.fault = TargetFault.NONE
 
+    async def _state_limits(self, fault: Fault, targets: list[TargetStandIn]) -> None:
+        """Let targets state a limit, instead of an earlier one, and end it if none follows."""
+        for target in targets:
+            self.checker.limits.state(target, fault.rate_limit, read_clock_s())
+        own = {target.name: self.checker.limits.current(target) for target in targets}
+        await curio.sleep(fault.for_s)
+        for target in targets:
+            if self.checker.limits.current(target) is own[target.name]:
+                self.checker.limits.state(target, None, read_clock_s())
+
     async def _inject_connection_fault(self, fault: Fault, proxies: list[LoopbackProxy]) -> None:
         for proxy in proxies:
             if fault.kind in (FaultKind.STORE_SILENCE, FaultKind.TARGET_SILENCE):
--- /dev/null
+++ b/soak/stated_limits.py
@@ -0,0 +1,102 @@
+"""The rate limits that targets stated in a run, and whether the VMs kept to them."""
+
+from __future__ import annotations
+
+from math import inf
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+
+from siskinward.platform.standins import TargetStandIn
+from siskinward.protocol.steering_headers import MalformedRateLimit
+from siskinward.protocol.steering_headers import NoRateLimit
+from siskinward.protocol.steering_headers import RateLimit
+from siskinward.protocol.steering_headers import decode_rate_limit
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+# The platform's rule: one and a half times the limit and 5 requests more, in any 4 s, from 3 s
+# after the target first stated it.
+WINDOW_S = 4.0
+OVERSHOOT = 1.5
+SLACK_REQUESTS = 5
+CONTACT_S = 3.0
+
+
+@define(eq=False)
+class StatedPeriod:
+    """A time in which a target stated a limit; ``rate_per_s`` is the one in force."""
+
+    target: TargetStandIn
+    rate_per_s: float
+    since_s: float
+    until_s: float = inf
+
+    def most_arrivals(self) -> int:
+        """Return the most requests in any window that lies in this time, after the contact."""
+        times = [
+            at_s
+            for at_s in self.target.arrivals_s
+            if self.since_s + CONTACT_S <= at_s < self.until_s
+        ]
+        return max(
+            (sum(0 <= other - at_s < WINDOW_S for other in times) for at_s in times), default=0
+        )
+
+    @property
+    def allowed_arrivals(self) -> float:
+        """The most requests that the target may get in a window."""
+        return OVERSHOOT * self.rate_per_s * WINDOW_S + SLACK_REQUESTS
+
+
+@define
+class StatedLimits:
+    """Records what targets state; a limit that can't be read leaves the last one in force."""
+
+    periods: list[StatedPeriod] = field(factory=list)
+    _current: dict[str, StatedPeriod] = field(factory=dict)
+
+    def current(self, target: TargetStandIn) -> StatedPeriod | None:
+        """Return the time in which a target's present limit is stated."""
+        return self._current.get(target.name)
+
+    def state(self, target: TargetStandIn, text: str | None, now_s: float) -> None:
+        """Let a target state a limit from now on, or none."""
+        target.rate_limit = text
+        previous = self._current.pop(target.name, None)
+        if previous is not None:
+            previous.until_s = now_s
+        if text is None:
+            return
+        decoded = _decode(text)
+        rate_per_s = previous.rate_per_s if previous else inf
+        if isinstance(decoded, RateLimit):
+            rate_per_s = decoded.rate_per_s
+        period = StatedPeriod(target, rate_per_s, now_s)
+        self._current[target.name] = period
+        self.periods.append(period)
+
+    def forget_unreadable(self, now_s: float) -> None:
+        """Record that no VM runs any more that knows what the unreadable limits were before."""
+        for name, period in list(self._current.items()):
+            if isinstance(_decode(period.target.rate_limit), MalformedRateLimit):
+                del self._current[name]
+                period.until_s = now_s
+                self.state(period.target, period.target.rate_limit, now_s)
+
+    def excesses(self) -> Iterator[str]:
+        """Yield the limits that were exceeded."""
+        for period in self.periods:
+            most = period.most_arrivals()
+            if most > period.allowed_arrivals:
+                yield (
+                    f"{period.target.name} stated {period.rate_per_s} a second at "
+                    f"{period.since_s:.3f} and got {most} requests in {WINDOW_S} s"
+                )
+
+
+def _decode(text: str | None) -> RateLimit | NoRateLimit | MalformedRateLimit:
+    return decode_rate_limit(None if text is None else text.encode())
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -21,6 +21,29 @@
 from soak.vm_process import VmProcess
 
 LONG_AGO_S = -100.0
+KINDS_OF_SEED_7 = [
+    "all-vms-kill",
+    "store-restored",
+    "store-forget-history",
+    "all-vms-kill",
+    "vm-reload",
+    "vm-kill",
+    "target-shed",
+    "target-delay",
+    "vm-kill",
+    "vm-pause",
+    "vm-kill",
+    "target-double",
+    "target-delay",
+    "target-delay",
+    "target-shed",
+    "target-cut-from",
+    "target-cut-from",
+    "target-shed",
+    "store-forget-history",
+    "store-forget-history",
+    "target-crash",
+]
 
 
 @define
@@ -214,3 +237,56 @@
     assert faults == draw_faults(seed, 12.0, vms=6, targets=10)
     assert faults != draw_faults(seed + 1, 12.0, vms=6, targets=10)
     assert len(faults) > 5
+
+
+def limited(observed: Observations, rate_limit: str | None, *, gap_s: float) -> PromiseChecker:
+    target = observed.targets[0]
+    checker = observed.checker()
+    checker.limits.state(target, "2", 0.0)
+    if rate_limit is not None:
+        checker.limits.state(target, rate_limit, 5.0)
+    target.arrivals_s = [10.0 + number * gap_s for number in range(40)]
+    observed.serve()
+    return checker
+
+
+@pytest.mark.parametrize("rate_limit", [None, "2", "many", "1"])
+def test_checker_reports_a_target_that_got_more_than_it_stated(rate_limit: str | None) -> None:
+    observed = Observations()
+    broken = observed.broken(limited(observed, rate_limit, gap_s=0.2))
+    assert "bookings-0 stated" in broken
+    assert "requests in 4.0 s" in broken
+
+
+@pytest.mark.parametrize(("rate_limit", "gap_s"), [("2", 0.25), ("30", 0.05), ("many", 0.25)])
+def test_checker_allows_what_a_stated_limit_allows(rate_limit: str, gap_s: float) -> None:
+    observed = Observations()
+    assert observed.broken(limited(observed, rate_limit, gap_s=gap_s)) == ""
+
+
+def test_checker_allows_any_rate_once_no_vm_knows_what_an_unreadable_limit_was() -> None:
+    observed = Observations()
+    checker = limited(observed, "many", gap_s=0.05)
+    checker.limits.forget_unreadable(6.0)
+    assert observed.broken(checker) == ""
+
+
+def test_checker_keeps_readable_limits_when_all_vms_restart() -> None:
+    observed = Observations()
+    checker = limited(observed, "2", gap_s=0.05)
+    checker.limits.forget_unreadable(6.0)
+    assert "bookings-0 stated" in observed.broken(checker)
+
+
+def test_checker_allows_any_rate_once_a_limit_has_ended() -> None:
+    observed = Observations()
+    checker = limited(observed, None, gap_s=0.05)
+    checker.limits.state(observed.targets[0], None, 9.0)
+    assert observed.broken(checker) == ""
+
+
+def test_limits_leave_the_other_faults_of_a_seed_as_they_were() -> None:
+    faults = draw_faults(7, 12.0, 6, 10)
+    kinds = [fault.kind.value for fault in faults if fault.kind.value != "target-limit"]
+    assert len(faults) > len(kinds) > 0
+    assert kinds == KINDS_OF_SEED_7
