--- a/soak/stated_limits.py
+++ b/soak/stated_limits.py
@@ -26,6 +26,17 @@
 CONTACT_S = 3.0
 
 
+def allowed_arrivals(rate_per_s: float) -> float:
+    """Return the most requests that a target with a limit may get in a window."""
+    return OVERSHOOT * rate_per_s * WINDOW_S + SLACK_REQUESTS
+
+
+def most_arrivals(target: TargetStandIn, since_s: float, until_s: float = inf) -> int:
+    """Return the most requests, probes included, that a target got in a window of the time."""
+    times = [at_s for at_s in target.arrivals_s if since_s <= at_s < until_s]
+    return max((sum(0 <= other - at_s < WINDOW_S for other in times) for at_s in times), default=0)
+
+
 @define(eq=False)
 class StatedPeriod:
     """A time in which a target stated a limit; ``rate_per_s`` is the one in force."""
@@ -37,19 +48,7 @@
 
     def most_arrivals(self) -> int:
         """Return the most requests in any window that lies in this time, after the contact."""
-        times = [
-            at_s
-            for at_s in self.target.arrivals_s
-            if self.since_s + CONTACT_S <= at_s < self.until_s
-        ]
-        return max(
-            (sum(0 <= other - at_s < WINDOW_S for other in times) for at_s in times), default=0
-        )
-
-    @property
-    def allowed_arrivals(self) -> float:
-        """The most requests that the target may get in a window."""
-        return OVERSHOOT * self.rate_per_s * WINDOW_S + SLACK_REQUESTS
+        return most_arrivals(self.target, self.since_s + CONTACT_S, self.until_s)
 
 
 @define
@@ -91,7 +90,7 @@
         """Yield the limits that were exceeded."""
         for period in self.periods:
             most = period.most_arrivals()
-            if most > period.allowed_arrivals:
+            if most > allowed_arrivals(period.rate_per_s):
                 yield (
                     f"{period.target.name} stated {period.rate_per_s} a second at "
                     f"{period.since_s:.3f} and got {most} requests in {WINDOW_S} s"
--- a/tests/platform/limit_load.py
+++ b/tests/platform/limit_load.py
@@ -19,12 +19,6 @@
 
     from siskinward.platform.standins import TargetStandIn
 
-# The platform's rule: one and a half times the limit and 5 requests more, in any 4 s, from 3 s
-# after the target first stated it.
-WINDOW_S = 4.0
-OVERSHOOT = 1.5
-SLACK_REQUESTS = 5
-CONTACT_S = 3.0
 OBJECTS = 101
 
 
@@ -71,17 +65,6 @@
         self.responses.append(response)
 
 
-def most_arrivals(target: TargetStandIn, since_s: float, window_s: float = WINDOW_S) -> int:
-    """Return the most requests, probes included, that a target got in any window."""
-    times = [time_s for time_s in target.arrivals_s if time_s >= since_s]
-    return max((sum(0 <= other - at_s < window_s for other in times) for at_s in times), default=0)
-
-
-def allowed_arrivals(rate_per_s: float) -> float:
-    """Return the most requests that a target with a limit may get in a window."""
-    return OVERSHOOT * rate_per_s * WINDOW_S + SLACK_REQUESTS
-
-
 def state_limit(targets: Iterable[TargetStandIn], rate_limit: str | None) -> None:
     """Let targets state a limit from now on, or none."""
     for target in targets:
--- a/tests/platform/test_stated_limits.py
+++ b/tests/platform/test_stated_limits.py
@@ -7,19 +7,18 @@
 
 import curio
 import pytest
-from limit_load import CONTACT_S
 from limit_load import Load
-from limit_load import allowed_arrivals
-from limit_load import most_arrivals
 from limit_load import state_limit
 
 from siskinward.platform.standins import SiteSettings
 from siskinward.platform.standins import TargetFault
 from siskinward.platform.standins import TargetStandIn
 from siskinward.transport.clock import read_clock_s
+from soak.stated_limits import CONTACT_S
+from soak.stated_limits import allowed_arrivals
+from soak.stated_limits import most_arrivals
 
 if TYPE_CHECKING:
-
     from siskinward.platform.standins import Site
     from siskinward.standins.memory_network import MemoryNetwork
 
@@ -28,6 +27,7 @@
 THREE_REGIONS = {"bud-a": "budapest", "deb-a": "debrecen", "pec-a": "pecs"}
 # All VMs have read the end of a limit from answers, or from one another, within this time.
 ENDED_S = 6.0
+LOAD_S = 12.0
 
 
 def listings(site: Site) -> list[TargetStandIn]:
@@ -39,16 +39,22 @@
     assert most <= allowed_arrivals(rate_per_s), f"{target.name} got {most}"
 
 
+async def load_limited(site: Site, rate: str, *, rate_per_s: float = 24.0, **load: Any) -> Load:
+    """Let one target state a limit, put load on all, and check what the target got."""
+    limited = site.targets[LIMITED]
+    state_limit([limited], rate)
+    stated_s = read_clock_s()
+    requests = Load(site, rate_per_s=rate_per_s, **load)
+    await requests.run(LOAD_S)
+    check_limit(limited, float(rate), stated_s + CONTACT_S)
+    return requests
+
+
 # Incident inc1: targets that named a limit went on getting their whole share of the load, in first
 # sends of many VMs.
 def test_target_that_states_a_limit_gets_no_more_from_all_vms_together(run_site: Any) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
-        limited = site.targets[LIMITED]
-        state_limit([limited], "1.3")
-        stated_s = read_clock_s()
-        load = Load(site, rate_per_s=24.0)
-        await load.run(12.0)
-        check_limit(limited, 1.3, stated_s + CONTACT_S)
+        load = await load_limited(site, "1.3")
         assert load.statuses == {200}
 
     run_site(scenario)
@@ -56,12 +62,7 @@
 
 def test_limit_binds_a_single_vm_that_gets_all_load(run_site: Any) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
-        limited = site.targets[LIMITED]
-        state_limit([limited], "1.3")
-        stated_s = read_clock_s()
-        load = Load(site, rate_per_s=24.0, vms=(VM,))
-        await load.run(12.0)
-        check_limit(limited, 1.3, stated_s + CONTACT_S)
+        load = await load_limited(site, "1.3", vms=(VM,))
         assert load.statuses == {200}
 
     run_site(scenario)
@@ -190,27 +191,18 @@
 
 def test_second_tries_are_counted_against_the_limit(run_site: Any) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
-        limited = site.targets[LIMITED]
         for target in listings(site):
-            if target is not limited:
+            if target.name != LIMITED:
                 target.fault = TargetFault.SHEDS
-        state_limit([limited], "1.3")
-        stated_s = read_clock_s()
-        await Load(site, rate_per_s=24.0).run(12.0)
-        check_limit(limited, 1.3, stated_s + CONTACT_S)
+        await load_limited(site, "1.3")
 
     run_site(scenario)
 
 
 def test_rejected_requests_are_counted_against_the_limit(run_site: Any) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
-        limited = site.targets[LIMITED]
-        limited.fault = TargetFault.SHEDS
-        state_limit([limited], "1.3")
-        stated_s = read_clock_s()
-        load = Load(site, rate_per_s=24.0)
-        await load.run(12.0)
-        check_limit(limited, 1.3, stated_s + CONTACT_S)
+        site.targets[LIMITED].fault = TargetFault.SHEDS
+        load = await load_limited(site, "1.3")
         assert load.statuses == {200}
 
     run_site(scenario)
@@ -336,12 +328,7 @@
 @pytest.mark.parametrize("vms_per_zone", [1, 4])
 def test_limits_bind_fleets_of_other_sizes(run_site: Any, vms_per_zone: int) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
-        limited = site.targets[LIMITED]
-        state_limit([limited], "1.8")
-        stated_s = read_clock_s()
-        load = Load(site, rate_per_s=40.0)
-        await load.run(12.0)
-        check_limit(limited, 1.8, stated_s + CONTACT_S)
+        load = await load_limited(site, "1.8", rate_per_s=40.0)
         assert load.statuses == {200}
 
     run_site(scenario, SiteSettings(THREE_REGIONS, vms_per_zone=vms_per_zone))
