--- a/src/siskinward/daemon/entry/deployment_report.py
+++ b/src/siskinward/daemon/entry/deployment_report.py
@@ -13,8 +13,8 @@
 from siskinward.daemon.entry.metrics_page import METRICS_PATH
 from siskinward.daemon.entry.metrics_page import PREFIX
 from siskinward.daemon.entry.ports import Evacuation
-from siskinward.protocol.heartbeats import PeerMessageError
-from siskinward.protocol.heartbeats import decode_vm
+from siskinward.protocol.peer_fields import PeerMessageError
+from siskinward.protocol.vm_identity import decode_vm
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import ServiceName
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -16,10 +16,10 @@
 from siskinward.coordination.steering.limit_tokens import LimitAsk
 from siskinward.coordination.steering.limit_tokens import LimitGrant
 from siskinward.coordination.steering.rows import FOLLOWED_TABLES
-from siskinward.protocol.heartbeats import PeerMessageError
 from siskinward.protocol.heartbeats import decode_datagram
 from siskinward.protocol.heartbeats import encode_heartbeat
 from siskinward.protocol.heartbeats import encode_report
+from siskinward.protocol.peer_fields import PeerMessageError
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -32,7 +32,7 @@
 from siskinward.daemon.entry.steering import create_steering
 from siskinward.daemon.entry.store_updates import StoreUpdates
 from siskinward.daemon.entry.target_prober import TargetProber
-from siskinward.protocol.heartbeats import encode_vm
+from siskinward.protocol.vm_identity import encode_vm
 from siskinward.state.errors import SiskinwardError
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.decision_log import DecisionLog
--- a/src/siskinward/daemon/entry/replication.py
+++ b/src/siskinward/daemon/entry/replication.py
@@ -14,9 +14,9 @@
 from siskinward.coordination.steering.rows import HistoryDropped
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.rows import StoreTable
-from siskinward.protocol.heartbeats import PeerMessageError
-from siskinward.protocol.heartbeats import Referral
-from siskinward.protocol.heartbeats import RowsRequest
+from siskinward.protocol.peer_fields import PeerMessageError
+from siskinward.protocol.row_messages import Referral
+from siskinward.protocol.row_messages import RowsRequest
 from siskinward.state.errors import SiskinwardError
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.peer_rows import fetch_rows
--- a/src/siskinward/daemon/entry/store_updates.py
+++ b/src/siskinward/daemon/entry/store_updates.py
@@ -6,7 +6,7 @@
 
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.daemon.entry.ports import Evacuation
-from siskinward.protocol.heartbeats import decode_vm
+from siskinward.protocol.vm_identity import decode_vm
 from siskinward.state.serving import ServingConfiguration
 from siskinward.state.serving import ServingIndex
 
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -1,38 +1,35 @@
-"""msgpack encoding of what entry VMs exchange: datagrams, and rows on request."""
+"""msgpack encoding of the datagrams that entry VMs exchange."""
 
 from __future__ import annotations
 
-import zlib
-from math import isfinite
 from typing import Any
 
 import msgpack
 from attrs import astuple
-from attrs import frozen
 
 from siskinward.coordination.steering.account_tokens import TokenAsk
 from siskinward.coordination.steering.account_tokens import TokenGrant
-from siskinward.coordination.steering.fleet import EntryVm
 from siskinward.coordination.steering.fleet import Heartbeat
 from siskinward.coordination.steering.fleet import LoadReport
 from siskinward.coordination.steering.fleet import VmState
-from siskinward.coordination.steering.held_rows import HeldRow
 from siskinward.coordination.steering.limit_tokens import LimitAsk
 from siskinward.coordination.steering.limit_tokens import LimitGrant
-from siskinward.coordination.steering.row import Row
-from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import Position
-from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.target_limits import LimitReport
 from siskinward.coordination.steering.targets import WarmupReport
 from siskinward.coordination.steering.warm_targets import WarmPair
-from siskinward.state.addresses import is_ip_address
+from siskinward.protocol.peer_fields import MALFORMED
+from siskinward.protocol.peer_fields import PeerMessageError
+from siskinward.protocol.peer_fields import decode_number
+from siskinward.protocol.peer_fields import decode_numbers
+from siskinward.protocol.peer_fields import decode_position
+from siskinward.protocol.peer_fields import encode_position
+from siskinward.protocol.peer_fields import unpack
+from siskinward.protocol.vm_identity import decode_vm_fields
+from siskinward.protocol.vm_identity import encode_vm_fields
 from siskinward.state.identifiers import AccountName
-from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
-from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import TargetName
-from siskinward.state.identifiers import VmName
 
 HEARTBEAT_TYPE = 1
 REPORT_TYPE = 2
@@ -40,8 +37,6 @@
 GRANT_TYPE = 4
 LIMIT_ASK_TYPE = 5
 LIMIT_GRANT_TYPE = 6
-ROWS_TYPE = 1
-REFERRAL_TYPE = 2
 # The tables in the order in which a load report lists their positions and ages.
 REPORTED_TABLES = ("operator", "targets")
 # What follows travels among the counts of requests in flight, where earlier releases ignore it.
@@ -51,46 +46,17 @@
 WARMUPS_KEY = "warmups"
 # A heartbeat counts the held rows of a table beside its position, under this suffix.
 HELD_SUFFIX = "-held"
-# A position is sent as one integer, whose lower bits are the version; before the store first comes
-# back from a copy it equals the version, which is all that earlier releases send and understand.
-VERSION_BITS = 40
-# What the decoding of a field of another type or size raises.
-MALFORMED = (TypeError, ValueError, AttributeError, OverflowError)
-FRAME_LIMIT_BYTES = 32 * 1024 * 1024
 
 
 PeerMessage = Heartbeat | LoadReport | TokenAsk | TokenGrant | LimitAsk | LimitGrant
 
 
-class PeerMessageError(ValueError):
-    """Raised for bytes from another VM that do not decode to a message of this protocol."""
-
-
-@frozen
-class RowsRequest:
-    """Requests the rows that a copy of ``table`` at ``position`` lacks; sent by ``host``."""
-
-    table: str
-    position: Position
-    host: str
-
-
-@frozen
-class Referral:
-    """Names hosts that recently received the rows, when the VM asked is busy sending them."""
-
-    hosts: tuple[str, ...]
-
-
-RowsReply = Snapshot | Changes | Referral
-
-
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
     """Encode a heartbeat as one datagram."""
     sender = heartbeat.sender
     fields = (
         HEARTBEAT_TYPE,
-        _encode_vm(sender),
+        encode_vm_fields(sender),
         heartbeat.number,
         int(heartbeat.state),
         _encode_positions(heartbeat),
@@ -108,7 +74,7 @@
         REPORT_TYPE,
         report.incarnation,
         report.number,
-        [_encode_position(report.positions.get(name, Position())) for name in REPORTED_TABLES],
+        [encode_position(report.positions.get(name, Position())) for name in REPORTED_TABLES],
         [int(report.ages_s.get(name, 0.0) * 1000) for name in REPORTED_TABLES],
         _encode_in_flight(report),
     )
@@ -147,7 +113,7 @@
 
 def decode_datagram(data: bytes) -> PeerMessage:
     """Decode a datagram; raises ``PeerMessageError``."""
-    fields = _unpack(data)
+    fields = unpack(data)
     try:
         message_type, *rest = fields
         match message_type:
@@ -177,11 +143,11 @@
 def _decode_heartbeat(fields: list[Any]) -> Heartbeat:
     vm, number, state, positions, ages_s, in_flight, demand, crashing_requests = fields
     return Heartbeat(
-        sender=_decode_vm(vm),
+        sender=decode_vm_fields(vm),
         number=int(number),
         state=VmState(state),
         positions={
-            name: _decode_position(value)
+            name: decode_position(value)
             for name, value in positions.items()
             if not name.endswith(HELD_SUFFIX)
         },
@@ -190,13 +156,13 @@
             for name, value in positions.items()
             if name.endswith(HELD_SUFFIX)
         },
-        ages_s=_decode_numbers(ages_s),
+        ages_s=decode_numbers(ages_s),
         in_flight=_decode_in_flight(in_flight),
         warm=_decode_warm(in_flight),
         slow=_decode_slow(in_flight),
         limits=_decode_limits(in_flight),
         warmups=_decode_warmups(in_flight),
-        demand_per_s={AccountName(name): rate for name, rate in _decode_numbers(demand).items()},
+        demand_per_s={AccountName(name): rate for name, rate in decode_numbers(demand).items()},
         crashing_requests={str(key): int(count) for key, count in crashing_requests.items()},
     )
 
@@ -211,7 +177,7 @@
     return LoadReport(
         incarnation=IncarnationId(str(incarnation)),
         number=int(number),
-        positions={name: _decode_position(positions[name]) for name in loaded},
+        positions={name: decode_position(positions[name]) for name in loaded},
         ages_s={name: ages[name] / 1000.0 for name in loaded},
         in_flight=_decode_in_flight(in_flight),
         warm=_decode_warm(in_flight),
@@ -221,66 +187,8 @@
     )
 
 
-def encode_rows_request(request: RowsRequest) -> bytes:
-    """Encode a request for rows."""
-    return bytes(msgpack.packb((request.table, _encode_position(request.position), request.host)))
-
-
-def decode_rows_request(data: bytes) -> RowsRequest:
-    """Decode a request for rows; raises ``PeerMessageError``."""
-    try:
-        table, position, host = _unpack(data)
-        return RowsRequest(str(table), _decode_position(position), str(host))
-    except MALFORMED as error:
-        raise PeerMessageError(f"malformed request for rows: {error}") from error
-
-
-def encode_rows_reply(reply: RowsReply, now_s: float) -> bytes:
-    """Encode the reply to a request for rows; held rows are sent with the time that is left."""
-    match reply:
-        case Referral(hosts=hosts):
-            fields: tuple[Any, ...] = (REFERRAL_TYPE, hosts)
-        case Snapshot() | Changes():
-            after = _encode_position(reply.after) if isinstance(reply, Changes) else None
-            rows = [(row.key, row.value, row.version) for row in reply.rows]
-            fields = (ROWS_TYPE, after, _encode_position(reply.position), rows)
-            if isinstance(reply, Snapshot) and reply.held:
-                fields = (*fields, [_encode_held(held, now_s) for held in reply.held])
-    return zlib.compress(msgpack.packb(fields))
-
-
-def decode_rows_reply(data: bytes, now_s: float) -> RowsReply:
-    """Decode the reply to a request for rows; raises ``PeerMessageError``."""
-    try:
-        message_type, *rest = _unpack(zlib.decompress(data))
-        if message_type == REFERRAL_TYPE:
-            (hosts,) = rest
-            return Referral(tuple(str(host) for host in hosts))
-        after, position, fields, *more = rest
-        rows = tuple(_decode_row(item) for item in fields)
-        held = tuple(_decode_held(item, now_s) for item in (more[0] if more else ()))
-        if after is None:
-            return Snapshot(rows, _decode_position(position), held)
-        return Changes(rows, _decode_position(after), _decode_position(position))
-    except (*MALFORMED, zlib.error) as error:
-        raise PeerMessageError(f"malformed reply with rows: {error}") from error
-
-
-def _encode_position(position: Position) -> int:
-    if position.version < 0:
-        return position.version
-    return (position.era << VERSION_BITS) + position.version
-
-
-def _decode_position(value: Any) -> Position:
-    number = int(value)
-    if number < 0:
-        return Position(0, number)
-    return Position(number >> VERSION_BITS, number & ((1 << VERSION_BITS) - 1))
-
-
 def _encode_positions(heartbeat: Heartbeat) -> dict[str, int]:
-    positions = {name: _encode_position(value) for name, value in heartbeat.positions.items()}
+    positions = {name: encode_position(value) for name, value in heartbeat.positions.items()}
     held = {name + HELD_SUFFIX: count for name, count in heartbeat.held.items()}
     return positions | held
 
@@ -319,7 +227,7 @@
 
 def _decode_limit(fields: Any) -> LimitReport:
     target_id, rate_per_s, age_ms = fields
-    if rate_per_s is not None and _decode_number(rate_per_s) < 0:
+    if rate_per_s is not None and decode_number(rate_per_s) < 0:
         raise ValueError(f"expected a rate limit of 0 or more, found {rate_per_s!r}")
     return LimitReport(
         int(target_id),
@@ -335,78 +243,3 @@
 
 def _decode_limits(fields: dict[Any, Any]) -> tuple[LimitReport, ...]:
     return tuple(_decode_limit(item) for item in fields.get(LIMITS_KEY, ()))
-
-
-def _encode_held(held: HeldRow, now_s: float) -> tuple[Any, ...]:
-    row = held.row
-    return (row.key, row.value, row.version, max(0.0, held.until_s - now_s))
-
-
-def _decode_held(fields: Any, now_s: float) -> HeldRow:
-    *row, left_s = fields
-    return HeldRow(_decode_row(row), now_s + _decode_number(left_s))
-
-
-def _decode_row(fields: Any) -> Row:
-    key, value, version = fields
-    if value is not None and not isinstance(value, bytes):
-        raise TypeError(f"row {key!r} holds no bytes: {value!r}")
-    return Row(str(key), value, int(version))
-
-
-def _decode_number(value: Any) -> float:
-    number = float(value)
-    if not isfinite(number):
-        raise ValueError(f"expected a finite number, found {value!r}")
-    return number
-
-
-def _decode_numbers(fields: Any) -> dict[str, float]:
-    return {str(name): _decode_number(value) for name, value in fields.items()}
-
-
-def _encode_vm(vm: EntryVm) -> tuple[Any, ...]:
-    return (
-        vm.vm,
-        vm.incarnation,
-        vm.host,
-        vm.front_port,
-        vm.failure_domain,
-        vm.region,
-        vm.link_mbps,
-    )
-
-
-def _decode_vm(fields: Any) -> EntryVm:
-    vm, incarnation, host, front_port, domain, region, *link_mbps = fields
-    if not is_ip_address(host):
-        raise ValueError(f"expected the IP address of VM {vm!r}, found {host!r}")
-    return EntryVm(
-        vm=VmName(str(vm)),
-        incarnation=IncarnationId(str(incarnation)),
-        host=host,
-        front_port=int(front_port),
-        failure_domain=DomainName(str(domain)),
-        region=RegionName(str(region)),
-        link_mbps=_decode_number(link_mbps[0]) if link_mbps else 0.0,
-    )
-
-
-def encode_vm(vm: EntryVm) -> bytes:
-    """Encode a VM's identity, as it is written to the store."""
-    return bytes(msgpack.packb(_encode_vm(vm)))
-
-
-def decode_vm(data: bytes) -> EntryVm:
-    """Decode a VM's identity; raises ``PeerMessageError``."""
-    try:
-        return _decode_vm(_unpack(data))
-    except MALFORMED as error:
-        raise PeerMessageError(f"malformed VM identity: {error}") from error
-
-
-def _unpack(data: bytes) -> Any:
-    try:
-        return msgpack.unpackb(data, strict_map_key=False)
-    except (ValueError, msgpack.UnpackException) as error:
-        raise PeerMessageError(f"invalid msgpack: {error}") from error
--- /dev/null
+++ b/src/siskinward/protocol/row_messages.py
@@ -0,0 +1,106 @@
+"""msgpack encoding of the rows that entry VMs pass on to one another, on request."""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any
+
+import msgpack
+from attrs import frozen
+
+from siskinward.coordination.steering.held_rows import HeldRow
+from siskinward.coordination.steering.row import Row
+from siskinward.coordination.steering.rows import Changes
+from siskinward.coordination.steering.rows import Position
+from siskinward.coordination.steering.rows import Snapshot
+from siskinward.protocol.peer_fields import MALFORMED
+from siskinward.protocol.peer_fields import PeerMessageError
+from siskinward.protocol.peer_fields import decode_number
+from siskinward.protocol.peer_fields import decode_position
+from siskinward.protocol.peer_fields import encode_position
+from siskinward.protocol.peer_fields import unpack
+
+ROWS_TYPE = 1
+REFERRAL_TYPE = 2
+FRAME_LIMIT_BYTES = 32 * 1024 * 1024
+
+
+@frozen
+class RowsRequest:
+    """Requests the rows that a copy of ``table`` at ``position`` lacks; sent by ``host``."""
+
+    table: str
+    position: Position
+    host: str
+
+
+@frozen
+class Referral:
+    """Names hosts that recently received the rows, when the VM asked is busy sending them."""
+
+    hosts: tuple[str, ...]
+
+
+RowsReply = Snapshot | Changes | Referral
+
+
+def encode_rows_request(request: RowsRequest) -> bytes:
+    """Encode a request for rows."""
+    return bytes(msgpack.packb((request.table, encode_position(request.position), request.host)))
+
+
+def decode_rows_request(data: bytes) -> RowsRequest:
+    """Decode a request for rows; raises ``PeerMessageError``."""
+    try:
+        table, position, host = unpack(data)
+        return RowsRequest(str(table), decode_position(position), str(host))
+    except MALFORMED as error:
+        raise PeerMessageError(f"malformed request for rows: {error}") from error
+
+
+def encode_rows_reply(reply: RowsReply, now_s: float) -> bytes:
+    """Encode the reply to a request for rows; held rows are sent with the time that is left."""
+    match reply:
+        case Referral(hosts=hosts):
+            fields: tuple[Any, ...] = (REFERRAL_TYPE, hosts)
+        case Snapshot() | Changes():
+            after = encode_position(reply.after) if isinstance(reply, Changes) else None
+            rows = [(row.key, row.value, row.version) for row in reply.rows]
+            fields = (ROWS_TYPE, after, encode_position(reply.position), rows)
+            if isinstance(reply, Snapshot) and reply.held:
+                fields = (*fields, [_encode_held(held, now_s) for held in reply.held])
+    return zlib.compress(msgpack.packb(fields))
+
+
+def decode_rows_reply(data: bytes, now_s: float) -> RowsReply:
+    """Decode the reply to a request for rows; raises ``PeerMessageError``."""
+    try:
+        message_type, *rest = unpack(zlib.decompress(data))
+        if message_type == REFERRAL_TYPE:
+            (hosts,) = rest
+            return Referral(tuple(str(host) for host in hosts))
+        after, position, fields, *more = rest
+        rows = tuple(_decode_row(item) for item in fields)
+        held = tuple(_decode_held(item, now_s) for item in (more[0] if more else ()))
+        if after is None:
+            return Snapshot(rows, decode_position(position), held)
+        return Changes(rows, decode_position(after), decode_position(position))
+    except (*MALFORMED, zlib.error) as error:
+        raise PeerMessageError(f"malformed reply with rows: {error}") from error
+
+
+def _encode_held(held: HeldRow, now_s: float) -> tuple[Any, ...]:
+    row = held.row
+    return (row.key, row.value, row.version, max(0.0, held.until_s - now_s))
+
+
+def _decode_held(fields: Any, now_s: float) -> HeldRow:
+    *row, left_s = fields
+    return HeldRow(_decode_row(row), now_s + decode_number(left_s))
+
+
+def _decode_row(fields: Any) -> Row:
+    key, value, version = fields
+    if value is not None and not isinstance(value, bytes):
+        raise TypeError(f"row {key!r} holds no bytes: {value!r}")
+    return Row(str(key), value, int(version))
--- a/src/siskinward/transport/peer_rows.py
+++ b/src/siskinward/transport/peer_rows.py
@@ -11,14 +11,14 @@
 
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Snapshot
-from siskinward.protocol.heartbeats import FRAME_LIMIT_BYTES
-from siskinward.protocol.heartbeats import PeerMessageError
-from siskinward.protocol.heartbeats import Referral
-from siskinward.protocol.heartbeats import RowsRequest
-from siskinward.protocol.heartbeats import decode_rows_reply
-from siskinward.protocol.heartbeats import decode_rows_request
-from siskinward.protocol.heartbeats import encode_rows_reply
-from siskinward.protocol.heartbeats import encode_rows_request
+from siskinward.protocol.peer_fields import PeerMessageError
+from siskinward.protocol.row_messages import FRAME_LIMIT_BYTES
+from siskinward.protocol.row_messages import Referral
+from siskinward.protocol.row_messages import RowsRequest
+from siskinward.protocol.row_messages import decode_rows_reply
+from siskinward.protocol.row_messages import decode_rows_request
+from siskinward.protocol.row_messages import encode_rows_reply
+from siskinward.protocol.row_messages import encode_rows_request
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 from siskinward.transport.sockets import connect
@@ -27,7 +27,7 @@
     from collections.abc import Callable
 
     from siskinward.coordination.steering.rows import Changes
-    from siskinward.protocol.heartbeats import RowsReply
+    from siskinward.protocol.row_messages import RowsReply
 
 EXCHANGE_TIMEOUT_S = 2.0
 # A VM fetches a table from one host at a time, so a dead host must not hold up the others for long.
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -24,14 +24,14 @@
 from siskinward.platform.standins import SiteSettings
 from siskinward.platform.standins import StoreFault
 from siskinward.platform.standins import TargetStandIn
-from siskinward.protocol.heartbeats import Referral
-from siskinward.protocol.heartbeats import RowsRequest
+from siskinward.protocol.row_messages import Referral
+from siskinward.protocol.row_messages import RowsRequest
 from siskinward.transport import peer_rows
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
     from siskinward.platform.standins import Site
-    from siskinward.protocol.heartbeats import RowsReply
+    from siskinward.protocol.row_messages import RowsReply
     from siskinward.standins.memory_network import MemoryNetwork
 
 VM = "vm-bud-a-0"
--- a/tests/protocol/test_heartbeat_messages.py
+++ b/tests/protocol/test_heartbeat_messages.py
@@ -17,11 +17,11 @@
 from siskinward.coordination.steering.limit_tokens import LimitGrant
 from siskinward.coordination.steering.target_limits import LimitReport
 from siskinward.coordination.steering.targets import WarmupReport
-from siskinward.protocol.heartbeats import PeerMessageError
 from siskinward.protocol.heartbeats import decode_datagram
 from siskinward.protocol.heartbeats import encode_heartbeat
 from siskinward.protocol.heartbeats import encode_limit_message
 from siskinward.protocol.heartbeats import encode_report
+from siskinward.protocol.peer_fields import PeerMessageError
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import IncarnationId
 from siskinward.state.identifiers import RegionName
