Pass on rate limits exactly

Cause: heartbeats round numbers to single precision, so 1.3 arrived as 1.2999999523 from a heartbeat and as 1.3 from a load report. The two counted as different limits: the VM that had heard it no longer passed it on, and pauses ended early. Change: rates travel in millionths, as integers. Result: the round trip of 1.3, in the test of heartbeat messages.

--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -20,7 +20,6 @@
 from siskinward.coordination.steering.warm_targets import WarmPair
 from siskinward.protocol.peer_fields import MALFORMED
 from siskinward.protocol.peer_fields import PeerMessageError
-from siskinward.protocol.peer_fields import decode_number
 from siskinward.protocol.peer_fields import decode_numbers
 from siskinward.protocol.peer_fields import decode_position
 from siskinward.protocol.peer_fields import encode_position
@@ -44,6 +43,8 @@
 SLOW_KEY = "slow"
 LIMITS_KEY = "limits"
 WARMUPS_KEY = "warmups"
+# Rates travel in millionths: numbers of a heartbeat are rounded to single precision.
+RATE_SCALE = 1_000_000
 # A heartbeat counts the held rows of a table beside its position, under this suffix.
 HELD_SUFFIX = "-held"
 
@@ -221,17 +222,18 @@
     return {int(key): int(count) for key, count in fields.get(SLOW_KEY, {}).items()}
 
 
-def _encode_limit(report: LimitReport) -> tuple[int, float | None, int]:
-    return (report.target_id, report.rate_per_s, round(report.age_s * 1000))
+def _encode_limit(report: LimitReport) -> tuple[int, int | None, int]:
+    rate = None if report.rate_per_s is None else round(report.rate_per_s * RATE_SCALE)
+    return (report.target_id, rate, round(report.age_s * 1000))
 
 
 def _decode_limit(fields: Any) -> LimitReport:
-    target_id, rate_per_s, age_ms = fields
-    if rate_per_s is not None and decode_number(rate_per_s) < 0:
-        raise ValueError(f"expected a rate limit of 0 or more, found {rate_per_s!r}")
+    target_id, rate, age_ms = fields
+    if rate is not None and int(rate) < 0:
+        raise ValueError(f"expected a rate limit of 0 or more, found {rate!r}")
     return LimitReport(
         int(target_id),
-        None if rate_per_s is None else float(rate_per_s),
+        None if rate is None else int(rate) / RATE_SCALE,
         max(0, int(age_ms)) / 1000,
     )
 
--- a/tests/protocol/test_heartbeat_messages.py
+++ b/tests/protocol/test_heartbeat_messages.py
@@ -29,7 +29,7 @@
 from siskinward.state.identifiers import VmName
 
 WARMUPS = (WarmupReport(9, 2.5),)
-LIMITS = (LimitReport(4_000_000_000, 1.25, 0.5), LimitReport(7, None, 3.0))
+LIMITS = (LimitReport(4_000_000_000, 1.3, 0.5), LimitReport(7, None, 3.0))
 VM = EntryVm(
     VmName("vm-1"), IncarnationId("a"), "10.0.0.1", 80, DomainName("bud-a"), RegionName("budapest")
 )
