Count a stated limit in the soak from the first answer that states it

Trace: it was told to state the limit while it was crashed and its connections were silent; its first answer that stated one came 3.07 s later, after 10 of its requests had been lost. The rule counts from 3 s after the first answer, and so does the check now; its bound is as before.

--- a/soak/stated_limits.py
+++ b/soak/stated_limits.py
@@ -39,7 +39,7 @@
 
 @define(eq=False)
 class StatedPeriod:
-    """A time in which a target stated a limit; ``rate_per_s`` is the one in force."""
+    """A time in which a target states a limit; ``rate_per_s`` is the one in force."""
 
     target: TargetStandIn
     rate_per_s: float
@@ -47,8 +47,11 @@
     until_s: float = inf
 
     def most_arrivals(self) -> int:
-        """Return the most requests in any window that lies in this time, after the contact."""
-        return most_arrivals(self.target, self.since_s + CONTACT_S, self.until_s)
+        """Return the most requests in a window of this time, from the contact after an answer."""
+        answers_s = [at_s for at_s in self.target.stated_s if self.since_s <= at_s < self.until_s]
+        if not answers_s:
+            return 0
+        return most_arrivals(self.target, answers_s[0] + CONTACT_S, self.until_s)
 
 
 @define
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -53,8 +53,8 @@
     while ``4 * slots`` are being handled. ``fault`` affects the next ``remaining_faults``
     requests. ``rate_limit`` is stated in every answer, as given, and ``extra_headers`` precede the
     others. ``arrivals_s`` has the time of each request that reached the target, probes included,
-    misdirected ones not. ``advertised_host`` is where callers reach the target, if that is not
-    ``host``.
+    misdirected ones not, and ``stated_s`` that of each answer that stated a limit.
+    ``advertised_host`` is where callers reach the target, if that is not ``host``.
     """
 
     name: str
@@ -73,6 +73,7 @@
     extra_headers: tuple[tuple[bytes, bytes], ...] = ()
     runs: list[RunRecord] = field(factory=list)
     arrivals_s: list[float] = field(factory=list)
+    stated_s: list[float] = field(factory=list)
     probes: int = 0
     heartbeat: int = 1
     _running: int = 0
@@ -221,6 +222,7 @@
     def _limit(self) -> tuple[tuple[bytes, bytes], ...]:
         if self.rate_limit is None:
             return ()
+        self.stated_s.append(read_clock_s())
         return ((HEADERS.rate_limit, self.rate_limit.encode()),)
 
     def _health(self) -> HttpResponse:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -245,6 +245,7 @@
     checker.limits.state(target, "2", 0.0)
     if rate_limit is not None:
         checker.limits.state(target, rate_limit, 5.0)
+    target.stated_s = [0.1, 5.1, 6.1]
     target.arrivals_s = [10.0 + number * gap_s for number in range(40)]
     observed.serve()
     return checker
@@ -278,6 +279,13 @@
     assert "bookings-0 stated" in observed.broken(checker)
 
 
+def test_checker_counts_from_the_first_answer_that_stated_the_limit() -> None:
+    observed = Observations()
+    checker = limited(observed, "2", gap_s=0.05)
+    observed.targets[0].stated_s = [0.1, 10.1]
+    assert observed.broken(checker) == ""
+
+
 def test_checker_allows_any_rate_once_a_limit_has_ended() -> None:
     observed = Observations()
     checker = limited(observed, None, gap_s=0.05)
