Skip a late copy of a request's answer that arrives where a probe's is expected

One of the failures of similar systems: a server sends a second copy of an answer, late, on a connection that is in use again. Requests were safe, since they compare the id that the target echoes; a probe has none, took the copy for its own answer and read no warm-up time from it, so a cold target got full load. Change: an answer that echoes an id where none was sent is skipped, too.

--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -113,9 +113,9 @@
             response = await read_response(http, self._sock, self._on_response_head)
             is_kept = http.their_state is h11.DONE and http.our_state is h11.DONE
             echoed = response.header(self._echo_header)
-            if expected is None or echoed is None or echoed == expected:
+            if not echoed or echoed == expected:
                 break
-            # The target has repeated its response to an earlier request.
+            # The target has repeated its response to an earlier request; a probe expects no echo.
             if not is_kept:
                 raise ConnectionResetError("closed after a repeated response to an earlier request")
             http = _parser_for_next_response(http, request)
--- a/tests/platform/test_stated_warmups.py
+++ b/tests/platform/test_stated_warmups.py
@@ -9,6 +9,7 @@
 import pytest
 from limit_load import Load
 
+from siskinward.platform.standins import TargetFault
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
@@ -61,6 +62,21 @@
     run_site(scenario)
 
 
+def test_probe_does_not_take_a_late_copy_of_another_answer_for_its_own(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        for target in site.targets.values():
+            target.fault = TargetFault.DOUBLES_ANSWERS
+            target.warmup_left_ms = WARMUP_MS
+        await site.call(VM)
+        name = next(target.name for target in site.targets.values() if target.runs)
+        await probe_from(site, VM, name)
+        probed = site.vms[VM].steering.targets.get(site.targets[name].name)  # type: ignore[arg-type]
+        assert probed is not None
+        assert probed.is_cold(read_clock_s())
+
+    run_site(scenario)
+
+
 @pytest.mark.parametrize("left_ms", [WARMUP_MS])
 def test_warmup_found_by_a_probe_ends_in_time(run_site: Any, left_ms: int) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
