Read a stated limit with many decimals

Change: up to 30 decimals, rounded to the millionths that messages between VMs carry, so that a limit heard from a target and the same one heard from a VM are equal. Result: two cases, both failed before.

--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -24,6 +24,7 @@
 from siskinward.protocol.peer_fields import decode_position
 from siskinward.protocol.peer_fields import encode_position
 from siskinward.protocol.peer_fields import unpack
+from siskinward.protocol.steering_headers import RATE_DECIMALS
 from siskinward.protocol.vm_identity import decode_vm_fields
 from siskinward.protocol.vm_identity import encode_vm_fields
 from siskinward.state.identifiers import AccountName
@@ -43,8 +44,8 @@
 SLOW_KEY = "slow"
 LIMITS_KEY = "limits"
 WARMUPS_KEY = "warmups"
-# Rates travel in millionths: numbers of a heartbeat are rounded to single precision.
-RATE_SCALE = 1_000_000
+# Rates travel as integers: numbers of a heartbeat are rounded to single precision.
+RATE_SCALE = 10**RATE_DECIMALS
 # A heartbeat counts the held rows of a table beside its position, under this suffix.
 HELD_SUFFIX = "-held"
 
--- a/src/siskinward/protocol/steering_headers.py
+++ b/src/siskinward/protocol/steering_headers.py
@@ -15,7 +15,9 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 BEARER = b"bearer "
-RATE_LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+RATE_LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{0,30})?|\.[0-9]{1,30}")
+# Finer differences are no other limit; messages between VMs carry rates to this precision.
+RATE_DECIMALS = 6
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -99,7 +101,7 @@
     text = value.decode("latin-1").strip()
     if not RATE_LIMIT_PATTERN.fullmatch(text):
         return MalformedRateLimit(text)
-    return RateLimit(float(text))
+    return RateLimit(round(float(text), RATE_DECIMALS))
 
 
 def bearer_key(value: bytes | None) -> str | None:
--- a/tests/protocol/test_rate_limit_header.py
+++ b/tests/protocol/test_rate_limit_header.py
@@ -12,7 +12,8 @@
 
 @pytest.mark.parametrize(
     ("value", "rate_per_s"),
-    [(b"1.8", 1.8), (b"12", 12.0), (b" 0.25 ", 0.25), (b"0", 0.0), (b".5", 0.5), (b"3.", 3.0)],
+    [(b"1.8", 1.8), (b"12", 12.0), (b" 0.25 ", 0.25), (b"0", 0.0), (b".5", 0.5), (b"3.", 3.0)]
+    + [(b"1.8333333333333333", 1.833333), (b"1.7999999999999998", 1.8)],
 )
 def test_rate_limit_decimal_number_is_read(value: bytes, rate_per_s: float) -> None:
     assert decode_rate_limit(value) == RateLimit(rate_per_s)
