Drop the recording of sends that only tests still called

Cause: since requests to limited targets take their slot before their token, the dispatcher calls reserve and record_run, and Placement.record_sent was left over for the tests. Their fixtures hold it now.

--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -218,11 +218,6 @@
         usable = self._targets.usable(service, now_s)
         return sum(max(0, target.record.slots - target.load) for target in usable)
 
-    def record_sent(self, request: PlacementRequest, placed: Placed, now_s: float) -> Placed:
-        """Count a request that is sent to a target; return the placement with ``is_warm`` set."""
-        self.reserve(placed, now_s)
-        return self.record_run(request, placed, now_s)
-
     def reserve(self, placed: Placed, now_s: float) -> None:
         """Take a slot of a target, which is released whether or not the request is sent."""
         placed.target.in_flight += 1
--- a/tests/coordination/steering/load_model.py
+++ b/tests/coordination/steering/load_model.py
@@ -17,6 +17,7 @@
 from attrs import frozen
 from steering_fixtures import SERVICE
 from steering_fixtures import fleet_of
+from steering_fixtures import record_sent
 from steering_fixtures import target_record
 from steering_fixtures import unlimited_pauses
 
@@ -216,7 +217,7 @@
         request = PlacementRequest(SERVICE, object_key, frozenset())
         placed = self._choose(self._placements[vm], self._tables[vm], request, self.now_s)
         if placed is not None:
-            placed = self._placements[vm].record_sent(request, placed, self.now_s)
+            placed = record_sent(self._placements[vm], request, placed, self.now_s)
             run = self._slow[vm].on_sent(
                 placed.target,
                 is_warm=placed.is_warm,
--- a/tests/coordination/steering/steering_fixtures.py
+++ b/tests/coordination/steering/steering_fixtures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
 
 from siskinward.coordination.steering.fleet import EntryVm
@@ -23,6 +24,11 @@
 from siskinward.state.serving import AccountPolicy
 from siskinward.state.serving import TargetRecord
 
+if TYPE_CHECKING:
+    from siskinward.coordination.steering.placement import Placed
+    from siskinward.coordination.steering.placement import Placement
+    from siskinward.coordination.steering.placement import PlacementRequest
+
 SERVICE = ServiceName("listings")
 REGION = RegionName("north")
 DOMAIN = DomainName("north-1")
@@ -56,6 +62,14 @@
     return LimitPauses(limits, LimitTokenIssuer(LimitTokenSettings(), limits, fleet), fleet)
 
 
+def record_sent(
+    placement: Placement, request: PlacementRequest, placed: Placed, now_s: float
+) -> Placed:
+    """Record a request that is sent to a target which states no rate limit."""
+    placement.reserve(placed, now_s)
+    return placement.record_run(request, placed, now_s)
+
+
 def account(rate_per_s: float = 40.0, burst_requests: float = 40.0) -> AccountPolicy:
     """Return a client account with a rate limit."""
     name = AccountName("parish-guild")
--- a/tests/coordination/steering/test_placement.py
+++ b/tests/coordination/steering/test_placement.py
@@ -16,6 +16,7 @@
 from load_model import choose_randomly
 from steering_fixtures import SERVICE
 from steering_fixtures import fleet_of
+from steering_fixtures import record_sent
 from steering_fixtures import target_record
 from steering_fixtures import unlimited_pauses
 
@@ -117,7 +118,7 @@
     placement = placement_of(table, BUDAPEST)
     request = request_of("o1")
     while isinstance(choice := placement.choose(request, 0.0), Placed):
-        placement.record_sent(request, choice, 0.0)
+        record_sent(placement, request, choice, 0.0)
         if choice.choice == 1:
             break
     assert isinstance(choice, Placed)
@@ -167,7 +168,7 @@
     placement = placement_of(table, BUDAPEST)
     used: dict[str, int] = {}
     while isinstance(choice := placement.choose(request_of("o1"), 0.0), Placed):
-        placement.record_sent(request_of("o1"), choice, 0.0)
+        record_sent(placement, request_of("o1"), choice, 0.0)
         used[choice.target.name] = used.get(choice.target.name, 0) + 1
     assert choice == NoCapacity()
     assert sorted(used.values()) == [3, 5]
@@ -182,7 +183,7 @@
         table.on_error(first.target)
     trial = placement.choose(request_of("o1"), 0.0)
     assert isinstance(trial, Placed) and trial.target is first.target
-    placement.record_sent(request_of("o1"), trial, 0.0)
+    record_sent(placement, request_of("o1"), trial, 0.0)
     other = placement.choose(request_of("o1"), 0.0)
     assert isinstance(other, Placed) and other.target is not first.target
     for target in table.all():
@@ -201,7 +202,7 @@
         for step in range(100):
             choice = placement.choose(request_of(f"o{step}"), step / 100)
             if isinstance(choice, Placed):
-                placement.record_sent(request_of(f"o{step}"), choice, step / 100)
+                record_sent(placement, request_of(f"o{step}"), choice, step / 100)
                 sent += 1
     assert 4 <= sent <= 5
 
