--- a/src/siskinward/platform/standins/_site.py
+++ b/src/siskinward/platform/standins/_site.py
@@ -41,7 +41,10 @@
 
 @frozen
 class SiteSettings:
-    """Size of a deployment; ``zones`` maps each failure domain to its region."""
+    """Size of a deployment; ``zones`` maps each failure domain to its region.
+
+    ``bounds`` are the platform's bounds in the VMs' settings, each as ``name=value``.
+    """
 
     zones: dict[str, str] = field(factory=lambda: {"bud-a": "budapest", "deb-a": "debrecen"})
     vms_per_zone: int = 2
@@ -49,6 +52,7 @@
     services: tuple[str, ...] = ("listings", "bookings")
     rate_per_s: float = 0.0
     burst: float = 0.0
+    bounds: tuple[str, ...] = ()
 
 
 @define
@@ -212,5 +216,6 @@
         self.targets[name] = TargetStandIn(name, service, host, TARGET_PORT, zone)
 
     def _entry_settings(self, name: str, zone: str, host: str) -> EntrySettings:
-        text = render_settings(name, host, zone, self._settings.zones, STORE_HOST)
+        settings = self._settings
+        text = render_settings(name, host, zone, settings.zones, STORE_HOST, settings.bounds)
         return decode_settings(tomllib.loads(text))
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -10,6 +10,7 @@
 import h11
 from attrs import define
 from attrs import field
+from attrs import frozen
 
 from siskinward.platform._headers import HEADERS
 from siskinward.transport.clock import read_clock_s
@@ -19,6 +20,8 @@
 from siskinward.transport.sockets import listen
 from siskinward.transport.sockets import reset
 
+HEALTH_PATH = "/health"
+
 
 class TargetFault(Enum):
     """Faults that can be injected into a target's handling of requests."""
@@ -45,6 +48,14 @@
     ended_s: float | None = None
 
 
+@frozen
+class ArrivalRecord:
+    """A request, probes aside, that reached a target, whether or not it ran."""
+
+    attempt_id: str
+    at_s: float
+
+
 @define(eq=False)
 class TargetStandIn:
     """Runs each request for ``work_s`` and records it in ``runs``.
@@ -52,8 +63,8 @@
     Reports at most ``slots`` requests as running and the others as waiting, and sheds requests
     while ``4 * slots`` are being handled. ``fault`` affects the next ``remaining_faults``
     requests. ``rate_limit`` is stated in every answer, as given, and ``extra_headers`` precede the
-    others. ``arrivals_s`` has the time of each request that reached the target, probes included,
-    misdirected ones not, and ``stated_s`` that of each answer that stated a limit.
+    others. ``arrivals`` has each request that reached the target, ``arrivals_s`` the time of each,
+    probes included, misdirected ones not, and ``stated_s`` that of each answer that stated a limit.
     ``advertised_host`` is where callers reach the target, if that is not ``host``.
     """
 
@@ -72,6 +83,7 @@
     rate_limit: str | None = None
     extra_headers: tuple[tuple[bytes, bytes], ...] = ()
     runs: list[RunRecord] = field(factory=list)
+    arrivals: list[ArrivalRecord] = field(factory=list)
     arrivals_s: list[float] = field(factory=list)
     stated_s: list[float] = field(factory=list)
     probes: int = 0
@@ -154,11 +166,14 @@
         return bool(http.our_state is h11.DONE)
 
     async def _handle(self, request: HttpRequest, sock: Any) -> HttpResponse | None:
+        if request.target != HEALTH_PATH:
+            attempt_id = _text(request, HEADERS.attempt_id)
+            self.arrivals.append(ArrivalRecord(attempt_id, read_clock_s()))
         expected = request.header(HEADERS.expected_target)
         if expected is not None and expected.decode() != self.name:
             return HttpResponse(421, ((HEADERS.target, self.name.encode()),))
         self.arrivals_s.append(read_clock_s())
-        if request.target == "/health":
+        if request.target == HEALTH_PATH:
             self.probes += 1
             return self._health()
         if self._try_inject(TargetFault.SHEDS) or self._running >= self.slots * 4:
