Let each VM spend only the retries that it has earned since its start

Cause: the budget was a count of the last 10 s in the memory of each process. A killed VM took its count along, and its successor began with a whole budget, so retries just before a kill and just after it were both paid in full. Class: a limit over all VMs that a process's memory guards, so that the limit holds only while no process ends. Before the list of VMs is read there is no allowance, which the first VMs of a large fleet divided by too few while the store was down.

--- a/soak/retry_arrivals.py
+++ b/soak/retry_arrivals.py
@@ -36,12 +36,21 @@
 ) -> RetryWindow:
     """Return the window with the largest excess; rejected arrivals count, too.
 
-    ``sent_s`` are the times at which callers sent the service's requests. The requests of a window
-    are its own, those of the window before it or of the one half a window before it, whichever
-    are most.
+    ``sent_s`` are the times at which callers sent the service's requests.
+    """
+    return worst_window_of_times(sent_s, retry_times_s(arrivals), bounds)
+
+
+def worst_window_of_times(
+    sent_s: Iterable[float], retries_s: Iterable[float], bounds: ServingBounds
+) -> RetryWindow:
+    """Return the window with the largest excess, from the times of requests and of retries.
+
+    The requests of a window are its own, those of the window before it or of the one half a window
+    before it, whichever are most.
     """
     sent = sorted(sent_s)
-    retries = retry_times_s(arrivals)
+    retries = sorted(retries_s)
     window_s = bounds.retry_window_s
     worst = RetryWindow(0.0, 0, inf)
     for end_s in retries:
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -133,6 +133,7 @@
     def __init__(self, own: EntryVm, settings: FleetSettings, domains: int) -> None:
         self.own = own
         self.state = VmState.STARTING
+        self.is_membership_loaded = False
         self._assumed_vm_count = domains * settings.assumed_vms_per_domain
         self.settings = settings
         self._peers: dict[VmName, _Peer] = {}
@@ -163,6 +164,7 @@
 
     def on_membership_loaded(self) -> None:
         """Stop assuming unlisted VMs: all that the store lists have been added."""
+        self.is_membership_loaded = True
         self._assumed_vm_count = 0
 
     def on_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> bool:
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -136,7 +136,7 @@
         limit_pauses=limit_pauses,
         shares=AccountShares(settings.shares, fleet, now_s),
         issuer=TokenIssuer(settings.tokens, entry.bounds, fleet),
-        retries=RetryBudget(settings.retries, entry.bounds, fleet),
+        retries=RetryBudget(settings.retries, entry.bounds, fleet, now_s),
         crashes=CrashGuard(settings.crashes),
         splitter=RouteSplitter(),
     )
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -10,6 +10,7 @@
 from attrs import define
 from attrs import field
 
+from siskinward.platform.standins import Site
 from siskinward.platform.standins import SiteSettings
 from siskinward.platform.standins import TargetFault
 from siskinward.transport.clock import read_clock_s
@@ -21,7 +22,6 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from siskinward.platform.standins import Site
     from siskinward.standins.memory_network import MemoryNetwork
 
     Disturb = Callable[[Site, MemoryNetwork, "RetryLoad"], Awaitable[None]]
