--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,6 +11,8 @@
 from siskinward.platform.standins import TargetStandIn
 from siskinward.state.serving import ServingBounds
 from soak.callers import Call
+from soak.retry_arrivals import retry_times_s
+from soak.retry_arrivals import worst_window
 from soak.stated_limits import StatedLimits
 from soak.vm_process import VmProcess
 
@@ -76,7 +78,7 @@
         """Check all promises, including those that need the whole run."""
         self.check_invariants()
         self._check_quota()
-        self._check_repeats()
+        self._check_retries()
         self._check_withdrawn_keys()
         self._check_drained()
         self.check_limits()
@@ -116,27 +118,16 @@
             if highest_count > self.quota_in_window:
                 self._report([f"{account} ran {highest_count} requests in a window"])
 
-    def _check_repeats(self) -> None:
-        """Check each service's repeats (runs after the first of a request) against its requests."""
-        first = {id(run) for run in self._first_runs().values()}
-        window_s = self.bounds.retry_window_s
+    def _check_retries(self) -> None:
+        """Check each service's retries, rejected arrivals included, against its requests."""
         for service in {target.service for target in self.targets}:
-            runs = [run for target in self.targets for run in target.runs]
-            runs = [run for run in runs if run.path.startswith(f"/{service}/")]
-            repeats = [run.started_s for run in runs if id(run) not in first]
+            targets = [target for target in self.targets if target.service == service]
+            arrivals = [arrival for target in targets for arrival in target.arrivals]
             sent = [call.sent_s for call in self.calls if call.path.startswith(f"/{service}/")]
-            for at_s in repeats:
-                request_count = max(
-                    _count_in(sent, at_s - before_s, window_s)
-                    for before_s in (0.0, window_s / 2, window_s)
-                )
-                allowed = self.bounds.retry_ratio * request_count + self.bounds.retry_slack_requests
-                repeat_count = _count_in(repeats, at_s, window_s)
-                self._count_checks("repeats")
-                if repeat_count > allowed:
-                    self._report(
-                        [f"{service}: {repeat_count} repeats for {request_count} requests"]
-                    )
+            worst = worst_window(sent, arrivals, self.bounds)
+            self._count_checks("retries", len(retry_times_s(arrivals)))
+            if worst.excess > 0:
+                self._report([f"{service}: {worst.retries} retries, allowed {worst.allowed:.0f}"])
 
     def _first_runs(self) -> dict[str, RunRecord]:
         first: dict[str, RunRecord] = {}
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -10,6 +10,7 @@
 from attrs import define
 from attrs import field
 
+from siskinward.platform.standins import ArrivalRecord
 from siskinward.platform.standins import RunRecord
 from siskinward.platform.standins import TargetStandIn
 from siskinward.state.serving import ServingBounds
@@ -67,6 +68,10 @@
     def run(self, call: Call, target: int = 0, account: str = "account-1") -> None:
         record = RunRecord(call.attempt_id, call.path, account, "", 1000, call.sent_s)
         self.targets[target].runs.append(record)
+        self.arrive(call, target)
+
+    def arrive(self, call: Call, target: int = 0) -> None:
+        self.targets[target].arrivals.append(ArrivalRecord(call.attempt_id, call.sent_s))
 
     def answer(self, call: Call, status: int = 200, target: int = 0) -> None:
         body = f"{self.targets[target].name} ran {call.attempt_id}".encode()
@@ -142,12 +147,20 @@
     assert observed.broken() == ""
 
 
-def test_checker_reports_repeats_beyond_their_budget() -> None:
+def test_checker_reports_retries_beyond_their_budget() -> None:
     observed = Observations()
     for number in range(80):
         call = observed.serve(path="/bookings/1", sent_s=20.0 + number / 10)
         observed.run(call, target=1)
-    assert "80 repeats for 80 requests" in observed.broken()
+    assert "80 retries, allowed 66" in observed.broken()
+
+
+def test_checker_counts_retries_that_targets_reject() -> None:
+    observed = Observations()
+    for number in range(80):
+        call = observed.serve(path="/bookings/1", sent_s=20.0 + number / 10)
+        observed.arrive(call, target=1)
+    assert "80 retries, allowed 66" in observed.broken()
 
 
 def test_checker_reports_an_account_beyond_its_limit() -> None:
