--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -91,7 +91,7 @@
             settings, SteeringSettings(), platform.revision_of, read_clock_s(), random
         )
         self._store = platform.create_store(settings)
-        self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id)
+        self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id, settings.host)
         limit_reader = LimitReader(self._steering, platform.headers, self._log)
         sender = Sender(self._steering, platform.headers, self._pool, limit_reader)
         metrics = EntryMetrics()
--- a/src/siskinward/standins/memory_network.py
+++ b/src/siskinward/standins/memory_network.py
@@ -4,14 +4,50 @@
 
 import socket
 from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING
 from typing import Any
 
 import curio
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 Address = tuple[str, int]
 FIRST_EPHEMERAL_PORT = 40_000
 
 
+class CutKind(Enum):
+    """What a cut between hosts does to connections: open ones and attempts to open one."""
+
+    HANGS = "hangs"
+    RESETS = "resets"
+    REFUSES = "refuses"
+    REFUSES_NEW = "refuses-new"
+
+
+@frozen
+class HostCut:
+    """A cut of connections from some hosts to others."""
+
+    kind: CutKind
+    sources: frozenset[str]
+    destinations: frozenset[str]
+
+    def applies_to(self, source: str, destination: str) -> bool:
+        """Return whether connections from one host to another are cut."""
+        return source in self.sources and destination in self.destinations
+
+
+@frozen
+class _OpenConnection:
+    source: str
+    destination: str
+    own_end: MemorySocket
+    other_end: MemorySocket
+
+
 class _Pipe:
     """One direction of a stream."""
 
@@ -92,7 +128,8 @@
 
     async def close(self) -> None:
         """End the outgoing direction."""
-        await self._outgoing.end()
+        if not self.is_silent:
+            await self._outgoing.end()
 
     async def reset(self) -> None:
         """Reset both directions."""
@@ -153,6 +190,7 @@
 
     Datagrams do not pass between a host in ``cut_hosts`` and one outside, nor between the hosts of
     a pair in ``cut_pairs``. Connections to a host in ``cut_hosts`` are not answered.
+    ``cut_between`` cuts connections, not datagrams.
     """
 
     def __init__(self) -> None:
@@ -161,6 +199,8 @@
         self.cut_hosts: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
         self.sockets: list[MemorySocket] = []
+        self._connections: list[_OpenConnection] = []
+        self._host_cuts: list[HostCut] = []
         self.datagrams_sent = 0
         self.caller_host = "10.9.9.9"
         self._last_port = FIRST_EPHEMERAL_PORT
@@ -171,6 +211,23 @@
             return True
         return (one in self.cut_hosts) != (other in self.cut_hosts)
 
+    async def cut_between(
+        self, sources: Collection[str], destinations: Collection[str], kind: CutKind
+    ) -> None:
+        """Cut the connections from some hosts to others, until ``heal_cuts``.
+
+        Open connections that hang carry nothing any more, even after that.
+        """
+        cut = HostCut(kind, frozenset(sources), frozenset(destinations))
+        self._host_cuts.append(cut)
+        for connection in self._connections:
+            if cut.applies_to(connection.source, connection.destination):
+                await _apply_cut(connection, kind)
+
+    def heal_cuts(self) -> None:
+        """Let new connections pass again."""
+        self._host_cuts.clear()
+
     def listen(self, host: str, port: int) -> Any:
         """Open a listening socket; port 0 takes a free port."""
         if port == 0:
@@ -181,9 +238,10 @@
         listener = self.listeners[(host, port)] = _Listener(self, (host, port))
         return listener
 
-    async def connect(self, host: str, port: int) -> Any:
+    async def connect(self, host: str, port: int, source_host: str = "") -> Any:
         """Open a connected socket."""
         await curio.sleep(0)
+        await self._check_cuts(source_host, host)
         if host in self.cut_hosts:
             # A partitioned host does not answer at all, so the attempt hangs.
             await curio.sleep(3600)
@@ -194,9 +252,19 @@
         own = MemorySocket(inbound, outbound, (host, port))
         self.sockets.append(own)
         self._last_port += 1
-        await listener.add(MemorySocket(outbound, inbound, (self.caller_host, self._last_port)))
+        other = MemorySocket(outbound, inbound, (self.caller_host, self._last_port))
+        self._connections.append(_OpenConnection(source_host, host, own, other))
+        await listener.add(other)
         return own
 
+    async def _check_cuts(self, source: str, destination: str) -> None:
+        kinds = [cut.kind for cut in self._host_cuts if cut.applies_to(source, destination)]
+        if not kinds:
+            return
+        if CutKind.HANGS in kinds:
+            await curio.sleep(3600)
+        raise ConnectionRefusedError(f"{source} is cut off from {destination}")
+
     def open_datagrams(self, host: str, port: int) -> Any:
         """Open a datagram socket."""
         sock = self.datagrams[(host, port)] = _DatagramSocket(self, (host, port))
@@ -214,3 +282,14 @@
     async def reset(self, sock: Any) -> None:
         """Reset a connection."""
         await sock.reset()
+
+
+async def _apply_cut(connection: _OpenConnection, kind: CutKind) -> None:
+    match kind:
+        case CutKind.HANGS:
+            connection.own_end.is_silent = True
+            connection.other_end.is_silent = True
+        case CutKind.RESETS | CutKind.REFUSES:
+            await connection.own_end.reset()
+        case CutKind.REFUSES_NEW:
+            return
--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -46,12 +46,16 @@
 class OutboundConnection:
     """Runs one exchange at a time; any failure closes the connection.
 
-    ``echo_header`` names a request header that the target repeats in its response.
+    ``echo_header`` names a request header that the target repeats in its response. The connection
+    is opened from ``source_host``, unless that is empty.
     """
 
-    def __init__(self, host: str, port: int, echo_header: bytes = b"") -> None:
+    def __init__(
+        self, host: str, port: int, echo_header: bytes = b"", source_host: str = ""
+    ) -> None:
         self._host = host
         self._port = port
+        self._source_host = source_host
         self._echo_header = echo_header
         self._sock: Any = None
         self._phase = SendPhase.NOT_CONNECTED
@@ -73,7 +77,7 @@
         """Open the connection. Raises ``ExchangeFailedError``."""
         try:
             async with curio.timeout_after(timeout_s):
-                self._sock = await connect(self._host, self._port)
+                self._sock = await connect(self._host, self._port, self._source_host)
         except curio.TaskTimeout:
             raise ExchangeFailedError(self._phase, "timed out connecting", True) from None
         except OSError as error:
--- a/src/siskinward/transport/sockets.py
+++ b/src/siskinward/transport/sockets.py
@@ -33,8 +33,8 @@
         """Open a listening socket."""
         ...
 
-    async def connect(self, host: str, port: int) -> Any:
-        """Open a connected socket."""
+    async def connect(self, host: str, port: int, source_host: str = "") -> Any:
+        """Open a connected socket, from ``source_host`` unless that is empty."""
         ...
 
     def open_datagrams(self, host: str, port: int) -> Any:
@@ -65,10 +65,12 @@
         sock.listen(LISTEN_BACKLOG)
         return sock
 
-    async def connect(self, host: str, port: int) -> Any:
+    async def connect(self, host: str, port: int, source_host: str = "") -> Any:
         """Open a connected curio socket with Nagle's algorithm off."""
         sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
+            if source_host:
+                sock.bind((source_host, 0))
             await sock.connect((host, port))
             enable_keepalive(sock)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
@@ -139,9 +141,9 @@
     return _network.listen(host, port)
 
 
-async def connect(host: str, port: int) -> Any:
-    """Open a connected socket."""
-    return await _network.connect(host, port)
+async def connect(host: str, port: int, source_host: str = "") -> Any:
+    """Open a connected socket, from ``source_host`` unless that is empty."""
+    return await _network.connect(host, port, source_host)
 
 
 def open_datagrams(host: str, port: int) -> Any:
--- a/src/siskinward/transport/target_pool.py
+++ b/src/siskinward/transport/target_pool.py
@@ -32,11 +32,15 @@
 
 
 class TargetPool:
-    """Reuses the idle connection that was used last; opens a new one if none is idle."""
+    """Reuses the idle connection that was used last; opens a new one if none is idle.
 
-    def __init__(self, limits: PoolLimits, echo_header: bytes) -> None:
+    Connections are opened from ``source_host``.
+    """
+
+    def __init__(self, limits: PoolLimits, echo_header: bytes, source_host: str) -> None:
         self._limits = limits
         self._echo_header = echo_header
+        self._source_host = source_host
         self._idle: dict[str, list[OutboundConnection]] = {}
 
     async def exchange(
@@ -51,7 +55,7 @@
 
     async def try_connect(self, target: TargetRecord) -> bool:
         """Open a connection and keep it for the next request; return False if that fails."""
-        connection = OutboundConnection(target.host, target.port, self._echo_header)
+        connection = self._create_connection(target)
         try:
             await connection.connect(self._limits.connect_timeout_s)
         except ExchangeFailedError:
@@ -89,10 +93,13 @@
             if (idempotent or is_recent) and self._is_usable(connection, now_s):
                 return connection
             await connection.close()
-        connection = OutboundConnection(target.host, target.port, self._echo_header)
+        connection = self._create_connection(target)
         await connection.connect(min(timeout_s, self._limits.connect_timeout_s))
         return connection
 
+    def _create_connection(self, target: TargetRecord) -> OutboundConnection:
+        return OutboundConnection(target.host, target.port, self._echo_header, self._source_host)
+
     async def _release(self, target: TargetRecord, connection: OutboundConnection) -> None:
         idle = self._idle.setdefault(target.address, [])
         idle.append(connection)
