--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 PYTHON ?= python3.11
 VENV ?= .venv
+TEST_PROCESSES ?= 4
 BIN = $(VENV)/bin
 
 .PHONY: setup demo test lint types bench wheel
@@ -16,7 +17,7 @@
 	examples/demo/run.sh $(BIN)/siskinward
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 lint: setup
 	$(BIN)/black --check --quiet src soak tests benchmarks examples
