Let VMs that are cut off from targets send requests through other VMs

A VM had no way to a target but its own connections; each request tried four targets for 400 ms each. Class: a fault of a VM's own links taken for a fault of the far side, with no second path. Change: a VM that hears no target any more tries new connections to three; if all fail it is cut off, and says so in its heartbeats. It goes on deciding all (route, key, quota, placement, limits, retries) and hands the ready request to a VM that is not cut off, in the target's region or at least within the homes, which sends it over its own connections only and returns the answer or how far it got. A single target that refuses while others are heard is relayed, too. Without a VM to relay, the request is refused at once. The directory leaves out VMs that are cut off while a region has others.

--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -60,6 +60,7 @@
     lost to a request, by its fingerprint. ``warm`` names objects that began to run at targets.
     ``slow`` counts by target's ``short_id`` the latest runs that were slow. ``limits`` are the rate
     limits that the VM heard from targets, ``warmups`` the warm-up times that its probes found.
+    ``is_cut_off`` says that it reaches no target.
     """
 
     sender: EntryVm
@@ -75,6 +76,7 @@
     slow: dict[int, int] = field(factory=dict)
     limits: tuple[LimitReport, ...] = ()
     warmups: tuple[WarmupReport, ...] = ()
+    is_cut_off: bool = False
 
 
 @frozen
@@ -90,6 +92,7 @@
     slow: dict[int, int] = field(factory=dict)
     limits: tuple[LimitReport, ...] = ()
     warmups: tuple[WarmupReport, ...] = ()
+    is_cut_off: bool = False
 
 
 @frozen
@@ -201,6 +204,7 @@
             ages_s=report.ages_s,
             in_flight=report.in_flight,
             slow=report.slow,
+            is_cut_off=report.is_cut_off,
         )
         peer.last_received_s = now_s
         return peer.heartbeat
@@ -230,6 +234,11 @@
             vms.append(self.own)
         return vms
 
+    def is_cut_off(self, vm: VmName) -> bool:
+        """Return whether another VM says that it reaches no target."""
+        peer = self._peers.get(vm)
+        return peer is not None and peer.heartbeat is not None and peer.heartbeat.is_cut_off
+
     def rank(self, now_s: float) -> int:
         """Return this VM's rank among the live ones; VMs with the same view agree on all ranks.
 
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -144,13 +144,17 @@
             if target.is_usable(now_s) and target.record.failure_domain not in self._evacuated
         ]
 
+    def accepts_requests(self, target: Target) -> bool:
+        """Return whether a target is ready and outside evacuated failure domains."""
+        record = target.record
+        return record.is_ready and record.failure_domain not in self._evacuated
+
     def slots_by_region(self, service: ServiceName) -> dict[RegionName, int]:
         """Return the slots of a service's ready targets by region, suspended targets included."""
         slots: dict[RegionName, int] = {}
         for target in self.of_service(service):
-            record = target.record
-            if record.is_ready and record.failure_domain not in self._evacuated:
-                slots[target.region] = slots.get(target.region, 0) + record.slots
+            if self.accepts_requests(target):
+                slots[target.region] = slots.get(target.region, 0) + target.record.slots
         return slots
 
     def put(self, record: TargetRecord, now_s: float) -> None:
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -159,9 +159,10 @@
             ages_s=self._ages_s(now_s),
             in_flight=self._in_flight(),
             warm=self._steering.warm.next_announcements(),
-            slow=self._steering.slow.own_slow_runs(now_s),
+            slow=self._slow_runs(now_s),
             limits=self._steering.limits.own_reports(now_s),
             warmups=self._steering.targets.own_warmups(now_s),
+            is_cut_off=self._steering.paths.is_cut_off,
         )
 
     def _create(self, now_s: float) -> Heartbeat:
@@ -178,11 +179,18 @@
             slow=report.slow,
             limits=report.limits,
             warmups=report.warmups,
+            is_cut_off=report.is_cut_off,
             demand_per_s=steering.shares.publish(),
             crashing_requests=steering.crashes.own_losses(now_s),
             held={name: copy.held_count for name, copy in self._loaded().items()},
         )
 
+    def _slow_runs(self, now_s: float) -> dict[int, int]:
+        """Return the slow runs to report; while cut off, this VM's connections are what is slow."""
+        if self._steering.paths.is_cut_off:
+            return {}
+        return self._steering.slow.own_slow_runs(now_s)
+
     def _loaded(self) -> dict[str, TableCopy]:
         copies = {table.value: self._steering.tables[table] for table in FOLLOWED_TABLES}
         return {name: copy for name, copy in copies.items() if copy.is_loaded}
--- a/src/siskinward/daemon/entry/lookup_handler.py
+++ b/src/siskinward/daemon/entry/lookup_handler.py
@@ -23,7 +23,10 @@
 
 
 class LookupHandler:
-    """Lists the ready VMs of the caller's region, or all ready VMs if that region has none."""
+    """Lists the ready VMs of the caller's region, or all ready VMs if that region has none.
+
+    VMs that are cut off from the targets are left out while the list has others.
+    """
 
     def __init__(self, steering: Steering, platform: Platform) -> None:
         self._steering = steering
@@ -50,5 +53,11 @@
     def _choose(self, lookup: LookupRequest) -> list[EntryVm]:
         ready = self._steering.fleet.ready(read_clock_s())
         region = self._steering.entry.domain_regions.get(lookup.failure_domain)
-        in_region = [vm for vm in ready if vm.region == region]
-        return sorted(in_region or ready, key=lambda vm: vm.vm)[:ADDRESS_LIMIT]
+        listed = [vm for vm in ready if vm.region == region] or ready
+        reaching = [vm for vm in listed if not self._is_cut_off(vm)]
+        return sorted(reaching or listed, key=lambda vm: vm.vm)[:ADDRESS_LIMIT]
+
+    def _is_cut_off(self, vm: EntryVm) -> bool:
+        if vm == self._steering.fleet.own:
+            return self._steering.paths.is_cut_off
+        return self._steering.fleet.is_cut_off(vm.vm)
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -20,9 +20,11 @@
 from siskinward.daemon.entry.lookup_handler import LookupHandler
 from siskinward.daemon.entry.metrics import EntryMetrics
 from siskinward.daemon.entry.metrics_page import MetricsPage
+from siskinward.daemon.entry.path_checker import PathChecker
 from siskinward.daemon.entry.peer_asks import AskSettings
 from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
 from siskinward.daemon.entry.quota_enforcer import QuotaSettings
+from siskinward.daemon.entry.relay_handler import RelayHandler
 from siskinward.daemon.entry.replication import Replication
 from siskinward.daemon.entry.replication import ReplicationSettings
 from siskinward.daemon.entry.request_handler import RequestHandler
@@ -31,6 +33,7 @@
 from siskinward.daemon.entry.steering import SteeringSettings
 from siskinward.daemon.entry.steering import create_steering
 from siskinward.daemon.entry.store_updates import StoreUpdates
+from siskinward.daemon.entry.target_links import TargetLinks
 from siskinward.daemon.entry.target_prober import TargetProber
 from siskinward.protocol.vm_identity import encode_vm
 from siskinward.state.errors import SiskinwardError
@@ -48,6 +51,9 @@
 from siskinward.transport.target_pool import PoolLimits
 from siskinward.transport.target_pool import TargetPool
 from siskinward.transport.target_pool import close_idle_periodically
+from siskinward.transport.target_relay import RelayLimits
+from siskinward.transport.target_relay import RelayPool
+from siskinward.transport.target_relay import RelayServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,6 +73,8 @@
 # Shutdown ends this long before the grace period, after which the platform kills the process.
 GRACE_MARGIN_S = 0.4
 STANDARD_OUTPUT = 1
+# The first port between VMs serves rows, the next one requests to relay.
+RELAY_PORT_OFFSET = 1
 SHUTDOWN_HEARTBEATS = 3
 SHUTDOWN_HEARTBEAT_GAP_S = 0.05
 
@@ -93,7 +101,12 @@
         self._store = platform.create_store(settings)
         self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id, settings.host)
         limit_reader = LimitReader(self._steering, platform.headers, self._log)
-        sender = Sender(self._steering, platform.headers, self._pool, limit_reader)
+        self._relay_pool = RelayPool(RelayLimits(), settings.peer_port + RELAY_PORT_OFFSET)
+        links = TargetLinks(self._steering, self._pool, self._relay_pool)
+        relay_handler = RelayHandler(self._steering, platform.headers, self._pool, links)
+        self._relay_server = RelayServer(relay_handler.relay)
+        self._path_checker = PathChecker(self._steering, self._pool, self._log)
+        sender = Sender(self._steering, platform.headers, links, limit_reader)
         metrics = EntryMetrics()
         self._datagrams = PeerDatagramSocket(settings.host, settings.peer_port)
         quota = QuotaEnforcer(QuotaSettings(), self._steering, self._datagrams)
@@ -107,7 +120,7 @@
             metrics, self._steering, self._dispatcher, self._store, self._log
         )
         self._probes = TargetProber(
-            self._steering, platform.headers, self._pool, limits, limit_reader, self._log
+            self._steering, platform.headers, links, limits, limit_reader, self._log
         )
         lookup_handler = LookupHandler(self._steering, platform)
         self._front = FrontServer(handler.handle)
@@ -137,6 +150,11 @@
         """The state and decision components of this VM."""
         return self._steering
 
+    @property
+    def relayed_count(self) -> int:
+        """Number of requests that this VM was asked to relay."""
+        return self._relay_server.served_count
+
     async def run(self) -> None:
         """Serve until a stop signal, then shut down gracefully; reload settings on SIGHUP."""
         await self.start()
@@ -162,6 +180,8 @@
             await self._spawn(self._replication.follow, table)
         await self._spawn(self._heartbeats.send_periodically, self._after_heartbeat)
         await self._spawn(close_idle_periodically, self._pool)
+        await self._spawn(close_idle_periodically, self._relay_pool)
+        await self._spawn(self._path_checker.run)
         await self._spawn(self._log.flush_periodically)
         await self._spawn(self._probes.run)
         await self._spawn(self._watch_settings)
@@ -170,6 +190,7 @@
         """Stop at once without a graceful shutdown, as SIGKILL does."""
         for server in (self._front, self._lookups, self._readiness, self._metrics):
             await server.abort()
+        await self._relay_server.abort()
         for task in self._tasks:
             await task.cancel()
         await self._datagrams.close()
@@ -188,6 +209,8 @@
             await self._spawn(server.serve, listen(address.host, address.port))
         peers = listen(settings.host, settings.peer_port)
         await self._spawn(RowServer(self._replication.find_missing_rows).serve, peers)
+        relays = listen(settings.host, settings.peer_port + RELAY_PORT_OFFSET)
+        await self._spawn(self._relay_server.serve, relays)
         await self._spawn(self._datagrams.receive, self._heartbeats.receive)
 
     async def _stay_registered(self) -> None:
@@ -260,6 +283,7 @@
         await curio.sleep(SHUTDOWN_LINGER_S)
         await self._front.begin_shutdown()
         all_answered = await self._front.wait_answered(deadline_s - read_clock_s())
+        all_answered &= await self._relay_server.wait_answered(deadline_s - read_clock_s())
         self._log.write("stopped", {"answered_all": all_answered})
         self._log.flush()
 
--- /dev/null
+++ b/src/siskinward/daemon/entry/relay_handler.py
@@ -0,0 +1,85 @@
+"""Relays requests of VMs that are cut off from targets, over this VM's own connections only."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from siskinward.daemon.entry.target_links import LinkRequest
+from siskinward.transport.http_messages import HttpResponse
+from siskinward.transport.outbound_connection import ExchangeFailedError
+from siskinward.transport.outbound_connection import SendPhase
+from siskinward.transport.relay_messages import RelayFailure
+
+if TYPE_CHECKING:
+    from siskinward.coordination.steering.targets import Target
+    from siskinward.daemon.entry.steering import Steering
+    from siskinward.daemon.entry.target_links import TargetLinks
+    from siskinward.protocol.steering_headers import SteeringHeaders
+    from siskinward.transport.http_messages import HttpRequest
+    from siskinward.transport.relay_messages import RelayReply
+    from siskinward.transport.relay_messages import RelayRequest
+    from siskinward.transport.target_pool import TargetPool
+
+CONNECTED = HttpResponse(204)
+
+
+class RelayHandler:
+    """Sends relayed requests to targets.
+
+    The asking VM has checked and counted the request; its slot at the target, its retries and its
+    tokens are taken there. A target that this VM knows to be leaving gets nothing all the same.
+    """
+
+    def __init__(
+        self, steering: Steering, headers: SteeringHeaders, pool: TargetPool, links: TargetLinks
+    ) -> None:
+        self._steering = steering
+        self._headers = headers
+        self._pool = pool
+        self._links = links
+
+    async def relay(self, request: RelayRequest) -> RelayReply:
+        """Send a request to its target and return the outcome."""
+        if self._steering.paths.is_cut_off:
+            return _not_connected("the relay is cut off from the targets", is_cut_off=True)
+        target = self._steering.targets.get(request.target)
+        if target is None or target.record.address != f"{request.host}:{request.port}":
+            return _not_connected(f"the relay does not know the target {request.target}")
+        if not self._steering.targets.accepts_requests(target):
+            return _not_connected(f"the target {request.target} gets no more requests")
+        if request.request is None:
+            return await self._connect(target)
+        return await self._send(target, request, request.request)
+
+    async def _connect(self, target: Target) -> RelayReply:
+        if await self._pool.try_connect(target.record):
+            return CONNECTED
+        return self._fail(ExchangeFailedError(SendPhase.NOT_CONNECTED, "failed to connect"))
+
+    async def _send(
+        self, target: Target, relayed: RelayRequest, request: HttpRequest
+    ) -> RelayReply:
+        link_request = LinkRequest(
+            self._with_time_left(request, relayed.time_left_s),
+            relayed.time_left_s,
+            relayed.is_idempotent,
+        )
+        try:
+            return await self._links.exchange_directly(target, link_request)
+        except ExchangeFailedError as error:
+            return self._fail(error)
+
+    def _with_time_left(self, request: HttpRequest, time_left_s: float) -> HttpRequest:
+        name = self._headers.time_left_ms
+        value = str(max(1, int(time_left_s * 1000))).encode()
+        headers = tuple((key, value if key == name else old) for key, old in request.headers)
+        return evolve(request, headers=headers)
+
+    def _fail(self, error: ExchangeFailedError) -> RelayFailure:
+        return RelayFailure(error, self._steering.paths.is_cut_off)
+
+
+def _not_connected(detail: str, *, is_cut_off: bool = False) -> RelayFailure:
+    return RelayFailure(ExchangeFailedError(SendPhase.NOT_CONNECTED, detail), is_cut_off)
--- a/src/siskinward/daemon/entry/request_context.py
+++ b/src/siskinward/daemon/entry/request_context.py
@@ -23,6 +23,7 @@
     The request log has the fields under these names. ``choice`` counts the full targets that
     ranked before this one. ``load`` is the known number of requests at the target from all VMs,
     this request included; ``is_warm`` whether its object ran there lately, as far as known.
+    ``relay`` is the VM that passed on the answer, if this one is cut off from the target.
     """
 
     target: TargetName
@@ -32,6 +33,7 @@
     is_warm: bool
     outcome: str
     took_ms: float
+    relay: VmName | None = None
 
 
 @define(eq=False)
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -40,6 +40,7 @@
     from siskinward.daemon.entry.sender import SendResult
     from siskinward.daemon.entry.steering import Steering
     from siskinward.protocol.steering_headers import SteeringHeaders
+    from siskinward.state.identifiers import RegionName
     from siskinward.state.serving import AccountPolicy
     from siskinward.state.serving import ServedRoute
     from siskinward.transport.front_server import Arrival
@@ -177,20 +178,21 @@
     def _placement_request(self, context: RequestContext) -> PlacementRequest:
         route = context.route
         object_key = context.arrival.request.header(self._headers.object_key) or b""
-        home_regions = route.home_regions
-        if context.account and context.account.home_regions:
-            home_regions = (
-                home_regions & context.account.home_regions
-                if home_regions
-                else context.account.home_regions
-            )
         return PlacementRequest(
             service=context.service,
             object_key=f"{route.name}/{object_key.decode('latin-1')}" if object_key else "",
-            home_regions=home_regions,
+            home_regions=self._home_regions(context),
             tried=frozenset(context.tried),
         )
 
+    def _home_regions(self, context: RequestContext) -> frozenset[RegionName]:
+        """Return the regions that may serve a request; empty if all may."""
+        route_homes = context.route.home_regions
+        account_homes = context.account.home_regions if context.account else frozenset()
+        if route_homes and account_homes:
+            return route_homes & account_homes
+        return route_homes or account_homes
+
     def _priority(self, context: RequestContext) -> int:
         if context.account is not None and context.account.priority is not None:
             return context.account.priority
@@ -205,6 +207,7 @@
             is_idempotent=context.route.is_idempotent,
             deadline_s=context.deadline_s,
             fingerprint=context.fingerprint,
+            home_regions=self._home_regions(context),
         )
         # A request that must not run twice runs to its end even if its caller disconnects.
         context.arrival.survives_disconnect = not context.route.is_idempotent
@@ -222,8 +225,11 @@
         took_ms = round((read_clock_s() - started_s) * 1000, 1)
         outcome = _outcome_text(result)
         slots = target.record.slots
+        relay = result.relay if isinstance(result, Answered) else None
         context.sends.append(
-            SendRecord(target.name, placed.choice, load, slots, placed.is_warm, outcome, took_ms)
+            SendRecord(
+                target.name, placed.choice, load, slots, placed.is_warm, outcome, took_ms, relay
+            )
         )
         return result
 
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -8,9 +8,12 @@
 import curio
 from attrs import frozen
 
+from siskinward.daemon.entry.target_links import LinkRequest
 from siskinward.protocol.steering_headers import decode_load
 from siskinward.protocol.steering_headers import end_to_end_headers
 from siskinward.state.identifiers import AccountName
+from siskinward.state.identifiers import RegionName
+from siskinward.state.identifiers import VmName
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
@@ -21,8 +24,9 @@
     from siskinward.coordination.steering.targets import Target
     from siskinward.daemon.entry.limit_reader import LimitReader
     from siskinward.daemon.entry.steering import Steering
+    from siskinward.daemon.entry.target_links import LinkAnswer
+    from siskinward.daemon.entry.target_links import TargetLinks
     from siskinward.protocol.steering_headers import SteeringHeaders
-    from siskinward.transport.target_pool import TargetPool
 
 MISDIRECTED = 421
 SERVER_ERROR = 500
@@ -42,10 +46,14 @@
 
 @frozen
 class Answered:
-    """The target's complete answer; ``is_error`` marks a 5xx: the request ran and failed."""
+    """The target's complete answer; ``is_error`` marks a 5xx: the request ran and failed.
+
+    ``relay`` is the VM that passed it on, if this one is cut off from the target.
+    """
 
     response: HttpResponse
     is_error: bool
+    relay: VmName | None = None
 
 
 @frozen
@@ -67,13 +75,14 @@
 
 @frozen
 class OutgoingRequest:
-    """A caller's request as it is sent to targets."""
+    """A caller's request as it is sent to targets, in ``home_regions`` unless these are empty."""
 
     request: HttpRequest
     account: AccountName | None
     is_idempotent: bool
     deadline_s: float
     fingerprint: str
+    home_regions: frozenset[RegionName]
 
 
 class Sender:
@@ -83,12 +92,12 @@
         self,
         steering: Steering,
         headers: SteeringHeaders,
-        pool: TargetPool,
+        links: TargetLinks,
         limit_reader: LimitReader,
     ) -> None:
         self._steering = steering
         self._headers = headers
-        self._pool = pool
+        self._links = links
         self._limit_reader = limit_reader
 
     async def send(self, outgoing: OutgoingRequest, target: Target) -> SendResult:
@@ -97,14 +106,17 @@
         left_s = outgoing.deadline_s - started_s
         if left_s <= 0:
             return NotRun(SendFailure.TIMEOUT)
-        request = self._encode(outgoing, target, left_s)
+        request = LinkRequest(
+            self._encode(outgoing, target, left_s),
+            left_s,
+            outgoing.is_idempotent,
+            outgoing.home_regions,
+        )
         try:
-            response = await self._pool.exchange(
-                target.record, request, left_s, idempotent=outgoing.is_idempotent
-            )
+            answer = await self._links.exchange(target, request)
         except ExchangeFailedError as error:
             return await self._classify_failure(outgoing, target, error)
-        return self._classify_response(outgoing, target, response)
+        return self._classify_answer(outgoing, target, answer)
 
     def _encode(self, outgoing: OutgoingRequest, target: Target, left_s: float) -> HttpRequest:
         names = self._headers
@@ -124,9 +136,10 @@
         request = outgoing.request
         return HttpRequest(request.method, request.target, tuple(headers), request.body)
 
-    def _classify_response(
-        self, outgoing: OutgoingRequest, target: Target, response: HttpResponse
+    def _classify_answer(
+        self, outgoing: OutgoingRequest, target: Target, answer: LinkAnswer
     ) -> SendResult:
+        response = answer.response
         targets = self._steering.targets
         if response.status == MISDIRECTED:
             targets.remove(target.name)
@@ -154,7 +167,8 @@
         else:
             targets.on_answer(target)
         headers = tuple(end_to_end_headers(response.headers))
-        return Answered(HttpResponse(response.status, headers, response.body), is_error)
+        passed_on = HttpResponse(response.status, headers, response.body)
+        return Answered(passed_on, is_error, answer.relay)
 
     async def _classify_failure(
         self, outgoing: OutgoingRequest, target: Target, error: ExchangeFailedError
@@ -174,8 +188,10 @@
 
     async def _check_alive(self, target: Target) -> None:
         """Connect again to distinguish a lost connection from a crashed target."""
-        if await self._pool.try_connect(target.record):
+        is_alive = await self._links.can_connect(target)
+        if is_alive:
             self._steering.crashes.on_target_alive(target.name)
+        if is_alive is not False:
             return
         now_s = read_clock_s()
         self._steering.targets.on_unreachable(target, now_s)
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -32,6 +32,8 @@
 from siskinward.coordination.steering.slow_targets import SlowTargetSettings
 from siskinward.coordination.steering.splits import RouteSplitter
 from siskinward.coordination.steering.target_limits import TargetLimits
+from siskinward.coordination.steering.target_paths import PathSettings
+from siskinward.coordination.steering.target_paths import TargetPaths
 from siskinward.coordination.steering.targets import TargetSettings
 from siskinward.coordination.steering.targets import TargetTable
 from siskinward.coordination.steering.warm_targets import WarmSettings
@@ -61,6 +63,7 @@
     tokens: TokenSettings = field(factory=TokenSettings)
     limit_tokens: LimitTokenSettings = field(factory=LimitTokenSettings)
     retries: RetrySettings = field(factory=RetrySettings)
+    paths: PathSettings = field(factory=PathSettings)
     crashes: CrashGuardSettings = field(factory=CrashGuardSettings)
 
 
@@ -73,6 +76,7 @@
     fleet: Fleet
     tables: dict[StoreTable, TableCopy]
     targets: TargetTable
+    paths: TargetPaths
     placement: Placement
     warm: WarmTargets
     slow: SlowTargets
@@ -104,6 +108,7 @@
         region=entry.region,
         link_mbps=entry.link_mbps,
     )
+    random = random or Random()
     fleet = Fleet(own, settings.fleet, len(entry.domain_regions))
     targets = TargetTable(settings.targets, entry.domain_regions)
     warmup_limiter = WarmupLimiter(fleet)
@@ -118,6 +123,7 @@
         fleet=fleet,
         tables={table: TableCopy(table, revision_of) for table in StoreTable},
         targets=targets,
+        paths=TargetPaths(settings.paths, fleet, random),
         placement=Placement(
             settings.placement,
             entry.region,
@@ -127,7 +133,7 @@
             warm,
             slow,
             limit_pauses,
-            random or Random(),
+            random,
         ),
         warm=warm,
         slow=slow,
--- a/src/siskinward/daemon/entry/target_prober.py
+++ b/src/siskinward/daemon/entry/target_prober.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from siskinward.daemon.entry.target_links import LinkRequest
 from siskinward.protocol.counts import decode_count
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
@@ -17,9 +18,9 @@
     from siskinward.daemon.entry.limit_enforcer import LimitEnforcer
     from siskinward.daemon.entry.limit_reader import LimitReader
     from siskinward.daemon.entry.steering import Steering
+    from siskinward.daemon.entry.target_links import TargetLinks
     from siskinward.protocol.steering_headers import SteeringHeaders
     from siskinward.transport.decision_log import DecisionLog
-    from siskinward.transport.target_pool import TargetPool
 
 CHECK_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 1.0
@@ -38,14 +39,14 @@
         self,
         steering: Steering,
         headers: SteeringHeaders,
-        pool: TargetPool,
+        links: TargetLinks,
         limits: LimitEnforcer,
         limit_reader: LimitReader,
         log: DecisionLog,
     ) -> None:
         self._steering = steering
         self._headers = headers
-        self._pool = pool
+        self._links = links
         self._limits = limits
         self._limit_reader = limit_reader
         self._log = log
@@ -76,8 +77,8 @@
         request = HttpRequest("GET", service.health_path, (host,))
         targets = self._steering.targets
         try:
-            response = await self._pool.exchange(
-                target.record, request, PROBE_TIMEOUT_S, idempotent=True
+            answer = await self._links.exchange(
+                target, LinkRequest(request, PROBE_TIMEOUT_S, is_idempotent=True)
             )
         except ExchangeFailedError as error:
             if error.phase is SendPhase.SENT and error.is_timeout:
@@ -87,6 +88,7 @@
             targets.on_unreachable(target, read_clock_s())
             self._log.write("target-unreached", {"target": target.name, "error": error.detail})
             return
+        response = answer.response
         name = response.header(self._headers.target)
         if name is not None and name != target.name.encode():
             targets.remove(target.name)
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -44,6 +44,7 @@
 SLOW_KEY = "slow"
 LIMITS_KEY = "limits"
 WARMUPS_KEY = "warmups"
+CUT_OFF_KEY = "cut-off"
 # Rates travel as integers: numbers of a heartbeat are rounded to single precision.
 RATE_SCALE = 10**RATE_DECIMALS
 # A heartbeat counts the held rows of a table beside its position, under this suffix.
@@ -164,6 +165,7 @@
         slow=_decode_slow(in_flight),
         limits=_decode_limits(in_flight),
         warmups=_decode_warmups(in_flight),
+        is_cut_off=bool(in_flight.get(CUT_OFF_KEY)),
         demand_per_s={AccountName(name): rate for name, rate in decode_numbers(demand).items()},
         crashing_requests={str(key): int(count) for key, count in crashing_requests.items()},
     )
@@ -186,6 +188,7 @@
         slow=_decode_slow(in_flight),
         limits=_decode_limits(in_flight),
         warmups=_decode_warmups(in_flight),
+        is_cut_off=bool(in_flight.get(CUT_OFF_KEY)),
     )
 
 
@@ -205,6 +208,8 @@
         fields[WARMUPS_KEY] = {
             item.target_id: round(item.left_s * 1000) for item in message.warmups
         }
+    if message.is_cut_off:
+        fields[CUT_OFF_KEY] = True
     if message.limits:
         fields[LIMITS_KEY] = [_encode_limit(report) for report in message.limits]
     return fields
--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -16,6 +16,7 @@
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.sockets import connect
 from siskinward.transport.sockets import is_stale
+from siskinward.transport.sockets import reset
 
 if TYPE_CHECKING:
     from siskinward.transport.http_messages import HttpRequest
@@ -109,6 +110,11 @@
         if sock is not None:
             await sock.close()
 
+    async def fail(self) -> None:
+        """Let the exchange that another task runs fail, as if the target had reset it."""
+        if self._sock is not None:
+            await reset(self._sock)
+
     async def _exchange(self, request: HttpRequest) -> HttpResponse:
         http = h11.Connection(h11.CLIENT)
         await self._sock.sendall(encode_request(http, request, request.headers))
--- a/src/siskinward/transport/peer_rows.py
+++ b/src/siskinward/transport/peer_rows.py
@@ -20,7 +20,8 @@
 from siskinward.protocol.row_messages import encode_rows_reply
 from siskinward.protocol.row_messages import encode_rows_request
 from siskinward.transport.clock import read_clock_s
-from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+from siskinward.transport.frames import receive_frame
+from siskinward.transport.frames import send_frame
 from siskinward.transport.sockets import connect
 
 if TYPE_CHECKING:
@@ -32,7 +33,6 @@
 EXCHANGE_TIMEOUT_S = 2.0
 # A VM fetches a table from one host at a time, so a dead host must not hold up the others for long.
 CONNECT_TIMEOUT_S = 0.8
-LENGTH_SIZE_BYTES = 4
 # More transfers at once would share the link so thinly that no receiver could soon pass rows on.
 MAX_CONCURRENT_TRANSFERS = 8
 MAX_REFERRED_HOSTS = 16
@@ -44,8 +44,8 @@
         async with curio.timeout_after(CONNECT_TIMEOUT_S):
             sock = await connect(host, port)
         async with curio.timeout_after(EXCHANGE_TIMEOUT_S), sock:
-            await _send_frame(sock, encode_rows_request(request))
-            return decode_rows_reply(await _receive_frame(sock), read_clock_s())
+            await send_frame(sock, encode_rows_request(request))
+            return decode_rows_reply(await receive_frame(sock, FRAME_LIMIT_BYTES), read_clock_s())
     except curio.TaskTimeout:
         raise OSError("timed out waiting for rows") from None
 
@@ -80,13 +80,13 @@
     async def _serve_one(self, sock: Any) -> None:
         try:
             async with curio.timeout_after(EXCHANGE_TIMEOUT_S), sock:
-                request = decode_rows_request(await _receive_frame(sock))
+                request = decode_rows_request(await receive_frame(sock, FRAME_LIMIT_BYTES))
                 update = self._find(request)
                 if update is None:
                     return
                 if self._active_transfers >= MAX_CONCURRENT_TRANSFERS:
                     hosts = tuple(self._served_hosts.get(request.table, ()))
-                    await _send_frame(sock, encode_rows_reply(Referral(hosts), read_clock_s()))
+                    await send_frame(sock, encode_rows_reply(Referral(hosts), read_clock_s()))
                 else:
                     await self._send_rows(sock, request, update)
         except (curio.TaskTimeout, OSError, PeerMessageError):
@@ -96,7 +96,7 @@
     async def _send_rows(self, sock: Any, request: RowsRequest, update: Snapshot | Changes) -> None:
         self._active_transfers += 1
         try:
-            await _send_frame(sock, self._encode(request, update))
+            await send_frame(sock, self._encode(request, update))
         finally:
             self._active_transfers -= 1
         served = self._served_positions.get(request.table)
@@ -114,29 +114,3 @@
             data = encode_rows_reply(update, read_clock_s())
             last = self._last_encoded = _EncodedRows(*key, data)
         return last.data
-
-
-async def _send_frame(sock: Any, data: bytes) -> None:
-    await sock.sendall(len(data).to_bytes(LENGTH_SIZE_BYTES, "big") + data)
-
-
-async def _receive_frame(sock: Any) -> bytes:
-    buffer = b""
-    while len(buffer) < LENGTH_SIZE_BYTES:
-        buffer += await _receive(sock)
-    size_bytes = int.from_bytes(buffer[:LENGTH_SIZE_BYTES], "big")
-    if size_bytes > FRAME_LIMIT_BYTES:
-        raise PeerMessageError(f"a frame of {size_bytes} bytes is too large")
-    chunks = [buffer[LENGTH_SIZE_BYTES:]]
-    missing_bytes = size_bytes - len(chunks[0])
-    while missing_bytes > 0:
-        chunks.append(await _receive(sock))
-        missing_bytes -= len(chunks[-1])
-    return b"".join(chunks)
-
-
-async def _receive(sock: Any) -> bytes:
-    data: bytes = await sock.recv(RECEIVE_SIZE_BYTES)
-    if not data:
-        raise ConnectionResetError("the connection closed within a frame")
-    return data
--- a/src/siskinward/transport/target_pool.py
+++ b/src/siskinward/transport/target_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 import curio
 from attrs import frozen
@@ -42,13 +43,18 @@
         self._echo_header = echo_header
         self._source_host = source_host
         self._idle: dict[str, list[OutboundConnection]] = {}
+        self._active: dict[OutboundConnection, bool] = {}
 
     async def exchange(
         self, target: TargetRecord, request: HttpRequest, timeout_s: float, *, idempotent: bool
     ) -> HttpResponse:
         """Run one exchange with a target. Raises ``ExchangeFailedError``."""
         connection = await self._acquire(target, timeout_s, idempotent=idempotent)
-        response = await connection.exchange(request, timeout_s)
+        self._active[connection] = idempotent
+        try:
+            response = await connection.exchange(request, timeout_s)
+        finally:
+            del self._active[connection]
         if connection.is_open:
             await self._release(target, connection)
         return response
@@ -63,6 +69,19 @@
         await self._release(target, connection)
         return True
 
+    async def abandon(self) -> None:
+        """Drop all idle connections, and fail the exchanges that may be run again.
+
+        For connections that are presumed dead. Other exchanges go on: their answers may yet come.
+        """
+        for connections in self._idle.values():
+            for connection in connections:
+                await connection.close()
+        self._idle.clear()
+        for connection, idempotent in list(self._active.items()):
+            if idempotent:
+                await connection.fail()
+
     async def close_idle(self) -> None:
         """Close connections that have been idle for too long or are no longer reusable."""
         now_s = read_clock_s()
@@ -107,7 +126,15 @@
             await idle.pop(0).close()
 
 
-async def close_idle_periodically(pool: TargetPool, interval_s: float = 1.0) -> None:
+class IdlePool(Protocol):
+    """A pool that keeps idle connections for a while."""
+
+    async def close_idle(self) -> None:
+        """Close connections that have been idle for too long."""
+        ...
+
+
+async def close_idle_periodically(pool: IdlePool, interval_s: float = 1.0) -> None:
     """Call ``close_idle`` every ``interval_s`` until cancelled."""
     while True:
         await curio.sleep(interval_s)
--- /dev/null
+++ b/src/siskinward/transport/target_relay.py
@@ -0,0 +1,192 @@
+"""Relays requests to targets for other VMs, over streams between VMs: one request at a time."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+from attrs import evolve
+from attrs import frozen
+
+from siskinward.protocol.peer_fields import PeerMessageError
+from siskinward.transport.clock import read_clock_s
+from siskinward.transport.frames import receive_frame
+from siskinward.transport.frames import send_frame
+from siskinward.transport.outbound_connection import ExchangeFailedError
+from siskinward.transport.outbound_connection import SendPhase
+from siskinward.transport.relay_messages import decode_relay_reply
+from siskinward.transport.relay_messages import decode_relay_request
+from siskinward.transport.relay_messages import encode_relay_reply
+from siskinward.transport.relay_messages import encode_relay_request
+from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+from siskinward.transport.sockets import connect
+from siskinward.transport.sockets import enable_keepalive
+from siskinward.transport.sockets import is_stale
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from siskinward.transport.relay_messages import RelayReply
+    from siskinward.transport.relay_messages import RelayRequest
+
+# More than the largest body that callers may send.
+FRAME_LIMIT_BYTES = 80 * 1024 * 1024
+DRAIN_POLL_S = 0.05
+
+
+class RelayServer:
+    """Accepts requests to relay, and passes each to ``relay``.
+
+    ``active_count`` requests are in progress, of ``served_count`` so far. A VM that closes its
+    connection gives up on its request, which is then cancelled.
+    """
+
+    def __init__(self, relay: Callable[[RelayRequest], Awaitable[RelayReply]]) -> None:
+        self._relay = relay
+        self._connections: set[Any] = set()
+        self.active_count = 0
+        self.served_count = 0
+
+    async def serve(self, listener: Any) -> None:
+        """Serve requests until cancelled."""
+        async with listener:
+            while True:
+                sock, _ = await listener.accept()
+                enable_keepalive(sock)
+                await curio.spawn(self._serve_connection, sock, daemon=True)
+
+    async def wait_answered(self, limit_s: float) -> bool:
+        """Wait up to ``limit_s`` until all requests are answered; return whether they are."""
+        deadline_s = read_clock_s() + limit_s
+        while self.active_count and read_clock_s() < deadline_s:
+            await curio.sleep(DRAIN_POLL_S)
+        return not self.active_count
+
+    async def abort(self) -> None:
+        """Cancel every connection."""
+        for task in list(self._connections):
+            await task.cancel(blocking=False)
+
+    async def _serve_connection(self, sock: Any) -> None:
+        task = await curio.current_task()
+        self._connections.add(task)
+        try:
+            async with sock:
+                while True:
+                    data = await receive_frame(sock, FRAME_LIMIT_BYTES)
+                    await self._serve_one(sock, decode_relay_request(data))
+        except (OSError, PeerMessageError):
+            # The other VM has closed the connection; a new one serves its next request.
+            return
+        finally:
+            self._connections.discard(task)
+
+    async def _serve_one(self, sock: Any, request: RelayRequest) -> None:
+        self.active_count += 1
+        self.served_count += 1
+        work = await curio.spawn(self._relay, request)
+        watch = await curio.spawn(_cancel_on_disconnect, sock, work)
+        try:
+            reply: RelayReply = await work.join()
+        except curio.TaskError:
+            raise ConnectionResetError("the other VM gave up on its request") from None
+        finally:
+            self.active_count -= 1
+            await work.cancel()
+            await watch.cancel()
+        await send_frame(sock, encode_relay_reply(reply))
+
+
+async def _cancel_on_disconnect(sock: Any, work: Any) -> None:
+    with suppress(OSError):
+        await sock.recv(RECEIVE_SIZE_BYTES)
+    await work.cancel()
+
+
+@frozen
+class RelayLimits:
+    """How long connecting may take, and how long an idle connection is kept and reused.
+
+    ``unsafe_idle_timeout_s`` holds for requests that must not be sent twice.
+    """
+
+    connect_timeout_s: float = 0.3
+    idle_timeout_s: float = 5.0
+    unsafe_idle_timeout_s: float = 1.0
+    max_idle_per_vm: int = 16
+
+
+@frozen
+class _IdleStream:
+    sock: Any
+    since_s: float
+
+
+class RelayPool:
+    """Streams to the VMs that relay this VM's requests."""
+
+    def __init__(self, limits: RelayLimits, port: int) -> None:
+        self._limits = limits
+        self._port = port
+        self._idle: dict[str, list[_IdleStream]] = {}
+
+    async def exchange(self, host: str, request: RelayRequest) -> RelayReply:
+        """Let a VM relay a request. Raises ``ExchangeFailedError``.
+
+        As for a target, only ``NOT_CONNECTED`` proves that the request was not run.
+        """
+        deadline_s = read_clock_s() + request.time_left_s
+        sock = await self._acquire(host, is_idempotent=request.is_idempotent)
+        left_s = deadline_s - read_clock_s()
+        is_kept = False
+        try:
+            async with curio.timeout_after(max(0.0, left_s)):
+                await send_frame(sock, encode_relay_request(evolve(request, time_left_s=left_s)))
+                reply = decode_relay_reply(await receive_frame(sock, FRAME_LIMIT_BYTES))
+            is_kept = True
+        except curio.TaskTimeout:
+            detail = f"timed out waiting for the relay {host}"
+            raise ExchangeFailedError(SendPhase.SENT, detail, True) from None
+        except (OSError, PeerMessageError) as error:
+            raise ExchangeFailedError(SendPhase.SENT, f"relay {host}: {error}") from error
+        finally:
+            if not is_kept:
+                await sock.close()
+        await self._release(host, sock)
+        return reply
+
+    async def close_idle(self) -> None:
+        """Close connections that have been idle for too long."""
+        now_s = read_clock_s()
+        for host, streams in list(self._idle.items()):
+            self._idle[host] = []
+            for stream in streams:
+                if now_s - stream.since_s < self._limits.idle_timeout_s:
+                    self._idle[host].append(stream)
+                else:
+                    await stream.sock.close()
+
+    async def _acquire(self, host: str, *, is_idempotent: bool) -> Any:
+        limits = self._limits
+        max_idle_s = limits.idle_timeout_s if is_idempotent else limits.unsafe_idle_timeout_s
+        idle = self._idle.get(host, [])
+        while idle:
+            stream = idle.pop()
+            if read_clock_s() - stream.since_s < max_idle_s and not is_stale(stream.sock):
+                return stream.sock
+            await stream.sock.close()
+        try:
+            async with curio.timeout_after(limits.connect_timeout_s):
+                return await connect(host, self._port)
+        except (curio.TaskTimeout, OSError) as error:
+            detail = f"relay {host}: {error or 'timed out connecting'}"
+            raise ExchangeFailedError(SendPhase.NOT_CONNECTED, detail) from None
+
+    async def _release(self, host: str, sock: Any) -> None:
+        idle = self._idle.setdefault(host, [])
+        idle.append(_IdleStream(sock, read_clock_s()))
+        if len(idle) > self._limits.max_idle_per_vm:
+            await idle.pop(0).sock.close()
--- a/tests/platform/steady_load.py
+++ b/tests/platform/steady_load.py
@@ -16,8 +16,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-OBJECTS = 101
-
 
 @define
 class LoadCall:
@@ -36,7 +34,7 @@
 
 @define
 class SteadyLoad:
-    """Requests for many objects of ``services`` in turn, to ``vms`` in turn, until stopped."""
+    """Requests, each with its own path, to ``services`` and ``vms`` in turn, until stopped."""
 
     site: Site
     vms: list[str]
@@ -69,7 +67,7 @@
     async def _send(self, number: int) -> None:
         service = self.services[number % len(self.services)]
         vm = self.vms[number // len(self.services) % len(self.vms)]
-        call = LoadCall(vm, f"/{service}/{number % OBJECTS}", read_clock_s())
+        call = LoadCall(vm, f"/{service}/{number}", read_clock_s())
         self.calls.append(call)
         try:
             call.response = await self.site.call(vm, call.path)
--- a/tests/platform/test_cut_from_targets.py
+++ b/tests/platform/test_cut_from_targets.py
@@ -88,3 +88,93 @@
         check_served(load, vms, lambda at_s: cut_s + CONTACT_S <= at_s < healed_s)
 
     run_site(scenario, SITE)
+
+
+def test_vms_cut_twice_in_a_day_serve_first_tries_each_time(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        load, running = await start_load(site)
+        for vms in (REGION, ("vm-bud-a-0", "vm-deb-a-0")):
+            await curio.sleep(BEFORE_S)
+            cut_s = read_clock_s()
+            await cut(site, network, vms, CutKind.HANGS)
+            await curio.sleep(CUT_S)
+            network.heal_cuts()
+            since_s, until_s = cut_s + CONTACT_S, read_clock_s()
+            check_served(load, vms, lambda at_s, a=since_s, b=until_s: a <= at_s < b)
+        load.stop()
+        await running.join()
+
+    run_site(scenario, SITE)
+
+
+@pytest.mark.parametrize("kind", CutKind, ids=lambda kind: kind.value)
+def test_vm_that_starts_while_cut_serves_first_tries(run_site: Any, kind: CutKind) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        await cut(site, network, ONE, kind)
+        await site.restart_vm(ONE[0])
+        await curio.sleep(CONTACT_S)
+        statuses = [(await site.call(ONE[0], f"/listings/{n}")).status for n in range(20)]
+        assert statuses == [200] * 20
+
+    run_site(scenario, SITE)
+
+
+@pytest.mark.parametrize("kind", CutKind, ids=lambda kind: kind.value)
+def test_vm_without_load_before_the_cut_serves_the_first_try(run_site: Any, kind: CutKind) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        await curio.sleep(20.0)
+        await cut(site, network, ONE, kind)
+        await curio.sleep(CONTACT_S)
+        assert (await site.call(ONE[0], "/bookings/1")).status == 200
+
+    run_site(scenario, SITE)
+
+
+def test_directory_leaves_out_a_cut_vm_until_the_cut_ends(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        before = await site.look_up(ONE[0], "bud-a")
+        running = await curio.spawn(SteadyLoad(site, list(ONE), 10.0).run, daemon=True)
+        await cut(site, network, ONE, CutKind.HANGS)
+        await curio.sleep(CONTACT_S)
+        named = [await site.look_up(vm, "bud-a") for vm in REGION]
+        assert named == [before[1:]] * 2
+        network.heal_cuts()
+        await curio.sleep(CONTACT_S)
+        assert await site.look_up(REGION[1], "bud-a") == before
+        await running.cancel()
+
+    run_site(scenario, SITE)
+
+
+def test_directory_names_cut_vms_if_a_region_has_no_others(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        before = await site.look_up(ONE[0], "bud-a")
+        running = await curio.spawn(SteadyLoad(site, list(REGION), 10.0).run, daemon=True)
+        await cut(site, network, REGION, CutKind.HANGS)
+        await curio.sleep(CONTACT_S)
+        assert await site.look_up(ONE[0], "bud-a") == before
+        await running.cancel()
+
+    run_site(scenario, SITE)
+
+
+def test_vm_uses_its_own_connections_again_after_the_cut(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        load = SteadyLoad(site, list(ONE), 20.0)
+        running = await curio.spawn(load.run)
+        await cut(site, network, ONE, CutKind.REFUSES)
+        await curio.sleep(CONTACT_S)
+        network.heal_cuts()
+        await curio.sleep(CONTACT_S)
+        relayed = relayed_requests(site)
+        await curio.sleep(CONTACT_S)
+        load.stop()
+        await running.join()
+        assert relayed_requests(site) == relayed > 0
+
+    run_site(scenario, SITE)
+
+
+def relayed_requests(site: Site) -> int:
+    """Return how many requests all VMs have relayed for others."""
+    return sum(vm.relayed_count for vm in site.vms.values())
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -364,7 +364,7 @@
 def test_change_reaches_every_vm_in_time_over_slow_links(
     run_site: Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    encode, send = peer_rows.encode_rows_reply, peer_rows._send_frame
+    encode, send = peer_rows.encode_rows_reply, peer_rows.send_frame
     rows_replies: set[bytes] = set()
 
     def record_rows(reply: RowsReply, now_s: float) -> bytes:
@@ -379,7 +379,7 @@
         await send(sock, data)
 
     monkeypatch.setattr(peer_rows, "encode_rows_reply", record_rows)
-    monkeypatch.setattr(peer_rows, "_send_frame", send_slowly)
+    monkeypatch.setattr(peer_rows, "send_frame", send_slowly)
 
     async def scenario(site: Site, network: MemoryNetwork) -> None:
         await site.publish()
--- a/tests/transport/test_peer_rows.py
+++ b/tests/transport/test_peer_rows.py
@@ -34,14 +34,14 @@
 @pytest.fixture
 def slow_link(monkeypatch: pytest.MonkeyPatch) -> None:
     """Delay rows by ``TRANSFER_S``; referrals are sent at once."""
-    send = peer_rows._send_frame
+    send = peer_rows.send_frame
 
     async def send_slowly(sock: Any, data: bytes) -> None:
         if isinstance(_decode(data), Snapshot | Changes):
             await curio.sleep(TRANSFER_S)
         await send(sock, data)
 
-    monkeypatch.setattr(peer_rows, "_send_frame", send_slowly)
+    monkeypatch.setattr(peer_rows, "send_frame", send_slowly)
 
 
 def _decode(data: bytes) -> RowsReply | None:
