Bound the memory that answers take while they are received

Callers of a VM would lose it: its memory is gone. Cause: each answer might take 64 MiB, and nothing bounded all together; a socket that always has data never let other tasks run, nor time-outs fire, and many small chunks cost far more than their bytes. Class: a limit for each of many.

--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -37,6 +37,7 @@
 from siskinward.daemon.entry.target_prober import TargetProber
 from siskinward.protocol.vm_identity import encode_vm
 from siskinward.state.errors import SiskinwardError
+from siskinward.transport.answer_memory import AnswerMemory
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.decision_log import DecisionLog
 from siskinward.transport.decision_log import LogSettings
@@ -99,9 +100,11 @@
             settings, SteeringSettings(), platform.revision_of, read_clock_s(), random
         )
         self._store = platform.create_store(settings)
-        self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id, settings.host)
+        memory = AnswerMemory()
+        self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id, settings.host, memory)
         limit_reader = LimitReader(self._steering, platform.headers, self._log)
-        self._relay_pool = RelayPool(RelayLimits(), settings.peer_port + RELAY_PORT_OFFSET)
+        relay_port = settings.peer_port + RELAY_PORT_OFFSET
+        self._relay_pool = RelayPool(RelayLimits(), relay_port, memory)
         links = TargetLinks(self._steering, self._pool, self._relay_pool)
         relay_handler = RelayHandler(self._steering, platform.headers, self._pool, links)
         self._relay_server = RelayServer(relay_handler.relay)
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -33,6 +33,10 @@
     TRUNCATES_ANSWERS = "truncates-answers"
     FAILS = "fails"
     CRASHES = "crashes"
+    ENDLESS_HEAD = "endless-head"
+    ENDLESS_INTERIM = "endless-interim"
+    ENDLESS_BODY = "endless-body"
+    ENDLESS_CHUNKS = "endless-chunks"
 
 
 @define
@@ -48,6 +52,18 @@
     ended_s: float | None = None
 
 
+# What begins an answer that never ends, and what follows again and again.
+ENDLESS_ANSWERS = {
+    TargetFault.ENDLESS_HEAD: (b"HTTP/1.1 200 OK\r\nx-filler: ", b"x" * 65536),
+    TargetFault.ENDLESS_INTERIM: (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 512),
+    TargetFault.ENDLESS_BODY: (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
+    TargetFault.ENDLESS_CHUNKS: (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n" * 8192,
+    ),
+}
+
+
 @frozen
 class ArrivalRecord:
     """A request, probes aside, that reached a target, whether or not it ran."""
@@ -62,7 +78,7 @@
 
     Reports at most ``slots`` requests as running and the others as waiting, and sheds requests
     while ``4 * slots`` are being handled. ``fault`` affects the next ``remaining_faults``
-    requests. ``rate_limit`` is stated in every answer, as given, and ``extra_headers`` precede the
+    requests; between two pieces of an endless answer ``endless_gap_s`` pass. ``rate_limit`` is stated in every answer, as given, and ``extra_headers`` precede the
     others. ``arrivals`` has each request that reached the target, ``arrivals_s`` the time of each,
     probes included, misdirected ones not, and ``stated_s`` that of each answer that stated a limit.
     ``advertised_host`` is where callers reach the target, if that is not ``host``.
@@ -78,6 +94,7 @@
     started_ms: int = 1
     fault: TargetFault = TargetFault.NONE
     remaining_faults: int = 1_000_000
+    endless_gap_s: float = 0.0
     warmup_left_ms: int = 0
     advertised_host: str = ""
     rate_limit: str | None = None
@@ -198,6 +215,8 @@
             await curio.sleep(self.work_s)
         finally:
             self._running -= 1
+        if self.fault in ENDLESS_ANSWERS:
+            await self._answer_endlessly(sock, *ENDLESS_ANSWERS[self.fault])
         record.ended_s = read_clock_s()
         if self._try_inject(TargetFault.LOSES_ANSWERS):
             await reset(sock)
@@ -212,6 +231,13 @@
         )
         return HttpResponse(status, headers, f"{self.name} ran {record.attempt_id}".encode())
 
+    async def _answer_endlessly(self, sock: Any, start: bytes, piece: bytes) -> None:
+        """Send until the caller closes the connection, which cancels this or raises an error."""
+        await sock.sendall(start)
+        while True:
+            await sock.sendall(piece)
+            await curio.sleep(self.endless_gap_s)
+
     async def _write(self, sock: Any, http: h11.Connection, response: HttpResponse) -> None:
         data = encode_response(http, response, closes=False)
         if self._try_inject(TargetFault.TRUNCATES_ANSWERS):
--- a/src/siskinward/transport/client_protocol.py
+++ b/src/siskinward/transport/client_protocol.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from itertools import count
 from typing import TYPE_CHECKING
 from typing import Any
 
+import curio
 import h11
 
 from siskinward.transport.http_messages import HttpResponse
@@ -14,8 +16,11 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from siskinward.transport.answer_memory import AnswerShare
     from siskinward.transport.http_messages import HttpRequest
 
+# Parser steps, each of which may receive once, between two chances for other tasks.
+YIELD_STEPS = 64
 RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
 
 
@@ -35,17 +40,20 @@
 
 
 async def read_response(
-    http: h11.Connection, sock: Any, on_head: Callable[[], None]
+    http: h11.Connection, sock: Any, on_head: Callable[[], None], share: AnswerShare | None = None
 ) -> HttpResponse:
     """Read one complete response. Raises ``OSError`` or ``h11.ProtocolError``.
 
     ``on_head`` is called once the headers have arrived; a failure after that means that the
-    response is incomplete.
+    response is incomplete. ``share`` counts what the response takes.
     """
     head: h11.Response | None = None
     chunks: list[bytes] = []
     size_bytes = 0
-    while True:
+    for step in count(1):
+        if step % YIELD_STEPS == 0:
+            # A socket that always has data would never let other tasks run, or time-outs fire.
+            await curio.sleep(0)
         event = http.next_event()
         match event:
             case h11.NEED_DATA:
@@ -55,6 +63,8 @@
                 on_head()
             case h11.Data(data=data):
                 size_bytes += len(data)
+                if share is not None:
+                    await share.add_piece(len(data))
                 if size_bytes > RESPONSE_LIMIT_BYTES:
                     raise OSError(f"the response body exceeds {RESPONSE_LIMIT_BYTES} bytes")
                 chunks.append(bytes(data))
@@ -63,5 +73,9 @@
                 return HttpResponse(head.status_code, tuple(head.headers), b"".join(chunks))
             case h11.ConnectionClosed():
                 raise ConnectionResetError("the server closed the connection before responding")
+            case h11.InformationalResponse():
+                if share is not None:
+                    await share.add_piece(0)
             case _:
                 continue
+    raise AssertionError("the steps do not end")
--- a/src/siskinward/transport/frames.py
+++ b/src/siskinward/transport/frames.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
 
 from siskinward.protocol.peer_fields import PeerMessageError
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 
+if TYPE_CHECKING:
+    from siskinward.transport.answer_memory import AnswerShare
+
 LENGTH_SIZE_BYTES = 4
 
 
@@ -15,8 +19,8 @@
     await sock.sendall(len(data).to_bytes(LENGTH_SIZE_BYTES, "big") + data)
 
 
-async def receive_frame(sock: Any, limit_bytes: int) -> bytes:
-    """Receive one frame.
+async def receive_frame(sock: Any, limit_bytes: int, share: AnswerShare | None = None) -> bytes:
+    """Receive one frame; ``share`` counts what it takes.
 
     Raises ``PeerMessageError`` if it is larger than ``limit_bytes``, ``OSError`` if the connection
     ends before its end.
@@ -32,6 +36,8 @@
     while missing_bytes > 0:
         chunks.append(await _receive(sock))
         missing_bytes -= len(chunks[-1])
+        if share is not None:
+            await share.add_piece(len(chunks[-1]))
     return b"".join(chunks)
 
 
--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -19,6 +19,7 @@
 from siskinward.transport.sockets import reset
 
 if TYPE_CHECKING:
+    from siskinward.transport.answer_memory import AnswerShare
     from siskinward.transport.http_messages import HttpRequest
     from siskinward.transport.http_messages import HttpResponse
 
@@ -84,12 +85,17 @@
         except OSError as error:
             raise ExchangeFailedError(self._phase, str(error)) from error
 
-    async def exchange(self, request: HttpRequest, timeout_s: float) -> HttpResponse:
-        """Send a request and read the complete response. Raises ``ExchangeFailedError``."""
+    async def exchange(
+        self, request: HttpRequest, timeout_s: float, share: AnswerShare | None = None
+    ) -> HttpResponse:
+        """Send a request and read the complete response. Raises ``ExchangeFailedError``.
+
+        ``share`` counts the memory that the response takes.
+        """
         self._phase = SendPhase.SENT
         try:
             async with curio.timeout_after(timeout_s):
-                response = await self._exchange(request)
+                response = await self._exchange(request, share)
         except curio.TaskTimeout:
             await self.close()
             raise ExchangeFailedError(
@@ -115,16 +121,18 @@
         if self._sock is not None:
             await reset(self._sock)
 
-    async def _exchange(self, request: HttpRequest) -> HttpResponse:
+    async def _exchange(self, request: HttpRequest, share: AnswerShare | None) -> HttpResponse:
         http = h11.Connection(h11.CLIENT)
         await self._sock.sendall(encode_request(http, request, request.headers))
         expected = request.header(self._echo_header)
         while True:
-            response = await read_response(http, self._sock, self._on_response_head)
+            response = await read_response(http, self._sock, self._on_response_head, share)
             is_kept = http.their_state is h11.DONE and http.our_state is h11.DONE
             echoed = response.header(self._echo_header)
             if not echoed or echoed == expected:
                 break
+            if share is not None:
+                await share.add_piece(0)
             # The target has repeated its response to an earlier request; a probe expects no echo.
             if not is_kept:
                 raise ConnectionResetError("closed after a repeated response to an earlier request")
--- a/src/siskinward/transport/target_pool.py
+++ b/src/siskinward/transport/target_pool.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from siskinward.state.serving import TargetRecord
+    from siskinward.transport.answer_memory import AnswerMemory
     from siskinward.transport.http_messages import HttpRequest
     from siskinward.transport.http_messages import HttpResponse
 
@@ -35,11 +36,14 @@
 class TargetPool:
     """Reuses the idle connection that was used last; opens a new one if none is idle.
 
-    Connections are opened from ``source_host``.
+    Connections are opened from ``source_host``. ``memory`` counts the answers being received.
     """
 
-    def __init__(self, limits: PoolLimits, echo_header: bytes, source_host: str) -> None:
+    def __init__(
+        self, limits: PoolLimits, echo_header: bytes, source_host: str, memory: AnswerMemory
+    ) -> None:
         self._limits = limits
+        self._memory = memory
         self._echo_header = echo_header
         self._source_host = source_host
         self._idle: dict[str, list[OutboundConnection]] = {}
@@ -52,7 +56,8 @@
         connection = await self._acquire(target, timeout_s, idempotent=idempotent)
         self._active[connection] = idempotent
         try:
-            response = await connection.exchange(request, timeout_s)
+            async with self._memory.open_share(connection.fail) as share:
+                response = await connection.exchange(request, timeout_s, share)
         finally:
             del self._active[connection]
         if connection.is_open:
--- a/src/siskinward/transport/target_relay.py
+++ b/src/siskinward/transport/target_relay.py
@@ -24,11 +24,13 @@
 from siskinward.transport.sockets import connect
 from siskinward.transport.sockets import enable_keepalive
 from siskinward.transport.sockets import is_stale
+from siskinward.transport.sockets import reset
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from siskinward.transport.answer_memory import AnswerMemory
     from siskinward.transport.relay_messages import RelayReply
     from siskinward.transport.relay_messages import RelayRequest
 
@@ -126,10 +128,11 @@
 
 
 class RelayPool:
-    """Streams to the VMs that relay this VM's requests."""
+    """Streams to the VMs that relay this VM's requests; ``memory`` counts their answers."""
 
-    def __init__(self, limits: RelayLimits, port: int) -> None:
+    def __init__(self, limits: RelayLimits, port: int, memory: AnswerMemory) -> None:
         self._limits = limits
+        self._memory = memory
         self._port = port
         self._idle: dict[str, list[_IdleStream]] = {}
 
@@ -145,7 +148,7 @@
         try:
             async with curio.timeout_after(max(0.0, left_s)):
                 await send_frame(sock, encode_relay_request(evolve(request, time_left_s=left_s)))
-                reply = decode_relay_reply(await receive_frame(sock, FRAME_LIMIT_BYTES))
+                reply = decode_relay_reply(await self._receive(sock))
             is_kept = True
         except curio.TaskTimeout:
             detail = f"timed out waiting for the relay {host}"
@@ -169,6 +172,13 @@
                 else:
                     await stream.sock.close()
 
+    async def _receive(self, sock: Any) -> bytes:
+        async def fail() -> None:
+            await reset(sock)
+
+        async with self._memory.open_share(fail) as share:
+            return await receive_frame(sock, FRAME_LIMIT_BYTES, share)
+
     async def _acquire(self, host: str, *, is_idempotent: bool) -> Any:
         limits = self._limits
         max_idle_s = limits.idle_timeout_s if is_idempotent else limits.unsafe_idle_timeout_s
