--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -78,9 +78,10 @@
 
     Reports at most ``slots`` requests as running and the others as waiting, and sheds requests
     while ``4 * slots`` are being handled. ``fault`` affects the next ``remaining_faults``
-    requests; between two pieces of an endless answer ``endless_gap_s`` pass. ``rate_limit`` is stated in every answer, as given, and ``extra_headers`` precede the
-    others. ``arrivals`` has each request that reached the target, ``arrivals_s`` the time of each,
-    probes included, misdirected ones not, and ``stated_s`` that of each answer that stated a limit.
+    requests; between two pieces of an endless answer ``endless_gap_s`` pass. ``rate_limit`` is
+    stated in every answer, as given, and ``extra_headers`` precede the others. ``arrivals`` has
+    each request that reached the target, ``arrivals_s`` the time of each, probes included,
+    misdirected ones not, and ``stated_s`` that of each answer that stated a limit.
     ``advertised_host`` is where callers reach the target, if that is not ``host``.
     """
 
--- a/src/siskinward/transport/sockets.py
+++ b/src/siskinward/transport/sockets.py
@@ -19,7 +19,9 @@
 
 RECEIVE_SIZE_BYTES = 64 * 1024
 LISTEN_BACKLOG = 512
-# A connection whose state was lost on the way, such as in a NAT, fails after about 3 s.
+# A connection whose state was lost on the way, such as in a NAT, fails after about 3 s. Where the
+# time-out of unacknowledged data is set, it decides when keepalive gives up, not the count of
+# probes; it has to lie after the first probe and not after the last.
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
