Show a cut from all targets and relayed requests in the metrics

Requests on open connections that may run again are given up only once no target was heard for a second: a check that happened to pick dead targets would have ended them.

--- a/src/siskinward/daemon/entry/metrics_page.py
+++ b/src/siskinward/daemon/entry/metrics_page.py
@@ -17,6 +17,7 @@
     from siskinward.daemon.entry.metrics import EntryMetrics
     from siskinward.daemon.entry.ports import Store
     from siskinward.daemon.entry.steering import Steering
+    from siskinward.daemon.entry.target_links import TargetLinks
     from siskinward.transport.decision_log import DecisionLog
     from siskinward.transport.front_server import Arrival
 
@@ -34,12 +35,14 @@
         steering: Steering,
         dispatcher: Dispatcher,
         store: Store,
+        links: TargetLinks,
         log: DecisionLog,
     ) -> None:
         self._metrics = metrics
         self._steering = steering
         self._dispatcher = dispatcher
         self._store = store
+        self._links = links
         self._log = log
 
     async def handle(self, arrival: Arrival) -> HttpResponse:
@@ -77,6 +80,11 @@
             for key, count in counts.items():
                 family.add_metric(key, count)
             yield family
+        yield CounterMetricFamily(
+            PREFIX + "requests_relayed",
+            "Requests sent to targets through other VMs.",
+            value=self._links.relayed_count,
+        )
         calls = CounterMetricFamily(
             PREFIX + "store_calls", "Calls to the store.", labels=("call", "outcome")
         )
@@ -128,6 +136,7 @@
                 ages.add_metric((table.value,), now_s - confirmed_s)
         yield ages
         yield from self._store_eras()
+        yield self._cut_off()
         yield self._retry_budget(now_s)
         yield self._targets(now_s)
         yield self._target_limits()
@@ -148,6 +157,15 @@
         yield eras
         yield held
 
+    def _cut_off(self) -> Any:
+        from prometheus_client.core import GaugeMetricFamily
+
+        return GaugeMetricFamily(
+            PREFIX + "targets_cut_off",
+            "Whether this VM reaches no target, so that others relay its requests.",
+            value=float(self._steering.paths.is_cut_off),
+        )
+
     def _retry_budget(self, now_s: float) -> Any:
         from prometheus_client.core import GaugeMetricFamily
 
--- a/src/siskinward/daemon/entry/path_checker.py
+++ b/src/siskinward/daemon/entry/path_checker.py
@@ -16,6 +16,8 @@
     from siskinward.transport.target_pool import TargetPool
 
 POLL_S = 0.1
+# Open connections of a VM that is cut off may live on: they are dropped once all are silent.
+ABANDON_SILENCE_S = 1.0
 
 
 class PathChecker:
@@ -56,12 +58,11 @@
         self, checked: set[TargetName], reached: set[TargetName], started_s: float
     ) -> None:
         paths = self._steering.paths
-        failed = checked - reached
+        now_s = read_clock_s()
         if reached:
-            paths.on_heard(read_clock_s())
-        if not paths.on_checked(reached, failed, started_s):
-            return
-        kind = "targets-cut-off" if paths.is_cut_off else "targets-reached"
-        self._log.write(kind, {"checked": sorted(checked), "reached": sorted(reached)})
-        if paths.is_cut_off and not paths.was_heard_since(started_s):
+            paths.on_heard(now_s)
+        if paths.on_checked(reached, checked - reached, started_s):
+            kind = "targets-cut-off" if paths.is_cut_off else "targets-reached"
+            self._log.write(kind, {"checked": sorted(checked), "reached": sorted(reached)})
+        if paths.is_cut_off and not paths.was_heard_since(now_s - ABANDON_SILENCE_S):
             await self._pool.abandon()
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -120,7 +120,7 @@
             self._steering, platform.headers, self._dispatcher, sender, quota, request_log
         )
         metrics_page = MetricsPage(
-            metrics, self._steering, self._dispatcher, self._store, self._log
+            metrics, self._steering, self._dispatcher, self._store, links, self._log
         )
         self._probes = TargetProber(
             self._steering, platform.headers, links, limits, limit_reader, self._log
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -8,6 +8,7 @@
 import curio
 
 from siskinward.platform._headers import HEADERS
+from siskinward.standins.memory_network import CutKind
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.outbound_connection import OutboundConnection
 
@@ -67,6 +68,21 @@
     run_site(scenario)
 
 
+def test_metrics_show_a_cut_from_targets_and_relayed_requests(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        assert "targets_cut_off 0.0" in await read_metrics(site)
+        host = site.vms[VM].steering.entry.host
+        targets = [target.host for target in site.targets.values()]
+        await network.cut_between([host], targets, CutKind.REFUSES)
+        await site.call(VM)
+        await curio.sleep(2.0)
+        text = await read_metrics(site)
+        assert "targets_cut_off 1.0" in text
+        assert "requests_relayed_total 1.0" in text
+
+    run_site(scenario)
+
+
 async def read_metrics(site: Site) -> str:
     address = site.vms[VM].steering.entry.metrics
     connection = OutboundConnection(address.host, address.port)
