Take the admission of requests out of the request handler

RequestAdmission finds route, account, service and deadline; what ends a request with an answer of the VM's own stands with the reasons. No change of behaviour.

--- a/src/siskinward/daemon/entry/refusals.py
+++ b/src/siskinward/daemon/entry/refusals.py
@@ -5,6 +5,8 @@
 import json
 from enum import Enum
 
+from attrs import define
+
 from siskinward.transport.http_messages import HttpResponse
 
 
@@ -42,6 +44,22 @@
 }
 
 
+RETRY_AFTER_S = 0.25
+
+
+@define
+class Refused(Exception):  # noqa: N818 - carries an answer, is not an error
+    """Ends the handling of a request with an answer of this VM's own."""
+
+    response: HttpResponse
+    reason: Reason
+
+
+def refused(reason: Reason, retry_after_s: float | None = None) -> Refused:
+    """Return the exception that ends a request for a reason."""
+    return Refused(refuse(reason, retry_after_s), reason)
+
+
 def refuse(reason: Reason, retry_after_s: float | None = None) -> HttpResponse:
     """Return the answer for a reason."""
     headers = [(b"content-type", b"application/json")]
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -4,9 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define
-
-from siskinward.coordination.fingerprints import fingerprint_of
 from siskinward.coordination.steering.admission_queue import Rejected
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import PlacementRequest
@@ -14,8 +11,11 @@
 from siskinward.daemon.entry.dispatcher import LimitReached
 from siskinward.daemon.entry.quota_enforcer import OverQuota
 from siskinward.daemon.entry.quota_enforcer import WithinQuota
+from siskinward.daemon.entry.refusals import RETRY_AFTER_S
 from siskinward.daemon.entry.refusals import Reason
-from siskinward.daemon.entry.refusals import refuse
+from siskinward.daemon.entry.refusals import Refused
+from siskinward.daemon.entry.refusals import refused
+from siskinward.daemon.entry.request_admission import RequestAdmission
 from siskinward.daemon.entry.request_context import RequestContext
 from siskinward.daemon.entry.request_context import SendRecord
 from siskinward.daemon.entry.sender import Answered
@@ -23,11 +23,7 @@
 from siskinward.daemon.entry.sender import OutcomeUnknown
 from siskinward.daemon.entry.sender import OutgoingRequest
 from siskinward.daemon.entry.sender import SendFailure
-from siskinward.protocol.counts import decode_count
-from siskinward.protocol.steering_headers import bearer_key
-from siskinward.state.identifiers import AccountName
 from siskinward.transport.clock import read_clock_s
-from siskinward.transport.http_messages import HttpResponse
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.placement import Placed
@@ -41,24 +37,13 @@
     from siskinward.daemon.entry.steering import Steering
     from siskinward.protocol.steering_headers import SteeringHeaders
     from siskinward.state.identifiers import RegionName
-    from siskinward.state.serving import AccountPolicy
-    from siskinward.state.serving import ServedRoute
     from siskinward.transport.front_server import Arrival
-    from siskinward.transport.http_messages import HttpRequest
+    from siskinward.transport.http_messages import HttpResponse
 
-NO_ACCOUNT = AccountName("")
-RETRY_AFTER_S = 0.25
-BLOCKED_RETRY_AFTER_S = 1.0
 # Failed connects reached no target and don't count as attempts; they have a limit of their own.
 MAX_FAILED_CONNECTS = 3
 
 
-@define
-class _Refused(Exception):  # noqa: N818 - carries an answer, is not an error
-    response: HttpResponse
-    reason: Reason
-
-
 class RequestHandler:
     """Answers callers' requests."""
 
@@ -73,6 +58,7 @@
     ) -> None:
         self._steering = steering
         self._headers = headers
+        self._admission = RequestAdmission(steering, headers)
         self._dispatcher = dispatcher
         self._sender = sender
         self._quota = quota
@@ -82,61 +68,25 @@
         """Answer one request."""
         context: RequestContext | None = None
         try:
-            context = self._admit(arrival)
+            context = self._admission.admit(arrival)
             await self._enforce_quota(context)
             response = await self._serve(context)
-        except _Refused as refusal:
+        except Refused as refusal:
             self._log.record_result(arrival, context, refusal.response.status, refusal.reason)
             return refusal.response
         self._log.record_result(arrival, context, response.status, None)
         return response
 
-    def _admit(self, arrival: Arrival) -> RequestContext:
-        """Find the route, client account and service of a request, or raise a refusal."""
-        request = arrival.request
-        index = self._steering.index
-        if index is None:
-            raise _refused(Reason.NO_CONFIGURATION, RETRY_AFTER_S)
-        host = (request.header(b"host") or b"").decode("latin-1")
-        route = index.route_of(host, request.target)
-        if route is None:
-            raise _refused(Reason.NO_ROUTE)
-        account = self._account_of(request, route)
-        deadline_s = arrival.received_s + self._time_left_s(request, route)
-        name = account.name if account else NO_ACCOUNT
-        fingerprint = fingerprint_of(name, route.name, request.method, request.target, request.body)
-        if self._steering.crashes.is_blocked(fingerprint, arrival.received_s):
-            raise _refused(Reason.CRASHES_TARGETS, BLOCKED_RETRY_AFTER_S)
-        service = self._steering.splitter.choose(route)
-        self._steering.retries.on_request(service, arrival.received_s)
-        return RequestContext(arrival, route, account, service, deadline_s, fingerprint)
-
     async def _enforce_quota(self, context: RequestContext) -> None:
         if context.account is None:
             return
         match await self._quota.try_take(context.account):
             case OverQuota(retry_after_s=retry_after_s, issuer=issuer):
                 context.quota_issuer = issuer
-                raise _refused(Reason.OVER_QUOTA, retry_after_s)
+                raise refused(Reason.OVER_QUOTA, retry_after_s)
             case WithinQuota():
                 return
 
-    def _account_of(self, request: HttpRequest, route: ServedRoute) -> AccountPolicy | None:
-        index = self._steering.index
-        if index is None or route.is_public or not index.has_accounts:
-            return None
-        key = bearer_key(request.header(b"authorization"))
-        account = index.account_of_key(key) if key else None
-        if account is None:
-            raise _refused(Reason.KEY_UNKNOWN)
-        return account
-
-    def _time_left_s(self, request: HttpRequest, route: ServedRoute) -> float:
-        time_left_ms = decode_count(request.header(self._headers.time_left_ms))
-        if time_left_ms is None:
-            return route.timeout_s
-        return min(time_left_ms / 1000.0, route.timeout_s)
-
     async def _serve(self, context: RequestContext) -> HttpResponse:
         while True:
             placed = await self._acquire_target(context)
@@ -272,10 +222,10 @@
                 raise self._create_refusal(context, _refusal_reason(reason), RETRY_AFTER_S)
             case OutcomeUnknown(reason=reason):
                 if reason is SendFailure.TIMEOUT:
-                    raise _refused(Reason.TIMEOUT)
+                    raise refused(Reason.TIMEOUT)
                 if context.route.is_idempotent and self._may_retry(context):
                     return None
-                raise _refused(Reason.OUTCOME_UNKNOWN)
+                raise refused(Reason.OUTCOME_UNKNOWN)
 
     def _may_retry(self, context: RequestContext) -> bool:
         now_s = read_clock_s()
@@ -295,13 +245,13 @@
 
     def _create_refusal(
         self, context: RequestContext, reason: Reason, retry_after_s: float
-    ) -> _Refused:
+    ) -> Refused:
         """Refund the token and return the refusal; OUTCOME_UNKNOWN if the request may have run."""
         if context.may_have_run:
-            return _refused(Reason.OUTCOME_UNKNOWN)
+            return refused(Reason.OUTCOME_UNKNOWN)
         if context.account is not None:
             self._quota.refund(context.account)
-        return _refused(reason, retry_after_s)
+        return refused(reason, retry_after_s)
 
 
 def _outcome_text(result: SendResult) -> str:
@@ -312,10 +262,6 @@
             return reason.value
 
 
-def _refused(reason: Reason, retry_after_s: float | None = None) -> _Refused:
-    return _Refused(refuse(reason, retry_after_s), reason)
-
-
 def _refusal_reason(reason: SendFailure) -> Reason:
     match reason:
         case SendFailure.SHED | SendFailure.FULL | SendFailure.MISDIRECTED:
