Count a target as crashed only by the word of a VM that reaches others

Callers of all VMs were refused as crashing targets for a minute after several VMs had been cut off from the targets together. Change: a VM that fails to connect says that the target is down only if it has reached another since it began, by a check if need be; else another VM is asked, and without an answer nothing is counted. A relay that doesn't know a target leaves it to the next. Targets that have gone are no longer checked, and a broken connection calls for a check only if no other works. Relay server and pool stand in modules of their own.

--- a/src/siskinward/coordination/steering/crash_guard.py
+++ b/src/siskinward/coordination/steering/crash_guard.py
@@ -59,6 +59,10 @@
         """Record a request whose connection broke before its answer."""
         self._unconfirmed_losses.setdefault(target, []).append(_UnconfirmedLoss(fingerprint, now_s))
 
+    def has_unconfirmed(self, target: str) -> bool:
+        """Return whether a request's connection broke at a target that may have crashed."""
+        return target in self._unconfirmed_losses
+
     def on_target_down(self, target: str, now_s: float) -> None:
         """Count a target that refuses connections against requests whose connection broke there."""
         for loss in self._unconfirmed_losses.pop(target, []):
--- a/src/siskinward/coordination/steering/target_paths.py
+++ b/src/siskinward/coordination/steering/target_paths.py
@@ -68,10 +68,15 @@
         """Record that bytes of a target arrived on an own connection."""
         self._heard_s = now_s
 
-    def on_connection_failed(self) -> None:
-        """Record that an own connection to a target failed or broke, so that a check is due."""
+    def on_connect_failed(self) -> None:
+        """Record that a target could not be connected to, so that a check is due."""
         self._is_suspect = True
 
+    def on_connection_broken(self, now_s: float) -> None:
+        """Record that an open connection broke; a check is due unless others work."""
+        if not self.was_heard_since(now_s - self._settings.min_gap_s):
+            self._is_suspect = True
+
     def on_relayed(self, target: TargetName) -> None:
         """Record that another VM reached a target that this one could not connect to."""
         self._relayed.add(target)
@@ -84,6 +89,10 @@
         """Return whether any target was heard on an own connection since a time."""
         return self._heard_s >= since_s
 
+    def was_checked_since(self, since_s: float) -> bool:
+        """Return whether a check began since a time."""
+        return self._checked_s >= since_s
+
     def is_check_due(self, now_s: float) -> bool:
         """Return whether to try new connections to the targets of ``choose_checked``."""
         if self.is_cut_off or self._relayed:
@@ -94,6 +103,7 @@
 
     def choose_checked(self, targets: Collection[Target]) -> list[Target]:
         """Return the targets to check, in as many failure domains as possible."""
+        self._relayed.intersection_update(target.name for target in targets)
         ordered = self._random.sample(list(targets), len(targets))
         domains: dict[str, Target] = {}
         for target in ordered:
--- a/src/siskinward/daemon/entry/path_checker.py
+++ b/src/siskinward/daemon/entry/path_checker.py
@@ -27,6 +27,7 @@
         self._steering = steering
         self._pool = pool
         self._log = log
+        self._lock = curio.Lock()
 
     async def run(self) -> None:
         """Check whenever it is due; run until cancelled."""
@@ -35,6 +36,17 @@
             if self._steering.paths.is_check_due(read_clock_s()):
                 await self.check()
 
+    async def reaches_targets(self, since_s: float) -> bool:
+        """Return whether this VM has reached any target since a time, after a check if needed.
+
+        Only then does its failure to connect to one of them say that this one is down.
+        """
+        async with self._lock:
+            paths = self._steering.paths
+            if not paths.was_heard_since(since_s) and not paths.was_checked_since(since_s):
+                await self.check()
+        return paths.was_heard_since(since_s)
+
     async def check(self) -> None:
         """Try to connect to some targets at once."""
         targets = self._steering.paths.choose_checked(self._candidates())
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -46,15 +46,15 @@
 from siskinward.transport.front_server import FrontServer
 from siskinward.transport.peer_datagram_socket import PeerDatagramSocket
 from siskinward.transport.peer_rows import RowServer
+from siskinward.transport.relay_pool import RelayLimits
+from siskinward.transport.relay_pool import RelayPool
+from siskinward.transport.relay_server import RelayServer
 from siskinward.transport.sockets import listen
 from siskinward.transport.stop_signal import SIGNALS
 from siskinward.transport.stop_signal import watch_signals
 from siskinward.transport.target_pool import PoolLimits
 from siskinward.transport.target_pool import TargetPool
 from siskinward.transport.target_pool import close_idle_periodically
-from siskinward.transport.target_relay import RelayLimits
-from siskinward.transport.target_relay import RelayPool
-from siskinward.transport.target_relay import RelayServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -105,10 +105,10 @@
         limit_reader = LimitReader(self._steering, platform.headers, self._log)
         relay_port = settings.peer_port + RELAY_PORT_OFFSET
         self._relay_pool = RelayPool(RelayLimits(), relay_port, memory)
-        links = TargetLinks(self._steering, self._pool, self._relay_pool)
-        relay_handler = RelayHandler(self._steering, platform.headers, self._pool, links)
+        checker = self._path_checker = PathChecker(self._steering, self._pool, self._log)
+        links = TargetLinks(self._steering, self._pool, self._relay_pool, checker)
+        relay_handler = RelayHandler(self._steering, platform.headers, self._pool, links, checker)
         self._relay_server = RelayServer(relay_handler.relay)
-        self._path_checker = PathChecker(self._steering, self._pool, self._log)
         sender = Sender(self._steering, platform.headers, links, limit_reader)
         metrics = EntryMetrics()
         self._datagrams = PeerDatagramSocket(settings.host, settings.peer_port)
--- a/src/siskinward/daemon/entry/relay_handler.py
+++ b/src/siskinward/daemon/entry/relay_handler.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 
 from siskinward.daemon.entry.target_links import LinkRequest
+from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.outbound_connection import ExchangeFailedError
 from siskinward.transport.outbound_connection import SendPhase
@@ -14,6 +15,7 @@
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.targets import Target
+    from siskinward.daemon.entry.path_checker import PathChecker
     from siskinward.daemon.entry.steering import Steering
     from siskinward.daemon.entry.target_links import TargetLinks
     from siskinward.protocol.steering_headers import SteeringHeaders
@@ -33,20 +35,27 @@
     """
 
     def __init__(
-        self, steering: Steering, headers: SteeringHeaders, pool: TargetPool, links: TargetLinks
+        self,
+        steering: Steering,
+        headers: SteeringHeaders,
+        pool: TargetPool,
+        links: TargetLinks,
+        checker: PathChecker,
     ) -> None:
         self._steering = steering
         self._headers = headers
         self._pool = pool
         self._links = links
+        self._checker = checker
 
     async def relay(self, request: RelayRequest) -> RelayReply:
         """Send a request to its target and return the outcome."""
         if self._steering.paths.is_cut_off:
-            return _not_connected("the relay is cut off from the targets", is_cut_off=True)
+            return _not_connected("the relay is cut off from the targets", is_relays_fault=True)
         target = self._steering.targets.get(request.target)
         if target is None or target.record.address != f"{request.host}:{request.port}":
-            return _not_connected(f"the relay does not know the target {request.target}")
+            detail = f"the relay does not know the target {request.target}"
+            return _not_connected(detail, is_relays_fault=True)
         if not self._steering.targets.accepts_requests(target):
             return _not_connected(f"the target {request.target} gets no more requests")
         if request.request is None:
@@ -54,9 +63,11 @@
         return await self._send(target, request, request.request)
 
     async def _connect(self, target: Target) -> RelayReply:
+        started_s = read_clock_s()
         if await self._pool.try_connect(target.record):
             return CONNECTED
-        return self._fail(ExchangeFailedError(SendPhase.NOT_CONNECTED, "failed to connect"))
+        is_own_fault = not await self._checker.reaches_targets(started_s)
+        return _not_connected("failed to connect", is_relays_fault=is_own_fault)
 
     async def _send(
         self, target: Target, relayed: RelayRequest, request: HttpRequest
@@ -81,5 +92,5 @@
         return RelayFailure(error, self._steering.paths.is_cut_off)
 
 
-def _not_connected(detail: str, *, is_cut_off: bool = False) -> RelayFailure:
-    return RelayFailure(ExchangeFailedError(SendPhase.NOT_CONNECTED, detail), is_cut_off)
+def _not_connected(detail: str, *, is_relays_fault: bool = False) -> RelayFailure:
+    return RelayFailure(ExchangeFailedError(SendPhase.NOT_CONNECTED, detail), is_relays_fault)
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -177,7 +177,8 @@
         now_s = read_clock_s()
         if error.phase is SendPhase.NOT_CONNECTED:
             targets.on_unreachable(target, now_s)
-            self._steering.crashes.on_target_down(target.name, now_s)
+            if self._steering.crashes.has_unconfirmed(target.name):
+                await curio.spawn(self._check_alive, target, daemon=True)
             return NotRun(SendFailure.NOT_CONNECTED)
         targets.on_error(target)
         if error.is_timeout:
@@ -187,7 +188,10 @@
         return OutcomeUnknown(SendFailure.LOST)
 
     async def _check_alive(self, target: Target) -> None:
-        """Connect again to distinguish a lost connection from a crashed target."""
+        """Connect again to distinguish a lost connection from a crashed target.
+
+        Neither is known if this VM and those that it asks reach no target at all.
+        """
         is_alive = await self._links.can_connect(target)
         if is_alive:
             self._steering.crashes.on_target_alive(target.name)
--- a/src/siskinward/daemon/entry/target_links.py
+++ b/src/siskinward/daemon/entry/target_links.py
@@ -19,9 +19,10 @@
 if TYPE_CHECKING:
     from siskinward.coordination.steering.target_paths import TargetPaths
     from siskinward.coordination.steering.targets import Target
+    from siskinward.daemon.entry.path_checker import PathChecker
     from siskinward.daemon.entry.steering import Steering
+    from siskinward.transport.relay_pool import RelayPool
     from siskinward.transport.target_pool import TargetPool
-    from siskinward.transport.target_relay import RelayPool
 
 # A relay that proves unreachable costs time that the request needs for its answer.
 MAX_RELAYS = 3
@@ -51,10 +52,13 @@
 class TargetLinks:
     """This VM's ways to targets. Failures are those of a direct exchange."""
 
-    def __init__(self, steering: Steering, pool: TargetPool, relays: RelayPool) -> None:
+    def __init__(
+        self, steering: Steering, pool: TargetPool, relays: RelayPool, checker: PathChecker
+    ) -> None:
         self._steering = steering
         self._pool = pool
         self._relays = relays
+        self._checker = checker
         self.relayed_count = 0
 
     @property
@@ -84,8 +88,10 @@
                 idempotent=link_request.is_idempotent,
             )
         except ExchangeFailedError as error:
-            if not error.is_timeout or error.phase is SendPhase.NOT_CONNECTED:
-                self._paths.on_connection_failed()
+            if error.phase is SendPhase.NOT_CONNECTED:
+                self._paths.on_connect_failed()
+            elif not error.is_timeout:
+                self._paths.on_connection_broken(read_clock_s())
             raise
         finally:
             self._paths.on_ended(number)
@@ -94,11 +100,12 @@
 
     async def can_connect(self, target: Target) -> bool | None:
         """Return whether a target accepts connections; None if that cannot be told from here."""
+        started_s = read_clock_s()
         if self._paths.is_direct(target.name):
             if await self._pool.try_connect(target.record):
                 self._paths.on_heard(read_clock_s())
                 return True
-            self._paths.on_connection_failed()
+            self._paths.on_connect_failed()
         check = _relay_request(target, None, CONNECT_CHECK_S)
         for vm in self._paths.relays(target, (), read_clock_s())[:MAX_RELAYS]:
             try:
@@ -107,9 +114,9 @@
                 continue
             if not isinstance(reply, RelayFailure):
                 return True
-            if not reply.is_cut_off:
+            if not reply.is_relays_fault:
                 return False
-        return None if self._paths.is_cut_off else False
+        return False if await self._checker.reaches_targets(started_s) else None
 
     def _may_relay(self, started_s: float) -> bool:
         """Whether a failed connection may be this VM's own fault.
@@ -141,7 +148,7 @@
                 self.relayed_count += 1
                 return LinkAnswer(reply, vm.vm)
             last_error = reply.error
-            if not reply.is_cut_off:
+            if not reply.is_relays_fault:
                 break
         raise last_error
 
--- a/src/siskinward/transport/relay_messages.py
+++ b/src/siskinward/transport/relay_messages.py
@@ -17,6 +17,8 @@
 from siskinward.transport.outbound_connection import ExchangeFailedError
 from siskinward.transport.outbound_connection import SendPhase
 
+# More than the largest body that callers may send.
+FRAME_LIMIT_BYTES = 80 * 1024 * 1024
 ANSWER_TYPE = 1
 FAILURE_TYPE = 2
 
@@ -39,10 +41,13 @@
 
 @frozen
 class RelayFailure:
-    """Why a relayed request got no answer; ``is_cut_off``: the relaying VM reaches no target."""
+    """Why a relayed request got no answer.
+
+    With ``is_relays_fault``, another VM might reach the target.
+    """
 
     error: ExchangeFailedError
-    is_cut_off: bool = False
+    is_relays_fault: bool = False
 
 
 RelayReply = HttpResponse | RelayFailure
@@ -84,8 +89,14 @@
     match reply:
         case HttpResponse(status=status, headers=headers, body=body):
             fields = (ANSWER_TYPE, status, headers, body)
-        case RelayFailure(error=error, is_cut_off=is_cut_off):
-            fields = (FAILURE_TYPE, error.phase.value, error.detail, error.is_timeout, is_cut_off)
+        case RelayFailure(error=error, is_relays_fault=is_relays_fault):
+            fields = (
+                FAILURE_TYPE,
+                error.phase.value,
+                error.detail,
+                error.is_timeout,
+                is_relays_fault,
+            )
     return bytes(msgpack.packb(fields))
 
 
@@ -97,9 +108,9 @@
             status, headers, body = fields
             return HttpResponse(int(status), _decode_headers(headers), bytes(body))
         if reply_type == FAILURE_TYPE:
-            phase, detail, is_timeout, is_cut_off = fields
+            phase, detail, is_timeout, is_relays_fault = fields
             error = ExchangeFailedError(SendPhase(phase), str(detail), bool(is_timeout))
-            return RelayFailure(error, bool(is_cut_off))
+            return RelayFailure(error, bool(is_relays_fault))
         raise PeerMessageError(f"unknown reply type {reply_type!r}")
     except MALFORMED as error:
         raise PeerMessageError(f"malformed reply of a relay: {error}") from error
--- /dev/null
+++ b/src/siskinward/transport/relay_server.py
@@ -0,0 +1,97 @@
+"""Serves requests that other VMs want relayed to targets: one at a time on each stream."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+
+from siskinward.protocol.peer_fields import PeerMessageError
+from siskinward.transport.clock import read_clock_s
+from siskinward.transport.frames import receive_frame
+from siskinward.transport.frames import send_frame
+from siskinward.transport.relay_messages import FRAME_LIMIT_BYTES
+from siskinward.transport.relay_messages import decode_relay_request
+from siskinward.transport.relay_messages import encode_relay_reply
+from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+from siskinward.transport.sockets import enable_keepalive
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from siskinward.transport.relay_messages import RelayReply
+    from siskinward.transport.relay_messages import RelayRequest
+
+DRAIN_POLL_S = 0.05
+
+
+class RelayServer:
+    """Accepts requests to relay, and passes each to ``relay``.
+
+    ``active_count`` requests are in progress, of ``served_count`` so far. A VM that closes its
+    connection gives up on its request, which is then cancelled.
+    """
+
+    def __init__(self, relay: Callable[[RelayRequest], Awaitable[RelayReply]]) -> None:
+        self._relay = relay
+        self._connections: set[Any] = set()
+        self.active_count = 0
+        self.served_count = 0
+
+    async def serve(self, listener: Any) -> None:
+        """Serve requests until cancelled."""
+        async with listener:
+            while True:
+                sock, _ = await listener.accept()
+                enable_keepalive(sock)
+                await curio.spawn(self._serve_connection, sock, daemon=True)
+
+    async def wait_answered(self, limit_s: float) -> bool:
+        """Wait up to ``limit_s`` until all requests are answered; return whether they are."""
+        deadline_s = read_clock_s() + limit_s
+        while self.active_count and read_clock_s() < deadline_s:
+            await curio.sleep(DRAIN_POLL_S)
+        return not self.active_count
+
+    async def abort(self) -> None:
+        """Cancel every connection."""
+        for task in list(self._connections):
+            await task.cancel(blocking=False)
+
+    async def _serve_connection(self, sock: Any) -> None:
+        task = await curio.current_task()
+        self._connections.add(task)
+        try:
+            async with sock:
+                while True:
+                    data = await receive_frame(sock, FRAME_LIMIT_BYTES)
+                    await self._serve_one(sock, decode_relay_request(data))
+        except (OSError, PeerMessageError):
+            # The other VM has closed the connection; a new one serves its next request.
+            return
+        finally:
+            self._connections.discard(task)
+
+    async def _serve_one(self, sock: Any, request: RelayRequest) -> None:
+        self.active_count += 1
+        self.served_count += 1
+        work = await curio.spawn(self._relay, request)
+        watch = await curio.spawn(_cancel_on_disconnect, sock, work)
+        try:
+            reply: RelayReply = await work.join()
+        except curio.TaskError:
+            raise ConnectionResetError("the other VM gave up on its request") from None
+        finally:
+            self.active_count -= 1
+            await work.cancel()
+            await watch.cancel()
+        await send_frame(sock, encode_relay_reply(reply))
+
+
+async def _cancel_on_disconnect(sock: Any, work: Any) -> None:
+    with suppress(OSError):
+        await sock.recv(RECEIVE_SIZE_BYTES)
+    await work.cancel()
--- a/tests/platform/test_relayed_promises.py
+++ b/tests/platform/test_relayed_promises.py
@@ -241,6 +241,30 @@
     run_site(scenario, SITE)
 
 
+# Soak seed 46881763: VMs that were cut off together confirmed one another's losses as crashes.
+@pytest.mark.parametrize("kind", CutKind, ids=lambda kind: kind.value)
+@pytest.mark.parametrize("all_cut", [False, True], ids=["most", "all"])
+def test_requests_lost_when_vms_are_cut_together_do_not_count_as_crashing_targets(
+    run_site: Any, kind: CutKind, all_cut: bool
+) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        for target in site.targets.values():
+            target.work_s = 0.5
+        async with curio.TaskGroup() as group:
+            for _ in range(8):
+                for vm in site.vms:
+                    await group.spawn(site.call, vm, "/listings/popular")
+            await curio.sleep(0.1)
+            await cut(site, network, list(site.vms) if all_cut else MOST, kind)
+        await curio.sleep(CONTACT_S)
+        network.heal_cuts()
+        await curio.sleep(CONTACT_S)
+        for vm in site.vms:
+            assert (await site.call(vm, "/listings/popular")).status == 200
+
+    run_site(scenario, SITE)
+
+
 def test_request_that_crashes_targets_is_blocked_while_relayed(run_site: Any) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
         await cut(site, network, ONE, CutKind.HANGS)
