--- a/tests/platform/test_cut_from_targets.py
+++ b/tests/platform/test_cut_from_targets.py
@@ -7,10 +7,18 @@
 
 import curio
 import pytest
+from cut_vms import BEFORE_S
+from cut_vms import CONTACT_S
+from cut_vms import MOST
+from cut_vms import ONE
+from cut_vms import REGION
+from cut_vms import SITE
+from cut_vms import cut
+from cut_vms import relayed_requests
+from cut_vms import start_load
 from steady_load import LoadCall
 from steady_load import SteadyLoad
 
-from siskinward.platform.standins import SiteSettings
 from siskinward.standins.memory_network import CutKind
 from siskinward.transport.clock import read_clock_s
 
@@ -21,36 +29,11 @@
     from siskinward.platform.standins import Site
     from siskinward.standins.memory_network import MemoryNetwork
 
-SITE = SiteSettings(zones={"bud-a": "budapest", "deb-a": "debrecen", "pec-a": "pecs"})
-RATE_PER_S = 36.0
-BEFORE_S = 4.0
-# The platform's rule counts from this long after a cut began.
-CONTACT_S = 3.0
 CUT_S = 9.0
 # Of the first tries at cut VMs at least two thirds as many as at the others must be served, or
 # all but one in 50 of all; both are asked here.
 SERVED_RATIO = 2 / 3
 SERVED_SHARE = 49 / 50
-ONE = ("vm-bud-a-0",)
-REGION = ("vm-bud-a-0", "vm-bud-a-1")
-MOST = (*REGION, "vm-deb-a-0", "vm-deb-a-1", "vm-pec-a-0")
-
-
-def hosts_of(site: Site, vms: Collection[str]) -> list[str]:
-    return [site.vms[name].steering.entry.host for name in vms]
-
-
-def target_hosts(site: Site) -> list[str]:
-    return [target.host for target in site.targets.values()]
-
-
-async def cut(site: Site, network: MemoryNetwork, vms: Collection[str], kind: CutKind) -> None:
-    await network.cut_between(hosts_of(site, vms), target_hosts(site), kind)
-
-
-async def start_load(site: Site) -> tuple[SteadyLoad, Any]:
-    load = SteadyLoad(site, list(site.vms), RATE_PER_S, ("listings", "bookings"))
-    return load, await curio.spawn(load.run)
 
 
 def check_served(
@@ -173,8 +156,3 @@
         assert relayed_requests(site) == relayed > 0
 
     run_site(scenario, SITE)
-
-
-def relayed_requests(site: Site) -> int:
-    """Return how many requests all VMs have relayed for others."""
-    return sum(vm.relayed_count for vm in site.vms.values())
--- a/tests/platform/test_relayed_promises.py
+++ b/tests/platform/test_relayed_promises.py
@@ -7,15 +7,15 @@
 
 import curio
 import pytest
+from cut_vms import BEFORE_S
+from cut_vms import CONTACT_S
+from cut_vms import MOST
+from cut_vms import ONE
+from cut_vms import REGION
+from cut_vms import SITE
+from cut_vms import cut
+from cut_vms import relayed_requests
 from steady_load import SteadyLoad
-from test_cut_from_targets import BEFORE_S
-from test_cut_from_targets import CONTACT_S
-from test_cut_from_targets import MOST
-from test_cut_from_targets import ONE
-from test_cut_from_targets import REGION
-from test_cut_from_targets import SITE
-from test_cut_from_targets import cut
-from test_cut_from_targets import relayed_requests
 
 from siskinward.daemon.entry.relay_handler import RelayHandler
 from siskinward.platform.standins import SiteSettings
