--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -141,7 +141,7 @@
         return [
             target
             for target in self.of_service(service)
-            if target.is_usable(now_s) and target.record.failure_domain not in self._evacuated
+            if target.is_usable(now_s) and self.accepts_requests(target)
         ]
 
     def accepts_requests(self, target: Target) -> bool:
--- a/src/siskinward/daemon/entry/path_checker.py
+++ b/src/siskinward/daemon/entry/path_checker.py
@@ -33,21 +33,22 @@
         """Check whenever it is due; run until cancelled."""
         while True:
             await curio.sleep(POLL_S)
-            if self._steering.paths.is_check_due(read_clock_s()):
-                await self.check()
+            async with self._lock:
+                if self._steering.paths.is_check_due(read_clock_s()):
+                    await self._check()
 
     async def reaches_targets(self, since_s: float) -> bool:
         """Return whether this VM has reached any target since a time, after a check if needed.
 
         Only then does its failure to connect to one of them say that this one is down.
         """
+        paths = self._steering.paths
         async with self._lock:
-            paths = self._steering.paths
             if not paths.was_heard_since(since_s) and not paths.was_checked_since(since_s):
-                await self.check()
+                await self._check()
         return paths.was_heard_since(since_s)
 
-    async def check(self) -> None:
+    async def _check(self) -> None:
         """Try to connect to some targets at once."""
         targets = self._steering.paths.choose_checked(self._candidates())
         if not targets:
--- a/src/siskinward/daemon/entry/relay_handler.py
+++ b/src/siskinward/daemon/entry/relay_handler.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 
 from siskinward.daemon.entry.target_links import LinkRequest
+from siskinward.protocol.steering_headers import encode_time_left
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.outbound_connection import ExchangeFailedError
@@ -84,7 +85,7 @@
 
     def _with_time_left(self, request: HttpRequest, time_left_s: float) -> HttpRequest:
         name = self._headers.time_left_ms
-        value = str(max(1, int(time_left_s * 1000))).encode()
+        value = encode_time_left(time_left_s)
         headers = tuple((key, value if key == name else old) for key, old in request.headers)
         return evolve(request, headers=headers)
 
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -10,6 +10,7 @@
 
 from siskinward.daemon.entry.target_links import LinkRequest
 from siskinward.protocol.steering_headers import decode_load
+from siskinward.protocol.steering_headers import encode_time_left
 from siskinward.protocol.steering_headers import end_to_end_headers
 from siskinward.state.identifiers import AccountName
 from siskinward.state.identifiers import RegionName
@@ -129,7 +130,7 @@
         headers = [
             item for item in end_to_end_headers(outgoing.request.headers) if item[0] not in replaced
         ]
-        headers.append((names.time_left_ms, str(max(1, int(left_s * 1000))).encode()))
+        headers.append((names.time_left_ms, encode_time_left(left_s)))
         headers.append((names.expected_target, target.name.encode()))
         if outgoing.account is not None:
             headers.append((names.client_account, outgoing.account.encode()))
--- a/src/siskinward/protocol/steering_headers.py
+++ b/src/siskinward/protocol/steering_headers.py
@@ -35,6 +35,11 @@
 )
 
 
+def encode_time_left(time_left_s: float) -> bytes:
+    """Encode the time that a target has left, in whole milliseconds and at least one."""
+    return str(max(1, int(time_left_s * 1000))).encode()
+
+
 @frozen
 class SteeringHeaders:
     """Lower-case names of the header fields, which the platform adapter defines.
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -18,6 +18,7 @@
 
 from siskinward.state.serving import CallerLimits
 from siskinward.transport.clock import read_clock_s
+from siskinward.transport.draining import wait_until_none
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.server_protocol import MalformedRequestError
@@ -32,7 +33,6 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-DRAIN_POLL_S = 0.05
 # Limits how long a caller that does not read its response can hold the connection.
 WRITE_TIMEOUT_S = 10.0
 
@@ -106,10 +106,7 @@
 
     async def wait_answered(self, limit_s: float) -> bool:
         """Wait up to ``limit_s`` until all requests are answered; return whether they are."""
-        deadline_s = read_clock_s() + limit_s
-        while self.unanswered_count and read_clock_s() < deadline_s:
-            await curio.sleep(DRAIN_POLL_S)
-        return not self.unanswered_count
+        return await wait_until_none(lambda: self.unanswered_count, limit_s)
 
     async def _serve_connection(self, sock: Any) -> None:
         connection = _Connection(self, sock)
--- a/src/siskinward/transport/relay_server.py
+++ b/src/siskinward/transport/relay_server.py
@@ -9,7 +9,7 @@
 import curio
 
 from siskinward.protocol.peer_fields import PeerMessageError
-from siskinward.transport.clock import read_clock_s
+from siskinward.transport.draining import wait_until_none
 from siskinward.transport.frames import receive_frame
 from siskinward.transport.frames import send_frame
 from siskinward.transport.relay_messages import FRAME_LIMIT_BYTES
@@ -25,8 +25,6 @@
     from siskinward.transport.relay_messages import RelayReply
     from siskinward.transport.relay_messages import RelayRequest
 
-DRAIN_POLL_S = 0.05
-
 
 class RelayServer:
     """Accepts requests to relay, and passes each to ``relay``.
@@ -51,10 +49,7 @@
 
     async def wait_answered(self, limit_s: float) -> bool:
         """Wait up to ``limit_s`` until all requests are answered; return whether they are."""
-        deadline_s = read_clock_s() + limit_s
-        while self.active_count and read_clock_s() < deadline_s:
-            await curio.sleep(DRAIN_POLL_S)
-        return not self.active_count
+        return await wait_until_none(lambda: self.active_count, limit_s)
 
     async def abort(self) -> None:
         """Cancel every connection."""
