--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,8 +23,8 @@
 SERVICE = "foglalas"
 BACKENDS = 5
 PATHS = 24
-LOAD_PER_S = 180.0
-LENGTH_S = 95.0
+LOAD_PER_S = 215.0
+LENGTH_S = 80.0
 DEADLINE_MS = 4000
 TIMEOUT_MS = 2000
 # The largest dose of ``garble`` with ``extra late``: share, x and for_s.
@@ -113,8 +113,10 @@
             f"{len(answers)} bookings, {served} served, {refused} refusals of back ends, "
             f"{copies} answers sent twice, {broken} promises broken"
         )
-        print(f"{len(answers)} bookings, {served} served, {refused} refusals of back ends, "
-              f"{copies} answers sent twice, {broken} broken")
+        print(
+            f"{len(answers)} bookings, {served} served, {refused} refusals of back ends, "
+            f"{copies} answers sent twice, {broken} broken"
+        )
         if served < len(answers) / 10:
             raise CouldNotRunError("hardly any booking was served")
         return 1 if broken else 0
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -51,6 +51,10 @@
 )  # fmt: skip
 
 
+# A SIGTERM ends a case as Ctrl-C does, so that it ends its processes.
+signal.signal(signal.SIGTERM, signal.default_int_handler)
+
+
 class CouldNotRunError(Exception):
     """The deployment did not come up."""
 
