--- a/review/1/case.py
+++ b/review/1/case.py
@@ -34,8 +34,8 @@
 TIMEOUT_MS = 3000
 ROUNDS = 6
 BEFORE_S = 2.0
-# The largest dose of ``zone_cut`` (for_s), and of ``answer_lost`` with ``reset`` (share, x, for_s).
-CUT_S = 5.5
+# The doses of ``zone_cut`` (for_s), and of ``answer_lost`` with ``reset`` (share, x, for_s).
+CUT_S = 5.0
 SHARE = 0.6
 LOST = 0.4
 LOST_FOR_S = 4.0
@@ -53,15 +53,27 @@
         self.slots = 5
         self.work_s = 0.8
         self.faulty_until_s = 0.0
+        self.faulty_runs = 0
+        self.lost = 0
 
     def answer(self, connection: Connection, attempt: str) -> None:
         """Answer a request that was run, or reset the connection."""
-        if time.monotonic() < self.faulty_until_s and random.random() < LOST:
+        if self._loses_answer():
             self.record.write(f"{self.name} has run {attempt} and loses the answer (reset)")
             connection.reset()
         else:
             super().answer(connection, attempt)
 
+    def _loses_answer(self) -> bool:
+        """Choose answers at random, but never more than the share of the dose."""
+        if time.monotonic() >= self.faulty_until_s:
+            return False
+        self.faulty_runs += 1
+        if self.lost + 1 > LOST * self.faulty_runs or random.random() < 0.2:
+            return False
+        self.lost += 1
+        return True
+
 
 async def play_round(deployment: Deployment) -> None:
     """Cut the zone, and let back ends lose answers meanwhile."""
