--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,6 +31,7 @@
 SHARE = 0.6
 SPOILT = 0.03
 FOR_S = 5.0
+PAUSE_S = 1.0
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -48,6 +49,7 @@
         self.queue = 1
         self.faulty_until_s = 0.0
         self.copies = 0
+        self.faulty_answers = 0
 
     def answer(self, connection: Connection, attempt: str) -> None:
         """Answer a request that was run."""
@@ -59,11 +61,18 @@
 
     def _write(self, connection: Connection, data: bytes, what: str) -> None:
         connection.writer.write(data)
-        if time.monotonic() < self.faulty_until_s and random.random() < SPOILT:
+        if self._is_spoilt():
             self.copies += 1
             connection.pending = data
             self.record.write(f"{self.name} will send {what} a second time")
 
+    def _is_spoilt(self) -> bool:
+        """Choose answers at random, but never more than the share of the dose."""
+        if time.monotonic() >= self.faulty_until_s:
+            return False
+        self.faulty_answers += 1
+        return self.copies + 1 <= SPOILT * self.faulty_answers and random.random() < 0.2
+
 
 async def make_faulty(deployment: Deployment) -> None:
     """Let the share of the back ends be faulty, again and again."""
@@ -72,7 +81,7 @@
         for backend in random.sample(deployment.backends, count):
             backend.faulty_until_s = time.monotonic() + FOR_S
             deployment.record.write(f"garble (extra late) at {backend.name} for {FOR_S} s")
-        await asyncio.sleep(FOR_S)
+        await asyncio.sleep(FOR_S + PAUSE_S)
 
 
 async def run() -> int:
