--- a/src/siskinward/console/vm_logs.py
+++ b/src/siskinward/console/vm_logs.py
@@ -186,7 +186,7 @@
         lines.append(
             f"             send {number}: {send['target']} (choice {send['choice']} for its object,"
             f" {send['load']} requests on {send['slots']} slots): {send['outcome']}"
-            f" after {send['took_ms']} ms"
+            f" after {send['took_ms']} ms" + (f" ({send['detail']})" if send.get("detail") else "")
         )
     ending = fields.get("reason", "the target's answer")
     lines.append(f"  {fields['took_ms'] / 1000.0:+9.3f} s  answered {fields['status']}: {ending}")
--- a/src/siskinward/daemon/entry/relay_handler.py
+++ b/src/siskinward/daemon/entry/relay_handler.py
@@ -79,9 +79,10 @@
             relayed.is_idempotent,
         )
         try:
-            return await self._links.exchange_directly(target, link_request)
+            answer = await self._links.exchange_directly(target, link_request)
         except ExchangeFailedError as error:
             return self._fail(error)
+        return answer.response
 
     def _with_time_left(self, request: HttpRequest, time_left_s: float) -> HttpRequest:
         name = self._headers.time_left_ms
--- a/src/siskinward/daemon/entry/request_context.py
+++ b/src/siskinward/daemon/entry/request_context.py
@@ -24,6 +24,7 @@
     ranked before this one. ``load`` is the known number of requests at the target from all VMs,
     this request included; ``is_warm`` whether its object ran there lately, as far as known.
     ``relay`` is the VM that passed on the answer, if this one is cut off from the target.
+    ``detail`` names the connection of an answer, or tells how a send without one ended.
     """
 
     target: TargetName
@@ -34,6 +35,7 @@
     outcome: str
     took_ms: float
     relay: VmName | None = None
+    detail: str = ""
 
 
 @define(eq=False)
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -178,7 +178,15 @@
         relay = result.relay if isinstance(result, Answered) else None
         context.sends.append(
             SendRecord(
-                target.name, placed.choice, load, slots, placed.is_warm, outcome, took_ms, relay
+                target.name,
+                placed.choice,
+                load,
+                slots,
+                placed.is_warm,
+                outcome,
+                took_ms,
+                relay,
+                result.detail,
             )
         )
         return result
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -49,12 +49,14 @@
 class Answered:
     """The target's complete answer; ``is_error`` marks a 5xx: the request ran and failed.
 
-    ``relay`` is the VM that passed it on, if this one is cut off from the target.
+    ``relay`` is the VM that passed it on, if this one is cut off from the target. ``detail`` is for
+    the log, as in the other results.
     """
 
     response: HttpResponse
     is_error: bool
     relay: VmName | None = None
+    detail: str = ""
 
 
 @frozen
@@ -62,6 +64,7 @@
     """The target has not run the request and never will."""
 
     reason: SendFailure
+    detail: str = ""
 
 
 @frozen
@@ -69,6 +72,7 @@
     """The request may have run."""
 
     reason: SendFailure
+    detail: str = ""
 
 
 SendResult = Answered | NotRun | OutcomeUnknown
@@ -144,7 +148,7 @@
         targets = self._steering.targets
         if response.status == MISDIRECTED:
             targets.remove(target.name)
-            return NotRun(SendFailure.MISDIRECTED)
+            return NotRun(SendFailure.MISDIRECTED, answer.way)
         load = decode_load(response.header(self._headers.load))
         if load is not None:
             target.record_reported_load(load.requests)
@@ -152,14 +156,14 @@
             self._limit_reader.read(response, target, may_end_limit=False)
             is_full = load is not None and load.requests >= load.slots
             if is_full:
-                return NotRun(SendFailure.FULL)
+                return NotRun(SendFailure.FULL, answer.way)
             targets.on_error(target)
-            return NotRun(SendFailure.SHED)
+            return NotRun(SendFailure.SHED, answer.way)
         expected = outgoing.request.header(self._headers.attempt_id)
         is_matching = response.header(self._headers.attempt_id) == expected
         if not is_matching or response.header(self._headers.signature) is None:
             targets.on_error(target)
-            return OutcomeUnknown(SendFailure.GARBLED)
+            return OutcomeUnknown(SendFailure.GARBLED, answer.way)
         self._limit_reader.read(response, target, may_end_limit=True)
         self._steering.crashes.on_answer(outgoing.fingerprint)
         is_error = response.status >= SERVER_ERROR
@@ -169,7 +173,7 @@
             targets.on_answer(target)
         headers = tuple(end_to_end_headers(response.headers))
         passed_on = HttpResponse(response.status, headers, response.body)
-        return Answered(passed_on, is_error, answer.relay)
+        return Answered(passed_on, is_error, answer.relay, answer.way)
 
     async def _classify_failure(
         self, outgoing: OutgoingRequest, target: Target, error: ExchangeFailedError
@@ -180,13 +184,13 @@
             targets.on_unreachable(target, now_s)
             if self._steering.crashes.has_unconfirmed(target.name):
                 await curio.spawn(self._check_alive, target, daemon=True)
-            return NotRun(SendFailure.NOT_CONNECTED)
+            return NotRun(SendFailure.NOT_CONNECTED, error.detail)
         targets.on_error(target)
         if error.is_timeout:
-            return OutcomeUnknown(SendFailure.TIMEOUT)
+            return OutcomeUnknown(SendFailure.TIMEOUT, error.detail)
         self._steering.crashes.on_connection_lost(outgoing.fingerprint, target.name, now_s)
         await curio.spawn(self._check_alive, target, daemon=True)
-        return OutcomeUnknown(SendFailure.LOST)
+        return OutcomeUnknown(SendFailure.LOST, error.detail)
 
     async def _check_alive(self, target: Target) -> None:
         """Connect again to distinguish a lost connection from a crashed target.
--- a/src/siskinward/daemon/entry/target_links.py
+++ b/src/siskinward/daemon/entry/target_links.py
@@ -22,6 +22,7 @@
     from siskinward.daemon.entry.path_checker import PathChecker
     from siskinward.daemon.entry.steering import Steering
     from siskinward.transport.relay_pool import RelayPool
+    from siskinward.transport.target_pool import TargetAnswer
     from siskinward.transport.target_pool import TargetPool
 
 # A relay that proves unreachable costs time that the request needs for its answer.
@@ -43,11 +44,17 @@
 
 @frozen
 class LinkAnswer:
-    """A target's answer, and the VM that relayed it, if any did."""
+    """A target's answer, and how it came: over an own connection or through another VM."""
 
     response: HttpResponse
+    connection: int | None = None
     relay: VmName | None = None
 
+    @property
+    def way(self) -> str:
+        """Describe how the answer came."""
+        return f"connection {self.connection}" if self.relay is None else f"relay {self.relay}"
+
 
 class TargetLinks:
     """This VM's ways to targets. Failures are those of a direct exchange."""
@@ -70,18 +77,19 @@
         started_s = read_clock_s()
         if self._paths.is_direct(target.name):
             try:
-                return LinkAnswer(await self.exchange_directly(target, link_request))
+                answer = await self.exchange_directly(target, link_request)
+                return LinkAnswer(answer.response, connection=answer.connection)
             except ExchangeFailedError as error:
                 if error.phase is not SendPhase.NOT_CONNECTED or not self._may_relay(started_s):
                     raise
         left_s = link_request.time_left_s - (read_clock_s() - started_s)
         return await self._relay(target, link_request, left_s)
 
-    async def exchange_directly(self, target: Target, link_request: LinkRequest) -> HttpResponse:
+    async def exchange_directly(self, target: Target, link_request: LinkRequest) -> TargetAnswer:
         """Exchange a request over an own connection. Raises ``ExchangeFailedError``."""
         number = self._paths.on_sent(read_clock_s())
         try:
-            response = await self._pool.exchange(
+            answer = await self._pool.exchange(
                 target.record,
                 link_request.request,
                 link_request.time_left_s,
@@ -96,7 +104,7 @@
         finally:
             self._paths.on_ended(number)
         self._paths.on_heard(read_clock_s())
-        return response
+        return answer
 
     async def can_connect(self, target: Target) -> bool | None:
         """Return whether a target accepts connections; None if that cannot be told from here."""
@@ -146,7 +154,7 @@
             if isinstance(reply, HttpResponse):
                 self._paths.on_relayed(target.name)
                 self.relayed_count += 1
-                return LinkAnswer(reply, vm.vm)
+                return LinkAnswer(reply, relay=vm.vm)
             last_error = reply.error
             if not reply.is_relays_fault:
                 break
--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from itertools import count
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -27,6 +28,8 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 DEFAULT_KEEP_ALIVE_S = 5.0
 
+_numbers = count(1)
+
 
 class SendPhase(Enum):
     """How far a request got before its exchange failed."""
@@ -49,7 +52,8 @@
     """Runs one exchange at a time; any failure closes the connection.
 
     ``echo_header`` names a request header that the target repeats in its response. The connection
-    is opened from ``source_host``, unless that is empty.
+    is opened from ``source_host``, unless that is empty. ``number`` tells the process's connections
+    apart in logs.
     """
 
     def __init__(
@@ -61,6 +65,7 @@
         self._echo_header = echo_header
         self._sock: Any = None
         self._phase = SendPhase.NOT_CONNECTED
+        self.number = next(_numbers)
         self.idle_since_s = read_clock_s()
         self.reusable_until_s = float("inf")
 
--- a/src/siskinward/transport/target_pool.py
+++ b/src/siskinward/transport/target_pool.py
@@ -9,6 +9,7 @@
 from attrs import frozen
 
 from siskinward.transport.clock import read_clock_s
+from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.outbound_connection import ExchangeFailedError
 from siskinward.transport.outbound_connection import OutboundConnection
 
@@ -16,7 +17,6 @@
     from siskinward.state.serving import TargetRecord
     from siskinward.transport.answer_memory import AnswerMemory
     from siskinward.transport.http_messages import HttpRequest
-    from siskinward.transport.http_messages import HttpResponse
 
 
 @frozen
@@ -34,6 +34,14 @@
     max_idle_per_target: int = 8
 
 
+@frozen
+class TargetAnswer:
+    """A target's answer, and the number of the connection that it arrived on."""
+
+    response: HttpResponse
+    connection: int
+
+
 class TargetPool:
     """Reuses the idle connection that was used last; opens a new one if none is idle.
 
@@ -52,7 +60,7 @@
 
     async def exchange(
         self, target: TargetRecord, request: HttpRequest, timeout_s: float, *, idempotent: bool
-    ) -> HttpResponse:
+    ) -> TargetAnswer:
         """Run one exchange with a target. Raises ``ExchangeFailedError``."""
         connection = await self._acquire(target, timeout_s, idempotent=idempotent)
         self._active[connection] = idempotent
@@ -63,7 +71,7 @@
             del self._active[connection]
         if connection.is_open:
             await self._release(target, connection)
-        return response
+        return TargetAnswer(response, connection.number)
 
     async def try_connect(self, target: TargetRecord) -> bool:
         """Open a connection and keep it for the next request; return False if that fails.
