--- /dev/null
+++ b/tests/platform/test_relay_outcomes.py
@@ -0,0 +1,124 @@
+"""What a relay says of a request that it sent is no leave to send it through another."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+import pytest
+from cut_vms import SITE
+from cut_vms import cut
+from steady_load import SteadyLoad
+from test_relayed_promises import runs_by_path
+
+from siskinward.platform.standins import TargetFault
+from siskinward.standins.memory_network import CutKind
+from siskinward.transport.clock import read_clock_s
+from siskinward.transport.outbound_connection import ExchangeFailedError
+from siskinward.transport.outbound_connection import SendPhase
+from siskinward.transport.relay_messages import RelayFailure
+from siskinward.transport.relay_pool import RelayPool
+
+if TYPE_CHECKING:
+    from siskinward.platform.standins import Site
+    from siskinward.standins.memory_network import MemoryNetwork
+    from siskinward.transport.relay_messages import RelayReply
+    from siskinward.transport.relay_messages import RelayRequest
+
+NOT_RUN_STATUSES = {408, 421, 429, 503}
+FIRST_VM = "vm-bud-a-0"
+CHECK_S = 0.5
+
+
+def relay_all(site: Site, vm: str) -> None:
+    site.vms[vm].steering.paths.is_direct = lambda target: False  # type: ignore[method-assign]
+
+
+@pytest.mark.parametrize("phase", SendPhase, ids=lambda phase: phase.value)
+def test_booking_that_a_relay_has_sent_is_asked_of_no_other(
+    run_site: Any, monkeypatch: pytest.MonkeyPatch, phase: SendPhase
+) -> None:
+    asked: list[str] = []
+
+    # As a VM of the last landing answers: its own fault, whatever it had sent.
+    async def fail(self: RelayPool, host: str, request: RelayRequest) -> RelayReply:
+        if request.request is not None:
+            asked.append(host)
+        return RelayFailure(ExchangeFailedError(phase, "closed"), is_relays_fault=True)
+
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        monkeypatch.setattr(RelayPool, "exchange", fail)
+        relay_all(site, FIRST_VM)
+        response = await site.call(FIRST_VM, "/bookings/1")
+        if phase is SendPhase.NOT_CONNECTED:
+            assert response.status == 503
+            assert len(set(asked)) > 1
+        else:
+            assert response.status == 502
+            assert len(asked) == 1
+
+    run_site(scenario, SITE)
+
+
+def test_relay_that_is_cut_off_while_it_waits_does_not_take_the_loss_for_its_own(
+    run_site: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    replies: list[RelayReply] = []
+    exchange = RelayPool.exchange
+
+    async def record(self: RelayPool, host: str, request: RelayRequest) -> RelayReply:
+        replies.append(await exchange(self, host, request))
+        return replies[-1]
+
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        monkeypatch.setattr(RelayPool, "exchange", record)
+        relay_all(site, FIRST_VM)
+        for target in site.targets.values():
+            target.work_s = 0.5
+            target.fault = TargetFault.LOSES_ANSWERS
+        call = await curio.spawn(site.call, FIRST_VM, "/bookings/1")
+        await curio.sleep(0.3)
+        for vm in site.vms.values():
+            vm.steering.paths.on_checked((), list(site.targets), read_clock_s())
+        assert (await call.join()).status == 502
+        assert site.runs("bookings") == 1
+        sent = [reply for reply in replies if isinstance(reply, RelayFailure)]
+        assert sent
+        assert not any(reply.is_relays_fault for reply in sent)
+
+    run_site(scenario, SITE)
+
+
+# review/1: the same with real processes.
+@pytest.mark.parametrize("kind", CutKind, ids=lambda kind: kind.value)
+def test_bookings_run_once_while_vms_are_cut_off_one_after_the_other_and_answers_are_lost(
+    run_site: Any, kind: CutKind
+) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        for target in site.targets.values():
+            target.work_s = 0.4
+        load = SteadyLoad(site, list(site.vms), 40.0, ("bookings",))
+        running = await curio.spawn(load.run)
+        names = list(site.vms)
+        for number in range(8):
+            for target in site.targets.values():
+                target.fault = TargetFault.LOSES_ANSWERS
+                target.remaining_faults = 4
+            await cut(site, network, [names[number % len(names)]], kind)
+            await curio.sleep(CHECK_S)
+            if number % 4 == 3:
+                network.heal_cuts()
+                await curio.sleep(CHECK_S)
+        load.stop()
+        await running.join()
+        runs = runs_by_path(site)
+        assert max(runs.values()) == 1
+        refused = [
+            call.path
+            for call in load.calls
+            if call.response is not None and call.response.status in NOT_RUN_STATUSES
+        ]
+        assert not [path for path in refused if path in runs]
+
+    run_site(scenario, SITE)
