Send a request only where no earlier answer could be taken for its own

Callers saw 503 for requests that ran (REFUSED), or they ran at a second target (TWICE): a target wrote an earlier refusal once more on a kept connection, and the VM took it for the answer to what it had sent since. The id did not tell them apart where the request was the same one again, where the refusal bore none (a probe's, or a target that leaves it out) or where the request had none.

A connection now knows the ids that it has carried. A request goes over it only if its id is not among them; one without an id needs a new connection. An answer must bear exactly the request's id, and one that bears none or several fails the exchange, with the outcome unknown. After a repeated answer, or 1,000 requests, a connection closes. A relay may run the release before: what it returns is checked by the id as well, and a request that it saw shed is not sent through it to the same target again.

--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -195,10 +195,14 @@
         """Return whether a target stays a candidate for the next attempt.
 
         A target that sheds with free slots may accept it, and its cache is warm for the object. One
-        that states a rate limit sheds because it is in need.
+        that states a rate limit sheds because it is in need. A relay of an older release might send
+        the request over the same connection again, where a copy of the refusal may follow.
         """
-        is_shed = isinstance(result, NotRun) and result.reason is SendFailure.SHED
-        return is_shed and self._steering.limits.rate_per_s(target.name) is None
+        match result:
+            case NotRun(reason=SendFailure.SHED, relay=None):
+                return self._steering.limits.rate_per_s(target.name) is None
+            case _:
+                return False
 
     def _start_run(self, context: RequestContext, placed: Placed, now_s: float) -> Run:
         target = placed.target
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -61,10 +61,11 @@
 
 @frozen
 class NotRun:
-    """The target has not run the request and never will."""
+    """The target has not run the request and never will; ``relay`` sent it, if another VM did."""
 
     reason: SendFailure
     detail: str = ""
+    relay: VmName | None = None
 
 
 @frozen
@@ -146,6 +147,9 @@
     ) -> SendResult:
         response = answer.response
         targets = self._steering.targets
+        if not self._is_answer_to(outgoing, answer):
+            targets.on_error(target)
+            return OutcomeUnknown(SendFailure.GARBLED, answer.way)
         if response.status == MISDIRECTED:
             targets.remove(target.name)
             return NotRun(SendFailure.MISDIRECTED, answer.way)
@@ -158,10 +162,8 @@
             if is_full:
                 return NotRun(SendFailure.FULL, answer.way)
             targets.on_error(target)
-            return NotRun(SendFailure.SHED, answer.way)
-        expected = outgoing.request.header(self._headers.attempt_id)
-        is_matching = response.header(self._headers.attempt_id) == expected
-        if not is_matching or response.header(self._headers.signature) is None:
+            return NotRun(SendFailure.SHED, answer.way, answer.relay)
+        if response.header(self._headers.signature) is None:
             targets.on_error(target)
             return OutcomeUnknown(SendFailure.GARBLED, answer.way)
         self._limit_reader.read(response, target, may_end_limit=True)
@@ -175,6 +177,17 @@
         passed_on = HttpResponse(response.status, headers, response.body)
         return Answered(passed_on, is_error, answer.relay, answer.way)
 
+    def _is_answer_to(self, outgoing: OutgoingRequest, answer: LinkAnswer) -> bool:
+        """Return whether only this send can have caused the answer.
+
+        Own connections see to that. A relay may run an older release, which goes by the id only.
+        """
+        name = self._headers.attempt_id
+        expected = outgoing.request.header(name)
+        if answer.relay is not None and not expected:
+            return False
+        return answer.response.header(name) == expected
+
     async def _classify_failure(
         self, outgoing: OutgoingRequest, target: Target, error: ExchangeFailedError
     ) -> SendResult:
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -190,13 +190,14 @@
             self.arrivals.append(ArrivalRecord(attempt_id, read_clock_s()))
         expected = request.header(HEADERS.expected_target)
         if expected is not None and expected.decode() != self.name:
-            return HttpResponse(421, ((HEADERS.target, self.name.encode()),))
+            return HttpResponse(421, (*_echo(request), (HEADERS.target, self.name.encode())))
         self.arrivals_s.append(read_clock_s())
         if request.target == HEALTH_PATH:
             self.probes += 1
             return self._health()
         if self._try_inject(TargetFault.SHEDS) or self._running >= self.slots * 4:
-            return HttpResponse(503, ((HEADERS.not_run, b"1"), self._load(), *self._limit()))
+            not_run = (HEADERS.not_run, b"1")
+            return HttpResponse(503, (*_echo(request), not_run, self._load(), *self._limit()))
         return await self._run(request, sock)
 
     async def _run(self, request: HttpRequest, sock: Any) -> HttpResponse | None:
@@ -310,5 +311,11 @@
     await work.cancel()
 
 
+def _echo(request: HttpRequest) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the header with a request's id, which all answers repeat."""
+    attempt_id = request.header(HEADERS.attempt_id)
+    return () if attempt_id is None else ((HEADERS.attempt_id, attempt_id),)
+
+
 def _text(request: HttpRequest, name: bytes) -> str:
     return (request.header(name) or b"").decode()
--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -1,4 +1,9 @@
-"""HTTP/1.1 connection to a target that skips repeated responses to earlier requests."""
+"""HTTP/1.1 connection to a target that tells the response to a request from all others.
+
+A faulty target may write a response to an earlier request once more, whole or a piece of it, and
+at any moment. What has been carried decides what may follow: a request goes over a connection only
+if no response to an earlier one could be taken for its own.
+"""
 
 from __future__ import annotations
 
@@ -27,6 +32,8 @@
 # Targets state their idle timeout in whole seconds; reuse stops this long before it.
 KEEP_ALIVE_MARGIN_S = 1.0
 DEFAULT_KEEP_ALIVE_S = 5.0
+# Limits the memory for the ids of the requests that a connection has carried.
+MAX_CARRIED = 1000
 
 _numbers = count(1)
 
@@ -48,12 +55,16 @@
     is_timeout: bool = False
 
 
+class UnmarkedResponseError(OSError):
+    """A response bears no id, or several: it may be any request's."""
+
+
 class OutboundConnection:
     """Runs one exchange at a time; any failure closes the connection.
 
-    ``echo_header`` names a request header that the target repeats in its response. The connection
-    is opened from ``source_host``, unless that is empty. ``number`` tells the process's connections
-    apart in logs.
+    ``echo_header`` names the header with a request's id, which the target repeats in its response.
+    Without it, a response counts as that of the last request. The connection is opened from
+    ``source_host``, unless that is empty. ``number`` tells the process's connections apart in logs.
     """
 
     def __init__(
@@ -66,6 +77,9 @@
         self._sock: Any = None
         self._phase = SendPhase.NOT_CONNECTED
         self.number = next(_numbers)
+        self._carried_ids: set[bytes | None] = set()
+        self._carried_count = 0
+        self._has_repeated = False
         self.idle_since_s = read_clock_s()
         self.reusable_until_s = float("inf")
 
@@ -80,6 +94,16 @@
             return False
         return not is_stale(self._sock)
 
+    def may_carry(self, request: HttpRequest) -> bool:
+        """Return whether no response to an earlier request could be taken for this one's.
+
+        Only an id that the connection has not carried yet tells responses apart.
+        """
+        if not self._echo_header or not self._carried_count:
+            return True
+        request_id = request.header(self._echo_header)
+        return bool(request_id) and request_id not in self._carried_ids
+
     async def connect(self, timeout_s: float) -> None:
         """Open the connection. Raises ``ExchangeFailedError``."""
         try:
@@ -93,9 +117,10 @@
     async def exchange(
         self, request: HttpRequest, timeout_s: float, share: AnswerShare | None = None
     ) -> HttpResponse:
-        """Send a request and read the complete response. Raises ``ExchangeFailedError``.
+        """Send a request and read its complete response. Raises ``ExchangeFailedError``.
 
-        ``share`` counts the memory that the response takes.
+        The request must be one that ``may_carry`` allows. ``share`` counts the memory that the
+        response takes.
         """
         self._phase = SendPhase.SENT
         try:
@@ -128,26 +153,46 @@
 
     async def _exchange(self, request: HttpRequest, share: AnswerShare | None) -> HttpResponse:
         http = h11.Connection(h11.CLIENT)
-        await self._sock.sendall(encode_request(http, request, request.headers))
-        expected = request.header(self._echo_header)
+        data = encode_request(http, request, request.headers)
+        self._record_carried(request)
+        await self._sock.sendall(data)
         while True:
             response = await read_response(http, self._sock, self._on_response_head, share)
             is_kept = http.their_state is h11.DONE and http.our_state is h11.DONE
-            echoed = response.header(self._echo_header)
-            if not echoed or echoed == expected:
+            if self._is_response_to(request, response):
                 break
             if share is not None:
                 await share.add_piece(0)
-            # The target has repeated its response to an earlier request; a probe expects no echo.
+            # The target has repeated its response to an earlier request.
+            self._has_repeated = True
             if not is_kept:
                 raise ConnectionResetError("closed after a repeated response to an earlier request")
             http = _parser_for_next_response(http, request)
-        if is_kept and not http.trailing_data[0]:
+        if is_kept and not http.trailing_data[0] and self._may_follow_more():
             self._update_reusable_until(response)
         else:
             await self.close()
         return response
 
+    def _record_carried(self, request: HttpRequest) -> None:
+        self._carried_count += 1
+        self._carried_ids.add(request.header(self._echo_header))
+
+    def _is_response_to(self, request: HttpRequest, response: HttpResponse) -> bool:
+        """Return whether a response is the request's; raise ``UnmarkedResponseError`` if unsure."""
+        if not self._echo_header:
+            return True
+        expected = request.header(self._echo_header) or b""
+        echoed = [value for name, value in response.headers if name == self._echo_header and value]
+        if echoed == [expected] or (not expected and not echoed):
+            return True
+        if len(echoed) == 1:
+            return False
+        raise UnmarkedResponseError(f"the response bears {len(echoed)} ids instead of {expected!r}")
+
+    def _may_follow_more(self) -> bool:
+        return not self._has_repeated and self._carried_count < MAX_CARRIED
+
     def _on_response_head(self) -> None:
         self._phase = SendPhase.ANSWER_BEGUN
 
--- a/src/siskinward/transport/target_pool.py
+++ b/src/siskinward/transport/target_pool.py
@@ -62,7 +62,7 @@
         self, target: TargetRecord, request: HttpRequest, timeout_s: float, *, idempotent: bool
     ) -> TargetAnswer:
         """Run one exchange with a target. Raises ``ExchangeFailedError``."""
-        connection = await self._acquire(target, timeout_s, idempotent=idempotent)
+        connection = await self._acquire(target, request, timeout_s, idempotent=idempotent)
         self._active[connection] = idempotent
         try:
             async with self._memory.open_share(connection.fail) as share:
@@ -123,12 +123,12 @@
         return idle_s < self._limits.idle_timeout_s and connection.is_reusable(now_s)
 
     async def _acquire(
-        self, target: TargetRecord, timeout_s: float, *, idempotent: bool
+        self, target: TargetRecord, request: HttpRequest, timeout_s: float, *, idempotent: bool
     ) -> OutboundConnection:
         now_s = read_clock_s()
         idle = self._idle.get(target.address, [])
-        while idle:
-            connection = idle.pop()
+        for connection in reversed([item for item in idle if item.may_carry(request)]):
+            idle.remove(connection)
             is_recent = now_s - connection.idle_since_s < self._limits.unsafe_idle_timeout_s
             if (idempotent or is_recent) and self._is_usable(connection, now_s):
                 return connection
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -150,7 +150,7 @@
     async def call(site: LoopbackSite, after_s: float, at_s: float, results: list[Result]) -> None:
         await curio.sleep(after_s)
         sock = await connect(site.front_host(0), FRONT_PORT)
-        await sock.sendall(raw(site.request("/listings/1.9")))
+        await sock.sendall(raw(site.request("/listings/1.5")))
         await curio.sleep(at_s)
         requests = [site.request(f"/listings/0.4/{after_s}/{at_s}/{number}") for number in range(3)]
         await sock.sendall(b"".join(raw(request) for request in requests))
