Reject a response with a piece of another one before it

Callers saw 503 for requests that ran (REFUSED): a target wrote a piece of an earlier refusal before an answer. Cut within a header line, the two parse as one head: the status and the statement of the refusal, with the id of the answer. Every byte of the refusal was tried as the end of the piece; own and relayed, both tests failed before and pass.

The answer's status line then stands within the reason or a header of the piece, since it is no header line by itself. Such a head fails the exchange, and the outcome is unknown.

--- a/src/siskinward/transport/client_protocol.py
+++ b/src/siskinward/transport/client_protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from itertools import count
 from typing import TYPE_CHECKING
 from typing import Any
@@ -21,9 +22,14 @@
 
 # Parser steps, each of which may receive once, between two chances for other tasks.
 YIELD_STEPS = 64
+STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
 
 
+class SplicedResponseError(OSError):
+    """A piece of another response stands before the response."""
+
+
 def encode_request(
     http: h11.Connection, request: HttpRequest, headers: Iterable[tuple[bytes, bytes]]
 ) -> bytes:
@@ -74,8 +80,9 @@
             case h11.NEED_DATA:
                 http.receive_data(await sock.recv(RECEIVE_SIZE_BYTES))
             case h11.Response():
-                head = event
                 on_head()
+                _check_is_one_head(event)
+                head = event
             case h11.Data(data=data):
                 size_bytes += len(data)
                 if share is not None:
@@ -94,3 +101,13 @@
             case _:
                 continue
     raise AssertionError("the steps do not end")
+
+
+def _check_is_one_head(head: h11.Response) -> None:
+    """Raise ``SplicedResponseError`` if a piece of another response precedes the head.
+
+    A head begins with its status line, which then stands within a line of that piece.
+    """
+    for text in (head.reason, *(value for _, value in head.headers)):
+        if STATUS_LINE.search(text):
+            raise SplicedResponseError(f"a response begins within a line of another: {text!r}")
