Never pass on as a promise the status of a target that ran the request

Callers saw 503, 429, 408 or 421 for requests that had run (REFUSED): a target ran a request and failed with such a status, and the VM passed the answer on. Only a target's statement that it did not run a request, or its 421 to a request for another target, proves that.

A signed answer with one of the four statuses now leaves the outcome unknown: a request that may be repeated is sent again within the budget, others end with 502. A statement beside a signature or a success proves nothing either.

--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -27,10 +27,14 @@
     from siskinward.daemon.entry.steering import Steering
     from siskinward.daemon.entry.target_links import LinkAnswer
     from siskinward.daemon.entry.target_links import TargetLinks
+    from siskinward.protocol.steering_headers import ReportedLoad
     from siskinward.protocol.steering_headers import SteeringHeaders
 
 MISDIRECTED = 421
+CLIENT_ERROR = 400
 SERVER_ERROR = 500
+# Callers take these for the promise that the request was not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class SendFailure(Enum):
@@ -42,6 +46,7 @@
     MISDIRECTED = "target-replaced"
     LOST = "target-lost"
     GARBLED = "answer-garbled"
+    FAILED = "target-failed"
     TIMEOUT = "timeout"
 
 
@@ -146,33 +151,47 @@
         self, outgoing: OutgoingRequest, target: Target, answer: LinkAnswer
     ) -> SendResult:
         response = answer.response
-        targets = self._steering.targets
-        if not self._is_answer_to(outgoing, answer):
-            targets.on_error(target)
-            return OutcomeUnknown(SendFailure.GARBLED, answer.way)
-        if response.status == MISDIRECTED:
-            targets.remove(target.name)
+        if not self._is_answer_to(outgoing, answer) or self._is_contradictory(response):
+            return self._classify_garbled(target, answer)
+        is_signed = response.header(self._headers.signature) is not None
+        if response.status == MISDIRECTED and not is_signed:
+            self._steering.targets.remove(target.name)
             return NotRun(SendFailure.MISDIRECTED, answer.way)
         load = decode_load(response.header(self._headers.load))
         if load is not None:
             target.record_reported_load(load.requests)
         if response.header(self._headers.not_run) is not None:
-            self._limit_reader.read(response, target, may_end_limit=False)
-            is_full = load is not None and load.requests >= load.slots
-            if is_full:
-                return NotRun(SendFailure.FULL, answer.way)
-            targets.on_error(target)
-            return NotRun(SendFailure.SHED, answer.way, answer.relay)
-        if response.header(self._headers.signature) is None:
-            targets.on_error(target)
-            return OutcomeUnknown(SendFailure.GARBLED, answer.way)
+            return self._classify_refusal(target, answer, load)
+        if not is_signed:
+            return self._classify_garbled(target, answer)
+        return self._classify_run(outgoing, target, answer)
+
+    def _classify_garbled(self, target: Target, answer: LinkAnswer) -> OutcomeUnknown:
+        self._steering.targets.on_error(target)
+        return OutcomeUnknown(SendFailure.GARBLED, answer.way)
+
+    def _classify_refusal(
+        self, target: Target, answer: LinkAnswer, load: ReportedLoad | None
+    ) -> NotRun:
+        self._limit_reader.read(answer.response, target, may_end_limit=False)
+        if load is not None and load.requests >= load.slots:
+            return NotRun(SendFailure.FULL, answer.way)
+        self._steering.targets.on_error(target)
+        return NotRun(SendFailure.SHED, answer.way, answer.relay)
+
+    def _classify_run(
+        self, outgoing: OutgoingRequest, target: Target, answer: LinkAnswer
+    ) -> Answered | OutcomeUnknown:
+        response = answer.response
         self._limit_reader.read(response, target, may_end_limit=True)
         self._steering.crashes.on_answer(outgoing.fingerprint)
         is_error = response.status >= SERVER_ERROR
         if is_error:
-            targets.on_error(target)
+            self._steering.targets.on_error(target)
         else:
-            targets.on_answer(target)
+            self._steering.targets.on_answer(target)
+        if response.status in NOT_RUN_STATUSES:
+            return OutcomeUnknown(SendFailure.FAILED, answer.way)
         headers = tuple(end_to_end_headers(response.headers))
         passed_on = HttpResponse(response.status, headers, response.body)
         return Answered(passed_on, is_error, answer.relay, answer.way)
@@ -188,6 +207,13 @@
             return False
         return answer.response.header(name) == expected
 
+    def _is_contradictory(self, response: HttpResponse) -> bool:
+        """Return whether a response states that the request did not run, and that it did."""
+        if response.header(self._headers.not_run) is None:
+            return False
+        is_signed = response.header(self._headers.signature) is not None
+        return is_signed or response.status < CLIENT_ERROR
+
     async def _classify_failure(
         self, outgoing: OutgoingRequest, target: Target, error: ExchangeFailedError
     ) -> SendResult:
