Ask another VM to relay a request only if it was not sent

Only a failure to connect may be asked of another VM, whatever the relay says of its fault; a relay says so of nothing else.

--- a/src/siskinward/daemon/entry/relay_handler.py
+++ b/src/siskinward/daemon/entry/relay_handler.py
@@ -81,7 +81,9 @@
         try:
             answer = await self._links.exchange_directly(target, link_request)
         except ExchangeFailedError as error:
-            return self._fail(error)
+            is_own_fault = self._steering.paths.is_cut_off
+            is_unsent = error.phase is SendPhase.NOT_CONNECTED
+            return RelayFailure(error, is_relays_fault=is_own_fault and is_unsent)
         return answer.response
 
     def _with_time_left(self, request: HttpRequest, time_left_s: float) -> HttpRequest:
@@ -90,9 +92,6 @@
         headers = tuple((key, value if key == name else old) for key, old in request.headers)
         return evolve(request, headers=headers)
 
-    def _fail(self, error: ExchangeFailedError) -> RelayFailure:
-        return RelayFailure(error, self._steering.paths.is_cut_off)
-
 
 def _not_connected(detail: str, *, is_relays_fault: bool = False) -> RelayFailure:
     return RelayFailure(ExchangeFailedError(SendPhase.NOT_CONNECTED, detail), is_relays_fault)
--- a/src/siskinward/daemon/entry/target_links.py
+++ b/src/siskinward/daemon/entry/target_links.py
@@ -156,7 +156,8 @@
                 self.relayed_count += 1
                 return LinkAnswer(reply, relay=vm.vm)
             last_error = reply.error
-            if not reply.is_relays_fault:
+            # Only what was not sent may be sent through the next VM.
+            if not reply.may_ask_another:
                 break
         raise last_error
 
--- a/src/siskinward/transport/relay_messages.py
+++ b/src/siskinward/transport/relay_messages.py
@@ -43,12 +43,18 @@
 class RelayFailure:
     """Why a relayed request got no answer.
 
-    With ``is_relays_fault``, another VM might reach the target.
+    With ``is_relays_fault``, another VM might reach the target. VMs of earlier releases set it for
+    requests that were sent, too.
     """
 
     error: ExchangeFailedError
     is_relays_fault: bool = False
 
+    @property
+    def may_ask_another(self) -> bool:
+        """Whether the request was not sent, and another VM might reach the target."""
+        return self.is_relays_fault and self.error.phase is SendPhase.NOT_CONNECTED
+
 
 RelayReply = HttpResponse | RelayFailure
 
