--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -80,6 +80,7 @@
         self._carried_ids: set[bytes | None] = set()
         self._carried_count = 0
         self._has_repeated = False
+        self._is_given_up = False
         self.idle_since_s = read_clock_s()
         self.reusable_until_s = float("inf")
 
@@ -148,6 +149,7 @@
 
     async def fail(self) -> None:
         """Let the exchange that another task runs fail, as if the target had reset it."""
+        self._is_given_up = True
         if self._sock is not None:
             await reset(self._sock)
 
@@ -158,6 +160,9 @@
         await self._sock.sendall(data)
         while True:
             response = await read_response(http, self._sock, self._on_response_head, share)
+            if self._is_given_up:
+                # To the parser, the end of the stream may be that of a body without a length.
+                raise ConnectionAbortedError("this VM has given the exchange up")
             is_kept = http.their_state is h11.DONE and http.our_state is h11.DONE
             if self._is_response_to(request, response):
                 break
