Answer or refuse every request that comes late in a planned stop

From SIGTERM on, a request is passed on only if its time ends before the stop does, so that its whole answer can be returned; any other is refused at once with 503, to be sent to another VM, and a relayed one goes to the next VM. What was begun before and is not answered at the end gets 502, an upload that has not ended 503. Connections that wait to be accepted or read are answered. An answer that can't be written, or is missing, ends its connection, so that no pipelined one takes its place.

--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -24,6 +24,9 @@
 from siskinward.daemon.entry.peer_asks import AskSettings
 from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
 from siskinward.daemon.entry.quota_enforcer import QuotaSettings
+from siskinward.daemon.entry.refusals import SHUTDOWN_RETRY_AFTER_S
+from siskinward.daemon.entry.refusals import Reason
+from siskinward.daemon.entry.refusals import refuse
 from siskinward.daemon.entry.relay_handler import RelayHandler
 from siskinward.daemon.entry.replication import Replication
 from siskinward.daemon.entry.replication import ReplicationSettings
@@ -126,7 +129,11 @@
             self._steering, platform.headers, links, limits, limit_reader, self._log
         )
         lookup_handler = LookupHandler(self._steering, platform)
-        self._front = FrontServer(handler.handle)
+        self._front = FrontServer(
+            handler.handle,
+            unfinished_response=refuse(Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER_S),
+            cut_response=refuse(Reason.OUTCOME_UNKNOWN),
+        )
         self._lookups = FrontServer(lookup_handler.handle_lookup)
         self._readiness = FrontServer(lookup_handler.handle_readiness)
         self._metrics = FrontServer(metrics_page.handle)
@@ -278,6 +285,7 @@
         deadline_s = read_clock_s() + grace_s - GRACE_MARGIN_S
         self._log.write("stop", {"unanswered": self._front.unanswered_count})
         self._steering.fleet.state = VmState.LEAVING
+        self._steering.shutdown.begin(deadline_s)
         self._front.is_shutting_down = True
         for _ in range(SHUTDOWN_HEARTBEATS):
             await self._heartbeats.send()
@@ -286,6 +294,9 @@
         await curio.sleep(SHUTDOWN_LINGER_S)
         await self._front.begin_shutdown()
         all_answered = await self._front.wait_answered(deadline_s - read_clock_s())
+        if not all_answered:
+            await self._front.answer_unfinished()
+        self._steering.shutdown.end()
         all_answered &= await self._relay_server.wait_answered(deadline_s - read_clock_s())
         self._log.write("stopped", {"answered_all": all_answered})
         self._log.flush()
--- a/src/siskinward/daemon/entry/refusals.py
+++ b/src/siskinward/daemon/entry/refusals.py
@@ -25,6 +25,7 @@
     OUTCOME_UNKNOWN = "outcome-unknown"
     TIMEOUT = "timeout"
     TIMEOUT_UNSENT = "timeout-unsent"
+    SHUTTING_DOWN = "shutting-down"
 
 
 # 429 and 503 guarantee that the request has not run; 502 and 504 guarantee nothing.
@@ -41,10 +42,13 @@
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.TIMEOUT: 504,
     Reason.TIMEOUT_UNSENT: 503,
+    Reason.SHUTTING_DOWN: 503,
 }
 
 
 RETRY_AFTER_S = 0.25
+# Another VM can serve the request at once.
+SHUTDOWN_RETRY_AFTER_S = 0.01
 
 
 @define
--- a/src/siskinward/daemon/entry/relay_handler.py
+++ b/src/siskinward/daemon/entry/relay_handler.py
@@ -51,6 +51,8 @@
 
     async def relay(self, request: RelayRequest) -> RelayReply:
         """Send a request to its target and return the outcome."""
+        if not self._steering.shutdown.leaves_time_until(read_clock_s() + request.time_left_s):
+            return _not_connected("the relay is shutting down", is_relays_fault=True)
         if self._steering.paths.is_cut_off:
             return _not_connected("the relay is cut off from the targets", is_relays_fault=True)
         target = self._steering.targets.get(request.target)
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -12,6 +12,7 @@
 from siskinward.daemon.entry.quota_enforcer import OverQuota
 from siskinward.daemon.entry.quota_enforcer import WithinQuota
 from siskinward.daemon.entry.refusals import RETRY_AFTER_S
+from siskinward.daemon.entry.refusals import SHUTDOWN_RETRY_AFTER_S
 from siskinward.daemon.entry.refusals import Reason
 from siskinward.daemon.entry.refusals import Refused
 from siskinward.daemon.entry.refusals import refused
@@ -96,6 +97,21 @@
                 return response
 
     async def _acquire_target(self, context: RequestContext) -> Placed:
+        """Return a slot at a target; raise a refusal if there is none, or no time left for it."""
+        self._check_shutdown(context)
+        placed = await self._acquire_slot(context)
+        try:
+            self._check_shutdown(context)
+        except Refused:
+            await self._dispatcher.release(placed.target)
+            raise
+        return placed
+
+    def _check_shutdown(self, context: RequestContext) -> None:
+        if not self._steering.shutdown.leaves_time_until(context.deadline_s):
+            raise self._create_refusal(context, Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER_S)
+
+    async def _acquire_slot(self, context: RequestContext) -> Placed:
         request = DispatchRequest(
             placement=self._placement_request(context),
             account=context.account.name if context.account else None,
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -28,6 +28,7 @@
 from siskinward.coordination.steering.retry_budget import RetrySettings
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.coordination.steering.rows import TableCopy
+from siskinward.coordination.steering.shutdown import Shutdown
 from siskinward.coordination.steering.slow_targets import SlowTargets
 from siskinward.coordination.steering.slow_targets import SlowTargetSettings
 from siskinward.coordination.steering.splits import RouteSplitter
@@ -88,6 +89,7 @@
     retries: RetryBudget
     crashes: CrashGuard
     splitter: RouteSplitter
+    shutdown: Shutdown
     index: ServingIndex | None = None
 
 
@@ -145,4 +147,5 @@
         retries=RetryBudget(settings.retries, entry.bounds, fleet, now_s),
         crashes=CrashGuard(settings.crashes),
         splitter=RouteSplitter(),
+        shutdown=Shutdown(),
     )
--- a/src/siskinward/standins/memory_network.py
+++ b/src/siskinward/standins/memory_network.py
@@ -274,6 +274,10 @@
         """Return whether the stream has ended or has unread bytes, without reading them."""
         return bool(sock.is_readable)
 
+    def accept_waiting(self, listener: Any) -> list[Any]:
+        """Return none: a listener in memory accepts in the step after a connect."""
+        return []
+
     def port_of(self, listener: Any) -> int:
         """Return the port of a listening socket."""
         port: int = listener.address[1]
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -27,7 +28,9 @@
 from siskinward.transport.server_protocol import encode_refusal
 from siskinward.transport.server_protocol import encode_response
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+from siskinward.transport.sockets import accept_waiting
 from siskinward.transport.sockets import enable_keepalive
+from siskinward.transport.sockets import is_stale
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -35,6 +38,9 @@
 
 # Limits how long a caller that does not read its response can hold the connection.
 WRITE_TIMEOUT_S = 10.0
+WRITE_LIMIT_AT_END_S = 0.2
+UNFINISHED = HttpResponse(503)
+CUT = HttpResponse(502)
 
 
 @define(eq=False)
@@ -55,17 +61,24 @@
     """Serves one port.
 
     ``handler`` answers requests; ``on_malformed`` is called for those that are refused unhandled.
-    While ``is_shutting_down``, a connection closes with its last response.
+    While ``is_shutting_down``, a connection closes with its last response. At the end of a shutdown
+    requests that are not read completely get ``unfinished_response``, and those that the handler
+    has not answered ``cut_response``.
     """
 
     def __init__(
         self,
         handler: Callable[[Arrival], Awaitable[HttpResponse]],
         on_malformed: Callable[[MalformedRequestError], None] = lambda error: None,
+        *,
+        unfinished_response: HttpResponse = UNFINISHED,
+        cut_response: HttpResponse = CUT,
     ) -> None:
         self.limits = CallerLimits()
         self.handler = handler
         self.on_malformed = on_malformed
+        self.unfinished_response = unfinished_response
+        self.cut_response = cut_response
         self.is_shutting_down = False
         self._connections: set[_Connection] = set()
         self._accepting: Any = None
@@ -77,26 +90,41 @@
 
     @property
     def unanswered_count(self) -> int:
-        """Number of requests that were read and not answered yet."""
-        return sum(len(connection.exchanges) for connection in self._connections)
+        """Number of requests that were read, or begun to be read, and not answered yet."""
+        return sum(connection.unanswered_count for connection in self._connections)
 
     async def serve(self, listener: Any) -> None:
         """Accept connections until ``begin_shutdown`` or until cancelled."""
         self._accepting = await curio.current_task()
         async with listener:
-            while True:
-                sock, _ = await listener.accept()
-                enable_keepalive(sock)
-                await curio.spawn(self._serve_connection, sock, daemon=True)
+            try:
+                while True:
+                    sock, _ = await listener.accept()
+                    await self._spawn_connection(sock)
+            except curio.CancelledError:
+                # A shutdown answers the callers that have connected already.
+                for sock in accept_waiting(listener) if self.is_shutting_down else ():
+                    await self._spawn_connection(sock)
+                raise
+
+    async def _spawn_connection(self, sock: Any) -> None:
+        enable_keepalive(sock)
+        await curio.spawn(self._serve_connection, sock, daemon=True)
 
     async def begin_shutdown(self) -> None:
-        """Stop accepting; close idle connections, and the others once they are answered."""
+        """Stop accepting; close idle connections, and the others with their last response."""
         self.is_shutting_down = True
         if self._accepting is not None:
             await self._accepting.cancel()
         for connection in list(self._connections):
             await connection.close_if_idle()
 
+    async def answer_unfinished(self) -> None:
+        """Answer what is not answered yet, at the end of a shutdown."""
+        for connection in list(self._connections):
+            await connection.answer_unfinished()
+        await self.wait_answered(WRITE_LIMIT_AT_END_S)
+
     async def abort(self) -> None:
         """Stop accepting and cancel every connection."""
         if self._accepting is not None:
@@ -125,12 +153,17 @@
 
 @define(eq=False)
 class _Exchange:
-    """One request in progress; ``sent`` is set when the next response may be written."""
+    """One request in progress; ``sent`` is set when the next response may be written.
+
+    ``is_handled`` once the handler has answered, ``is_cut`` if it may not any more.
+    """
 
     arrival: Arrival
     http: h11.Connection
     previous_sent: curio.Event
     sent: curio.Event = field(factory=curio.Event)
+    is_handled: bool = False
+    is_cut: bool = False
     task: Any = None
 
 
@@ -141,6 +174,7 @@
         self._reader = self._new_reader()
         self._last_response_sent = curio.Event()
         self._is_closing = False
+        self._is_broken = False
         self._is_reading_request = False
         self.exchanges: set[_Exchange] = set()
         self.task: Any = None
@@ -170,10 +204,27 @@
             await self._start_exchange(request)
         await self._wait_answered()
 
+    @property
+    def unanswered_count(self) -> int:
+        """Number of requests that were read, or begun to be read, and not answered yet."""
+        return len(self.exchanges) + int(self._is_reading_request and not self._is_closing)
+
     async def close_if_idle(self) -> None:
-        """Close the connection now if it is idle, or else once its requests are answered."""
-        self._is_closing = True
-        if not self.exchanges and not self._is_reading_request:
+        """Close the connection, unless a request is in progress, read or waiting to be read."""
+        if not self.unanswered_count and not is_stale(self._sock):
+            self._is_closing = True
+            await self._shutdown_socket()
+
+    async def answer_unfinished(self) -> None:
+        """Answer the requests that the handler has not answered, or else the one being read."""
+        for exchange in list(self.exchanges):
+            if not exchange.is_handled:
+                exchange.is_cut = True
+                await exchange.task.cancel(blocking=False)
+        if self.unanswered_count and not self.exchanges:
+            self._is_closing = True
+            with suppress(OSError):
+                await self._sock.sendall(encode_refusal(self._server.unfinished_response))
             await self._shutdown_socket()
 
     async def abort(self) -> None:
@@ -208,24 +259,36 @@
             self._reader.feed(trailing)
 
     async def _run_exchange(self, exchange: _Exchange) -> None:
+        is_written = False
         try:
-            response = await self._server.handler(exchange.arrival)
+            response = await self._respond(exchange)
             await exchange.previous_sent.wait()
-            if not exchange.arrival.caller_disconnected:
+            if not self._is_broken and not exchange.arrival.caller_disconnected:
                 await self._write(exchange, response)
-        except OSError:
-            # The caller has disconnected; the reading task ends the connection.
+                is_written = True
+        except (OSError, curio.TaskTimeout):
+            # The caller has disconnected or does not read.
             pass
-        except curio.TaskTimeout:
-            # The caller does not read. No other response may follow one that was cut short.
-            self._is_closing = True
-            await self._shutdown_socket(socket.SHUT_RDWR)
         finally:
             self.exchanges.discard(exchange)
+            if not is_written:
+                # No other response may take the place of one that is missing or cut short.
+                self._is_broken = self._is_closing = True
+                await self._shutdown_socket(socket.SHUT_RDWR)
             await exchange.sent.set()
             if self._is_closing and not self.exchanges:
                 await self._shutdown_socket()
 
+    async def _respond(self, exchange: _Exchange) -> HttpResponse:
+        try:
+            return await self._server.handler(exchange.arrival)
+        except curio.CancelledError:
+            if not exchange.is_cut:
+                raise
+            return self._server.cut_response
+        finally:
+            exchange.is_handled = True
+
     async def _write(self, exchange: _Exchange, response: HttpResponse) -> None:
         is_last = exchange.sent is self._last_response_sent
         wants_close = exchange.http.their_state is h11.MUST_CLOSE
--- a/src/siskinward/transport/sockets.py
+++ b/src/siskinward/transport/sockets.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from contextlib import contextmanager
+from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol
@@ -47,6 +48,10 @@
         """Return whether an idle connection has ended, failed or holds unread bytes."""
         ...
 
+    def accept_waiting(self, listener: Any) -> list[Any]:
+        """Accept the connections that wait at a listening socket, without waiting for others."""
+        ...
+
     def port_of(self, listener: Any) -> int:
         """Return the port that a listening socket was given."""
         ...
@@ -98,6 +103,14 @@
             return True
         return True
 
+    def accept_waiting(self, listener: Any) -> list[Any]:
+        """Accept until the system has no more connections waiting."""
+        accepted = []
+        with suppress(OSError):
+            while True:
+                accepted.append(curio.io.Socket(listener._socket.accept()[0]))
+        return accepted
+
     def port_of(self, listener: Any) -> int:
         """Return the port that the system has bound."""
         port: int = listener._socket.getsockname()[1]
@@ -158,6 +171,11 @@
     return _network.is_stale(sock)
 
 
+def accept_waiting(listener: Any) -> list[Any]:
+    """Accept the connections that wait at a listening socket, without waiting for others."""
+    return _network.accept_waiting(listener)
+
+
 def port_of(listener: Any) -> int:
     """Return the port that a listening socket was given."""
     return _network.port_of(listener)
