Keep no pool connection on which a refusal, or more than the answer, was written

A copy of a refusal was taken for the next request's answer, whether it came with the answer before (it stayed in the parser) or later on the kept connection.

A connection that carried a refusal, or bytes beyond its answer, is closed.

--- a/src/siskinward/transport/connection_pool.py
+++ b/src/siskinward/transport/connection_pool.py
@@ -26,6 +26,8 @@
     from siskinward.transport.http_messages import HttpResponse
 
 PROBE_TIMEOUT_S = 1.0
+# A server might write such a response once more, and it would be taken for the next one.
+REFUSALS = frozenset({408, 421, 429, 503})
 
 
 @frozen
@@ -90,7 +92,8 @@
         is_kept = False
         try:
             result = await connection.exchange(request, timeout_s, detector)
-            is_kept = result.is_ok() and connection.is_reusable()
+            is_refused = result.is_ok() and result.ok.status in REFUSALS
+            is_kept = result.is_ok() and not is_refused and connection.is_reusable()
         finally:
             if is_kept:
                 now_s = read_clock_s()
--- a/src/siskinward/transport/http_client.py
+++ b/src/siskinward/transport/http_client.py
@@ -147,7 +147,8 @@
         if silence_detector is not None:
             await self._wait_for_first_byte(silence_detector)
         response = await read_response(self._http, self._sock, self._on_response_head)
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+        is_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        if is_done and not self._http.trailing_data[0]:
             self._http.start_next_cycle()
         else:
             await self.close()
