Spoil answers and stop VMs in the soak, with targets as separate processes

The soak could not have shown the incident: its targets ran in its own process, wrote no answer again but whole successes, and VMs were stopped among other faults, which excuse them.

Targets are processes of their own now; a crash kills one. They write refusals once more (whole before the next answer, a piece of it, or behind it), stop in their heads (closed or reset), fail with 503 after running, and answer without a length. VMs are stopped in series in calm. Some bookings are uploaded slowly, and one whose end a stopping VM has read must get an answer, however soon its connection ends. Every second VM can run another checkout's program.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,25 +28,43 @@
 )
 @click.option("--length-s", type=float, default=12.0, show_default=True)
 @click.option("--vms", type=int, default=6, show_default=True)
+@click.option(
+    "--other-release",
+    type=click.Path(path_type=Path, exists=True),
+    help="Checkout whose program every second VM runs.",
+)
 @click.option("--logs", type=click.Path(path_type=Path), help="Directory for the VMs' logs.")
 def main(
-    seed: int | None, seeds: int, jobs: int, length_s: float, vms: int, logs: Path | None
+    seed: int | None,
+    seeds: int,
+    jobs: int,
+    length_s: float,
+    vms: int,
+    other_release: Path | None,
+    logs: Path | None,
 ) -> None:
     """Run random faults against real processes and print the broken promises."""
     if seed is not None:
-        sys.exit(0 if _run_seed(seed, length_s, vms, logs) else 1)
+        sys.exit(0 if _run_seed(seed, length_s, vms, other_release, logs) else 1)
     drawn = [SystemRandom().randrange(LARGEST_SEED) for _ in range(seeds)]
-    failed = _run_seeds(drawn, jobs, length_s, vms, logs)
+    options = ["--length-s", str(length_s), "--vms", str(vms)]
+    options += ["--other-release", str(other_release)] if other_release else []
+    options += ["--logs", str(logs)] if logs else []
+    failed = _run_seeds(drawn, jobs, options)
     click.echo(f"{len(drawn)} seeds, {len(failed)} with a broken promise: {failed or 'none'}")
     sys.exit(1 if failed else 0)
 
 
-def _run_seed(seed: int, length_s: float, vms: int, logs: Path | None) -> bool:
+def _run_seed(
+    seed: int, length_s: float, vms: int, other_release: Path | None, logs: Path | None
+) -> bool:
     with tempfile.TemporaryDirectory() as scratch:
         directory = logs / str(seed) if logs else Path(scratch)
         directory.mkdir(parents=True, exist_ok=True)
         block = FIRST_BLOCK + seed % BLOCKS
-        settings = SoakSettings(seed, directory, block, length_s=length_s, vms=vms)
+        settings = SoakSettings(
+            seed, directory, block, length_s=length_s, vms=vms, other_release=other_release
+        )
         result: SoakResult = curio.run(create_soak_run(settings).run)
     click.echo(
         f"seed {seed}: {result.served} of {result.calls} served; checks {result.check_counts}"
@@ -56,17 +74,13 @@
     return not result.broken
 
 
-def _run_seeds(
-    seeds: list[int], jobs: int, length_s: float, vms: int, logs: Path | None
-) -> list[int]:
+def _run_seeds(seeds: list[int], jobs: int, options: list[str]) -> list[int]:
     """Run each seed in its own process, because each run needs its own event loop."""
     failed = []
     for start in range(0, len(seeds), jobs):
         running = {}
         for seed in seeds[start : start + jobs]:
-            command = [sys.executable, "-m", "soak", "--seed", str(seed)]
-            command += ["--length-s", str(length_s), "--vms", str(vms)]
-            command += ["--logs", str(logs)] if logs else []
+            command = [sys.executable, "-m", "soak", "--seed", str(seed), *options]
             running[seed] = subprocess.Popen(command)
         failed += [seed for seed, process in running.items() if process.wait() != 0]
     return failed
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,27 +2,35 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from itertools import count
 from random import Random
 
 import curio
+import h11
 from attrs import define
 from attrs import field
 
 from siskinward.platform._headers import HEADERS
 from siskinward.platform.standins import HOST_NAME
+from siskinward.transport.client_protocol import encode_request
+from siskinward.transport.client_protocol import read_response
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.outbound_connection import ExchangeFailedError
 from siskinward.transport.outbound_connection import OutboundConnection
 from siskinward.transport.outbound_connection import SendPhase
+from siskinward.transport.sockets import connect
 from soak.vm_process import VmProcess
 
 THINK_S = (0.02, 0.25)
 CALL_TIMEOUT_S = 4.0
 DISCONNECT_AFTER_S = 0.05
 DISCONNECTING_SHARE = 0.05
+# Bookings whose last byte is sent late, over a connection of their own.
+UPLOADING_SHARE = 0.03
+UPLOAD_S = (0.2, 4.0)
 OBJECT_COUNT = 24
 TIME_LEFT_MS = 3000
 
@@ -33,7 +41,8 @@
 
     ``response`` is None if there was none or the caller disconnects after ``DISCONNECT_AFTER_S``;
     ``has_disconnected`` is set from the start of such a call. ``may_have_arrived`` is set when the
-    exchange failed after the connection was established.
+    exchange failed after the connection was established. The start of an upload was sent before
+    ``sent_s``.
     """
 
     attempt_id: str
@@ -45,6 +54,7 @@
     response: HttpResponse | None = None
     may_have_arrived: bool = False
     has_disconnected: bool = False
+    is_upload: bool = False
 
     @property
     def status(self) -> int | None:
@@ -76,6 +86,8 @@
             try:
                 await connection.connect(1.0)
                 while connection.is_open:
+                    if self.random.random() < UPLOADING_SHARE:
+                        await curio.spawn(self._upload, vm, daemon=True)
                     await self._call(vm, connection)
                     await curio.sleep(self.random.uniform(*THINK_S))
             except ExchangeFailedError:
@@ -104,9 +116,32 @@
         finally:
             call.ended_s = read_clock_s()
 
-    def _create(self, vm: VmProcess) -> tuple[Call, HttpRequest]:
+    async def _upload(self, vm: VmProcess) -> None:
+        """Send a booking slowly; the call begins with its last byte."""
+        call, request = self._create(vm, "bookings")
+        call.is_upload = True
+        http = h11.Connection(h11.CLIENT)
+        data = encode_request(http, request, request.headers)
+        with suppress(OSError, h11.ProtocolError, curio.TaskTimeout):
+            async with curio.timeout_after(1.0):
+                sock = await connect(vm.host, self.front_port)
+            async with sock:
+                await sock.sendall(data[:-1])
+                await curio.sleep(self.random.uniform(*UPLOAD_S))
+                call.sent_s = read_clock_s()
+                self.calls.append(call)
+                try:
+                    await sock.sendall(data[-1:])
+                    call.may_have_arrived = True
+                    async with curio.timeout_after(CALL_TIMEOUT_S):
+                        call.response = await read_response(http, sock, lambda: None)
+                finally:
+                    call.ended_s = read_clock_s()
+
+    def _create(self, vm: VmProcess, service: str = "") -> tuple[Call, HttpRequest]:
         attempt_id = f"attempt-{next(self._numbers):06}"
-        service, method = self.random.choice((("listings", "GET"), ("bookings", "POST")))
+        service = service or self.random.choice(("listings", "bookings"))
+        method = "POST" if service == "bookings" else "GET"
         path = f"/{service}/{self.random.randrange(OBJECT_COUNT)}"
         key = self.random.choice(self.keys)
         headers = (
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,7 @@
 LIMIT_DURATIONS_S = (2.0, 5.0, 9.0)
 CUT_DURATIONS_S = (2.0, 6.0, 9.0)
 ENDLESS_GAP_S = (3.0, 9.0)
+ANSWER_FAULT_GAP_S = (1.0, 4.0)
 # A multiple of the number of forms of each fault, so that each form is as likely.
 VARIANTS = 12
 RATE_LIMITS = ("0", "0.5", "1.3", "1.8", "4", "12.5", "many", "")
@@ -53,8 +54,19 @@
     TARGET_LIMIT = "target-limit"
     TARGET_ENDLESS = "target-endless"
     VM_CUT_FROM_TARGETS = "vm-cut-from-targets"
-
-
+    VM_STOP = "vm-stop"
+    TARGET_REPEAT_REFUSALS = "target-repeat-refusals"
+    TARGET_STOP_IN_HEAD = "target-stop-in-head"
+    TARGET_FAIL_AS_REFUSED = "target-fail-as-refused"
+    TARGET_NO_LENGTH = "target-no-length"
+
+
+ANSWER_FAULTS = (
+    FaultKind.TARGET_REPEAT_REFUSALS,
+    FaultKind.TARGET_STOP_IN_HEAD,
+    FaultKind.TARGET_FAIL_AS_REFUSED,
+    FaultKind.TARGET_NO_LENGTH,
+)
 # Drawn apart from the other faults, so that the seeds of earlier failures still draw the faults
 # that they had.
 DRAWN_APART = (
@@ -62,6 +74,8 @@
     FaultKind.TARGET_LIMIT,
     FaultKind.TARGET_ENDLESS,
     FaultKind.VM_CUT_FROM_TARGETS,
+    FaultKind.VM_STOP,
+    *ANSWER_FAULTS,
 )
 
 
@@ -88,6 +102,8 @@
     faults += _draw_limits(Random(f"limits of {seed}"), length_s, targets)
     faults += _draw_cuts(Random(f"cuts of {seed}"), length_s, vms)
     faults += _draw_endless(Random(f"endless answers of {seed}"), length_s, targets)
+    faults += _draw_stops(Random(f"stops of {seed}"), length_s, vms)
+    faults += _draw_answer_faults(Random(f"spoilt answers of {seed}"), length_s, targets)
     kinds = [kind for kind in FaultKind if kind not in DRAWN_APART]
     at_s = random.uniform(*GAP_S)
     while at_s < length_s:
@@ -151,3 +167,26 @@
         faults.append(Fault(FaultKind.TARGET_ENDLESS, at_s, for_s, indexes, variant=variant))
         at_s += random.uniform(*ENDLESS_GAP_S)
     return faults
+
+
+def _draw_stops(random: Random, length_s: float, vms: int) -> list[Fault]:
+    """Draw planned stops of one VM after the other, up to two series in a run."""
+    faults = []
+    for _ in range(random.choice((0, 1, 2))):
+        at_s, gap_s = random.uniform(0.0, length_s), random.uniform(*GAP_S)
+        for step, index in enumerate(random.sample(range(vms), random.randint(1, vms))):
+            faults.append(Fault(FaultKind.VM_STOP, at_s + step * gap_s, 0.0, (index,)))
+    return [fault for fault in faults if fault.at_s < length_s]
+
+
+def _draw_answer_faults(random: Random, length_s: float, targets: int) -> list[Fault]:
+    """Draw answers that are repeated, cut short or no promise, of up to half of the targets."""
+    faults = []
+    at_s = random.uniform(*GAP_S)
+    while at_s < length_s:
+        kind = random.choice(ANSWER_FAULTS)
+        indexes = tuple(random.sample(range(targets), random.randint(1, max(1, targets // 2))))
+        for_s, variant = random.choice(DURATIONS_S), random.randrange(VARIANTS)
+        faults.append(Fault(kind, at_s, for_s, indexes, variant=variant))
+        at_s += random.uniform(*ANSWER_FAULT_GAP_S)
+    return faults
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from attrs import define
@@ -25,7 +26,8 @@
 MAX_ATTEMPTS = 2
 # Time bounds apply to VMs that have not been disturbed for this long.
 SETTLING_S = 4.0
-# A VM that is shutting down need not have read a request whose connection ends sooner than this.
+# A VM that is shutting down need not have read a request whose connection ends sooner than this,
+# unless it had begun to read it before.
 LOSS_SLACK_S = 0.2
 # On a busy machine, this event loop and the VM processes run late.
 SCHEDULING_SLACK_S = 1.0
@@ -65,7 +67,7 @@
     """
 
     bounds: ServingBounds
-    targets: list[TargetStandIn]
+    targets: Sequence[TargetStandIn]
     vms: list[VmProcess]
     calls: list[Call]
     withdrawn_keys: list[Withdrawal] = field(factory=list)
@@ -116,12 +118,14 @@
         if response is None:
             return
         if response.status in NOT_RUN_STATUSES and names:
-            self._report([f"{call.attempt_id} got {response.status} and ran at {names}"])
+            self._report(
+                [f"{call.attempt_id} got {response.status} from {call.vm.name} and ran at {names}"]
+            )
         is_own_answer = any(
             response.body.decode() == f"{name} ran {call.attempt_id}" for name in set(names)
         )
         if response.status == 200 and not is_own_answer:
-            self._report([f"{call.attempt_id} got {response.body!r}"])
+            self._report([f"{call.attempt_id} got {response.body!r} from {call.vm.name}"])
 
     def _check_quota(self) -> None:
         """Check the quota of each account. Only first runs count; repeats have their own bound."""
@@ -221,7 +225,7 @@
             if not call.vm.was_only_stopped(call.sent_s - self.bounds.grace_s, call.ended_s):
                 continue
             self._count_checks("requests at stopping VMs")
-            was_held = call.ended_s - call.sent_s >= LOSS_SLACK_S
+            was_held = call.is_upload or call.ended_s - call.sent_s >= LOSS_SLACK_S
             if call.response is None and call.may_have_arrived and was_held:
                 self._report(
                     [f"{call.attempt_id} got no answer from {call.vm.name}, which shut down"]
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -31,6 +31,7 @@
 from soak.promises import PromiseChecker
 from soak.promises import TargetCut
 from soak.promises import Withdrawal
+from soak.target_process import TargetProcess
 from soak.vm_process import VmProcess
 
 TARGET_PORT = 8080
@@ -62,6 +63,10 @@
     FaultKind.TARGET_TRUNCATE: TargetFault.TRUNCATES_ANSWERS,
     FaultKind.TARGET_DOUBLE: TargetFault.DOUBLES_ANSWERS,
     FaultKind.TARGET_SHED: TargetFault.SHEDS,
+    FaultKind.TARGET_REPEAT_REFUSALS: TargetFault.REPEATS_REFUSALS,
+    FaultKind.TARGET_STOP_IN_HEAD: TargetFault.STOPS_IN_HEAD,
+    FaultKind.TARGET_FAIL_AS_REFUSED: TargetFault.FAILS_AS_REFUSED,
+    FaultKind.TARGET_NO_LENGTH: TargetFault.NO_LENGTH,
 }
 ENDLESS_FAULTS = (
     TargetFault.ENDLESS_HEAD,
@@ -77,7 +82,8 @@
 
     ``block`` is the second byte of all its addresses, which separates concurrent runs. Without
     ``checks_time_bounds``, only the promises that must hold at any moment are checked. Only faults
-    of ``kinds`` are injected, unless that is empty.
+    of ``kinds`` are injected, unless that is empty. Every second VM runs the program of
+    ``other_release``, if that checkout is given.
     """
 
     seed: int
@@ -91,6 +97,7 @@
     rate_per_s: float = 60.0
     checks_time_bounds: bool = True
     kinds: tuple[FaultKind, ...] = ()
+    other_release: Path | None = None
 
 
 @frozen
@@ -110,7 +117,7 @@
 
     settings: SoakSettings
     store: StoreStandIn
-    targets: list[TargetStandIn]
+    targets: list[TargetProcess]
     vms: list[VmProcess]
     store_proxies: list[LoopbackProxy]
     target_proxies: list[LoopbackProxy]
@@ -132,8 +139,8 @@
                 self.checker.check_invariants()
                 self.checker.check_limits()
         finally:
-            for vm in self.vms:
-                vm.destroy()
+            _for_each(self.vms, VmProcess.destroy)
+            _for_each(self.targets, TargetProcess.destroy)
         served = sum(call.status == 200 for call in self.callers.calls)
         return SoakResult(
             self.settings.seed,
@@ -189,7 +196,7 @@
         vms = [self.vms[index % len(self.vms)] for index in fault.indexes]
         store_proxies = [self.store_proxies[index % len(self.vms)] for index in fault.indexes]
         match fault.kind:
-            case FaultKind.VM_LEAVE:
+            case FaultKind.VM_LEAVE | FaultKind.VM_STOP:
                 _for_each(vms, VmProcess.stop)
             case FaultKind.VM_KILL:
                 _for_each(vms, VmProcess.kill)
@@ -246,11 +253,12 @@
             case _:
                 for target in targets:
                     target.fault = TARGET_FAULTS[fault.kind]
+                    target.fault_variant = fault.variant
                 await curio.sleep(fault.for_s)
                 for target in targets:
                     target.fault = TargetFault.NONE
 
-    async def _state_limits(self, fault: Fault, targets: list[TargetStandIn]) -> None:
+    async def _state_limits(self, fault: Fault, targets: list[TargetProcess]) -> None:
         """Let targets state a limit, instead of an earlier one, and end it if none follows."""
         for target in targets:
             self.checker.limits.state(target, fault.rate_limit, read_clock_s())
@@ -308,7 +316,7 @@
                 proxy.heal(vm.host)
         self.checker.cuts.append(TargetCut(tuple(vms), since_s, read_clock_s()))
 
-    async def _answer_endlessly(self, fault: Fault, targets: list[TargetStandIn]) -> None:
+    async def _answer_endlessly(self, fault: Fault, targets: list[TargetProcess]) -> None:
         kind = ENDLESS_FAULTS[fault.variant % len(ENDLESS_FAULTS)]
         for target in targets:
             target.fault = kind
@@ -330,9 +338,9 @@
             self.checker.drained.append(Withdrawal(target.name, read_clock_s()))
 
 
-def _for_each(vms: list[VmProcess], action: Any) -> None:
-    for vm in vms:
-        action(vm)
+def _for_each(processes: list[Any], action: Any) -> None:
+    for process in processes:
+        action(process)
 
 
 def create_soak_run(settings: SoakSettings) -> SoakRun:
@@ -340,7 +348,7 @@
     prefix = f"127.{settings.block}"
     bounds = ServingBounds(quota_slack_requests=20.0)
     store = StoreStandIn(f"{prefix}.200.1", STORE_PORT)
-    targets = [_create_target(prefix, number) for number in range(settings.targets)]
+    targets = [_create_target(settings, prefix, number) for number in range(settings.targets)]
     vms = [_create_vm(settings, prefix, number) for number in range(settings.vms)]
     callers = Callers(vms, FRONT_PORT, Random(settings.seed), KEYS)
     checker = PromiseChecker(bounds, targets, vms, callers.calls)
@@ -364,13 +372,14 @@
     )
 
 
-def _create_target(prefix: str, number: int) -> TargetStandIn:
+def _create_target(settings: SoakSettings, prefix: str, number: int) -> TargetProcess:
     service = SERVICES[number % len(SERVICES)]
     domain = list(DOMAIN_REGIONS)[number // len(SERVICES) % len(DOMAIN_REGIONS)]
-    target = TargetStandIn(
+    target = TargetProcess(
         f"{service}-{number}", service, f"{prefix}.64.{number + 1}", TARGET_PORT, domain
     )
     target.advertised_host = f"{prefix}.65.{number + 1}"
+    target.log_file = settings.directory / f"{target.name}.log"
     return target
 
 
@@ -382,4 +391,7 @@
     file.write_text(
         render_settings(name, host, domain, DOMAIN_REGIONS, store_host, ["quota_slack=20"])
     )
-    return VmProcess(name, host, file, settings.directory / f"{name}.log")
+    vm = VmProcess(name, host, file, settings.directory / f"{name}.log")
+    if settings.other_release is not None and number % 2:
+        vm.program = settings.other_release / "deploy" / "entry.py"
+    return vm
--- a/soak/vm_process.py
+++ b/soak/vm_process.py
@@ -28,6 +28,7 @@
     host: str
     settings_file: Path
     log_file: Path
+    program: Path = ENTRY_PROGRAM
     starts_and_exits_s: list[float] = field(factory=list)
     disturbances_s: list[float] = field(factory=list)
     stops_s: list[float] = field(factory=list)
@@ -41,7 +42,7 @@
         environment = {"PATH": os.environ["PATH"], "SISKINWARD_BOOT": str(self.settings_file)}
         with self.log_file.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(ENTRY_PROGRAM)], env=environment, stdout=log, stderr=log
+                [sys.executable, str(self.program)], env=environment, stdout=log, stderr=log
             )
         self.starts_and_exits_s.append(time.monotonic())
         self._is_exit_expected = False
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -5,6 +5,7 @@
 import json
 from contextlib import suppress
 from enum import Enum
+from enum import IntEnum
 from typing import Any
 
 import curio
@@ -14,6 +15,9 @@
 from attrs import frozen
 
 from siskinward.platform._headers import HEADERS
+from siskinward.platform.standins._spoilt_answers import close_or_reset
+from siskinward.platform.standins._spoilt_answers import cut_within_head
+from siskinward.platform.standins._spoilt_answers import send_without_length
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
@@ -38,6 +42,18 @@
     ENDLESS_INTERIM = "endless-interim"
     ENDLESS_BODY = "endless-body"
     ENDLESS_CHUNKS = "endless-chunks"
+    REPEATS_REFUSALS = "repeats-refusals"
+    STOPS_IN_HEAD = "stops-in-head"
+    FAILS_AS_REFUSED = "fails-as-refused"
+    NO_LENGTH = "no-length"
+
+
+class RefusalCopy(IntEnum):
+    """When a target writes a refusal once more: before the next answer, whole or not, or behind."""
+
+    WHOLE = 0
+    PIECE = 1
+    BEHIND = 2
 
 
 @define
@@ -79,7 +95,8 @@
 
     Reports at most ``slots`` requests as running and the others as waiting, and sheds requests
     while ``4 * slots`` are being handled. ``fault`` affects the next ``remaining_faults``
-    requests; between two pieces of an endless answer ``endless_gap_s`` pass. ``rate_limit`` is
+    requests, in the form that ``fault_variant`` selects; between two pieces of an endless answer
+    ``endless_gap_s`` pass. ``rate_limit`` is
     stated in every answer, as given, and ``extra_headers`` precede the others. ``arrivals`` has
     each request that reached the target, ``arrivals_s`` the time of each, probes included,
     misdirected ones not, and ``stated_s`` that of each answer that stated a limit.
@@ -96,6 +113,7 @@
     started_ms: int = 1
     fault: TargetFault = TargetFault.NONE
     remaining_faults: int = 1_000_000
+    fault_variant: int = 0
     endless_gap_s: float = 0.0
     warmup_left_ms: int = 0
     advertised_host: str = ""
@@ -110,6 +128,7 @@
     _running: int = 0
     _sockets: set[Any] = field(factory=set)
     _duplicate_answers: dict[Any, bytes] = field(factory=dict)
+    _refusals: dict[Any, bytes] = field(factory=dict)
     _task: Any = None
 
     def encode_entry(self, state: str = "ready") -> bytes:
@@ -162,6 +181,7 @@
             return
         finally:
             self._sockets.discard(sock)
+            self._refusals.pop(sock, None)
 
     async def _serve_one(self, sock: Any, http: h11.Connection) -> bool:
         request = await _read(sock, http)
@@ -181,8 +201,7 @@
             await watch.cancel()
         if response is None:
             return False
-        await self._write(sock, http, response)
-        return bool(http.our_state is h11.DONE)
+        return await self._write(sock, http, response) and http.our_state is h11.DONE
 
     async def _handle(self, request: HttpRequest, sock: Any) -> HttpResponse | None:
         if request.target != HEALTH_PATH:
@@ -195,7 +214,7 @@
         if request.target == HEALTH_PATH:
             self.probes += 1
             return self._health()
-        if self._try_inject(TargetFault.SHEDS) or self._running >= self.slots * 4:
+        if self._sheds() or self._running >= self.slots * 4:
             not_run = (HEADERS.not_run, b"1")
             return HttpResponse(503, (*_echo(request), not_run, self._load(), *self._limit()))
         return await self._run(request, sock)
@@ -224,7 +243,7 @@
         if self._try_inject(TargetFault.LOSES_ANSWERS):
             await reset(sock)
             return None
-        status = 500 if self._try_inject(TargetFault.FAILS) else 200
+        status = self._status()
         headers = (
             *self.extra_headers,
             (HEADERS.attempt_id, record.attempt_id.encode()),
@@ -242,13 +261,39 @@
                 await sock.sendall(piece)
                 await curio.sleep(self.endless_gap_s)
 
-    async def _write(self, sock: Any, http: h11.Connection, response: HttpResponse) -> None:
+    async def _write(self, sock: Any, http: h11.Connection, response: HttpResponse) -> bool:
+        """Write an answer; return whether the connection may carry more."""
         data = encode_response(http, response, closes=False)
         if self._try_inject(TargetFault.TRUNCATES_ANSWERS):
             await sock.sendall(data[:-3])
-            await sock.close()
-            return
-        await sock.sendall(data)
+            return False
+        if self._try_inject(TargetFault.STOPS_IN_HEAD):
+            await sock.sendall(cut_within_head(data, self.remaining_faults))
+            await close_or_reset(sock, resets=bool(self.fault_variant % 2))
+            return False
+        if self._try_inject(TargetFault.NO_LENGTH):
+            await send_without_length(sock, data)
+            return False
+        await self._write_with_copy(sock, response, data)
+        return True
+
+    async def _write_with_copy(self, sock: Any, response: HttpResponse, data: bytes) -> None:
+        """Write an answer, and the connection's last refusal again if that is the fault."""
+        copy = self._refusals.get(sock, b"")
+        if response.header(HEADERS.not_run) is not None:
+            self._refusals[sock] = data
+        if self.fault is not TargetFault.REPEATS_REFUSALS or not copy:
+            copy = b""
+        match RefusalCopy(self.fault_variant % len(RefusalCopy)):
+            case RefusalCopy.WHOLE:
+                await sock.sendall(copy)
+                await sock.sendall(data)
+            case RefusalCopy.PIECE:
+                await sock.sendall(cut_within_head(copy, self.remaining_faults) if copy else b"")
+                await sock.sendall(data)
+            case RefusalCopy.BEHIND:
+                await sock.sendall(data)
+                await sock.sendall(copy)
         if self._try_inject(TargetFault.DOUBLES_ANSWERS):
             # Sent before the next answer, where the client expects that one.
             self._duplicate_answers[sock] = data
@@ -259,6 +304,18 @@
         self.remaining_faults -= 1
         return True
 
+    def _sheds(self) -> bool:
+        """Return whether to refuse a request; one of two is, where refusals are repeated."""
+        if self._try_inject(TargetFault.SHEDS):
+            return True
+        return self._try_inject(TargetFault.REPEATS_REFUSALS) and bool(self.remaining_faults % 2)
+
+    def _status(self) -> int:
+        """Return the status of a request that ran."""
+        if self._try_inject(TargetFault.FAILS_AS_REFUSED):
+            return 503
+        return 500 if self._try_inject(TargetFault.FAILS) else 200
+
     def _load(self) -> tuple[bytes, bytes]:
         running = min(self._running, self.slots)
         load = f"{running},{self._running - running},{self.slots}"
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -80,10 +80,15 @@
 
 
 def test_request_on_a_kept_connection_late_in_a_stop_is_answered_whole_or_refused_at_once() -> None:
-    async def call(site: LoopbackSite, at_s: float, outcomes: list[int]) -> None:
+    async def open_used(site: LoopbackSite) -> OutboundConnection:
         connection = OutboundConnection(site.front_host(0), FRONT_PORT)
         await connection.connect(1.0)
         await connection.exchange(site.request("/listings/0.01"), 2.0)
+        return connection
+
+    async def call(
+        site: LoopbackSite, connection: OutboundConnection, at_s: float, outcomes: list[int]
+    ) -> None:
         await curio.sleep(at_s)
         if not connection.is_reusable(read_clock_s()):
             return
@@ -98,7 +103,11 @@
 
     async def scenario(site: LoopbackSite) -> None:
         outcomes: list[int] = []
-        calls = [(call, site, 0.2 + 0.2 * number, outcomes) for number in range(12)]
+        connections = [await open_used(site) for _ in range(12)]
+        calls = [
+            (call, site, connection, 0.2 + 0.2 * number, outcomes)
+            for number, connection in enumerate(connections)
+        ]
         await run_together((stop, site, 0.1), *calls)
         assert set(outcomes) == ANSWERS
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -114,7 +114,7 @@
     call = observed.call()
     observed.run(call)
     observed.answer(call, status=503)
-    assert "got 503 and ran" in observed.broken()
+    assert "got 503 from vm and ran" in observed.broken()
 
 
 def test_checker_reports_too_many_attempts() -> None:
@@ -307,13 +307,23 @@
     assert observed.broken(checker) == ""
 
 
-LATER_KINDS = ("target-limit", "target-endless", "vm-cut-from-targets")
+LATER_KINDS = (
+    "target-limit",
+    "target-endless",
+    "vm-cut-from-targets",
+    "vm-stop",
+    "target-repeat-refusals",
+    "target-stop-in-head",
+    "target-fail-as-refused",
+    "target-no-length",
+)
 
 
 def test_later_kinds_leave_the_other_faults_of_a_seed_as_they_were() -> None:
     faults = draw_faults(7, 12.0, 6, 10)
     kinds = [fault.kind.value for fault in faults if fault.kind.value not in LATER_KINDS]
-    assert {fault.kind.value for fault in faults} >= set(LATER_KINDS)
+    drawn = {fault.kind.value for seed in range(7, 17) for fault in draw_faults(seed, 12.0, 6, 10)}
+    assert drawn >= set(LATER_KINDS)
     assert kinds == KINDS_OF_SEED_7
 
 
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -10,6 +10,7 @@
 import curio
 import pytest
 
+from soak.faults import ANSWER_FAULTS
 from soak.faults import FaultKind
 from soak.soak_run import SoakSettings
 from soak.soak_run import create_soak_run
@@ -61,3 +62,50 @@
     result = curio.run(create_soak_run(settings).run)
     assert result.broken == ()
     assert result.check_counts["calls at cut VMs"] > 20
+
+
+# A VM of the release before them broke promises with each of these.
+ANSWER_SEEDS = (4, 8)
+
+
+@pytest.mark.parametrize("seed", ANSWER_SEEDS)
+def test_vms_break_no_promise_while_answers_are_spoilt(tmp_path: Path, seed: int) -> None:
+    settings = SoakSettings(
+        seed,
+        tmp_path,
+        BLOCK,
+        length_s=6.0,
+        recover_s=1.0,
+        vms=2,
+        targets=4,
+        callers=16,
+        rate_per_s=300.0,
+        checks_time_bounds=False,
+        kinds=ANSWER_FAULTS,
+    )
+    result = curio.run(create_soak_run(settings).run)
+    assert result.broken == ()
+    assert result.served > 0
+
+
+# Both VMs are stopped, one after the other.
+STOP_SEEDS = (3,)
+
+
+@pytest.mark.parametrize("seed", STOP_SEEDS)
+def test_stopping_vms_answer_what_they_have_read(tmp_path: Path, seed: int) -> None:
+    settings = SoakSettings(
+        seed,
+        tmp_path,
+        BLOCK,
+        length_s=4.0,
+        recover_s=8.0,
+        vms=2,
+        targets=4,
+        callers=16,
+        rate_per_s=300.0,
+        kinds=(FaultKind.VM_STOP,),
+    )
+    result = curio.run(create_soak_run(settings).run)
+    assert result.broken == ()
+    assert result.check_counts["requests at stopping VMs"] > 20
