Test what VMs of the release before and this one send each other

A relay of that release may call its own fault what it has sent, and goes by the id alone: what it says is checked by the asking VM. Pipelined requests get no answer in the place of one that is missing.

--- a/tests/platform/test_relay_outcomes.py
+++ b/tests/platform/test_relay_outcomes.py
@@ -7,6 +7,7 @@
 
 import curio
 import pytest
+from attrs import evolve
 from cut_vms import SITE
 from cut_vms import cut
 from steady_load import SteadyLoad
@@ -15,6 +16,7 @@
 from siskinward.platform.standins import TargetFault
 from siskinward.standins.memory_network import CutKind
 from siskinward.transport.clock import read_clock_s
+from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.outbound_connection import ExchangeFailedError
 from siskinward.transport.outbound_connection import SendPhase
 from siskinward.transport.relay_messages import RelayFailure
@@ -122,3 +124,41 @@
         assert not [path for path in refused if path in runs]
 
     run_site(scenario, SITE)
+
+
+# A relay of the last landing goes by the id alone, and uses its connections for any request.
+def test_refusal_by_a_relay_is_no_leave_to_send_to_the_same_target_again(
+    run_site: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asked: list[str] = []
+
+    async def refuse(self: RelayPool, host: str, request: RelayRequest) -> RelayReply:
+        assert request.request is not None
+        asked.append(request.target)
+        attempt_id = request.request.header(b"x-attempt-id") or b""
+        return HttpResponse(503, ((b"x-not-executed", b"1"), (b"x-attempt-id", attempt_id)))
+
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        monkeypatch.setattr(RelayPool, "exchange", refuse)
+        relay_all(site, FIRST_VM)
+        assert (await site.call(FIRST_VM, "/bookings/1")).status == 503
+        assert len(asked) == 2
+        assert len(set(asked)) == 2
+
+    run_site(scenario, SITE)
+
+
+def test_refusal_by_a_relay_of_a_request_without_an_id_is_no_proof(
+    run_site: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def refuse(self: RelayPool, host: str, request: RelayRequest) -> RelayReply:
+        return HttpResponse(503, ((b"x-not-executed", b"1"),))
+
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        monkeypatch.setattr(RelayPool, "exchange", refuse)
+        relay_all(site, FIRST_VM)
+        request = site.request("/bookings/1")
+        headers = tuple(item for item in request.headers if item[0] != b"x-attempt-id")
+        assert (await site.send(FIRST_VM, evolve(request, headers=headers))).status == 502
+
+    run_site(scenario, SITE)
--- a/tests/transport/test_front_server.py
+++ b/tests/transport/test_front_server.py
@@ -141,3 +141,22 @@
 
     paused_kernel.run(main)
     assert ended == ["cancelled"]
+
+
+def test_front_ends_a_connection_whose_next_answer_is_missing(paused_kernel: Any) -> None:
+    async def fail_first(arrival: Arrival) -> HttpResponse:
+        if arrival.request.target == "/one":
+            raise OSError("no answer")
+        return HttpResponse(200, (), arrival.request.target.encode())
+
+    async def main() -> bytes:
+        server = await start(fail_first)
+        sock = await connect(HOST, PORT)
+        await sock.sendall(
+            b"GET /one HTTP/1.1\r\nHost: h\r\n\r\nGET /two HTTP/1.1\r\nHost: h\r\n\r\n"
+        )
+        data = await read_all(sock)
+        await server.abort()
+        return data
+
+    assert paused_kernel.run(main) == b""
