Count a limit as stated in the soak only by an answer that was written whole

The stand-in records a statement once its answer is written whole, and not behind a piece of another; an unreadable limit leaves the one before in force only if that was ever stated. A target's process answers nothing before it knows what to state. The bound is as before.

--- a/soak/stated_limits.py
+++ b/soak/stated_limits.py
@@ -46,6 +46,10 @@
     since_s: float
     until_s: float = inf
 
+    def was_stated(self) -> bool:
+        """Return whether any whole answer stated the limit, so that VMs may know it."""
+        return any(self.since_s <= at_s < self.until_s for at_s in self.target.stated_s)
+
     def most_arrivals(self) -> int:
         """Return the most requests in a window of this time, from the contact after an answer."""
         answers_s = [at_s for at_s in self.target.stated_s if self.since_s <= at_s < self.until_s]
@@ -74,7 +78,7 @@
         if text is None:
             return
         decoded = _decode(text)
-        rate_per_s = previous.rate_per_s if previous else inf
+        rate_per_s = previous.rate_per_s if previous and previous.was_stated() else inf
         if isinstance(decoded, RateLimit):
             rate_per_s = decoded.rate_per_s
         period = StatedPeriod(target, rate_per_s, now_s)
--- a/soak/target_process.py
+++ b/soak/target_process.py
@@ -127,13 +127,14 @@
     target = TargetStandIn(*json.loads(identity))
     for name in ("runs", "arrivals", "arrivals_s", "stated_s"):
         setattr(target, name, _Reported(name))
-    await target.start()
     control = curio.io.Socket(socket.socket(fileno=STANDARD_INPUT)).as_stream()
     while line := await control.readline():
         wanted = json.loads(line)
         target.fault = TargetFault(wanted["fault"])
         target.fault_variant = wanted["fault_variant"]
         target.rate_limit = wanted["rate_limit"]
+        # Nothing is answered before the first wishes are known, such as a limit.
+        await target.start()
 
 
 if __name__ == "__main__":
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -256,10 +256,10 @@
 def limited(observed: Observations, rate_limit: str | None, *, gap_s: float) -> PromiseChecker:
     target = observed.targets[0]
     checker = observed.checker()
+    target.stated_s = [0.1, 5.1, 6.1]
     checker.limits.state(target, "2", 0.0)
     if rate_limit is not None:
         checker.limits.state(target, rate_limit, 5.0)
-    target.stated_s = [0.1, 5.1, 6.1]
     target.arrivals_s = [10.0 + number * gap_s for number in range(40)]
     observed.serve()
     return checker
@@ -286,6 +286,19 @@
     assert observed.broken(checker) == ""
 
 
+# Soak seed 913976389: the answers that stated the limit before were cut in their heads.
+def test_checker_allows_any_rate_beside_an_unreadable_limit_if_none_was_stated_before() -> None:
+    observed = Observations()
+    checker = observed.checker()
+    target = observed.targets[0]
+    checker.limits.state(target, "2", 0.0)
+    checker.limits.state(target, "many", 5.0)
+    target.stated_s = [5.1, 6.1]
+    target.arrivals_s = [10.0 + number * 0.05 for number in range(40)]
+    observed.serve()
+    assert observed.broken(checker) == ""
+
+
 def test_checker_keeps_readable_limits_when_all_vms_restart() -> None:
     observed = Observations()
     checker = limited(observed, "2", gap_s=0.05)
