Send a request that must not run twice to each target once

A target that sheds with free slots stayed a candidate for the next attempt of the same request. The test on real sockets failed with 503 for a booking that ran.

Such a request now goes to another target, or is refused. One that may be repeated is tried at a warm target again as before. Through a relay this held already, and needs no rule of its own any more.

--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -185,7 +185,7 @@
             context.arrival.survives_disconnect = False
             self._end_run(run, result)
             await self._dispatcher.release(target)
-        if not self._may_try_again(target, result):
+        if not self._may_try_again(context, target, result):
             context.tried.append(target.name)
         context.may_have_run = context.may_have_run or isinstance(result, OutcomeUnknown)
         took_ms = round((read_clock_s() - started_s) * 1000, 1)
@@ -207,18 +207,17 @@
         )
         return result
 
-    def _may_try_again(self, target: Target, result: SendResult) -> bool:
+    def _may_try_again(self, context: RequestContext, target: Target, result: SendResult) -> bool:
         """Return whether a target stays a candidate for the next attempt.
 
         A target that sheds with free slots may accept it, and its cache is warm for the object. One
-        that states a rate limit sheds because it is in need. A relay of an older release might send
-        the request over the same connection again, where a copy of the refusal may follow.
+        that states a rate limit sheds because it is in need. A request that must not run twice goes
+        to each target once: a copy of the first refusal might be taken for a second one.
         """
-        match result:
-            case NotRun(reason=SendFailure.SHED, relay=None):
-                return self._steering.limits.rate_per_s(target.name) is None
-            case _:
-                return False
+        is_shed = isinstance(result, NotRun) and result.reason is SendFailure.SHED
+        if not is_shed or not context.route.is_idempotent:
+            return False
+        return self._steering.limits.rate_per_s(target.name) is None
 
     def _start_run(self, context: RequestContext, placed: Placed, now_s: float) -> Run:
         target = placed.target
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -66,11 +66,10 @@
 
 @frozen
 class NotRun:
-    """The target has not run the request and never will; ``relay`` sent it, if another VM did."""
+    """The target has not run the request and never will."""
 
     reason: SendFailure
     detail: str = ""
-    relay: VmName | None = None
 
 
 @frozen
@@ -177,7 +176,7 @@
         if load is not None and load.requests >= load.slots:
             return NotRun(SendFailure.FULL, answer.way)
         self._steering.targets.on_error(target)
-        return NotRun(SendFailure.SHED, answer.way, answer.relay)
+        return NotRun(SendFailure.SHED, answer.way)
 
     def _classify_run(
         self, outgoing: OutgoingRequest, target: Target, answer: LinkAnswer
--- a/tests/platform/test_refused_and_run.py
+++ b/tests/platform/test_refused_and_run.py
@@ -85,6 +85,35 @@
     run_loopback_site(scenario, copying_script(), vms=1 + relays, targets=2)
 
 
+@pytest.mark.parametrize("relays", [False, True], ids=["own", "relayed"])
+def test_refusal_written_again_on_another_connection_is_not_a_second_sends_answer(
+    relays: bool,
+) -> None:
+    refused: set[tuple[str, str]] = set()
+
+    async def script(
+        target: ScriptedTarget, connection: TargetConnection, request: HttpRequest
+    ) -> None:
+        if (target.name, request.target) not in refused:
+            refused.add((target.name, request.target))
+            await connection.write(refusal(request))
+            return
+
+        async def copy(moment: str) -> None:
+            if moment == "before":
+                await connection.write(refusal(request))
+
+        await run_with_copy(target, connection, request, copy)
+
+    async def scenario(site: LoopbackSite) -> None:
+        if relays:
+            site.relay_all(0)
+        for number in range(4):
+            await check_booking(site, site.request(f"/bookings/{number}/any"))
+
+    run_loopback_site(scenario, script, vms=1 + relays)
+
+
 @pytest.mark.parametrize("relays", [False, True], ids=["own", "relayed"])
 def test_refusal_without_an_id_written_again_is_not_another_requests_answer(relays: bool) -> None:
     async def scenario(site: LoopbackSite) -> None:
