Reset connections in the soak's proxies as a reset, not as their end

Soak reported three answers without a length that were passed on cut short. All ended within 2 ms of its target-reset, at 3146.951 of the VMs' logs: the proxy shut its sockets down before it closed them, which sends a FIN, and a body without a length ends with its connection. Proxies send a reset now, and pass on one that they get.

The checker allows a beginning of the own answer if that target ended within the call, and nothing else.

--- a/soak/loopback_proxy.py
+++ b/soak/loopback_proxy.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import socket
+import struct
+from contextlib import suppress
 from enum import Enum
 from typing import Any
 
@@ -12,7 +15,9 @@
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 from siskinward.transport.sockets import connect
 from siskinward.transport.sockets import listen
-from siskinward.transport.sockets import reset
+
+# Closing a socket then discards what was not sent, and resets the connection.
+LINGER_NONE = struct.pack("ii", 1, 0)
 
 DELAY_S = 0.3
 HELD_POLL_S = 0.05
@@ -69,8 +74,7 @@
     async def reset_all(self) -> None:
         """Reset every open connection."""
         for connection in list(self._connections):
-            await reset(connection.client)
-            await reset(connection.server)
+            await _reset(connection)
 
     def silence_all(self) -> None:
         """Stop forwarding on every open connection, without closing it."""
@@ -83,7 +87,7 @@
         for connection in [item for item in self._connections if item.source == source]:
             match kind:
                 case SourceCut.RESETS:
-                    await reset(connection.client)
+                    await _reset(connection)
                 case SourceCut.SILENCES:
                     connection.is_silent = True
                 case SourceCut.LIVES_ON:
@@ -95,13 +99,15 @@
 
     async def _serve(self, client: Any, source: str) -> None:
         if self.fault is ProxyFault.REFUSE or source in self.cut_sources:
-            await reset(client)
+            _reset_on_close(client)
+            await client.close()
             return
         try:
             server = await connect(self.server_host, self.port)
         except OSError:
             # Without a server, the client sees a reset, much as without the proxy.
-            await reset(client)
+            _reset_on_close(client)
+            await client.close()
             return
         connection = _ProxiedConnection(client, server, source)
         self._connections.add(connection)
@@ -127,5 +133,19 @@
                     await curio.sleep(DELAY_S)
                 await sink.sendall(data)
         except OSError:
-            # One side has failed; ``_serve`` closes both.
-            return
+            # One side was reset; so is the other, once ``_serve`` closes both.
+            _reset_on_close(connection.client)
+            _reset_on_close(connection.server)
+
+
+async def _reset(connection: _ProxiedConnection) -> None:
+    """Reset both sides: end the tasks that read, so that ``_serve`` closes them."""
+    for sock in (connection.client, connection.server):
+        _reset_on_close(sock)
+        with suppress(OSError):
+            await sock.shutdown(socket.SHUT_RD)
+
+
+def _reset_on_close(sock: Any) -> None:
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -124,9 +124,21 @@
         is_own_answer = any(
             response.body.decode() == f"{name} ran {call.attempt_id}" for name in set(names)
         )
-        if response.status == 200 and not is_own_answer:
+        if response.status == 200 and not is_own_answer and not self._broke_off(call, names):
             self._report([f"{call.attempt_id} got {response.body!r} from {call.vm.name}"])
 
+    def _broke_off(self, call: Call, names: list[str]) -> bool:
+        """Return whether a target ended within its answer, so that no one can tell its end."""
+        body = b"" if call.response is None else call.response.body
+        ended_s = call.sent_s if call.ended_s is None else call.ended_s
+        return any(
+            call.sent_s <= crash_s <= ended_s
+            and f"{target.name} ran {call.attempt_id}".encode().startswith(body)
+            for target in self.targets
+            if target.name in names
+            for crash_s in target.crashes_s
+        )
+
     def _check_quota(self) -> None:
         """Check the quota of each account. Only first runs count; repeats have their own bound."""
         accounts: dict[str, list[float]] = {}
--- a/soak/target_process.py
+++ b/soak/target_process.py
@@ -24,6 +24,7 @@
 from siskinward.platform.standins import RunRecord
 from siskinward.platform.standins import TargetFault
 from siskinward.platform.standins import TargetStandIn
+from siskinward.transport.clock import read_clock_s
 
 ROOT = Path(__file__).parents[1]
 CONTROL_POLL_S = 0.02
@@ -67,6 +68,7 @@
 
     async def crash(self) -> None:
         """Kill the process, and take what it still has recorded."""
+        self.crashes_s.append(read_clock_s())
         self.destroy()
         if self._tasks:
             control, receiver = self._tasks
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -362,3 +362,19 @@
     status: int, sent_s: float, is_broken: bool
 ) -> None:
     assert ("20 of 20 calls failed at cut VMs" in cut_calls(status, sent_s)) == is_broken
+
+
+def cut_answer(crash_s: float, body: bytes) -> str:
+    observed = Observations()
+    call = observed.call(sent_s=20.0)
+    observed.run(call)
+    observed.answer(call, status=200)
+    call.response, call.ended_s = HttpResponse(200, (), body), 21.0
+    observed.targets[0].crashes_s.append(crash_s)
+    return observed.broken()
+
+
+def test_checker_reports_a_cut_answer_unless_its_target_ended_meanwhile() -> None:
+    assert "got b'bookings-0 ran'" in cut_answer(19.0, b"bookings-0 ran")
+    assert "got b'bookings-1 ran'" in cut_answer(20.5, b"bookings-1 ran")
+    assert cut_answer(20.5, b"bookings-0 ran") == ""
