Count stated limits in the soak anew once all VMs were killed

Soak reported LIMIT: listings-6 stated 1.3 a second, and 0.2 s later all VMs were killed, twice; its answers were delayed, and did not end from 1.5 s after that. No log has a target-limit line for it, before or after: no running VM had been told. The rule counts what machines got that had passed on such an answer, and a restart excuses them. What the checker did for limits that can't be read it does for all now; answers after the kill bind as before.

--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -202,7 +202,7 @@
                 _for_each(vms, VmProcess.kill)
             case FaultKind.ALL_VMS_KILL:
                 _for_each(self.vms, VmProcess.kill)
-                self.checker.limits.forget_unreadable(read_clock_s())
+                self.checker.limits.forget(read_clock_s())
             case FaultKind.VM_RELOAD:
                 _for_each(vms, VmProcess.reload)
             case FaultKind.VM_PAUSE:
--- a/soak/stated_limits.py
+++ b/soak/stated_limits.py
@@ -85,13 +85,12 @@
         self._current[target.name] = period
         self.periods.append(period)
 
-    def forget_unreadable(self, now_s: float) -> None:
-        """Record that no VM runs any more that knows what the unreadable limits were before."""
+    def forget(self, now_s: float) -> None:
+        """Record that no VM runs any more that knows the limits; later answers state them anew."""
         for name, period in list(self._current.items()):
-            if isinstance(_decode(period.target.rate_limit), MalformedRateLimit):
-                del self._current[name]
-                period.until_s = now_s
-                self.state(period.target, period.target.rate_limit, now_s)
+            del self._current[name]
+            period.until_s = now_s
+            self.state(period.target, period.target.rate_limit, now_s)
 
     def excesses(self) -> Iterator[str]:
         """Yield the limits that were exceeded."""
