End a stated limit of the soak although all VMs were killed meanwhile

The run compared the period of its own statement, which the killing of all VMs now replaces, and never ended the limit. Statements have numbers, which new periods keep.

--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -262,10 +262,10 @@
         """Let targets state a limit, instead of an earlier one, and end it if none follows."""
         for target in targets:
             self.checker.limits.state(target, fault.rate_limit, read_clock_s())
-        own = {target.name: self.checker.limits.current(target) for target in targets}
+        own = {target.name: self.checker.limits.statement(target) for target in targets}
         await curio.sleep(fault.for_s)
         for target in targets:
-            if self.checker.limits.current(target) is own[target.name]:
+            if self.checker.limits.statement(target) == own[target.name]:
                 self.checker.limits.state(target, None, read_clock_s())
 
     async def _inject_connection_fault(self, fault: Fault, proxies: list[LoopbackProxy]) -> None:
--- a/soak/stated_limits.py
+++ b/soak/stated_limits.py
@@ -39,11 +39,15 @@
 
 @define(eq=False)
 class StatedPeriod:
-    """A time in which a target states a limit; ``rate_per_s`` is the one in force."""
+    """A time in which a target states a limit; ``rate_per_s`` is the one in force.
+
+    Periods of one statement have the same ``statement``.
+    """
 
     target: TargetStandIn
     rate_per_s: float
     since_s: float
+    statement: int
     until_s: float = inf
 
     def was_stated(self) -> bool:
@@ -64,13 +68,21 @@
 
     periods: list[StatedPeriod] = field(factory=list)
     _current: dict[str, StatedPeriod] = field(factory=dict)
+    _statements: int = 0
 
-    def current(self, target: TargetStandIn) -> StatedPeriod | None:
-        """Return the time in which a target's present limit is stated."""
-        return self._current.get(target.name)
+    def statement(self, target: TargetStandIn) -> int | None:
+        """Return the number of the statement that a target makes, if it makes one."""
+        period = self._current.get(target.name)
+        return None if period is None else period.statement
 
     def state(self, target: TargetStandIn, text: str | None, now_s: float) -> None:
         """Let a target state a limit from now on, or none."""
+        self._statements += 1
+        self._begin_period(target, text, now_s, self._statements)
+
+    def _begin_period(
+        self, target: TargetStandIn, text: str | None, now_s: float, statement: int
+    ) -> None:
         target.rate_limit = text
         previous = self._current.pop(target.name, None)
         if previous is not None:
@@ -81,7 +93,7 @@
         rate_per_s = previous.rate_per_s if previous and previous.was_stated() else inf
         if isinstance(decoded, RateLimit):
             rate_per_s = decoded.rate_per_s
-        period = StatedPeriod(target, rate_per_s, now_s)
+        period = StatedPeriod(target, rate_per_s, now_s, statement)
         self._current[target.name] = period
         self.periods.append(period)
 
@@ -90,7 +102,7 @@
         for name, period in list(self._current.items()):
             del self._current[name]
             period.until_s = now_s
-            self.state(period.target, period.target.rate_limit, now_s)
+            self._begin_period(period.target, period.target.rate_limit, now_s, period.statement)
 
     def excesses(self) -> Iterator[str]:
         """Yield the limits that were exceeded."""
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -314,6 +314,15 @@
     assert observed.broken(checker) == ""
 
 
+def test_limits_keep_the_number_of_a_statement_when_all_vms_restart() -> None:
+    observed = Observations()
+    checker = limited(observed, "2", gap_s=1.0)
+    statement = checker.limits.statement(observed.targets[0])
+    checker.limits.forget(6.0)
+    assert statement is not None
+    assert checker.limits.statement(observed.targets[0]) == statement
+
+
 def test_checker_counts_from_the_first_answer_that_stated_the_limit() -> None:
     observed = Observations()
     checker = limited(observed, "2", gap_s=0.05)
