--- a/src/siskinward/platform/standins/__init__.py
+++ b/src/siskinward/platform/standins/__init__.py
@@ -18,5 +18,5 @@
 from siskinward.platform.standins._store import StoreStandIn as StoreStandIn
 from siskinward.platform.standins._target import ArrivalRecord as ArrivalRecord
 from siskinward.platform.standins._target import RunRecord as RunRecord
-from siskinward.platform.standins._target import TargetFault as TargetFault
 from siskinward.platform.standins._target import TargetStandIn as TargetStandIn
+from siskinward.platform.standins._target_faults import TargetFault as TargetFault
--- a/src/siskinward/platform/standins/_spoilt_answers.py
+++ b/src/siskinward/platform/standins/_spoilt_answers.py
@@ -1,13 +1,20 @@
-"""Writes answers as a faulty target does: copied, in pieces, cut short or without a length."""
+"""Writes answers as a faulty target does: cut short, without a length or without an end."""
 
 from __future__ import annotations
 
 import socket
 import struct
+from contextlib import suppress
+from typing import TYPE_CHECKING
 from typing import Any
 
 import curio
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinward.platform.standins._target_faults import EndlessAnswer
+
 HEAD_END = b"\r\n\r\n"
 PIECES = 4
 PIECE_GAP_S = 0.02
@@ -37,3 +44,12 @@
     for start in range(0, len(body), size):
         await curio.sleep(PIECE_GAP_S)
         await sock.sendall(body[start : start + size])
+
+
+async def send_endlessly(sock: Any, answer: EndlessAnswer, gap_s: Callable[[], float]) -> None:
+    """Send until the caller closes the connection, with a gap between two pieces."""
+    with suppress(OSError):
+        await sock.sendall(answer.start)
+        while True:
+            await sock.sendall(answer.piece)
+            await curio.sleep(gap_s())
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import json
-from contextlib import suppress
-from enum import Enum
-from enum import IntEnum
 from typing import Any
 
 import curio
@@ -17,7 +14,11 @@
 from siskinward.platform._headers import HEADERS
 from siskinward.platform.standins._spoilt_answers import close_or_reset
 from siskinward.platform.standins._spoilt_answers import cut_within_head
+from siskinward.platform.standins._spoilt_answers import send_endlessly
 from siskinward.platform.standins._spoilt_answers import send_without_length
+from siskinward.platform.standins._target_faults import ENDLESS_ANSWERS
+from siskinward.platform.standins._target_faults import RefusalCopy
+from siskinward.platform.standins._target_faults import TargetFault
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
@@ -28,34 +29,6 @@
 HEALTH_PATH = "/health"
 
 
-class TargetFault(Enum):
-    """Faults that can be injected into a target's handling of requests."""
-
-    NONE = "none"
-    SHEDS = "sheds"
-    LOSES_ANSWERS = "loses-answers"
-    DOUBLES_ANSWERS = "doubles-answers"
-    TRUNCATES_ANSWERS = "truncates-answers"
-    FAILS = "fails"
-    CRASHES = "crashes"
-    ENDLESS_HEAD = "endless-head"
-    ENDLESS_INTERIM = "endless-interim"
-    ENDLESS_BODY = "endless-body"
-    ENDLESS_CHUNKS = "endless-chunks"
-    REPEATS_REFUSALS = "repeats-refusals"
-    STOPS_IN_HEAD = "stops-in-head"
-    FAILS_AS_REFUSED = "fails-as-refused"
-    NO_LENGTH = "no-length"
-
-
-class RefusalCopy(IntEnum):
-    """When a target writes a refusal once more: before the next answer, whole or not, or behind."""
-
-    WHOLE = 0
-    PIECE = 1
-    BEHIND = 2
-
-
 @define
 class RunRecord:
     """A request that a target started to run; ``ended_s`` stays None if it did not finish."""
@@ -69,18 +42,6 @@
     ended_s: float | None = None
 
 
-# What begins an answer that never ends, and what follows again and again.
-ENDLESS_ANSWERS = {
-    TargetFault.ENDLESS_HEAD: (b"HTTP/1.1 200 OK\r\nx-filler: ", b"x" * 65536),
-    TargetFault.ENDLESS_INTERIM: (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 512),
-    TargetFault.ENDLESS_BODY: (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
-    TargetFault.ENDLESS_CHUNKS: (
-        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
-        b"1\r\nx\r\n" * 8192,
-    ),
-}
-
-
 @frozen
 class ArrivalRecord:
     """A request, probes aside, that reached a target, whether or not it ran."""
@@ -241,7 +202,8 @@
         finally:
             self._running -= 1
         if self.fault in ENDLESS_ANSWERS:
-            await self._answer_endlessly(sock, *ENDLESS_ANSWERS[self.fault])
+            answer = ENDLESS_ANSWERS[self.fault]
+            await send_endlessly(sock, answer, lambda: self.endless_gap_s)
         record.ended_s = read_clock_s()
         if self._try_inject(TargetFault.LOSES_ANSWERS):
             await reset(sock)
@@ -256,14 +218,6 @@
         )
         return HttpResponse(status, headers, f"{self.name} ran {record.attempt_id}".encode())
 
-    async def _answer_endlessly(self, sock: Any, start: bytes, piece: bytes) -> None:
-        """Send until the caller closes the connection."""
-        with suppress(OSError):
-            await sock.sendall(start)
-            while True:
-                await sock.sendall(piece)
-                await curio.sleep(self.endless_gap_s)
-
     async def _write(self, sock: Any, http: h11.Connection, response: HttpResponse) -> bool:
         """Write an answer; return whether the connection may carry more."""
         data = encode_response(http, response, closes=False)
--- a/src/siskinward/platform/standins/demo.py
+++ b/src/siskinward/platform/standins/demo.py
@@ -19,8 +19,8 @@
 from siskinward.platform.standins._site import Site
 from siskinward.platform.standins._site import SiteSettings
 from siskinward.platform.standins._target import RunRecord
-from siskinward.platform.standins._target import TargetFault
 from siskinward.platform.standins._target import TargetStandIn
+from siskinward.platform.standins._target_faults import TargetFault
 from siskinward.standins.paused_clock import paused_kernel
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.outbound_connection import ExchangeFailedError
