--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -8,6 +8,7 @@
 
 import curio
 from attrs import define
+from attrs import field
 from attrs import frozen
 
 from siskinward.platform.standins import FRONT_PORT
@@ -41,6 +42,8 @@
 RECOVERY_CHECK_S = 2.0
 RESTART_POLL_S = 0.1
 CHECK_S = 1.0
+# Tasks that serve a connection end once its other side is gone.
+SETTLE_S = 0.3
 STORE_AWAY_S = 0.5
 # The operator and the targets notice the loss and write again after this time.
 WRITTEN_AGAIN_S = 0.5
@@ -124,6 +127,7 @@
     callers: Callers
     checker: PromiseChecker
     configuration: OperatorConfiguration
+    _tasks: list[Any] = field(factory=list)
 
     async def run(self) -> SoakResult:
         """Start everything, inject the faults, check the promises and kill the VMs."""
@@ -139,8 +143,7 @@
                 self.checker.check_invariants()
                 self.checker.check_limits()
         finally:
-            _for_each(self.vms, VmProcess.destroy)
-            _for_each(self.targets, TargetProcess.destroy)
+            await self._stop()
         served = sum(call.status == 200 for call in self.callers.calls)
         return SoakResult(
             self.settings.seed,
@@ -151,19 +154,30 @@
         )
 
     async def _start(self) -> None:
-        await curio.spawn(self.store.run, daemon=True)
+        await self._spawn(self.store.run)
         for proxy in (*self.store_proxies, *self.target_proxies):
-            await curio.spawn(proxy.run, daemon=True)
+            await self._spawn(proxy.run)
         await self._publish()
         for target in self.targets:
             await target.start()
             await self.store.report(target)
         for vm in self.vms:
             vm.start()
-        await curio.spawn(self._restart_exited_vms, daemon=True)
+        await self._spawn(self._restart_exited_vms)
         await curio.sleep(START_S)
-        await curio.spawn(self.callers.run, self.settings.callers, daemon=True)
-        await curio.spawn(self._check_periodically, daemon=True)
+        await self._spawn(self.callers.run, self.settings.callers)
+        await self._spawn(self._check_periodically)
+
+    async def _spawn(self, call: Any, *args: Any) -> None:
+        self._tasks.append(await curio.spawn(call, *args, daemon=True))
+
+    async def _stop(self) -> None:
+        """End all processes and what accepts connections, so that no new task begins."""
+        for task in self._tasks:
+            await task.cancel()
+        _for_each(self.vms, VmProcess.destroy)
+        _for_each(self.targets, TargetProcess.destroy)
+        await curio.sleep(SETTLE_S)
 
     async def _publish(self) -> None:
         await self.store.publish(self.configuration)
--- a/soak/target_process.py
+++ b/soak/target_process.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -84,7 +85,11 @@
             process.wait()
 
     async def _control(self, control: Any) -> None:
-        """Send what the process is to do, whenever it changes."""
+        """Send what the process is to do, whenever it changes, until it is gone."""
+        with suppress(BrokenPipeError):
+            await self._send_wishes(control)
+
+    async def _send_wishes(self, control: Any) -> None:
         sent: dict[str, int | str | None] = {}
         async with control:
             while True:
