--- a/src/siskinward/coordination/steering/held_rows.py
+++ b/src/siskinward/coordination/steering/held_rows.py
@@ -3,7 +3,7 @@
 Handles a store that comes back some seconds behind: rows that were written since the copy was made
 are gone from it until their writers write them again. Meanwhile the copy must not undo them here:
 an older row, a missing row and a row that was removed before are each overridden for a limited
-time, or until the store reports a change of the row.
+time, or until the store reports a change of the row. Rows that can't be decoded are never held.
 """
 
 from __future__ import annotations
@@ -14,6 +14,8 @@
 from attrs import frozen
 
 from siskinward.coordination.steering.row import Row
+from siskinward.coordination.steering.row import RowRevision
+from siskinward.coordination.steering.row import Unreadable
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -121,6 +123,8 @@
                 self._held[key] = item
 
     def _supersedes(self, held: Row, current: Row | None) -> bool:
+        if self._is_unreadable(held):
+            return False
         if current is None:
             removed = self._removed.get(held.key)
             return removed is None or self._is_written_after(held, removed)
@@ -134,6 +138,8 @@
         return expired
 
     def _hold_known(self, row: Row, restored: Row | None, was_held: bool, now_s: float) -> None:
+        if self._is_unreadable(row):
+            return
         if restored is None:
             self._held[row.key] = HeldRow(row, now_s + self._settings.missing_s)
         elif restored.value != row.value and (was_held or not self._is_newer(restored, row)):
@@ -141,14 +147,19 @@
 
     def _hold_removed(self, restored: Row, now_s: float) -> None:
         removed = self._removed.get(restored.key)
-        if removed is None or self._is_written_after(restored, removed):
+        if removed is None or self._is_unreadable(restored):
+            return
+        if self._is_written_after(restored, removed):
             return
         row = Row(restored.key, None, removed.version)
         self._held[row.key] = HeldRow(row, now_s + self._settings.removed_s)
 
+    def _is_unreadable(self, row: Row) -> bool:
+        return isinstance(self._revision_of(row), Unreadable)
+
     def _is_newer(self, row: Row, known: Row) -> bool:
         revision, known_revision = self._revision_of(row), self._revision_of(known)
-        if revision is not None and known_revision is not None:
+        if isinstance(revision, RowRevision) and isinstance(known_revision, RowRevision):
             return revision >= known_revision
         return row.version >= known.version
 
@@ -156,6 +167,6 @@
         # A target's last heartbeats before its removal may be newer than the row known here, so
         # only a later start tells a target that came back from one that is gone.
         revision, known_revision = self._revision_of(row), self._revision_of(removed.last)
-        if revision is not None and known_revision is not None:
+        if isinstance(revision, RowRevision) and isinstance(known_revision, RowRevision):
             return revision.started_ms > known_revision.started_ms
         return row.version > removed.version
--- a/src/siskinward/coordination/steering/row.py
+++ b/src/siskinward/coordination/steering/row.py
@@ -27,4 +27,10 @@
     number: int
 
 
-RevisionOf = Callable[[Row], RowRevision | None]
+@frozen
+class Unreadable:
+    """Stands for the revision of a row that can't be decoded, and so says nothing."""
+
+
+# None stands for the revision of a row that its writer does not number.
+RevisionOf = Callable[[Row], RowRevision | Unreadable | None]
--- a/src/siskinward/daemon/entry/ports.py
+++ b/src/siskinward/daemon/entry/ports.py
@@ -14,6 +14,7 @@
 
     from siskinward.coordination.steering.row import Row
     from siskinward.coordination.steering.row import RowRevision
+    from siskinward.coordination.steering.row import Unreadable
     from siskinward.coordination.steering.rows import Changes
     from siskinward.coordination.steering.rows import HistoryDropped
     from siskinward.coordination.steering.rows import Position
@@ -103,8 +104,8 @@
         """Decode the row that describes a target; raise ``SiskinwardError`` if it is invalid."""
         ...
 
-    def revision_of(self, row: Row) -> RowRevision | None:
-        """Return the writer's own numbering of a row; None if it has none or is unreadable."""
+    def revision_of(self, row: Row) -> RowRevision | Unreadable | None:
+        """Return the writer's own numbering of a row; None if it has none."""
         ...
 
     def decode_lookup(self, request: HttpRequest) -> LookupRequest | None:
--- a/src/siskinward/platform/_revisions.py
+++ b/src/siskinward/platform/_revisions.py
@@ -4,6 +4,7 @@
 
 from siskinward.coordination.steering.row import Row
 from siskinward.coordination.steering.row import RowRevision
+from siskinward.coordination.steering.row import Unreadable
 from siskinward.platform._configuration import decode_configuration
 from siskinward.platform._operator import CONFIGURATION_KEY
 from siskinward.platform._operator import EVACUATION_PREFIX
@@ -11,10 +12,10 @@
 from siskinward.platform._units import DecodeError
 
 
-def revision_of(row: Row) -> RowRevision | None:
-    """Return the revision of a configuration or a target; None for any other row.
+def revision_of(row: Row) -> RowRevision | Unreadable | None:
+    """Return the revision of a configuration or a target; None for an evacuation or a removal.
 
-    An evacuation has no numbering of its own, and an unreadable row says none.
+    These have no numbering of their own.
     """
     if row.value is None or row.key.startswith(EVACUATION_PREFIX):
         return None
@@ -23,5 +24,5 @@
             return RowRevision(0, decode_configuration(row.value).version)
         record = decode_target(row.key, row.value)
     except DecodeError:
-        return None
+        return Unreadable()
     return RowRevision(record.started_ms, record.heartbeat)
--- a/src/siskinward/platform/adapter.py
+++ b/src/siskinward/platform/adapter.py
@@ -19,6 +19,7 @@
 
     from siskinward.coordination.steering.row import Row
     from siskinward.coordination.steering.row import RowRevision
+    from siskinward.coordination.steering.row import Unreadable
     from siskinward.daemon.entry.ports import Evacuation
     from siskinward.daemon.entry.ports import LookupRequest
     from siskinward.state.serving import EntrySettings
@@ -49,7 +50,7 @@
         """Decode a target's status row."""
         return decode_target(row.key, row.value or b"")
 
-    def revision_of(self, row: Row) -> RowRevision | None:
+    def revision_of(self, row: Row) -> RowRevision | Unreadable | None:
         """Return a configuration's version, or a target's start and heartbeat count."""
         return revision_of(row)
 
--- a/src/siskinward/state/addresses.py
+++ b/src/siskinward/state/addresses.py
@@ -9,8 +9,8 @@
 
 
 def is_ip_address(value: object) -> bool:
-    """Return whether a value is the text of an IPv4 or IPv6 address."""
-    return isinstance(value, str) and _is_ip_address(value)
+    """Return whether a value is the text of an IPv4 or IPv6 address, without a scope."""
+    return isinstance(value, str) and "%" not in value and _is_ip_address(value)
 
 
 @lru_cache(maxsize=CACHE_ENTRIES)
