Read each row of the store's answers for itself

Seen by callers: a row without a key or with a version that is no number, in one answer of the store, ended the task that follows its table; so did an answer whose own version is a text, infinite or missing, or whose rows are no list. A version of 10**30 was taken over, and no heartbeat with it could be encoded any more.

Cause: the client of the store read the body of an answer field by field, where KeyError, TypeError, ValueError and OverflowError are no StoreError.

Change: `_store_answers` decodes answers. Without a position that can be read and sent to other VMs, the answer is a StoreError, and the read is tried again. A row that can't be read, or that a target's decoder refuses, becomes a short value that says why, so that neither copies nor other VMs carry what another writer put there. A page that leads to no next one is an error in place of an endless loop.

--- a/src/siskinward/coordination/steering/rows.py
+++ b/src/siskinward/coordination/steering/rows.py
@@ -16,6 +16,10 @@
 from siskinward.coordination.steering.row import Row
 
 MAX_HISTORY_ROWS = 4000
+# Positions travel between VMs as one integer of 64 bits.
+VERSION_BITS = 40
+MAX_VERSION = (1 << VERSION_BITS) - 1
+MAX_ERA = (1 << 22) - 1
 
 
 class StoreTable(Enum):
--- a/src/siskinward/platform/_store.py
+++ b/src/siskinward/platform/_store.py
@@ -8,13 +8,15 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from siskinward.coordination.steering.row import Row
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import HistoryDropped
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.rows import StoreTable
-from siskinward.protocol.counts import decode_count
+from siskinward.platform._store_answers import StoreAnswer
+from siskinward.platform._store_answers import decode_answer
+from siskinward.platform._targets import decode_target
+from siskinward.platform._units import DecodeError
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.errors import StepError
 from siskinward.transport.http_messages import HttpRequest
@@ -23,12 +25,11 @@
 from siskinward.transport.outbound_connection import OutboundConnection
 
 if TYPE_CHECKING:
+    from siskinward.coordination.steering.row import Row
     from siskinward.state.serving import ListenAddress
 
 CALL_TIMEOUT_S = 1.0
 PAGE_ROWS = 500
-# Counts the times that the store came back from an old copy of itself.
-ERA_HEADER = b"store-era"
 # Every call names a part of its table; only the unnamed part is used.
 PART = ""
 # ``op`` holds the operator's configuration, ``servers`` the status rows of targets.
@@ -64,17 +65,19 @@
             if start:
                 query["from"] = start
             response = await self._get("rows-get", query, CALL_TIMEOUT_S)
-            answer = _decode_body("rows-get", response)
-            rows.extend(_decode_row(row) for row in answer["rows"])
+            page = _decode("rows-get", response, table)
+            rows.extend(page.rows)
             if position is None:
                 # Later pages may be newer than the first one. With the first page's position, the
                 # next read of changes returns whatever changed between the pages.
-                position = _decode_position(response, answer)
-            if _decode_era(response) != position.era:
+                position = page.position
+            if page.position.era != position.era:
                 raise StoreError("rows-get", "the store came back from a copy between two pages")
-            if not answer.get("more_pages"):
+            if not page.has_more:
                 return Snapshot(tuple(rows), position)
-            start = rows[-1].key + "\x00"
+            if page.last_key < start or not page.last_key:
+                raise StoreError("rows-get", f"no page follows the one from {start!r}")
+            start = page.last_key + "\x00"
 
     async def read_changes(
         self, table: StoreTable, after: Position, wait_s: float
@@ -91,11 +94,10 @@
         response = await self._get("rows-feed", query, CALL_TIMEOUT_S + wait_s)
         if response.status == 410:
             return HistoryDropped()
-        answer = _decode_body("rows-feed", response)
-        if _decode_era(response) != after.era:
+        answer = _decode("rows-feed", response, table)
+        if answer.position.era != after.era:
             return HistoryDropped()
-        rows = tuple(_decode_row(row) for row in answer["rows"])
-        return Changes(rows, after, _decode_position(response, answer))
+        return Changes(answer.rows, after, answer.position)
 
     async def write_row(self, table: StoreTable, key: str, value: bytes) -> Position:
         """Write a row and return the position of the write; raises ``StoreError``."""
@@ -112,7 +114,7 @@
         headers = (*self._headers(), (b"content-type", b"application/json"))
         request = HttpRequest("POST", "/v1/rows-tx", headers, json.dumps(body).encode())
         response = await self._exchange("rows-tx", request, CALL_TIMEOUT_S)
-        return _decode_position(response, _decode_body("rows-tx", response))
+        return _decode("rows-tx", response).position
 
     async def _get(self, call: str, query: dict[str, str], timeout_s: float) -> HttpResponse:
         request = HttpRequest("GET", f"/v1/{call}?{urlencode(query)}", self._headers())
@@ -152,28 +154,11 @@
     return {"table": TABLE_NAMES[table], "part": PART, "key": key}
 
 
-def _decode_body(call: str, response: HttpResponse) -> dict[str, Any]:
+def _decode(call: str, response: HttpResponse, table: StoreTable | None = None) -> StoreAnswer:
     if response.status != 200:
         raise StoreError(call, f"status {response.status}")
+    check_row = decode_target if table is StoreTable.TARGETS else None
     try:
-        body = json.loads(response.body)
-    except (ValueError, RecursionError) as error:
-        raise StoreError(call, f"expected JSON: {error}") from error
-    if not isinstance(body, dict) or "ver" not in body:
-        raise StoreError(call, "the answer has no version (field ver)")
-    return body
-
-
-def _decode_era(response: HttpResponse) -> int:
-    return decode_count(response.header(ERA_HEADER)) or 0
-
-
-def _decode_position(response: HttpResponse, answer: dict[str, Any]) -> Position:
-    return Position(_decode_era(response), int(answer["ver"]))
-
-
-def _decode_row(row: dict[str, Any]) -> Row:
-    # A removed row has the field ``removed`` and no value.
-    is_removed = bool(row.get("removed"))
-    value = None if is_removed else base64.b64decode(row.get("value") or "")
-    return Row(str(row["key"]), value, int(row["ver"]))
+        return decode_answer(response, check_row)
+    except DecodeError as error:
+        raise StoreError(call, str(error)) from error
--- a/src/siskinward/platform/standins/_store.py
+++ b/src/siskinward/platform/standins/_store.py
@@ -63,7 +63,8 @@
     """Keeps rows in memory and serves them over HTTP.
 
     ``fault`` affects every call: the store cannot limit it to some of its callers. ``era`` counts
-    the times that the store came back from a copy.
+    the times that the store came back from a copy. ``odd_rows`` are added to each answer with rows,
+    as they are, and ``odd_fields`` replace those of its body.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -76,6 +77,8 @@
         self._changed = curio.Event()
         self.era = 0
         self.fault = StoreFault.NONE
+        self.odd_rows: list[Any] = []
+        self.odd_fields: dict[str, Any] = {}
         self.delay_s = 0.004
         self.calls: dict[str, int] = {}
 
@@ -197,10 +200,11 @@
 
     def _reply(self, rows: list[_Row], *, more_pages: bool = False) -> HttpResponse:
         body: dict[str, Any] = {
-            "rows": [_encode(row) for row in rows],
+            "rows": [*(_encode(row) for row in rows), *self.odd_rows],
             "more_pages": more_pages,
             "ver": self._version,
             "now": f"{int(read_clock_s() * 1000)}ms",
+            **self.odd_fields,
         }
         headers = ((b"content-type", b"application/json"), *self._era_header())
         return HttpResponse(200, headers, json.dumps(body).encode())
