Refuse numbers and types out of range in messages between VMs

Seen in tests: a heartbeat with a negative age of a table confirmed the copies of other VMs far in the future, so that they no longer noticed that theirs had grown old; a number in place of the bytes of a relayed body or header stood for so many zero bytes; a map with a list as its key, and a request for rows of an unknown table, raised what the task that serves them doesn't expect; a huge position or rate could be read and not be sent on.

Cause: fields were converted by `int`, `str` and `bytes`, which accept more types and sizes than VMs send, and not all that they raise was known to be an error of the message.

Change: `peer_fields` decodes texts, bytes, ports, ages, integers and positions with their types and ranges. Messages are as before, byte for byte.

--- a/src/siskinward/daemon/entry/replication.py
+++ b/src/siskinward/daemon/entry/replication.py
@@ -112,7 +112,7 @@
 
     def find_missing_rows(self, request: RowsRequest) -> Snapshot | Changes | None:
         """Return the rows that another VM's copy lacks; None if the table is not loaded here."""
-        copy = self._steering.tables[StoreTable(request.table)]
+        copy = self._steering.tables[request.table]
         return copy.changes_after(request.position) if copy.is_loaded else None
 
     async def on_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
@@ -174,7 +174,7 @@
 
     async def _pull_held_rows(self, table: StoreTable, heartbeat: Heartbeat) -> None:
         host = heartbeat.sender.host
-        request = RowsRequest(table.value, UNREAD, self._steering.fleet.own.host)
+        request = RowsRequest(table, UNREAD, self._steering.fleet.own.host)
         reply = await fetch_rows(host, self._steering.entry.peer_port, request)
         if not isinstance(reply, Snapshot):
             return
@@ -194,7 +194,7 @@
         for _ in range(self._settings.pull_attempts):
             host = self._random.choice(hosts) if hosts else heartbeat.sender.host
             position = copy.position if copy.is_loaded else UNREAD
-            request = RowsRequest(table.value, position, self._steering.fleet.own.host)
+            request = RowsRequest(table, position, self._steering.fleet.own.host)
             match await fetch_rows(host, self._steering.entry.peer_port, request):
                 case Referral(hosts=hosts):
                     await curio.sleep(self._settings.pull_retry_s * self._random.uniform(0.5, 1.5))
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -20,6 +20,8 @@
 from siskinward.coordination.steering.warm_targets import WarmPair
 from siskinward.protocol.peer_fields import MALFORMED
 from siskinward.protocol.peer_fields import PeerMessageError
+from siskinward.protocol.peer_fields import decode_age_s
+from siskinward.protocol.peer_fields import decode_integer
 from siskinward.protocol.peer_fields import decode_numbers
 from siskinward.protocol.peer_fields import decode_position
 from siskinward.protocol.peer_fields import encode_position
@@ -116,9 +118,8 @@
 
 def decode_datagram(data: bytes) -> PeerMessage:
     """Decode a datagram; raises ``PeerMessageError``."""
-    fields = unpack(data)
     try:
-        message_type, *rest = fields
+        message_type, *rest = unpack(data)
         match message_type:
             case type_ if type_ == HEARTBEAT_TYPE:
                 return _decode_heartbeat(rest)
@@ -126,17 +127,28 @@
                 return _decode_report(rest)
             case type_ if type_ == ASK_TYPE:
                 number, account, amount = rest
-                return TokenAsk(int(number), AccountName(str(account)), int(amount))
+                return TokenAsk(
+                    decode_integer(number), AccountName(str(account)), decode_integer(amount)
+                )
             case type_ if type_ == GRANT_TYPE:
                 number, account, amount, retry_after_ms = rest
                 name = AccountName(str(account))
-                return TokenGrant(int(number), name, int(amount), int(retry_after_ms) / 1000)
+                return TokenGrant(
+                    decode_integer(number),
+                    name,
+                    decode_integer(amount),
+                    decode_integer(retry_after_ms) / 1000,
+                )
             case type_ if type_ == LIMIT_ASK_TYPE:
                 number, target, *report = rest
-                return LimitAsk(int(number), TargetName(str(target)), _decode_limit(report))
+                return LimitAsk(
+                    decode_integer(number), TargetName(str(target)), _decode_limit(report)
+                )
             case type_ if type_ == LIMIT_GRANT_TYPE:
                 number, is_granted, retry_after_ms = rest
-                return LimitGrant(int(number), bool(is_granted), int(retry_after_ms) / 1000)
+                return LimitGrant(
+                    decode_integer(number), bool(is_granted), decode_integer(retry_after_ms) / 1000
+                )
             case _:
                 raise PeerMessageError(f"unknown message type {message_type!r}")
     except MALFORMED as error:
@@ -147,7 +159,7 @@
     vm, number, state, positions, ages_s, in_flight, demand, crashing_requests = fields
     return Heartbeat(
         sender=decode_vm_fields(vm),
-        number=int(number),
+        number=decode_integer(number),
         state=VmState(state),
         positions={
             name: decode_position(value)
@@ -159,7 +171,7 @@
             for name, value in positions.items()
             if name.endswith(HELD_SUFFIX)
         },
-        ages_s=decode_numbers(ages_s),
+        ages_s={str(name): decode_age_s(age_s) for name, age_s in ages_s.items()},
         in_flight=_decode_in_flight(in_flight),
         warm=_decode_warm(in_flight),
         slow=_decode_slow(in_flight),
@@ -180,9 +192,9 @@
     ages = dict(zip(REPORTED_TABLES, ages_ms, strict=True))
     return LoadReport(
         incarnation=IncarnationId(str(incarnation)),
-        number=int(number),
+        number=decode_integer(number),
         positions={name: decode_position(positions[name]) for name in loaded},
-        ages_s={name: ages[name] / 1000.0 for name in loaded},
+        ages_s={name: decode_age_s(ages[name]) / 1000.0 for name in loaded},
         in_flight=_decode_in_flight(in_flight),
         warm=_decode_warm(in_flight),
         slow=_decode_slow(in_flight),
@@ -235,18 +247,21 @@
 
 def _decode_limit(fields: Any) -> LimitReport:
     target_id, rate, age_ms = fields
-    if rate is not None and int(rate) < 0:
+    if rate is not None and decode_integer(rate) < 0:
         raise ValueError(f"expected a rate limit of 0 or more, found {rate!r}")
     return LimitReport(
-        int(target_id),
-        None if rate is None else int(rate) / RATE_SCALE,
-        max(0, int(age_ms)) / 1000,
+        decode_integer(target_id),
+        None if rate is None else decode_integer(rate) / RATE_SCALE,
+        max(0, decode_integer(age_ms)) / 1000,
     )
 
 
 def _decode_warmups(fields: dict[Any, Any]) -> tuple[WarmupReport, ...]:
     warmups_ms = fields.get(WARMUPS_KEY, {})
-    return tuple(WarmupReport(int(key), int(left) / 1000) for key, left in warmups_ms.items())
+    return tuple(
+        WarmupReport(decode_integer(key), decode_integer(left) / 1000)
+        for key, left in warmups_ms.items()
+    )
 
 
 def _decode_limits(fields: dict[Any, Any]) -> tuple[LimitReport, ...]:
--- a/src/siskinward/protocol/peer_fields.py
+++ b/src/siskinward/protocol/peer_fields.py
@@ -7,13 +7,17 @@
 
 import msgpack
 
+from siskinward.coordination.steering.rows import MAX_ERA
+from siskinward.coordination.steering.rows import MAX_VERSION
+from siskinward.coordination.steering.rows import UNREAD
+from siskinward.coordination.steering.rows import VERSION_BITS
 from siskinward.coordination.steering.rows import Position
 
 # What the decoding of a field of another type or size raises.
-MALFORMED = (TypeError, ValueError, AttributeError, OverflowError)
-# A position is sent as one integer, whose lower bits are the version; before the store first comes
-# back from a copy it equals the version, which is all that earlier releases send and understand.
-VERSION_BITS = 40
+MALFORMED = (ArithmeticError, AttributeError, LookupError, RecursionError, TypeError, ValueError)
+# Larger numbers are no count, time or id that VMs send, and may not fit into their own messages.
+LARGEST_INTEGER = 2**53
+LARGEST_PORT = 65535
 
 
 class PeerMessageError(ValueError):
@@ -24,12 +28,16 @@
     """Decode msgpack; raises ``PeerMessageError``."""
     try:
         return msgpack.unpackb(data, strict_map_key=False)
-    except (ValueError, msgpack.UnpackException) as error:
+    except (*MALFORMED, msgpack.UnpackException) as error:
         raise PeerMessageError(f"invalid msgpack: {error}") from error
 
 
 def encode_position(position: Position) -> int:
-    """Encode a position in a table of the store."""
+    """Encode a position in a table of the store.
+
+    Its lower bits are the version. Before the store first comes back from a copy, it equals the
+    version, which is all that earlier releases send and understand.
+    """
     if position.version < 0:
         return position.version
     return (position.era << VERSION_BITS) + position.version
@@ -39,8 +47,45 @@
     """Decode a position; raises one of ``MALFORMED``."""
     number = int(value)
     if number < 0:
-        return Position(0, number)
-    return Position(number >> VERSION_BITS, number & ((1 << VERSION_BITS) - 1))
+        return UNREAD
+    if number >> VERSION_BITS > MAX_ERA:
+        raise ValueError(f"expected a position up to era {MAX_ERA}, found {number}")
+    return Position(number >> VERSION_BITS, number & MAX_VERSION)
+
+
+def decode_integer(value: Any) -> int:
+    """Decode an integer of usual size; raises one of ``MALFORMED``."""
+    number = int(value)
+    if not -LARGEST_INTEGER <= number <= LARGEST_INTEGER:
+        raise ValueError(f"expected an integer of at most {LARGEST_INTEGER}, found {number}")
+    return number
+
+
+def decode_port(value: Any) -> int:
+    """Decode a port; raises one of ``MALFORMED``."""
+    port = int(value)
+    if not 0 < port <= LARGEST_PORT:
+        raise ValueError(f"expected a port, found {value!r}")
+    return port
+
+
+def decode_text(value: Any) -> str:
+    """Decode a text; raises one of ``MALFORMED``."""
+    if not isinstance(value, str):
+        raise TypeError(f"expected text, found {type(value).__name__}")
+    return value
+
+
+def decode_bytes(value: Any) -> bytes:
+    """Decode bytes; raises one of ``MALFORMED``."""
+    if not isinstance(value, bytes):
+        raise TypeError(f"expected bytes, found {type(value).__name__}")
+    return value
+
+
+def decode_age_s(value: Any) -> float:
+    """Decode a time since something happened, never negative; raises one of ``MALFORMED``."""
+    return max(0.0, decode_number(value))
 
 
 def decode_number(value: Any) -> float:
--- a/src/siskinward/protocol/row_messages.py
+++ b/src/siskinward/protocol/row_messages.py
@@ -10,15 +10,20 @@
 
 from siskinward.coordination.steering.held_rows import HeldRow
 from siskinward.coordination.steering.row import Row
+from siskinward.coordination.steering.rows import MAX_VERSION
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Snapshot
+from siskinward.coordination.steering.rows import StoreTable
 from siskinward.protocol.peer_fields import MALFORMED
 from siskinward.protocol.peer_fields import PeerMessageError
+from siskinward.protocol.peer_fields import decode_bytes
 from siskinward.protocol.peer_fields import decode_number
 from siskinward.protocol.peer_fields import decode_position
+from siskinward.protocol.peer_fields import decode_text
 from siskinward.protocol.peer_fields import encode_position
 from siskinward.protocol.peer_fields import unpack
+from siskinward.state.addresses import is_ip_address
 
 ROWS_TYPE = 1
 REFERRAL_TYPE = 2
@@ -29,7 +34,7 @@
 class RowsRequest:
     """Requests the rows that a copy of ``table`` at ``position`` lacks; sent by ``host``."""
 
-    table: str
+    table: StoreTable
     position: Position
     host: str
 
@@ -46,14 +51,16 @@
 
 def encode_rows_request(request: RowsRequest) -> bytes:
     """Encode a request for rows."""
-    return bytes(msgpack.packb((request.table, encode_position(request.position), request.host)))
+    return bytes(
+        msgpack.packb((request.table.value, encode_position(request.position), request.host))
+    )
 
 
 def decode_rows_request(data: bytes) -> RowsRequest:
     """Decode a request for rows; raises ``PeerMessageError``."""
     try:
         table, position, host = unpack(data)
-        return RowsRequest(str(table), decode_position(position), str(host))
+        return RowsRequest(StoreTable(table), decode_position(position), decode_text(host))
     except MALFORMED as error:
         raise PeerMessageError(f"malformed request for rows: {error}") from error
 
@@ -78,7 +85,7 @@
         message_type, *rest = unpack(zlib.decompress(data))
         if message_type == REFERRAL_TYPE:
             (hosts,) = rest
-            return Referral(tuple(str(host) for host in hosts))
+            return Referral(tuple(_decode_host(host) for host in hosts))
         after, position, fields, *more = rest
         rows = tuple(_decode_row(item) for item in fields)
         held = tuple(_decode_held(item, now_s) for item in (more[0] if more else ()))
@@ -101,6 +108,12 @@
 
 def _decode_row(fields: Any) -> Row:
     key, value, version = fields
-    if value is not None and not isinstance(value, bytes):
-        raise TypeError(f"row {key!r} holds no bytes: {value!r}")
-    return Row(str(key), value, int(version))
+    if not 0 <= int(version) <= MAX_VERSION:
+        raise ValueError(f"expected a version up to {MAX_VERSION}, found {version!r}")
+    return Row(decode_text(key), None if value is None else decode_bytes(value), int(version))
+
+
+def _decode_host(value: Any) -> str:
+    if not is_ip_address(value):
+        raise ValueError(f"expected an IP address, found {value!r}")
+    return decode_text(value)
--- a/src/siskinward/protocol/vm_identity.py
+++ b/src/siskinward/protocol/vm_identity.py
@@ -10,6 +10,8 @@
 from siskinward.protocol.peer_fields import MALFORMED
 from siskinward.protocol.peer_fields import PeerMessageError
 from siskinward.protocol.peer_fields import decode_number
+from siskinward.protocol.peer_fields import decode_port
+from siskinward.protocol.peer_fields import decode_text
 from siskinward.protocol.peer_fields import unpack
 from siskinward.state.addresses import is_ip_address
 from siskinward.state.identifiers import DomainName
@@ -37,12 +39,12 @@
     if not is_ip_address(host):
         raise ValueError(f"expected the IP address of VM {vm!r}, found {host!r}")
     return EntryVm(
-        vm=VmName(str(vm)),
-        incarnation=IncarnationId(str(incarnation)),
+        vm=VmName(decode_text(vm)),
+        incarnation=IncarnationId(decode_text(incarnation)),
         host=host,
-        front_port=int(front_port),
-        failure_domain=DomainName(str(domain)),
-        region=RegionName(str(region)),
+        front_port=decode_port(front_port),
+        failure_domain=DomainName(decode_text(domain)),
+        region=RegionName(decode_text(region)),
         link_mbps=decode_number(link_mbps[0]) if link_mbps else 0.0,
     )
 
--- a/src/siskinward/transport/peer_rows.py
+++ b/src/siskinward/transport/peer_rows.py
@@ -11,6 +11,7 @@
 
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Snapshot
+from siskinward.coordination.steering.rows import StoreTable
 from siskinward.protocol.peer_fields import PeerMessageError
 from siskinward.protocol.row_messages import FRAME_LIMIT_BYTES
 from siskinward.protocol.row_messages import Referral
@@ -22,6 +23,7 @@
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.frames import receive_frame
 from siskinward.transport.frames import send_frame
+from siskinward.transport.sockets import accept
 from siskinward.transport.sockets import connect
 
 if TYPE_CHECKING:
@@ -54,7 +56,7 @@
 class _EncodedRows:
     """Encoded rows of ``table`` from position ``after`` to ``position``."""
 
-    table: str
+    table: StoreTable
     after: Position
     position: Position
     data: bytes
@@ -66,15 +68,15 @@
     def __init__(self, find: Callable[[RowsRequest], Snapshot | Changes | None]) -> None:
         self._find = find
         self._active_transfers = 0
-        self._served_hosts: dict[str, deque[str]] = {}
-        self._served_positions: dict[str, Position] = {}
+        self._served_hosts: dict[StoreTable, deque[str]] = {}
+        self._served_positions: dict[StoreTable, Position] = {}
         self._last_encoded: _EncodedRows | None = None
 
     async def serve(self, listener: Any) -> None:
         """Serve requests until cancelled."""
         async with listener:
             while True:
-                sock, _ = await listener.accept()
+                sock, _ = await accept(listener)
                 await curio.spawn(self._serve_one, sock, daemon=True)
 
     async def _serve_one(self, sock: Any) -> None:
--- a/src/siskinward/transport/relay_messages.py
+++ b/src/siskinward/transport/relay_messages.py
@@ -9,6 +9,10 @@
 
 from siskinward.protocol.peer_fields import MALFORMED
 from siskinward.protocol.peer_fields import PeerMessageError
+from siskinward.protocol.peer_fields import decode_bytes
+from siskinward.protocol.peer_fields import decode_integer
+from siskinward.protocol.peer_fields import decode_port
+from siskinward.protocol.peer_fields import decode_text
 from siskinward.protocol.peer_fields import unpack
 from siskinward.state.identifiers import TargetName
 from siskinward.transport.http_messages import Headers
@@ -21,6 +25,8 @@
 FRAME_LIMIT_BYTES = 80 * 1024 * 1024
 ANSWER_TYPE = 1
 FAILURE_TYPE = 2
+# The statuses of answers that are final.
+STATUSES = range(200, 600)
 
 
 @frozen
@@ -78,10 +84,10 @@
     try:
         target, host, port, time_left_ms, is_idempotent, request = unpack(data)
         return RelayRequest(
-            TargetName(str(target)),
-            str(host),
-            int(port),
-            int(time_left_ms) / 1000,
+            TargetName(decode_text(target)),
+            decode_text(host),
+            decode_port(port),
+            decode_integer(time_left_ms) / 1000,
             bool(is_idempotent),
             None if request is None else _decode_request(request),
         )
@@ -112,10 +118,12 @@
         reply_type, *fields = unpack(data)
         if reply_type == ANSWER_TYPE:
             status, headers, body = fields
-            return HttpResponse(int(status), _decode_headers(headers), bytes(body))
+            return HttpResponse(
+                _decode_status(status), _decode_headers(headers), decode_bytes(body)
+            )
         if reply_type == FAILURE_TYPE:
             phase, detail, is_timeout, is_relays_fault = fields
-            error = ExchangeFailedError(SendPhase(phase), str(detail), bool(is_timeout))
+            error = ExchangeFailedError(SendPhase(phase), decode_text(detail), bool(is_timeout))
             return RelayFailure(error, bool(is_relays_fault))
         raise PeerMessageError(f"unknown reply type {reply_type!r}")
     except MALFORMED as error:
@@ -128,8 +136,17 @@
 
 def _decode_request(fields: Any) -> HttpRequest:
     method, target, headers, body = fields
-    return HttpRequest(str(method), str(target), _decode_headers(headers), bytes(body))
+    return HttpRequest(
+        decode_text(method), decode_text(target), _decode_headers(headers), decode_bytes(body)
+    )
+
+
+def _decode_status(value: Any) -> int:
+    status = decode_integer(value)
+    if status not in STATUSES:
+        raise ValueError(f"expected the status of an answer, found {status}")
+    return status
 
 
 def _decode_headers(fields: Any) -> Headers:
-    return tuple((bytes(name), bytes(value)) for name, value in fields)
+    return tuple((decode_bytes(name), decode_bytes(value)) for name, value in fields)
--- a/tests/platform/test_recovery.py
+++ b/tests/platform/test_recovery.py
@@ -485,7 +485,7 @@
     async def scenario(site: Site, network: MemoryNetwork) -> None:
         dead, own = site.vms["vm-bud-a-1"].steering.entry, site.vms[VM].steering.entry
         network.cut_hosts = {dead.host}
-        request = RowsRequest(StoreTable.OPERATOR.value, UNREAD, own.host)
+        request = RowsRequest(StoreTable.OPERATOR, UNREAD, own.host)
         started_s = read_clock_s()
         with pytest.raises(OSError, match="timed out"):
             await peer_rows.fetch_rows(dead.host, own.peer_port, request)
--- a/tests/transport/test_peer_rows.py
+++ b/tests/transport/test_peer_rows.py
@@ -12,6 +12,7 @@
 from siskinward.coordination.steering.rows import Changes
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.rows import Snapshot
+from siskinward.coordination.steering.rows import StoreTable
 from siskinward.protocol.peer_fields import PeerMessageError
 from siskinward.protocol.row_messages import Referral
 from siskinward.protocol.row_messages import RowsReply
@@ -25,7 +26,7 @@
 from siskinward.transport.sockets import listen
 
 HOST, PORT = "10.0.0.1", 7600
-TABLE = "operator"
+TABLE = StoreTable.OPERATOR
 NOW_S = 0.0
 TRANSFER_S = 0.2
 ROWS = (Row("config", b"x" * 40, 7), Row("evacuate/a", None, 9))
