--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -182,10 +182,10 @@
         self._by_service.setdefault(record.service, {})[record.name] = target
 
     def remove(self, name: TargetName) -> None:
-        """Remove a target."""
-        self.revision += 1
+        """Remove a target, if it is known."""
         target = self._targets.pop(name, None)
         if target is not None:
+            self.revision += 1
             del self._by_service[target.record.service][name]
 
     def remove_by_key(self, key: str) -> None:
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -37,6 +37,7 @@
 from siskinward.coordination.steering.target_paths import TargetPaths
 from siskinward.coordination.steering.targets import TargetSettings
 from siskinward.coordination.steering.targets import TargetTable
+from siskinward.coordination.steering.unreadable_rows import UnreadableRows
 from siskinward.coordination.steering.warm_targets import WarmSettings
 from siskinward.coordination.steering.warm_targets import WarmTargets
 from siskinward.coordination.steering.warmup import WarmupLimiter
@@ -90,6 +91,7 @@
     crashes: CrashGuard
     splitter: RouteSplitter
     shutdown: Shutdown
+    unreadable_rows: UnreadableRows
     index: ServingIndex | None = None
 
 
@@ -148,4 +150,5 @@
         crashes=CrashGuard(settings.crashes),
         splitter=RouteSplitter(),
         shutdown=Shutdown(),
+        unreadable_rows=UnreadableRows(),
     )
--- a/src/siskinward/daemon/entry/store_updates.py
+++ b/src/siskinward/daemon/entry/store_updates.py
@@ -119,8 +119,16 @@
                         self._steering.fleet.add_peers([decode_vm(row.value)], now_s)
         except Exception as error:
             # Whatever is wrong with one row, the others have to be followed.
-            if table is StoreTable.TARGETS:
-                self._steering.targets.remove_by_key(row.key)
+            self._record_unreadable(table, row, error)
+        else:
+            if self._steering.unreadable_rows.discard(table, row.key):
+                self._log.write("row-readable", {"table": table.value, "key": row.key})
+
+    def _record_unreadable(self, table: StoreTable, row: Row, error: Exception) -> None:
+        """Take the row as none; its writer may write it again and again, so it is logged once."""
+        if table is StoreTable.TARGETS:
+            self._steering.targets.remove_by_key(row.key)
+        if self._steering.unreadable_rows.add(table, row.key):
             self._log.write(
                 "row-unreadable", {"table": table.value, "key": row.key, "error": str(error)}
             )
