Check the paths to targets of known services only

Seen by callers: with 300 entries of a service that no configuration names beside four good targets, the crash of one target let all VMs count as cut off from all targets, and requests got 503 and 502.

Cause: the check of a VM's paths tries three targets out of all entries, also those that no request may be sent to. If another writer's entries are many, all three are theirs, and none answers.

Change: only ready targets of services in the configuration are tried.

--- a/src/siskinward/daemon/entry/path_checker.py
+++ b/src/siskinward/daemon/entry/path_checker.py
@@ -61,7 +61,18 @@
         await self._record({target.name for target in targets}, reached, started_s)
 
     def _candidates(self) -> list[Target]:
-        return [target for target in self._steering.targets.all() if target.record.is_ready]
+        """Return the ready targets of the services in the configuration.
+
+        Another writer's entry may name a service that does not exist, and an address where no
+        target is.
+        """
+        index = self._steering.index
+        services = index.configuration.services if index else {}
+        return [
+            target
+            for target in self._steering.targets.all()
+            if target.record.is_ready and target.record.service in services
+        ]
 
     async def _connect(self, target: Target, reached: set[TargetName]) -> None:
         if await self._pool.try_connect(target.record):
