Start long-lived tasks again after an error, and say so

Seen by operators: a task that follows a table, sends heartbeats, accepts connections or probes targets ended for good by any error that no one foresaw; only a line of the runtime told of it. A lack of descriptors at one moment ended whatever accepts connections at a port.

--- a/src/siskinward/daemon/entry/metrics_page.py
+++ b/src/siskinward/daemon/entry/metrics_page.py
@@ -13,11 +13,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from siskinward.coordination.steering.rows import StoreTable
     from siskinward.daemon.entry.dispatcher import Dispatcher
     from siskinward.daemon.entry.metrics import EntryMetrics
     from siskinward.daemon.entry.ports import Store
     from siskinward.daemon.entry.steering import Steering
     from siskinward.daemon.entry.target_links import TargetLinks
+    from siskinward.daemon.entry.task_supervisor import TaskSupervisor
     from siskinward.transport.decision_log import DecisionLog
     from siskinward.transport.front_server import Arrival
 
@@ -26,6 +28,11 @@
 CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
 
 
+def following_task(table: StoreTable) -> str:
+    """Return the name of the task that follows a table."""
+    return f"follow {table.value}"
+
+
 class MetricsPage:
     """Collects the metrics of one process at each scrape."""
 
@@ -36,6 +43,7 @@
         dispatcher: Dispatcher,
         store: Store,
         links: TargetLinks,
+        supervisor: TaskSupervisor,
         log: DecisionLog,
     ) -> None:
         self._metrics = metrics
@@ -43,6 +51,7 @@
         self._dispatcher = dispatcher
         self._store = store
         self._links = links
+        self._supervisor = supervisor
         self._log = log
 
     async def handle(self, arrival: Arrival) -> HttpResponse:
@@ -91,6 +100,12 @@
         for (call, outcome), count in self._store.calls.items():
             calls.add_metric((call, outcome), count)
         yield calls
+        failures = CounterMetricFamily(
+            PREFIX + "task_failures", "Errors that ended a long-lived task.", labels=("task",)
+        )
+        for name, count in self._supervisor.failures.items():
+            failures.add_metric((name,), count)
+        yield failures
         yield CounterMetricFamily(
             PREFIX + "log_lines_left_out", "Lines not logged.", value=self._log.lines_left_out
         )
@@ -135,12 +150,32 @@
             if confirmed_s > -inf:
                 ages.add_metric((table.value,), now_s - confirmed_s)
         yield ages
+        yield from self._tables()
         yield from self._store_eras()
         yield self._cut_off()
         yield self._retry_budget(now_s)
         yield self._targets(now_s)
         yield self._target_limits()
 
+    def _tables(self) -> Iterator[Any]:
+        from prometheus_client.core import GaugeMetricFamily
+
+        followed = GaugeMetricFamily(
+            PREFIX + "table_followed",
+            "Whether the task that follows a table runs.",
+            labels=("table",),
+        )
+        unreadable = GaugeMetricFamily(
+            PREFIX + "rows_unreadable", "Rows that can't be used.", labels=("table",)
+        )
+        for table in FOLLOWED_TABLES:
+            is_running = self._supervisor.is_running(following_task(table))
+            followed.add_metric((table.value,), float(is_running))
+            count = self._steering.unreadable_rows.count(table)
+            unreadable.add_metric((table.value,), count)
+        yield followed
+        yield unreadable
+
     def _store_eras(self) -> Iterator[Any]:
         from prometheus_client.core import GaugeMetricFamily
 
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -4,10 +4,13 @@
 
 import logging
 import signal
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
 
 import curio
+from attrs import define
 from attrs import evolve
 
 from siskinward.coordination.steering.fleet import VmState
@@ -20,6 +23,7 @@
 from siskinward.daemon.entry.lookup_handler import LookupHandler
 from siskinward.daemon.entry.metrics import EntryMetrics
 from siskinward.daemon.entry.metrics_page import MetricsPage
+from siskinward.daemon.entry.metrics_page import following_task
 from siskinward.daemon.entry.path_checker import PathChecker
 from siskinward.daemon.entry.peer_asks import AskSettings
 from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
@@ -38,8 +42,11 @@
 from siskinward.daemon.entry.store_updates import StoreUpdates
 from siskinward.daemon.entry.target_links import TargetLinks
 from siskinward.daemon.entry.target_prober import TargetProber
+from siskinward.daemon.entry.task_supervisor import RestartSettings
+from siskinward.daemon.entry.task_supervisor import TaskSupervisor
 from siskinward.protocol.vm_identity import encode_vm
 from siskinward.state.errors import SiskinwardError
+from siskinward.state.serving import ListenAddress
 from siskinward.transport.answer_memory import AnswerMemory
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.decision_log import DecisionLog
@@ -60,7 +67,6 @@
 from siskinward.transport.target_pool import close_idle_periodically
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from random import Random
 
     from siskinward.coordination.steering.rows import Position
@@ -83,6 +89,19 @@
 SHUTDOWN_HEARTBEAT_GAP_S = 0.05
 
 
+@define(eq=False)
+class _Server:
+    """Serves an address; ``listener`` is the socket to use first, later ones are opened anew."""
+
+    serve: Callable[[Any], Awaitable[None]]
+    address: ListenAddress
+    listener: Any
+
+    async def run(self) -> None:
+        listener, self.listener = self.listener, None
+        await self.serve(listener or listen(self.address.host, self.address.port))
+
+
 class EntryProcess:
     """One entry VM's process."""
 
@@ -99,6 +118,7 @@
         self._registration: Position | None = None
         self._log = log
         self._tasks: list[Any] = []
+        self._supervisor = TaskSupervisor(RestartSettings(), log)
         self._steering = create_steering(
             settings, SteeringSettings(), platform.revision_of, read_clock_s(), random
         )
@@ -123,7 +143,13 @@
             self._steering, platform.headers, self._dispatcher, sender, quota, request_log
         )
         metrics_page = MetricsPage(
-            metrics, self._steering, self._dispatcher, self._store, links, self._log
+            metrics,
+            self._steering,
+            self._dispatcher,
+            self._store,
+            links,
+            self._supervisor,
+            self._log,
         )
         self._probes = TargetProber(
             self._steering, platform.headers, links, limits, limit_reader, self._log
@@ -185,16 +211,18 @@
             },
         )
         await self._spawn_servers()
-        await self._spawn(self._stay_registered)
+        await self._supervise("registration", self._stay_registered)
         for table in FOLLOWED_TABLES:
-            await self._spawn(self._replication.follow, table)
-        await self._spawn(self._heartbeats.send_periodically, self._after_heartbeat)
-        await self._spawn(close_idle_periodically, self._pool)
-        await self._spawn(close_idle_periodically, self._relay_pool)
-        await self._spawn(self._path_checker.run)
-        await self._spawn(self._log.flush_periodically)
-        await self._spawn(self._probes.run)
-        await self._spawn(self._watch_settings)
+            await self._supervise(following_task(table), self._replication.follow, table)
+        await self._supervise(
+            "heartbeats", self._heartbeats.send_periodically, self._after_heartbeat
+        )
+        await self._supervise("idle connections", close_idle_periodically, self._pool)
+        await self._supervise("idle relay streams", close_idle_periodically, self._relay_pool)
+        await self._supervise("path checks", self._path_checker.run)
+        await self._supervise("log", self._log.flush_periodically)
+        await self._supervise("probes", self._probes.run)
+        await self._supervise("settings", self._watch_settings)
 
     async def kill(self) -> None:
         """Stop at once without a graceful shutdown, as SIGKILL does."""
@@ -205,23 +233,26 @@
             await task.cancel()
         await self._datagrams.close()
 
-    async def _spawn(self, call: Callable[..., Any], *args: Any) -> None:
-        self._tasks.append(await curio.spawn(call, *args, daemon=True))
+    async def _supervise(self, name: str, call: Callable[..., Any], *args: Any) -> None:
+        run = self._supervisor.run
+        self._tasks.append(await curio.spawn(run, name, call, *args, daemon=True))
 
     async def _spawn_servers(self) -> None:
         settings = self._settings
-        for server, address in (
-            (self._front, settings.front),
-            (self._lookups, settings.directory),
-            (self._readiness, settings.readiness),
-            (self._metrics, settings.metrics),
+        peers = ListenAddress(settings.host, settings.peer_port)
+        relays = ListenAddress(settings.host, settings.peer_port + RELAY_PORT_OFFSET)
+        row_server = RowServer(self._replication.find_missing_rows)
+        for name, serve, address in (
+            ("front", self._front.serve, settings.front),
+            ("look-ups", self._lookups.serve, settings.directory),
+            ("readiness", self._readiness.serve, settings.readiness),
+            ("metrics", self._metrics.serve, settings.metrics),
+            ("rows", row_server.serve, peers),
+            ("relay", self._relay_server.serve, relays),
         ):
-            await self._spawn(server.serve, listen(address.host, address.port))
-        peers = listen(settings.host, settings.peer_port)
-        await self._spawn(RowServer(self._replication.find_missing_rows).serve, peers)
-        relays = listen(settings.host, settings.peer_port + RELAY_PORT_OFFSET)
-        await self._spawn(self._relay_server.serve, relays)
-        await self._spawn(self._datagrams.receive, self._heartbeats.receive)
+            server = _Server(serve, address, listen(address.host, address.port))
+            await self._supervise(name, server.run)
+        await self._supervise("datagrams", self._datagrams.receive, self._heartbeats.receive)
 
     async def _stay_registered(self) -> None:
         """Register this VM, and again whenever the store comes back from an older copy."""
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -28,6 +28,7 @@
 from siskinward.transport.server_protocol import encode_refusal
 from siskinward.transport.server_protocol import encode_response
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+from siskinward.transport.sockets import accept
 from siskinward.transport.sockets import accept_waiting
 from siskinward.transport.sockets import enable_keepalive
 from siskinward.transport.sockets import is_stale
@@ -99,7 +100,7 @@
         async with listener:
             try:
                 while True:
-                    sock, _ = await listener.accept()
+                    sock, _ = await accept(listener)
                     await self._spawn_connection(sock)
             except curio.CancelledError:
                 # A shutdown answers the callers that have connected already.
--- a/src/siskinward/transport/http_server.py
+++ b/src/siskinward/transport/http_server.py
@@ -18,6 +18,7 @@
 from siskinward.transport.server_protocol import RequestReader
 from siskinward.transport.server_protocol import encode_refusal
 from siskinward.transport.server_protocol import encode_response
+from siskinward.transport.sockets import accept
 from siskinward.transport.task_set import TaskSet
 
 if TYPE_CHECKING:
@@ -72,7 +73,7 @@
         """Accept connections on a socket of ``listen`` until cancelled."""
         async with listener:
             while True:
-                sock, address = await listener.accept()
+                sock, address = await accept(listener)
                 self._tasks.discard_ended()
                 await self._tasks.spawn(self._serve_connection, sock, address)
 
--- a/src/siskinward/transport/peer_hub.py
+++ b/src/siskinward/transport/peer_hub.py
@@ -20,6 +20,7 @@
 from siskinward.state.errors import StepError
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.peer_link import PeerLink
+from siskinward.transport.sockets import accept
 from siskinward.transport.sockets import connect
 from siskinward.transport.task_set import TaskSet
 from siskinward.transport.tls import start_tls
@@ -128,7 +129,7 @@
         """Accept streams of other VMs on a socket of ``listen`` until cancelled."""
         async with listener:
             while True:
-                sock, address = await listener.accept()
+                sock, address = await accept(listener)
                 peer = f"{address[0]}:{address[1]}"
                 self._incoming.discard_ended()
                 await self._incoming.spawn(self._serve_link, sock, peer)
--- a/src/siskinward/transport/relay_server.py
+++ b/src/siskinward/transport/relay_server.py
@@ -16,6 +16,7 @@
 from siskinward.transport.relay_messages import decode_relay_request
 from siskinward.transport.relay_messages import encode_relay_reply
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
+from siskinward.transport.sockets import accept
 from siskinward.transport.sockets import enable_keepalive
 
 if TYPE_CHECKING:
@@ -43,7 +44,7 @@
         """Serve requests until cancelled."""
         async with listener:
             while True:
-                sock, _ = await listener.accept()
+                sock, _ = await accept(listener)
                 enable_keepalive(sock)
                 await curio.spawn(self._serve_connection, sock, daemon=True)
 
--- a/src/siskinward/transport/sockets.py
+++ b/src/siskinward/transport/sockets.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import errno
+import logging
 import socket
 import struct
 from contextlib import contextmanager
@@ -13,6 +15,7 @@
 from typing import Any
 from typing import Protocol
 
+import curio
 import curio.socket
 
 if TYPE_CHECKING:
@@ -27,6 +30,20 @@
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
 UNACKNOWLEDGED_TIMEOUT_MS = 2500
+# Errors of one waiting connection, or of a lack that passes.
+PASSING_ACCEPT_ERRORS = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EPERM,
+        errno.EPROTO,
+    )
+)
+ACCEPT_RETRY_S = 0.05
+_LOGGER = logging.getLogger(__name__)
 # The option is on, and the time to linger 0 s.
 LINGER_NONE = struct.pack("ii", 1, 0)
 
@@ -164,6 +181,19 @@
     return _network.listen(host, port)
 
 
+async def accept(listener: Any) -> tuple[Any, Any]:
+    """Accept a connection, and wait while the system lacks what it takes; raises ``OSError``."""
+    while True:
+        try:
+            accepted: tuple[Any, Any] = await listener.accept()
+            return accepted
+        except OSError as error:
+            if error.errno not in PASSING_ACCEPT_ERRORS:
+                raise
+            _LOGGER.warning("no connection accepted: %s", error)
+        await curio.sleep(ACCEPT_RETRY_S)
+
+
 async def connect(host: str, port: int, source_host: str = "") -> Any:
     """Open a connected socket, from ``source_host`` unless that is empty."""
     return await _network.connect(host, port, source_host)
--- a/tests/platform/site_calls.py
+++ b/tests/platform/site_calls.py
@@ -1,9 +1,12 @@
-"""Calls to all VMs of an in-memory deployment, and what its targets ran."""
+"""Calls to VMs of an in-memory deployment, and what its targets ran."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from siskinward.transport.http_messages import HttpRequest
+from siskinward.transport.outbound_connection import OutboundConnection
+
 if TYPE_CHECKING:
     from siskinward.platform.standins import Site
     from siskinward.platform.standins import TargetStandIn
@@ -23,3 +26,14 @@
         for vm in site.vms:
             statuses.append((await site.call(vm, path.format(number), key=key)).status)
     return statuses
+
+
+async def read_metrics(site: Site, vm: str) -> str:
+    """Return a VM's page of metrics."""
+    address = site.vms[vm].steering.entry.metrics
+    connection = OutboundConnection(address.host, address.port)
+    await connection.connect(1.0)
+    request = HttpRequest("GET", "/metrics", ((b"host", b"vm"),))
+    text = (await connection.exchange(request, 1.0)).body.decode()
+    await connection.close()
+    return text
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -6,11 +6,10 @@
 from typing import Any
 
 import curio
+from site_calls import read_metrics as read_metrics_of
 
 from siskinward.platform._headers import HEADERS
 from siskinward.standins.memory_network import CutKind
-from siskinward.transport.http_messages import HttpRequest
-from siskinward.transport.outbound_connection import OutboundConnection
 
 if TYPE_CHECKING:
     from siskinward.platform.standins import Site
@@ -84,10 +83,4 @@
 
 
 async def read_metrics(site: Site) -> str:
-    address = site.vms[VM].steering.entry.metrics
-    connection = OutboundConnection(address.host, address.port)
-    await connection.connect(1.0)
-    request = HttpRequest("GET", "/metrics", ((b"host", b"vm"),))
-    text = (await connection.exchange(request, 1.0)).body.decode()
-    await connection.close()
-    return text
+    return await read_metrics_of(site, VM)
