Handle nothing that comes after a closing response has begun

Seen by callers: while a VM that shuts down writes a response with `Connection: close`, a request that arrives on the connection was passed on to a target. To callers, requests behind such a response count as not read, and they send them again, whatever their kind.

Cause: the connection was marked as closing only once the response was written whole, which takes a while if the caller reads slowly.

Change: it is marked before. Found by reading what a planned stop passes on.

Before: test_front_handles_nothing_that_comes_after_a_closing_response_has_begun failed ("/late" was handled).

--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -296,10 +296,11 @@
         closes = is_last and (wants_close or self._server.is_shutting_down or self._is_closing)
         if exchange.arrival.request.method == "HEAD":
             response = evolve(response, body=b"")
+        # Requests that arrive while a closing response is written are not handled any more: to
+        # callers, they count as not read.
+        self._is_closing = self._is_closing or closes
         async with curio.timeout_after(WRITE_TIMEOUT_S):
             await self._sock.sendall(encode_response(exchange.http, response, closes=closes))
-        if closes:
-            self._is_closing = True
 
     async def _refuse(self, response: HttpResponse) -> None:
         """Write the response to a request that is not handled; it closes the connection."""
--- a/tests/transport/test_front_server.py
+++ b/tests/transport/test_front_server.py
@@ -8,6 +8,7 @@
 import curio
 import pytest
 
+from siskinward.standins.memory_network import MemorySocket
 from siskinward.state.serving import CallerLimits
 from siskinward.transport.front_server import FrontServer
 from siskinward.transport.http_messages import HttpResponse
@@ -157,3 +158,37 @@
         return data
 
     assert paused_kernel.run(main) == b""
+
+
+# A request that came while a closing response was written was handled, though callers count it as
+# not read and send it again.
+def test_front_handles_nothing_that_comes_after_a_closing_response_has_begun(
+    paused_kernel: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    handled: list[str] = []
+    callers: list[Any] = []
+    send = MemorySocket.sendall
+
+    async def send_slowly(sock: MemorySocket, data: bytes) -> None:
+        await send(sock, data)
+        if b"connection: close" in data.lower():
+            await callers[0].sendall(b"GET /late HTTP/1.1\r\nHost: h\r\n\r\n")
+            await curio.sleep(0.1)
+
+    async def record(arrival: Arrival) -> HttpResponse:
+        handled.append(arrival.request.target)
+        return HttpResponse(200, (), b"done")
+
+    async def main() -> bytes:
+        monkeypatch.setattr(MemorySocket, "sendall", send_slowly)
+        server = await start(record)
+        server.is_shutting_down = True
+        callers.append(await connect(HOST, PORT))
+        await callers[0].sendall(b"GET /in-time HTTP/1.1\r\nHost: h\r\n\r\n")
+        data = await read_all(callers[0])
+        await server.abort()
+        return data
+
+    data = paused_kernel.run(main)
+    assert handled == ["/in-time"]
+    assert data.count(b"HTTP/1.1 200") == 1
