Refuse requests whose route and account have no home in common

Seen by callers: a request whose route and account may each be served in some regions, none of them the same, ran in any region.

Cause: the empty set of common homes stands for "all regions" further on.

Before: test_request_whose_route_and_account_have_no_home_in_common_runs_nowhere got 200.

--- a/src/siskinward/daemon/entry/request_admission.py
+++ b/src/siskinward/daemon/entry/request_admission.py
@@ -43,6 +43,8 @@
         if route is None:
             raise refused(Reason.NO_ROUTE)
         account = self._account_of(request, route)
+        if account is not None and _have_no_home_in_common(route, account):
+            raise refused(Reason.NO_TARGET, RETRY_AFTER_S)
         deadline_s = arrival.received_s + self._time_left_s(request, route)
         name = account.name if account else NO_ACCOUNT
         fingerprint = fingerprint_of(name, route.name, request.method, request.target, request.body)
@@ -67,3 +69,10 @@
         if time_left_ms is None:
             return route.timeout_s
         return min(time_left_ms / 1000.0, route.timeout_s)
+
+
+def _have_no_home_in_common(route: ServedRoute, account: AccountPolicy) -> bool:
+    """Return whether the homes of a route and an account exclude one another."""
+    if not route.home_regions or not account.home_regions:
+        return False
+    return route.home_regions.isdisjoint(account.home_regions)
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -250,3 +250,21 @@
         assert set(ended) <= {200, 429, 503}
 
     run_site(scenario, SiteSettings(vms_per_zone=10, rate_per_s=30.0, burst=30.0))
+
+
+# An empty set of common homes was taken for "any region".
+def test_request_whose_route_and_account_have_no_home_in_common_runs_nowhere(
+    run_site: Any,
+) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        site.configuration.spec("routes", "r-listings")["allowed_regions"] = ["budapest"]
+        site.configuration.spec("tenants", "account-1")["allowed_regions"] = ["debrecen"]
+        await site.publish()
+        await curio.sleep(3.0)
+        response = await site.call(VM)
+        assert response.status == 503
+        assert response.header(b"retry-after")
+        assert site.runs("listings") == 0
+        assert (await site.call(VM, BOOKING)).status == 200
+
+    run_site(scenario)
