Report settings of an unexpected shape as an error of the settings

Cause: bounds that are no list of texts, zones whose region is no text, ports out of range or a file nested too deep raised what a reload doesn't expect: SIGHUP with such a file would have ended the process. The decoder now raises SettingsError for all of it, and the settings in force stay.

--- a/src/siskinward/platform/_settings.py
+++ b/src/siskinward/platform/_settings.py
@@ -9,9 +9,14 @@
 from typing import Any
 from typing import TypeVar
 
+from siskinward.platform._units import LARGEST_PORT
 from siskinward.platform._units import DecodeError
+from siskinward.platform._units import check_text
+from siskinward.platform._units import decoding
+from siskinward.platform._units import describe
 from siskinward.platform._units import read_address
 from siskinward.platform._units import read_duration_s
+from siskinward.platform._units import read_list
 from siskinward.platform._units import read_mapping
 from siskinward.platform._units import read_number
 from siskinward.platform._units import read_text
@@ -83,7 +88,7 @@
         try:
             self._content = self.path.read_bytes()
             document = tomllib.loads(self._content.decode("utf-8"))
-        except (OSError, ValueError) as error:
+        except (OSError, RecursionError, ValueError) as error:
             raise SettingsError([StepError("read", str(self.path), str(error))]) from error
         try:
             return decode_settings(document)
@@ -122,6 +127,14 @@
 
 def decode_settings(document: dict[str, Any]) -> EntrySettings:
     """Decode the settings of one process; raises ``SettingsError`` with every error."""
+    try:
+        with decoding("settings"):
+            return _decode_settings(document)
+    except DecodeError as error:
+        raise SettingsError([error.error]) from error
+
+
+def _decode_settings(document: dict[str, Any]) -> EntrySettings:
     collector = _ErrorCollector()
     read_or = collector.read_or
     listen: dict[str, Any] = read_or({}, read_mapping, document, "listen", "settings")
@@ -141,12 +154,15 @@
         peer_port=read_or(0, _read_first_port, document),
         store=read_or(NO_ADDRESS, _read_store, store),
         domain_regions={
-            DomainName(domain): RegionName(str(region)) for domain, region in zones.items()
+            DomainName(domain): RegionName(
+                read_or("", check_text, region, f"settings.zones.{domain}")
+            )
+            for domain, region in zones.items()
         },
         peer_seeds=read_or((), _read_seeds, document),
         link_mbps=read_or(0.0, _read_link_mbps, document),
         target_heartbeat_s=read_or(0.0, read_duration_s, heartbeat, "settings.heartbeat"),
-        bounds=_decode_bounds(document.get("bounds") or [], collector),
+        bounds=_decode_bounds(read_or([], read_list, document, "bounds", "settings"), collector),
     )
     if collector.errors:
         raise SettingsError(collector.errors)
@@ -162,9 +178,13 @@
 
 def _read_first_port(document: dict[str, Any]) -> int:
     ports = document.get("internal_ports")
-    if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
-        raise DecodeError("settings.internal_ports", f"expected ports, found {ports!r}")
-    return ports[0]
+    if not isinstance(ports, list) or not ports or not _is_port(ports[0]):
+        raise DecodeError("settings.internal_ports", f"expected ports, found {describe(ports)}")
+    return int(ports[0])
+
+
+def _is_port(value: object) -> bool:
+    return type(value) is int and 0 < value <= LARGEST_PORT
 
 
 def _read_listen(listen: dict[str, Any], name: str) -> ListenAddress:
@@ -188,10 +208,10 @@
     return tuple(read_address(seed, "settings.seeds")[0] for seed in seeds)
 
 
-def _decode_bounds(texts: list[str], collector: _ErrorCollector) -> ServingBounds:
+def _decode_bounds(texts: list[Any], collector: _ErrorCollector) -> ServingBounds:
     values: dict[str, float] = {}
     for text in texts:
-        name, _, value = text.partition("=")
+        name, _, value = collector.read_or("", check_text, text, "settings.bounds").partition("=")
         if name in FIELD_BY_BOUND:
             field_name, is_time = FIELD_BY_BOUND[name]
             values[field_name] = collector.read_or(0.0, _read_bound, name, value, is_time)
