Let one odd answer cost itself in reports, probes, look-ups and the VM list

By reading all that decodes what others wrote: a VM's page of metrics that is none ended `siskinward status` for all VMs; a warm-up time of up to 30,000 years in a probe's answer took a target out for good; a look-up whose target is a malformed URL got no answer; one entry of the platform's VM list that can't be read hid the others from `siskinward node`. Each is now an error of its own, or the value counts as malformed.

--- a/src/siskinward/console/commands/status.py
+++ b/src/siskinward/console/commands/status.py
@@ -93,9 +93,11 @@
     if not report.has_answered:
         return f"{place}: does not answer"
     ages = ", ".join(f"{name} {age_s:.1f} s" for name, age_s in report.table_ages_s.items())
+    unfollowed = ", ".join(report.unfollowed_tables)
     return (
         f"{place}: configuration {report.configuration_version}, reaches {report.live_vms} VMs "
         f"including itself, ages: {ages or 'nothing read yet'}"
+        f"{f'; does not follow {unfollowed}, see task-failed in its log' if unfollowed else ''}"
     )
 
 
--- a/src/siskinward/daemon/entry/deployment_report.py
+++ b/src/siskinward/daemon/entry/deployment_report.py
@@ -16,6 +16,7 @@
 from siskinward.protocol.peer_fields import PeerMessageError
 from siskinward.protocol.vm_identity import decode_vm
 from siskinward.state.errors import SiskinwardError
+from siskinward.state.errors import StepError
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import ServiceName
 from siskinward.state.serving import ServingConfiguration
@@ -31,6 +32,10 @@
 SCRAPE_TIMEOUT_S = 1.0
 
 
+class MetricsError(SiskinwardError):
+    """Raised for a page that is not the metrics of an entry VM."""
+
+
 @frozen
 class UnreadableRow:
     """A row of the store that could not be decoded."""
@@ -51,12 +56,16 @@
 
 @frozen
 class VmReport:
-    """A VM that is registered in the store; its metrics are None if it did not answer."""
+    """A VM that is registered in the store; its metrics are None if it gave none.
+
+    The tasks that follow the ``unfollowed_tables`` have ended by an error and wait to be restarted.
+    """
 
     vm: EntryVm
     configuration_version: int | None = None
     live_vms: int | None = None
     table_ages_s: dict[str, float] = field(factory=dict)
+    unfollowed_tables: tuple[str, ...] = ()
 
     @property
     def has_answered(self) -> bool:
@@ -152,17 +161,29 @@
             return VmReport(vm)
         finally:
             await connection.close()
-        return _decode_metrics(vm, response.body.decode())
+        try:
+            return decode_metrics(vm, response.body)
+        except MetricsError:
+            return VmReport(vm)
 
 
-def _decode_metrics(vm: EntryVm, text: str) -> VmReport:
+def decode_metrics(vm: EntryVm, page: bytes) -> VmReport:
+    """Decode a VM's page of metrics; raises ``MetricsError``."""
     from prometheus_client.parser import text_string_to_metric_families
 
-    families = {family.name: family.samples for family in text_string_to_metric_families(text)}
-    ages = families.get(PREFIX + "table_age_seconds", [])
-    return VmReport(
-        vm,
-        configuration_version=int(families[PREFIX + "configuration_version"][0].value),
-        live_vms=int(families[PREFIX + "vms_live"][0].value),
-        table_ages_s={sample.labels["table"]: sample.value for sample in ages},
-    )
+    try:
+        text = page.decode()
+        families = {item.name: item.samples for item in text_string_to_metric_families(text)}
+        ages = families.get(PREFIX + "table_age_seconds", [])
+        followed = families.get(PREFIX + "table_followed", [])
+        return VmReport(
+            vm,
+            configuration_version=int(families[PREFIX + "configuration_version"][0].value),
+            live_vms=int(families[PREFIX + "vms_live"][0].value),
+            table_ages_s={sample.labels["table"]: sample.value for sample in ages},
+            unfollowed_tables=tuple(
+                sample.labels["table"] for sample in followed if not sample.value
+            ),
+        )
+    except (ArithmeticError, LookupError, ValueError) as error:
+        raise MetricsError(StepError("read metrics", vm.host, str(error))) from error
--- a/src/siskinward/daemon/entry/target_prober.py
+++ b/src/siskinward/daemon/entry/target_prober.py
@@ -25,6 +25,7 @@
 CHECK_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 1.0
 MAX_CONCURRENT_PROBES = 8
+LONGEST_WARMUP_S = 24 * 3600.0
 
 
 class TargetProber:
@@ -92,11 +93,21 @@
         name = response.header(self._headers.target)
         if name is not None and name != target.name.encode():
             targets.remove(target.name)
-            self._log.write("target-replaced", {"target": target.name, "by": name.decode()})
+            self._log.write(
+                "target-replaced", {"target": target.name, "by": name.decode("latin-1")}
+            )
             return
         self._limit_reader.read(response, target, may_end_limit=False)
-        warmup_ms = decode_count(response.header(self._headers.warmup_left_ms) or b"0")
-        warmup_left_s = service.warmup_s if warmup_ms is None else warmup_ms / 1000.0
-        is_stated = warmup_ms is not None
+        stated_s = _decode_warmup_s(response.header(self._headers.warmup_left_ms) or b"0")
+        is_stated = stated_s is not None
+        warmup_left_s = service.warmup_s if stated_s is None else stated_s
         targets.on_reached(target, warmup_left_s, read_clock_s(), is_stated=is_stated)
         self._log.write("target-reached", {"target": target.name, "warmup_left_s": warmup_left_s})
+
+
+def _decode_warmup_s(value: bytes) -> float | None:
+    """Decode a warm-up time in milliseconds; None if it is malformed or out of range."""
+    warmup_ms = decode_count(value)
+    if warmup_ms is None or warmup_ms / 1000.0 > LONGEST_WARMUP_S:
+        return None
+    return warmup_ms / 1000.0
--- a/src/siskinward/platform/_control_requests.py
+++ b/src/siskinward/platform/_control_requests.py
@@ -17,7 +17,11 @@
 
 def decode_lookup(request: HttpRequest) -> LookupRequest | None:
     """Decode ``GET /v1/resolve``; None for anything else."""
-    parts = urlsplit(request.target)
+    try:
+        parts = urlsplit(request.target)
+    except ValueError:
+        # The target looks like that of a proxy, with a malformed host.
+        return None
     if request.method != "GET" or parts.path != LOOKUP_PATH:
         return None
     query = parse_qs(parts.query)
--- a/src/siskinward/transport/platform_client.py
+++ b/src/siskinward/transport/platform_client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -18,6 +19,13 @@
 from siskinward.coordination.platform import Row
 from siskinward.coordination.platform import RowWrite
 from siskinward.coordination.platform import TransactResult
+from siskinward.protocol.peer_fields import MALFORMED
+from siskinward.protocol.peer_fields import decode_bytes
+from siskinward.protocol.peer_fields import decode_integer
+from siskinward.protocol.peer_fields import decode_port
+from siskinward.protocol.peer_fields import decode_text
+from siskinward.protocol.peer_fields import unpack
+from siskinward.state.addresses import is_ip_address
 from siskinward.state.errors import StepError
 from siskinward.state.identifiers import DomainName
 from siskinward.state.identifiers import VmName
@@ -34,6 +42,8 @@
     from siskinward.state.settings import PlatformSettings
 
 CONNECTION_LIMIT = 8
+MAX_LOGGED_ENTRIES = 100
+_LOGGER = logging.getLogger(__name__)
 
 
 class PlatformClient:
@@ -41,6 +51,7 @@
 
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
+        self._unreadable: set[str] = set()
         self.pool = ConnectionPool(PoolSettings(settings.host, settings.port, CONNECTION_LIMIT))
 
     async def read(self, keys: tuple[str, ...]) -> Result[tuple[Row, ...], StepError]:
@@ -71,7 +82,22 @@
 
     async def list_vms(self) -> Result[tuple[ListedVm, ...], StepError]:
         """Fetch the VM list."""
-        return await self._call("list VMs", "GET", "/vms", b"", _decode_vms)
+        return await self._call("list VMs", "GET", "/vms", b"", self._decode_vms)
+
+    def _decode_vms(self, body: bytes) -> tuple[ListedVm, ...]:
+        """Decode the VM list; an entry that can't be read is left out, and logged once."""
+        vms = []
+        for fields in unpack(body):
+            try:
+                vms.append(_decode_vm(fields))
+            except MALFORMED as error:
+                self._log_unreadable(str(error))
+        return tuple(vms)
+
+    def _log_unreadable(self, text: str) -> None:
+        if text not in self._unreadable and len(self._unreadable) < MAX_LOGGED_ENTRIES:
+            self._unreadable.add(text)
+            _LOGGER.warning("an entry of the VM list was left out: %s", text)
 
     async def _call(
         self, step: str, method: str, path: str, body: bytes, decode: Callable[[bytes], Any]
@@ -87,7 +113,7 @@
             return Error(StepError(step, peer, f"HTTP status {result.ok.status}"))
         try:
             return Ok(decode(result.ok.body))
-        except (ValueError, TypeError, KeyError) as error:
+        except MALFORMED as error:
             return Error(StepError(step, peer, f"invalid response: {error}"))
 
 
@@ -98,17 +124,28 @@
 
 
 def _decode_rows(body: bytes) -> tuple[Row, ...]:
-    return tuple(Row(key, version, value) for key, version, value in msgpack.unpackb(body))
+    return tuple(_decode_row(key, version, value) for key, version, value in unpack(body))
 
 
 def _decode_transact(body: bytes) -> TransactResult:
-    outcome, versions = msgpack.unpackb(body)
-    rows = tuple(Row(key, version, b"") for key, version in versions)
+    outcome, versions = unpack(body)
+    rows = tuple(_decode_row(key, version, b"") for key, version in versions)
     return TransactResult(WriteOutcome(outcome), rows)
 
 
-def _decode_vms(body: bytes) -> tuple[ListedVm, ...]:
-    return tuple(
-        ListedVm(VmName(vm), DomainName(domain), host, front_port, peer_port, leaving)
-        for vm, domain, host, front_port, peer_port, leaving in msgpack.unpackb(body)
+def _decode_row(key: Any, version: Any, value: Any) -> Row:
+    return Row(decode_text(key), decode_integer(version), decode_bytes(value))
+
+
+def _decode_vm(fields: Any) -> ListedVm:
+    vm, domain, host, front_port, peer_port, leaving = fields
+    if not is_ip_address(host):
+        raise ValueError(f"expected the IP address of VM {vm!r}, found {host!r}")
+    return ListedVm(
+        VmName(decode_text(vm)),
+        DomainName(decode_text(domain)),
+        decode_text(host),
+        decode_port(front_port),
+        decode_port(peer_port),
+        bool(leaving),
     )
