Start the long-lived tasks of a node again after an error

Seen by operators of `siskinward node`: an error in the task that polls the VM list, identifies seeds, drives timers, reads target states or plans shifts ended the whole process.

Change: the supervisor of the entry process serves both; it reports failures as values, which each process logs in its own way (`node:task-failed`, counted in the metric of errors).

--- a/src/siskinward/daemon/entry/metrics_page.py
+++ b/src/siskinward/daemon/entry/metrics_page.py
@@ -19,7 +19,7 @@
     from siskinward.daemon.entry.ports import Store
     from siskinward.daemon.entry.steering import Steering
     from siskinward.daemon.entry.target_links import TargetLinks
-    from siskinward.daemon.entry.task_supervisor import TaskSupervisor
+    from siskinward.daemon.task_supervisor import TaskSupervisor
     from siskinward.transport.decision_log import DecisionLog
     from siskinward.transport.front_server import Arrival
 
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -42,8 +42,9 @@
 from siskinward.daemon.entry.store_updates import StoreUpdates
 from siskinward.daemon.entry.target_links import TargetLinks
 from siskinward.daemon.entry.target_prober import TargetProber
-from siskinward.daemon.entry.task_supervisor import RestartSettings
-from siskinward.daemon.entry.task_supervisor import TaskSupervisor
+from siskinward.daemon.task_supervisor import RestartSettings
+from siskinward.daemon.task_supervisor import TaskFailure
+from siskinward.daemon.task_supervisor import TaskSupervisor
 from siskinward.protocol.vm_identity import encode_vm
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.serving import ListenAddress
@@ -118,7 +119,7 @@
         self._registration: Position | None = None
         self._log = log
         self._tasks: list[Any] = []
-        self._supervisor = TaskSupervisor(RestartSettings(), log)
+        self._supervisor = TaskSupervisor(RestartSettings(), self._record_failure)
         self._steering = create_steering(
             settings, SteeringSettings(), platform.revision_of, read_clock_s(), random
         )
@@ -237,6 +238,17 @@
         run = self._supervisor.run
         self._tasks.append(await curio.spawn(run, name, call, *args, daemon=True))
 
+    def _record_failure(self, failure: TaskFailure) -> None:
+        self._log.write(
+            "task-failed",
+            {
+                "task": failure.task,
+                "failures": failure.count,
+                "restart_after_s": failure.restart_after_s,
+                "error": failure.origin,
+            },
+        )
+
     async def _spawn_servers(self) -> None:
         settings = self._settings
         peers = ListenAddress(settings.host, settings.peer_port)
--- a/src/siskinward/daemon/node.py
+++ b/src/siskinward/daemon/node.py
@@ -23,6 +23,9 @@
 from siskinward.daemon.routing_updater import RoutingUpdater
 from siskinward.daemon.shift_controller import ShiftController
 from siskinward.daemon.target_state_poller import TargetStatePoller
+from siskinward.daemon.task_supervisor import RestartSettings
+from siskinward.daemon.task_supervisor import TaskFailure
+from siskinward.daemon.task_supervisor import TaskSupervisor
 from siskinward.protocol.forwarding import ForwardReply
 from siskinward.protocol.forwarding import ForwardRequest
 from siskinward.state.errors import SiskinwardError
@@ -98,6 +101,7 @@
         )
         components.router.register(self._map_replica.driver, VERSION_MESSAGES)
         self._server = self._create_server()
+        self._supervisor = TaskSupervisor(RestartSettings(), self._on_task_failure)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down without cutting off a request."""
@@ -116,11 +120,14 @@
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(self._server.serve, front)
                 await group.spawn(self.components.hub.serve, peers)
-                await group.spawn(self._poll_vm_list)
-                await group.spawn(self._identify_seeds)
-                await group.spawn(self._run_timer)
-                await group.spawn(self._target_poller.run)
-                await group.spawn(self._shift_controller.run)
+                for name, run in (
+                    ("VM list", self._poll_vm_list),
+                    ("seeds", self._identify_seeds),
+                    ("timer", self._run_timer),
+                    ("target states", self._target_poller.run),
+                    ("shifts", self._shift_controller.run),
+                ):
+                    await group.spawn(self._supervisor.run, name, run)
                 await group.spawn(self._serve_until, wait_for_stop)
             if group.exception is not None:
                 raise group.exception
@@ -285,6 +292,16 @@
             case _:
                 await self.components.router.deliver(message, sender)
 
+    def _on_task_failure(self, failure: TaskFailure) -> None:
+        self.metrics.errors.labels(failure.task).inc()
+        log_message(
+            "node:task-failed",
+            task=failure.task,
+            failures=failure.count,
+            restart_after_s=failure.restart_after_s,
+            error=failure.origin,
+        )
+
     def _on_error(self, error: StepError) -> None:
         self.metrics.errors.labels(error.step).inc()
 
--- a/src/siskinward/daemon/entry/task_supervisor.py
+++ b/src/siskinward/daemon/task_supervisor.py
@@ -1,4 +1,4 @@
-"""Keeps the long-lived tasks of an entry VM running."""
+"""Keeps the long-lived tasks of a process running."""
 
 from __future__ import annotations
 
@@ -17,8 +17,6 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from siskinward.transport.decision_log import DecisionLog
-
 
 @frozen
 class RestartSettings:
@@ -33,6 +31,16 @@
     steady_s: float = 2.0
 
 
+@frozen
+class TaskFailure:
+    """An error that ended a task, with its origin in the code; ``count`` is that of the task."""
+
+    task: str
+    count: int
+    restart_after_s: float
+    origin: str
+
+
 @define
 class _TaskState:
     failures: int = 0
@@ -44,12 +52,12 @@
 class TaskSupervisor:
     """Runs tasks by name, and starts one that ends by an error again.
 
-    No input is known to cause such an error: each is logged with its origin, as a fault to mend.
+    No input is known to cause such an error: each is reported with its origin, as a fault to mend.
     """
 
-    def __init__(self, settings: RestartSettings, log: DecisionLog) -> None:
+    def __init__(self, settings: RestartSettings, report: Callable[[TaskFailure], None]) -> None:
         self._settings = settings
-        self._log = log
+        self._report = report
         self._states: dict[str, _TaskState] = {}
 
     @property
@@ -88,12 +96,4 @@
             settings.first_pause_s if is_first else min(2 * state.pause_s, settings.longest_pause_s)
         )
         origin = logging.Formatter().formatException((type(error), error, error.__traceback__))
-        self._log.write(
-            "task-failed",
-            {
-                "task": name,
-                "failures": state.failures,
-                "restart_after_s": state.pause_s,
-                "error": origin,
-            },
-        )
+        self._report(TaskFailure(name, state.failures, state.pause_s, origin))
--- a/tests/daemon/entry/test_task_supervisor.py
+++ b/tests/daemon/test_task_supervisor.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 import curio
 import pytest
 
-from siskinward.daemon.entry.task_supervisor import RestartSettings
-from siskinward.daemon.entry.task_supervisor import TaskSupervisor
+from siskinward.daemon.task_supervisor import RestartSettings
+from siskinward.daemon.task_supervisor import TaskFailure
+from siskinward.daemon.task_supervisor import TaskSupervisor
 from siskinward.transport.clock import read_clock_s
-from siskinward.transport.decision_log import DecisionLog
-from siskinward.transport.decision_log import LogSettings
 
 SETTINGS = RestartSettings(first_pause_s=0.2, longest_pause_s=1.0, steady_s=2.0)
 NAME = "follow targets"
@@ -32,15 +30,9 @@
         raise self.error
 
 
-def create(lines: bytearray) -> TaskSupervisor:
-    def write(data: bytes) -> int:
-        lines.extend(data)
-        return len(data)
-
-    log = DecisionLog(LogSettings(), "vm-1", write)
-    supervisor = TaskSupervisor(SETTINGS, log)
-    supervisor.flush = log.flush  # type: ignore[attr-defined]
-    return supervisor
+def create() -> tuple[TaskSupervisor, list[TaskFailure]]:
+    reported: list[TaskFailure] = []
+    return TaskSupervisor(SETTINGS, reported.append), reported
 
 
 async def supervise(supervisor: TaskSupervisor, task: Any, for_s: float) -> None:
@@ -55,32 +47,22 @@
 def test_supervisor_restarts_a_failed_task_with_backoff(
     paused_kernel: Any, error: BaseException
 ) -> None:
-    lines = bytearray()
     task = FailingTask(error)
-
-    async def main() -> TaskSupervisor:
-        supervisor = create(lines)
-        await supervise(supervisor, task.run, 4.0)
-        supervisor.flush()  # type: ignore[attr-defined]
-        return supervisor
-
-    supervisor = paused_kernel.run(main)
+    supervisor, reported = create()
+    paused_kernel.run(supervise, supervisor, task.run, 4.0)
     gaps_s = [b - a for a, b in zip(task.starts_s, task.starts_s[1:], strict=False)]
     assert gaps_s[:4] == pytest.approx([0.2, 0.4, 0.8, 1.0], abs=0.01)
     assert supervisor.failures == {NAME: len(task.starts_s)}
-    logged = [json.loads(line) for line in lines.splitlines()]
-    assert {line["kind"] for line in logged} == {"task-failed"}
-    assert {line["task"] for line in logged} == {NAME}
-    assert "FailingTask" in logged[0]["error"] or "run" in logged[0]["error"]
+    assert [failure.count for failure in reported] == list(range(1, len(task.starts_s) + 1))
+    assert {failure.task for failure in reported} == {NAME}
+    assert "raise self.error" in reported[0].origin
 
 
 def test_supervisor_starts_the_backoff_anew_after_a_steady_time(paused_kernel: Any) -> None:
     task = FailingTask(ValueError("odd"), works_s=2.5)
 
-    async def main() -> None:
-        await supervise(create(bytearray()), task.run, 9.0)
-
-    paused_kernel.run(main)
+    supervisor, _ = create()
+    paused_kernel.run(supervise, supervisor, task.run, 9.0)
     gaps_s = [b - a for a, b in zip(task.starts_s, task.starts_s[1:], strict=False)]
     assert gaps_s == pytest.approx([2.7] * len(gaps_s), abs=0.01)
 
@@ -89,7 +71,7 @@
     paused_kernel: Any,
 ) -> None:
     async def main() -> list[bool]:
-        supervisor = create(bytearray())
+        supervisor, _ = create()
         seen = []
         fails = True
 
@@ -113,7 +95,7 @@
 
 def test_supervisor_ends_with_a_task_that_returns_or_is_cancelled(paused_kernel: Any) -> None:
     async def main() -> None:
-        supervisor = create(bytearray())
+        supervisor, _ = create()
 
         async def task() -> None:
             return
