Play zone cuts and another writer's odd entries in the soak

Two kinds more, drawn apart, so that earlier seeds draw what they drew: one failure domain is cut from the others' targets and the store while VMs still reach one another; another writer leaves up to 300 odd entries, one of them over a target's own for a while. After all faults a target is removed and another added, and each VM that was not disturbed lately must know as many targets as there are. The command gains sizes, the work of a request and kinds to play.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,10 +7,12 @@
 import tempfile
 from pathlib import Path
 from random import SystemRandom
+from typing import Any
 
 import click
 import curio
 
+from soak.faults import FaultKind
 from soak.soak_run import create_soak_run
 from soak.soak_settings import SoakResult
 from soak.soak_settings import SoakSettings
@@ -33,38 +35,45 @@
     type=click.Path(path_type=Path, exists=True),
     help="Checkout whose program every second VM runs.",
 )
+@click.option("--targets", type=int, default=10, show_default=True)
+@click.option("--callers", type=int, default=40, show_default=True)
+@click.option("--work-s", type=float, default=0.05, show_default=True, help="Work of a request.")
+@click.option(
+    "--kind",
+    "kinds",
+    type=click.Choice([kind.value for kind in FaultKind]),
+    multiple=True,
+    help="Play only faults of this kind; may be given several times.",
+)
 @click.option("--logs", type=click.Path(path_type=Path), help="Directory for the VMs' logs.")
 def main(
-    seed: int | None,
-    seeds: int,
-    jobs: int,
-    length_s: float,
-    vms: int,
-    other_release: Path | None,
-    logs: Path | None,
+    seed: int | None, seeds: int, jobs: int, logs: Path | None, kinds: tuple[str, ...], **sizes: Any
 ) -> None:
     """Run random faults against real processes and print the broken promises."""
     if seed is not None:
-        sys.exit(0 if _run_seed(seed, length_s, vms, other_release, logs) else 1)
+        kinds_played = tuple(FaultKind(kind) for kind in kinds)
+        sys.exit(0 if _run_seed(seed, logs, kinds=kinds_played, **sizes) else 1)
     drawn = [SystemRandom().randrange(LARGEST_SEED) for _ in range(seeds)]
-    options = ["--length-s", str(length_s), "--vms", str(vms)]
-    options += ["--other-release", str(other_release)] if other_release else []
-    options += ["--logs", str(logs)] if logs else []
-    failed = _run_seeds(drawn, jobs, options)
+    failed = _run_seeds(drawn, jobs, _as_options(logs=logs, **sizes) + _as_options(kind=kinds))
     click.echo(f"{len(drawn)} seeds, {len(failed)} with a broken promise: {failed or 'none'}")
     sys.exit(1 if failed else 0)
 
 
-def _run_seed(
-    seed: int, length_s: float, vms: int, other_release: Path | None, logs: Path | None
-) -> bool:
+def _as_options(**values: Any) -> list[str]:
+    """Return values as options of this command; one that is a tuple is given several times."""
+    options = []
+    for name, value in values.items():
+        for item in value if isinstance(value, tuple) else (value,):
+            if item is not None:
+                options += [f"--{name.replace('_', '-')}", str(item)]
+    return options
+
+
+def _run_seed(seed: int, logs: Path | None, **sizes: Any) -> bool:
     with tempfile.TemporaryDirectory() as scratch:
         directory = logs / str(seed) if logs else Path(scratch)
         directory.mkdir(parents=True, exist_ok=True)
-        block = FIRST_BLOCK + seed % BLOCKS
-        settings = SoakSettings(
-            seed, directory, block, length_s=length_s, vms=vms, other_release=other_release
-        )
+        settings = SoakSettings(seed, directory, FIRST_BLOCK + seed % BLOCKS, **sizes)
         result: SoakResult = curio.run(create_soak_run(settings).run)
     click.echo(
         f"seed {seed}: {result.served} of {result.calls} served; checks {result.check_counts}"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,12 @@
 CUT_DURATIONS_S = (2.0, 6.0, 9.0)
 ENDLESS_GAP_S = (3.0, 9.0)
 ANSWER_FAULT_GAP_S = (1.0, 4.0)
+ZONE_CUT_GAP_S = (1.0, 8.0)
+ZONE_CUT_DURATIONS_S = (1.0, 3.0, 5.5)
+ODD_ENTRIES_GAP_S = (0.5, 6.0)
+ODD_ENTRY_COUNTS = (1, 3, 40, 300)
+# Drawn as an index, and taken modulo what there is of it.
+LARGEST_INDEX = 1000
 # A multiple of the number of forms of each fault, so that each form is as likely.
 VARIANTS = 12
 RATE_LIMITS = ("0", "0.5", "1.3", "1.8", "4", "12.5", "many", "")
@@ -59,6 +65,8 @@
     TARGET_STOP_IN_HEAD = "target-stop-in-head"
     TARGET_FAIL_AS_REFUSED = "target-fail-as-refused"
     TARGET_NO_LENGTH = "target-no-length"
+    ZONE_CUT = "zone-cut"
+    ODD_ENTRIES = "odd-entries"
 
 
 ANSWER_FAULTS = (
@@ -76,6 +84,8 @@
     FaultKind.VM_CUT_FROM_TARGETS,
     FaultKind.VM_STOP,
     *ANSWER_FAULTS,
+    FaultKind.ZONE_CUT,
+    FaultKind.ODD_ENTRIES,
 )
 
 
@@ -104,6 +114,8 @@
     faults += _draw_endless(Random(f"endless answers of {seed}"), length_s, targets)
     faults += _draw_stops(Random(f"stops of {seed}"), length_s, vms)
     faults += _draw_answer_faults(Random(f"spoilt answers of {seed}"), length_s, targets)
+    faults += _draw_zone_cuts(Random(f"zone cuts of {seed}"), length_s)
+    faults += _draw_odd_entries(Random(f"odd entries of {seed}"), length_s)
     kinds = [kind for kind in FaultKind if kind not in DRAWN_APART]
     at_s = random.uniform(*GAP_S)
     while at_s < length_s:
@@ -190,3 +202,28 @@
         faults.append(Fault(kind, at_s, for_s, indexes, variant=variant))
         at_s += random.uniform(*ANSWER_FAULT_GAP_S)
     return faults
+
+
+def _draw_zone_cuts(random: Random, length_s: float) -> list[Fault]:
+    """Draw cuts between one failure domain and the others, one after another."""
+    faults = []
+    at_s = random.uniform(*ZONE_CUT_GAP_S)
+    while at_s < length_s:
+        for_s, variant = random.choice(ZONE_CUT_DURATIONS_S), random.randrange(VARIANTS)
+        indexes = (random.randrange(LARGEST_INDEX),)
+        faults.append(Fault(FaultKind.ZONE_CUT, at_s, for_s, indexes, variant=variant))
+        at_s += for_s + random.uniform(*ZONE_CUT_GAP_S)
+    return faults
+
+
+def _draw_odd_entries(random: Random, length_s: float) -> list[Fault]:
+    """Draw how many odd entries another writer leaves, by indexes into the known ones."""
+    faults = []
+    at_s = random.uniform(*ODD_ENTRIES_GAP_S)
+    while at_s < length_s:
+        count = random.choice(ODD_ENTRY_COUNTS)
+        indexes = tuple(random.randrange(LARGEST_INDEX) for _ in range(count))
+        for_s, variant = random.choice(DURATIONS_S), random.randrange(VARIANTS)
+        faults.append(Fault(FaultKind.ODD_ENTRIES, at_s, for_s, indexes, variant=variant))
+        at_s += random.uniform(*ODD_ENTRIES_GAP_S)
+    return faults
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -12,6 +12,7 @@
 from siskinward.platform.standins import RunRecord
 from siskinward.platform.standins import TargetStandIn
 from siskinward.state.serving import ServingBounds
+from siskinward.transport.clock import read_clock_s
 from soak.callers import Call
 from soak.retry_arrivals import retry_times_s
 from soak.retry_arrivals import worst_window
@@ -109,6 +110,15 @@
                 f"{vm.name} exited unexpectedly with {code}" for code in vm.unexpected_exits
             )
 
+    def check_followed(self, vm: VmProcess, known: int | None, expected: int) -> None:
+        """Check the number of targets that a VM knows, if it has run undisturbed for a while."""
+        now_s = read_clock_s()
+        if known is None or not vm.was_undisturbed(now_s - SETTLING_S, now_s):
+            return
+        self._count_checks("followed targets")
+        if known != expected:
+            self._report([f"{vm.name} knows {known} targets instead of {expected}"])
+
     def _check_call(self, call: Call, names: list[str]) -> None:
         response = call.response
         if call.path.startswith("/bookings/") and len(names) > 1:
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -27,12 +27,14 @@
 from soak.loopback_proxy import LoopbackProxy
 from soak.loopback_proxy import ProxyFault
 from soak.loopback_proxy import SourceCut
+from soak.odd_entries import ODD_ENTRIES
 from soak.promises import PromiseChecker
 from soak.promises import TargetCut
 from soak.promises import Withdrawal
 from soak.soak_settings import SoakResult
 from soak.soak_settings import SoakSettings
 from soak.target_process import TargetProcess
+from soak.vm_metrics import read_known_targets
 from soak.vm_process import VmProcess
 
 TARGET_PORT = 8080
@@ -45,6 +47,8 @@
 # Tasks that serve a connection end once its other side is gone.
 SETTLE_S = 0.3
 STORE_AWAY_S = 0.5
+# All VMs follow a change of the targets within this time.
+FOLLOW_S = 3.0
 # The operator and the targets notice the loss and write again after this time.
 WRITTEN_AGAIN_S = 0.5
 WITHDRAWN_KEY = "spare-key-1"
@@ -92,6 +96,7 @@
     callers: Callers
     checker: PromiseChecker
     configuration: OperatorConfiguration
+    late_target: TargetProcess
     _tasks: list[Any] = field(factory=list)
 
     async def run(self) -> SoakResult:
@@ -100,10 +105,12 @@
             await self._start()
             await self._inject_faults()
             await curio.sleep(self.settings.recover_s)
+            await self._replace_target()
             since_s = read_clock_s()
             await curio.sleep(RECOVERY_CHECK_S)
             if self.settings.checks_time_bounds:
                 self.checker.check_all(since_s)
+                await self._check_followed()
             else:
                 self.checker.check_invariants()
                 self.checker.check_limits()
@@ -118,6 +125,21 @@
             served,
         )
 
+    async def _replace_target(self) -> None:
+        """Remove a target and add another, which all VMs have to follow after all faults."""
+        drained = {withdrawal.name for withdrawal in self.checker.drained}
+        gone = next(target for target in self.targets if target.name not in drained)
+        await self.late_target.start()
+        await self.store.report(self.late_target)
+        await self.store.put("servers", gone.name, None)
+        self.checker.drained.append(Withdrawal(gone.name, read_clock_s()))
+        await curio.sleep(FOLLOW_S)
+
+    async def _check_followed(self) -> None:
+        """Check how many targets each VM says it knows: one is gone, and one has been added."""
+        for vm in self.vms:
+            self.checker.check_followed(vm, await read_known_targets(vm.host), len(self.targets))
+
     async def _start(self) -> None:
         await self._spawn(self.store.run)
         for proxy in (*self.store_proxies, *self.target_proxies):
@@ -141,7 +163,7 @@
         for task in self._tasks:
             await task.cancel()
         _for_each(self.vms, VmProcess.destroy)
-        _for_each(self.targets, TargetProcess.destroy)
+        _for_each([*self.targets, self.late_target], TargetProcess.destroy)
         await curio.sleep(SETTLE_S)
 
     async def _publish(self) -> None:
@@ -200,6 +222,10 @@
                 await self._cut_from_targets(fault, vms)
             case FaultKind.CONFIGURATION:
                 await self._publish()
+            case FaultKind.ZONE_CUT:
+                await self._cut_zone(fault)
+            case FaultKind.ODD_ENTRIES:
+                await self._write_odd_entries(fault)
             case _ if fault.kind in STORE_FAULTS:
                 await self._inject_store_fault(fault)
             case _ if fault.kind in PROXY_FAULTS and "store" in fault.kind.value:
@@ -278,11 +304,15 @@
         await self.store.come_back_from(copy, away_s=STORE_AWAY_S)
         await curio.sleep(WRITTEN_AGAIN_S)
         await self._publish()
-        drained = {withdrawal.name for withdrawal in self.checker.drained}
         for target in self.targets:
-            await self.store.report(target, "draining" if target.name in drained else "ready")
+            await self._report(target)
         _for_each(self.vms, VmProcess.record_disturbance)
 
+    async def _report(self, target: TargetProcess) -> None:
+        """Write a target's own entry again."""
+        drained = {withdrawal.name for withdrawal in self.checker.drained}
+        await self.store.report(target, "draining" if target.name in drained else "ready")
+
     async def _cut_from_targets(self, fault: Fault, vms: list[VmProcess]) -> None:
         kind = list(SourceCut)[fault.variant % len(SourceCut)]
         since_s = read_clock_s()
@@ -295,6 +325,49 @@
                 proxy.heal(vm.host)
         self.checker.cuts.append(TargetCut(tuple(vms), since_s, read_clock_s()))
 
+    async def _cut_zone(self, fault: Fault) -> None:
+        """Cut a failure domain from the targets of the others and from the store.
+
+        The other VMs don't reach its targets. VMs still reach one another.
+        """
+        domain = list(DOMAIN_REGIONS)[fault.indexes[0] % len(DOMAIN_REGIONS)]
+        kind = list(SourceCut)[fault.variant % len(SourceCut)]
+        cuts = [
+            (proxy, vm.host)
+            for target, proxy in zip(self.targets, self.target_proxies, strict=True)
+            for vm in self.vms
+            if (target.zone == domain) != (vm.failure_domain == domain)
+        ]
+        store_proxies = [
+            proxy
+            for vm, proxy in zip(self.vms, self.store_proxies, strict=True)
+            if vm.failure_domain == domain
+        ]
+        _for_each(self.vms, VmProcess.record_disturbance)
+        for proxy, host in cuts:
+            await proxy.cut(host, kind)
+        for proxy in store_proxies:
+            proxy.fault = ProxyFault.REFUSE
+            proxy.silence_all()
+        await curio.sleep(fault.for_s)
+        for proxy, host in cuts:
+            proxy.heal(host)
+        for proxy in store_proxies:
+            proxy.fault = ProxyFault.NONE
+        _for_each(self.vms, VmProcess.record_disturbance)
+
+    async def _write_odd_entries(self, fault: Fault) -> None:
+        """Let another writer leave odd entries, one of them over a target's own for a while."""
+        odd = list(ODD_ENTRIES.values())
+        for number, index in enumerate(fault.indexes):
+            await self.store.put("servers", f"odd-{number}", odd[index % len(odd)])
+        if fault.variant % 2:
+            return
+        target = self.targets[fault.indexes[0] % len(self.targets)]
+        await self.store.put("servers", target.name, odd[fault.indexes[-1] % len(odd)])
+        await curio.sleep(fault.for_s)
+        await self._report(target)
+
     async def _answer_endlessly(self, fault: Fault, targets: list[TargetProcess]) -> None:
         kind = ENDLESS_FAULTS[fault.variant % len(ENDLESS_FAULTS)]
         for target in targets:
@@ -329,8 +402,9 @@
     store = StoreStandIn(f"{prefix}.200.1", STORE_PORT)
     targets = [_create_target(settings, prefix, number) for number in range(settings.targets)]
     vms = [_create_vm(settings, prefix, number) for number in range(settings.vms)]
+    late_target = _create_late_target(settings, prefix)
     callers = Callers(vms, FRONT_PORT, Random(settings.seed), KEYS)
-    checker = PromiseChecker(bounds, targets, vms, callers.calls)
+    checker = PromiseChecker(bounds, [*targets, late_target], vms, callers.calls)
     allowed = settings.rate_per_s * bounds.quota_window_s + settings.rate_per_s
     checker.quota_in_window = allowed * (1 + bounds.quota_overshoot) + bounds.quota_slack_requests
     return SoakRun(
@@ -348,6 +422,7 @@
         callers=callers,
         checker=checker,
         configuration=create_configuration(SERVICES, settings.rate_per_s, settings.rate_per_s),
+        late_target=late_target,
     )
 
 
@@ -357,11 +432,19 @@
     target = TargetProcess(
         f"{service}-{number}", service, f"{prefix}.64.{number + 1}", TARGET_PORT, domain
     )
+    target.work_s = settings.work_s
     target.advertised_host = f"{prefix}.65.{number + 1}"
     target.log_file = settings.directory / f"{target.name}.log"
     return target
 
 
+def _create_late_target(settings: SoakSettings, prefix: str) -> TargetProcess:
+    """Create the target that is added after all faults; no proxy stands before it."""
+    target = _create_target(settings, prefix, settings.targets)
+    target.advertised_host = target.host
+    return target
+
+
 def _create_vm(settings: SoakSettings, prefix: str, number: int) -> VmProcess:
     domain = list(DOMAIN_REGIONS)[number % len(DOMAIN_REGIONS)]
     name, host = f"vm-{number}", f"{prefix}.1.{number + 1}"
@@ -370,7 +453,7 @@
     file.write_text(
         render_settings(name, host, domain, DOMAIN_REGIONS, store_host, ["quota_slack=20"])
     )
-    vm = VmProcess(name, host, file, settings.directory / f"{name}.log")
+    vm = VmProcess(name, host, file, settings.directory / f"{name}.log", domain)
     if settings.other_release is not None and number % 2:
         vm.program = settings.other_release / "deploy" / "entry.py"
     return vm
--- a/soak/soak_settings.py
+++ b/soak/soak_settings.py
@@ -16,7 +16,7 @@
     ``block`` is the second byte of all its addresses, which separates concurrent runs. Without
     ``checks_time_bounds``, only the promises that must hold at any moment are checked. Only faults
     of ``kinds`` are injected, unless that is empty. Every second VM runs the program of
-    ``other_release``, if that checkout is given.
+    ``other_release``, if that checkout is given. A target works for ``work_s`` on a request.
     """
 
     seed: int
@@ -31,6 +31,7 @@
     checks_time_bounds: bool = True
     kinds: tuple[FaultKind, ...] = ()
     other_release: Path | None = None
+    work_s: float = 0.05
 
 
 @frozen
--- a/soak/target_process.py
+++ b/soak/target_process.py
@@ -49,7 +49,9 @@
         if self._process is not None:
             return
         own_end, other_end = socket.socketpair()
-        identity = json.dumps([self.name, self.service, self.host, self.port, self.zone])
+        identity = json.dumps(
+            [self.name, self.service, self.host, self.port, self.zone, self.slots, self.work_s]
+        )
         with self.log_file.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "soak.target_process", identity],
--- a/soak/vm_process.py
+++ b/soak/vm_process.py
@@ -28,6 +28,7 @@
     host: str
     settings_file: Path
     log_file: Path
+    failure_domain: str
     program: Path = ENTRY_PROGRAM
     starts_and_exits_s: list[float] = field(factory=list)
     disturbances_s: list[float] = field(factory=list)
--- a/tests/platform/test_decoder_fuzz.py
+++ b/tests/platform/test_decoder_fuzz.py
@@ -14,8 +14,6 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
-from odd_entries import ENTRY
-from odd_entries import ODD_ENTRIES
 
 from siskinward.coordination.steering.row import Row
 from siskinward.platform._configuration import decode_configuration
@@ -41,6 +39,8 @@
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.relay_messages import decode_relay_reply
 from siskinward.transport.relay_messages import decode_relay_request
+from soak.odd_entries import ENTRY
+from soak.odd_entries import ODD_ENTRIES
 
 EXAMPLES = settings(max_examples=300)
 NOW_S = 100.0
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -11,13 +11,13 @@
 
 import curio
 import pytest
-from odd_entries import ODD_ENTRIES
 from site_calls import call_all
 from site_calls import runs_after
 
 from siskinward.platform.standins import SiteSettings
 from siskinward.platform.standins import TargetStandIn
 from siskinward.transport.clock import read_clock_s
+from soak.odd_entries import ODD_ENTRIES
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/tests/platform/test_odd_entries_at_scale.py
+++ b/tests/platform/test_odd_entries_at_scale.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 import curio
-from odd_entries import ODD_ENTRIES
 
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.platform.standins import SiteSettings
+from soak.odd_entries import ODD_ENTRIES
 
 if TYPE_CHECKING:
     from siskinward.platform.standins import Site
--- a/tests/platform/test_unknown_services.py
+++ b/tests/platform/test_unknown_services.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 import curio
-from odd_entries import encode_entry
 from site_calls import call_all
 
 from siskinward.platform.standins import SiteSettings
 from siskinward.transport.clock import read_clock_s
+from soak.odd_entries import encode_entry
 
 if TYPE_CHECKING:
     from siskinward.platform.standins import Site
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -52,7 +52,9 @@
 class Observations:
     """Records of callers and targets, which a test fills in."""
 
-    vm: VmProcess = field(factory=lambda: VmProcess("vm", "127.0.0.1", Path("-"), Path("-")))
+    vm: VmProcess = field(
+        factory=lambda: VmProcess("vm", "127.0.0.1", Path("-"), Path("-"), "bud-a")
+    )
     targets: list[TargetStandIn] = field(
         factory=lambda: [
             TargetStandIn(f"bookings-{number}", "bookings", "127.0.0.1", 1, "a")
@@ -360,7 +362,7 @@
 
 def cut_calls(status_at_cut: int, sent_s: float) -> str:
     observed = Observations()
-    other = VmProcess("other", "127.0.0.1", Path("-"), Path("-"))
+    other = VmProcess("other", "127.0.0.1", Path("-"), Path("-"), "bud-a")
     checker = observed.checker()
     checker.cuts.append(TargetCut((observed.vm,), 19.0, 30.0))
     for number in range(40):
