--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -96,3 +96,29 @@
     result = run_soak(tmp_path, seed, length_s=4.0, recover_s=8.0, kinds=(FaultKind.VM_STOP,))
     assert result.broken == ()
     assert result.check_counts["requests at stopping VMs"] > 20
+
+
+# Another writer's entries, over a target's own too, while the store comes back from a copy.
+ODD_ENTRY_SEEDS = (7, 28)
+
+
+@pytest.mark.parametrize("seed", ODD_ENTRY_SEEDS)
+def test_vms_follow_the_targets_beside_odd_entries(tmp_path: Path, seed: int) -> None:
+    result = run_soak(
+        tmp_path,
+        seed,
+        length_s=5.0,
+        recover_s=5.0,
+        vms=3,
+        targets=6,
+        callers=10,
+        kinds=(
+            FaultKind.ODD_ENTRIES,
+            FaultKind.STORE_RESTORED,
+            FaultKind.STORE_FORGET_HISTORY,
+            FaultKind.VM_KILL,
+            FaultKind.ZONE_CUT,
+        ),
+    )
+    assert result.broken == ()
+    assert result.check_counts["followed targets"] == 3
