Keep a target the same while its entry is odd, gone or changed

Cause: to remove a target forgot all that was known of it, its limit, its requests in flight and its cold time, although the target itself went on. And the table moved a target from one service to another only if its start was another, too; to remove it then raised KeyError, which the reader of rows survived.

Change: a removed target is remembered for 60 s. If the entry of the same start returns, it is the same target. The table places a target by its record each time, by service and region.

--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -28,13 +28,16 @@
 
     A target is suspended for ``min_suspend_s`` after the first failed connection, twice as long
     after each further one, up to ``max_suspend_s``. A target whose entry went missing while the
-    store was unavailable is kept for ``missing_entry_grace_s``.
+    store was unavailable is kept for ``missing_entry_grace_s``. A target whose entry is gone or
+    can't be read is remembered for ``remembered_s``: if the entry of the same start returns, it is
+    the same target, with the requests that it runs and what it has stated.
     """
 
     missing_entry_grace_s: float = ENTRY_RETURN_S
     min_suspend_s: float = 0.5
     max_suspend_s: float = 2.0
     error_smoothing: float = 0.2
+    remembered_s: float = 60.0
 
 
 @frozen
@@ -123,6 +126,8 @@
         self._domain_regions = domain_regions
         self._targets: dict[TargetName, Target] = {}
         self._by_service: dict[ServiceName, dict[TargetName, Target]] = {}
+        self._remembered: dict[TargetName, Target] = {}
+        self._remembered_since_s: dict[TargetName, float] = {}
         self._evacuated: dict[DomainName, float] = {}
         self._warmups_s: dict[ServiceName, float] = {}
         self.revision = 0
@@ -163,33 +168,53 @@
     def put(self, record: TargetRecord, now_s: float) -> None:
         """Add or update a target from its record.
 
-        A target with another start time replaces the one of that name. A new target whose failure
+        A target with another start time replaces the one of that name. A target whose failure
         domain belongs to no region is ignored.
         """
         self.revision += 1
-        known = self._targets.get(record.name)
-        cold_until_s = now_s + record.warmup_left_s if record.warmup_left_s > 0 else -inf
-        if known is not None and known.record.started_ms == record.started_ms:
-            known.record = record
-            # The row may have been written before the target stated its warm-up time to the probe.
-            known.set_cold(max(cold_until_s, known.probed_cold_until_s), now_s)
-            known.expires_at_s = inf
-            return
-        self.remove(record.name)
         region = self._domain_regions.get(record.failure_domain)
+        known = self._find_same_start(record)
         if region is None:
+            self.remove(record.name)
             return
-        target = Target(record, region)
-        target.set_cold(cold_until_s, now_s)
-        self._targets[record.name] = target
-        self._by_service.setdefault(record.service, {})[record.name] = target
+        target = known or Target(record, region)
+        self._place(target, record)
+        target.record = record
+        target.region = region
+        target.expires_at_s = inf
+        cold_until_s = now_s + record.warmup_left_s if record.warmup_left_s > 0 else -inf
+        # The row may have been written before the target stated its warm-up time to the probe.
+        target.set_cold(max(cold_until_s, target.probed_cold_until_s), now_s)
+
+    def _find_same_start(self, record: TargetRecord) -> Target | None:
+        """Return the known or remembered target of a record's name and start."""
+        for targets in (self._targets, self._remembered):
+            target = targets.get(record.name)
+            if target is not None and target.record.started_ms == record.started_ms:
+                return target
+        return None
+
+    def _place(self, target: Target, record: TargetRecord) -> None:
+        """Let a target stand under the name and service of its new record."""
+        placed = self._targets.get(record.name)
+        if placed is not target or target.record.service != record.service:
+            self.remove(record.name)
+            self._targets[record.name] = target
+            self._by_service.setdefault(record.service, {})[record.name] = target
+        self._remembered.pop(record.name, None)
+        self._remembered_since_s.pop(record.name, None)
 
     def remove(self, name: TargetName) -> None:
-        """Remove a target, if it is known."""
+        """Remove a target, if it is known, and remember it for a while."""
         target = self._targets.pop(name, None)
         if target is not None:
             self.revision += 1
             del self._by_service[target.record.service][name]
+            self._remembered[name] = target
+
+    def names(self) -> Iterable[TargetName]:
+        """Return the names of all known targets, and of those that are remembered."""
+        return (*self._targets, *self._remembered)
 
     def remove_by_key(self, key: str) -> None:
         """Remove the target whose entry was deleted or can't be decoded."""
@@ -207,10 +232,15 @@
             )
 
     def remove_expired(self, now_s: float) -> None:
-        """Remove the targets whose entries did not return in time."""
+        """Remove the targets whose entries did not return in time, and forget those long gone."""
         for target in list(self._targets.values()):
             if now_s >= target.expires_at_s:
                 self.remove(target.name)
+        for name in list(self._remembered):
+            since_s = self._remembered_since_s.setdefault(name, now_s)
+            if now_s - since_s >= self._settings.remembered_s:
+                del self._remembered[name]
+                del self._remembered_since_s[name]
 
     def set_warmups(self, warmups_s: dict[ServiceName, float]) -> None:
         """Set the warm-up time of each service's targets."""
@@ -292,7 +322,7 @@
         if not reports:
             return
         cold_until_s = {report.target_id: now_s + report.left_s for report in reports}
-        for target in self._targets.values():
+        for target in (*self._targets.values(), *self._remembered.values()):
             until_s = cold_until_s.get(short_id(target.name), -inf)
             if until_s > target.cold_until_s:
                 target.set_cold(until_s, now_s)
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -66,7 +66,7 @@
             self._steering.issuer.update_membership(now_s)
             self._steering.targets.remove_expired(now_s)
             self._steering.limit_tokens.update_membership(now_s)
-            self._steering.limits.retain(item.name for item in self._steering.targets.all())
+            self._steering.limits.retain(self._steering.targets.names())
             heartbeats = self._steering.fleet.heartbeats(now_s)
             self._update_load_elsewhere(heartbeats)
             self._update_slow_targets(heartbeats, now_s)
