--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -53,12 +53,27 @@
     if seed is not None:
         kinds_played = tuple(FaultKind(kind) for kind in kinds)
         sys.exit(0 if _run_seed(seed, logs, kinds=kinds_played, **sizes) else 1)
-    drawn = [SystemRandom().randrange(LARGEST_SEED) for _ in range(seeds)]
+    drawn = _draw_seeds(seeds, jobs)
     failed = _run_seeds(drawn, jobs, _as_options(logs=logs, **sizes) + _as_options(kind=kinds))
     click.echo(f"{len(drawn)} seeds, {len(failed)} with a broken promise: {failed or 'none'}")
     sys.exit(1 if failed else 0)
 
 
+def _block_of(seed: int) -> int:
+    return FIRST_BLOCK + seed % BLOCKS
+
+
+def _draw_seeds(seeds: int, jobs: int) -> list[int]:
+    """Draw seeds of which those that run at once use different addresses."""
+    drawn: list[int] = []
+    while len(drawn) < seeds:
+        seed = SystemRandom().randrange(LARGEST_SEED)
+        beside = drawn[len(drawn) - len(drawn) % jobs :]
+        if _block_of(seed) not in {_block_of(other) for other in beside}:
+            drawn.append(seed)
+    return drawn
+
+
 def _as_options(**values: Any) -> list[str]:
     """Return values as options of this command; one that is a tuple is given several times."""
     options = []
@@ -73,7 +88,7 @@
     with tempfile.TemporaryDirectory() as scratch:
         directory = logs / str(seed) if logs else Path(scratch)
         directory.mkdir(parents=True, exist_ok=True)
-        settings = SoakSettings(seed, directory, FIRST_BLOCK + seed % BLOCKS, **sizes)
+        settings = SoakSettings(seed, directory, _block_of(seed), **sizes)
         result: SoakResult = curio.run(create_soak_run(settings).run)
     click.echo(
         f"seed {seed}: {result.served} of {result.calls} served; checks {result.check_counts}"
