Let VMs that don't reach the store leave its reading to others

Cause: readers are ranked among the VMs that live. One that can't read kept its place, so that the others read only once their copies were 1.6 s old and more, and stopped again once they were fresh.

A VM whose copy is out of date asks without waiting.

--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -60,7 +60,8 @@
     lost to a request, by its fingerprint. ``warm`` names objects that began to run at targets.
     ``slow`` counts by target's ``short_id`` the latest runs that were slow. ``limits`` are the rate
     limits that the VM heard from targets, ``warmups`` the warm-up times that its probes found.
-    ``is_cut_off`` says that it reaches no target.
+    ``is_cut_off`` says that it reaches no target, ``is_store_lost`` that its reads of the store
+    fail.
     """
 
     sender: EntryVm
@@ -77,6 +78,7 @@
     limits: tuple[LimitReport, ...] = ()
     warmups: tuple[WarmupReport, ...] = ()
     is_cut_off: bool = False
+    is_store_lost: bool = False
 
 
 @frozen
@@ -93,6 +95,7 @@
     limits: tuple[LimitReport, ...] = ()
     warmups: tuple[WarmupReport, ...] = ()
     is_cut_off: bool = False
+    is_store_lost: bool = False
 
 
 @frozen
@@ -205,6 +208,7 @@
             in_flight=report.in_flight,
             slow=report.slow,
             is_cut_off=report.is_cut_off,
+            is_store_lost=report.is_store_lost,
         )
         peer.last_received_s = now_s
         return peer.heartbeat
@@ -240,19 +244,25 @@
         return peer is not None and peer.heartbeat is not None and peer.heartbeat.is_cut_off
 
     def rank(self, now_s: float) -> int:
-        """Return this VM's rank among the live ones; VMs with the same view agree on all ranks.
+        """Return this VM's rank among the live ones that reach the store, as far as they say.
 
+        VMs with the same view agree on all ranks, but for those that do not reach the store.
         The first VM of each failure domain comes before the second of any, so that the loss of a
         failure domain does not take all leading VMs; among these, wider links come first.
         """
         count_by_domain: dict[DomainName, int] = {}
         order: list[tuple[int, float, VmName]] = []
-        for vm in sorted(self.live(now_s), key=lambda vm: (-vm.link_mbps, vm.vm)):
+        for vm in sorted(self._reaching_store(now_s), key=lambda vm: (-vm.link_mbps, vm.vm)):
             place = count_by_domain.get(vm.failure_domain, 0)
             count_by_domain[vm.failure_domain] = place + 1
             order.append((place, -vm.link_mbps, vm.vm))
         return [name for _, _, name in sorted(order)].index(self.own.vm)
 
+    def _reaching_store(self, now_s: float) -> list[EntryVm]:
+        """Return the live VMs but those whose reads of the store fail; always with this one."""
+        others = [item.sender for item in self.heartbeats(now_s) if not item.is_store_lost]
+        return [self.own, *others]
+
     def owner_of(self, key: str, now_s: float) -> EntryVm:
         """Return the live VM that rendezvous hashing selects for a key."""
         return max(self.live(now_s), key=lambda vm: rendezvous_score(key, vm.vm))
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -57,6 +57,7 @@
         self._log = log
         self._on_heartbeat = on_heartbeat
         self._number = 0
+        self._told_store_lost = False
 
     async def send_periodically(self, after_each: Callable[[], Awaitable[None]]) -> None:
         """Send heartbeats and load reports until cancelled."""
@@ -81,7 +82,9 @@
         """Send a full heartbeat to all other VMs now."""
         hosts = {peer.host for peer in self._steering.fleet.all_peers()}
         hosts.update(self._steering.entry.peer_seeds)
-        await self._datagrams.send(encode_heartbeat(self._create(read_clock_s())), hosts)
+        heartbeat = self._create(read_clock_s())
+        self._told_store_lost = heartbeat.is_store_lost
+        await self._datagrams.send(encode_heartbeat(heartbeat), hosts)
 
     async def _send_report(self, step: int) -> None:
         """Send a load report; every ``reports_per_remote_report``-th one also to other regions."""
@@ -145,9 +148,14 @@
         self._steering.crashes.on_peer_losses(incarnation, heartbeat.crashing_requests, now_s)
 
     def _is_heartbeat_due(self, step: int, now_s: float) -> bool:
-        """Whether this step sends a full heartbeat; a new process introduces itself by several."""
+        """Whether this step sends a full heartbeat; a new process introduces itself by several.
+
+        Whether the store can be read is told to all at once, since others then read in its place.
+        """
         if step < INITIAL_HEARTBEATS:
             return True
+        if self._steering.store_reads.are_failing(now_s) != self._told_store_lost:
+            return True
         return step % self._steering.fleet.settings.reports_per_heartbeat == 0
 
     def _create_report(self, now_s: float) -> LoadReport:
@@ -163,6 +171,7 @@
             limits=self._steering.limits.own_reports(now_s),
             warmups=self._steering.targets.own_warmups(now_s),
             is_cut_off=self._steering.paths.is_cut_off,
+            is_store_lost=self._steering.store_reads.are_failing(now_s),
         )
 
     def _create(self, now_s: float) -> Heartbeat:
@@ -180,6 +189,7 @@
             limits=report.limits,
             warmups=report.warmups,
             is_cut_off=report.is_cut_off,
+            is_store_lost=report.is_store_lost,
             demand_per_s=steering.shares.publish(),
             crashing_requests=steering.crashes.own_losses(now_s),
             held={name: copy.held_count for name, copy in self._loaded().items()},
--- a/src/siskinward/daemon/entry/metrics_page.py
+++ b/src/siskinward/daemon/entry/metrics_page.py
@@ -138,6 +138,11 @@
                 "Requests that wait for capacity.",
                 self._dispatcher.waiting_count,
             ),
+            (
+                "store_lost",
+                "Whether this VM's reads of the store fail, so that others read it.",
+                float(steering.store_reads.are_failing(now_s)),
+            ),
         ):
             yield GaugeMetricFamily(PREFIX + name, text, value=value)
         ages = GaugeMetricFamily(
--- a/src/siskinward/daemon/entry/replication.py
+++ b/src/siskinward/daemon/entry/replication.py
@@ -43,10 +43,11 @@
 class ReplicationSettings:
     """When a VM reads the store, and how it fetches rows from other VMs.
 
-    The first ``readers`` live VMs, by rank, read the store continuously. Any other VM reads it once
-    its copy has been unconfirmed for ``stale_s``, plus ``rank_step_s`` for each VM ranked between
-    the readers and itself, at most ``max_rank_steps`` times. A VM that gets a referral asks one of
-    the named hosts after about ``pull_retry_s``.
+    The first ``readers`` live VMs that reach the store, by rank, read it continuously and wait for
+    changes up to ``wait_s``. Any other VM reads it once its copy has been unconfirmed for
+    ``stale_s``, plus ``rank_step_s`` for each VM ranked between the readers and itself, at most
+    ``max_rank_steps`` times. A VM that gets a referral asks one of the named hosts after about
+    ``pull_retry_s``.
     """
 
     readers: int = 2
@@ -89,15 +90,32 @@
         settings = self._settings
         while True:
             if not self._is_read_due(table):
+                self._steering.store_reads.end(table)
                 await curio.sleep(settings.check_interval_s)
                 continue
             started_s = read_clock_s()
-            is_read = await self.read_once(table, settings.wait_s)
+            is_read = await self._read_tracked(table, self._wait_s(table, started_s))
             spent_s = read_clock_s() - started_s
             gap_s = settings.min_gap_s if is_read else settings.retry_s
             if spent_s < gap_s:
                 await curio.sleep(gap_s - spent_s)
 
+    async def _read_tracked(self, table: StoreTable, wait_s: float) -> bool:
+        """Read a table, and let the other VMs know whether that fails."""
+        reads = self._steering.store_reads
+        reads.begin(table, read_clock_s() + wait_s)
+        is_read = await self.read_once(table, wait_s)
+        if is_read:
+            reads.end(table)
+        else:
+            reads.fail(table)
+        return is_read
+
+    def _wait_s(self, table: StoreTable, now_s: float) -> float:
+        """Return how long to wait for a change; a copy that is out of date is confirmed first."""
+        age_s = now_s - self._steering.tables[table].confirmed_s
+        return self._settings.wait_s if age_s <= self._settings.wait_s else 0.0
+
     async def read_once(self, table: StoreTable, wait_s: float) -> bool:
         """Read a table's changes, or all of it, from the store; False if that failed."""
         try:
--- a/src/siskinward/daemon/entry/steering.py
+++ b/src/siskinward/daemon/entry/steering.py
@@ -32,6 +32,8 @@
 from siskinward.coordination.steering.slow_targets import SlowTargets
 from siskinward.coordination.steering.slow_targets import SlowTargetSettings
 from siskinward.coordination.steering.splits import RouteSplitter
+from siskinward.coordination.steering.store_reads import StoreReads
+from siskinward.coordination.steering.store_reads import StoreReadSettings
 from siskinward.coordination.steering.target_limits import TargetLimits
 from siskinward.coordination.steering.target_paths import PathSettings
 from siskinward.coordination.steering.target_paths import TargetPaths
@@ -67,6 +69,7 @@
     retries: RetrySettings = field(factory=RetrySettings)
     paths: PathSettings = field(factory=PathSettings)
     crashes: CrashGuardSettings = field(factory=CrashGuardSettings)
+    store_reads: StoreReadSettings = field(factory=StoreReadSettings)
 
 
 @define
@@ -92,6 +95,7 @@
     splitter: RouteSplitter
     shutdown: Shutdown
     unreadable_rows: UnreadableRows
+    store_reads: StoreReads
     index: ServingIndex | None = None
 
 
@@ -151,4 +155,5 @@
         splitter=RouteSplitter(),
         shutdown=Shutdown(),
         unreadable_rows=UnreadableRows(),
+        store_reads=StoreReads(settings.store_reads),
     )
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -47,6 +47,7 @@
 LIMITS_KEY = "limits"
 WARMUPS_KEY = "warmups"
 CUT_OFF_KEY = "cut-off"
+STORE_LOST_KEY = "store-lost"
 # Rates travel as integers: numbers of a heartbeat are rounded to single precision.
 RATE_SCALE = 10**RATE_DECIMALS
 # A heartbeat counts the held rows of a table beside its position, under this suffix.
@@ -178,6 +179,7 @@
         limits=_decode_limits(in_flight),
         warmups=_decode_warmups(in_flight),
         is_cut_off=bool(in_flight.get(CUT_OFF_KEY)),
+        is_store_lost=bool(in_flight.get(STORE_LOST_KEY)),
         demand_per_s={AccountName(name): rate for name, rate in decode_numbers(demand).items()},
         crashing_requests={str(key): int(count) for key, count in crashing_requests.items()},
     )
@@ -201,6 +203,7 @@
         limits=_decode_limits(in_flight),
         warmups=_decode_warmups(in_flight),
         is_cut_off=bool(in_flight.get(CUT_OFF_KEY)),
+        is_store_lost=bool(in_flight.get(STORE_LOST_KEY)),
     )
 
 
@@ -222,6 +225,8 @@
         }
     if message.is_cut_off:
         fields[CUT_OFF_KEY] = True
+    if message.is_store_lost:
+        fields[STORE_LOST_KEY] = True
     if message.limits:
         fields[LIMITS_KEY] = [_encode_limit(report) for report in message.limits]
     return fields
--- a/tests/coordination/steering/test_fleet.py
+++ b/tests/coordination/steering/test_fleet.py
@@ -18,6 +18,15 @@
     return {vm.vm for vm in vms}  # type: ignore[attr-defined]
 
 
+def test_fleet_rank_leaves_out_vms_that_do_not_reach_the_store() -> None:
+    fleet = fleet_of(4, own=3)
+    fleet.on_heartbeat(heartbeat(entry_vm(0), 2, is_store_lost=True), 0.1)
+    fleet.on_report(LoadReport(entry_vm(1).incarnation, 2, is_store_lost=True), 0.1)
+    assert fleet.rank(0.2) == 1
+    fleet.on_report(LoadReport(entry_vm(0).incarnation, 3), 0.2)
+    assert fleet.rank(0.3) == 2
+
+
 def test_fleet_silent_vm_is_not_live_but_counts_for_a_while() -> None:
     fleet = fleet_of(3)
     assert len(fleet.live(1.0)) == 3
--- a/tests/protocol/test_heartbeat_messages.py
+++ b/tests/protocol/test_heartbeat_messages.py
@@ -53,6 +53,13 @@
     assert heartbeat.in_flight == report.in_flight == {5: 2}
 
 
+def test_loss_of_the_store_travels_with_heartbeats_and_load_reports() -> None:
+    heartbeat = Heartbeat(VM, 1, VmState.READY, is_store_lost=True)
+    report = LoadReport(VM.incarnation, 2, is_store_lost=True)
+    assert decode_datagram(encode_heartbeat(heartbeat)) == heartbeat
+    assert decode_datagram(encode_report(report)) == report
+
+
 @pytest.mark.parametrize(
     "message",
     [
