Count each target that a request may have crashed once

Cause: each send whose connection broke counted as a lost target, so that one crash under three sends of a request blocked it everywhere for 60 s. An answer cleared the count at its VM alone.

Change: heartbeats tell which start of a target was lost, and how long ago; over all VMs it counts once. An answer clears a request of the losses before it, at all VMs. Earlier releases are told counts, as before.

The tests of the crash guard give the start of a target and the time of an answer, which it needs now; what they assert is as before.

--- a/src/siskinward/coordination/steering/crash_guard.py
+++ b/src/siskinward/coordination/steering/crash_guard.py
@@ -1,63 +1,80 @@
 """Detects requests that crash the targets which run them, and blocks them at all VMs.
 
 Handles a caller that repeats such a request at any VM. A lost target counts against a request if
-the request's connection broke and the target then refused connections. An answer clears the request
-at the VM that received it, so that frequent requests which merely ran at crashing targets do not
+the request's connection broke and the target then refused connections. Each start of a target
+counts once, however many sends of the request broke there. An answer clears the request of all
+losses before it, at all VMs, so that frequent requests which merely ran at crashing targets do not
 accumulate losses.
 """
 
 from __future__ import annotations
 
+from math import inf
+
 from attrs import define
 from attrs import frozen
 
+from siskinward.coordination.steering.hashing import short_id
+
+# The losses of a request: seconds since each, by the ``start_id`` of the lost target.
+LossAges = dict[int, float]
+
 
 @frozen
 class CrashGuardSettings:
     """A fingerprint is blocked for ``block_s`` after ``block_after`` lost targets.
 
     A broken connection counts only if the target proves to be down within ``confirm_within_s``.
+    An answer that clears a request is told to the other VMs for ``announce_s``.
     """
 
     block_after: int = 3
     block_s: float = 60.0
     confirm_within_s: float = 3.0
+    announce_s: float = 10.0
 
 
 @define
-class _LossCount:
-    losses: int
-    last_loss_s: float
+class _Loss:
+    lost_s: float
+    is_own: bool
 
 
 @frozen
-class _PeerLosses:
-    losses: dict[str, int]
-    received_s: float
+class _Answer:
+    answered_s: float
+    is_own: bool
 
 
 @frozen
 class _UnconfirmedLoss:
     fingerprint: str
+    start_id: int
     lost_s: float
 
 
 class CrashGuard:
-    """Counts the targets lost to each request fingerprint, at this VM and at others."""
+    """Knows the targets lost to each request fingerprint, at this VM and at others."""
 
     def __init__(self, settings: CrashGuardSettings) -> None:
         self._settings = settings
-        self._loss_counts: dict[str, _LossCount] = {}
-        self._peer_losses: dict[str, _PeerLosses] = {}
+        self._losses: dict[str, dict[int, _Loss]] = {}
+        self._answers: dict[str, _Answer] = {}
         self._unconfirmed_losses: dict[str, list[_UnconfirmedLoss]] = {}
 
     def is_blocked(self, fingerprint: str, now_s: float) -> bool:
         """Return whether a request has crashed too many targets to be sent to another."""
         return self._count_losses(fingerprint, now_s) >= self._settings.block_after
 
-    def on_connection_lost(self, fingerprint: str, target: str, now_s: float) -> None:
-        """Record a request whose connection broke before its answer."""
-        self._unconfirmed_losses.setdefault(target, []).append(_UnconfirmedLoss(fingerprint, now_s))
+    def on_connection_lost(
+        self, fingerprint: str, target: str, start_id: int, now_s: float
+    ) -> None:
+        """Record a request whose connection broke before its answer, and the start of the target.
+
+        A target that starts again, under whatever name, has another ``start_id``.
+        """
+        loss = _UnconfirmedLoss(fingerprint, start_id, now_s)
+        self._unconfirmed_losses.setdefault(target, []).append(loss)
 
     def has_unconfirmed(self, target: str) -> bool:
         """Return whether a request's connection broke at a target that may have crashed."""
@@ -67,44 +84,86 @@
         """Count a target that refuses connections against requests whose connection broke there."""
         for loss in self._unconfirmed_losses.pop(target, []):
             if now_s - loss.lost_s <= self._settings.confirm_within_s:
-                loss_count = self._loss_counts.setdefault(loss.fingerprint, _LossCount(0, now_s))
-                loss_count.losses += 1
-                loss_count.last_loss_s = now_s
+                self._add(loss.fingerprint, loss.start_id, _Loss(now_s, is_own=True))
 
     def on_target_alive(self, target: str) -> None:
         """Discard broken connections to a target that still accepts connections."""
         self._unconfirmed_losses.pop(target, None)
 
-    def on_answer(self, fingerprint: str) -> None:
+    def on_answer(self, fingerprint: str, now_s: float) -> None:
         """Clear a request that was answered: it does not crash targets."""
-        self._loss_counts.pop(fingerprint, None)
+        if self._count_losses(fingerprint, now_s):
+            self._clear(fingerprint, _Answer(now_s, is_own=True))
 
-    def own_losses(self, now_s: float) -> dict[str, int]:
-        """Return the losses that this VM counted, by fingerprint, to send to the other VMs."""
+    def own_losses(self, now_s: float) -> dict[str, LossAges]:
+        """Return the losses that this VM saw, by fingerprint, to send to the other VMs."""
         self._drop_expired(now_s)
-        return {key: loss_count.losses for key, loss_count in self._loss_counts.items()}
-
-    def on_peer_losses(self, incarnation: str, losses: dict[str, int], now_s: float) -> None:
-        """Record another VM's losses.
-
-        They expire after ``block_s`` without an update, so those of a dead VM still count until
-        then.
-        """
-        if losses or incarnation in self._peer_losses:
-            self._peer_losses[incarnation] = _PeerLosses(losses, now_s)
+        found = {
+            fingerprint: {id_: now_s - loss.lost_s for id_, loss in losses.items() if loss.is_own}
+            for fingerprint, losses in self._losses.items()
+        }
+        return {fingerprint: ages_s for fingerprint, ages_s in found.items() if ages_s}
+
+    def own_answers(self, now_s: float) -> dict[str, float]:
+        """Return how long ago each request that had losses was answered, to send to the others."""
+        since_s = now_s - self._settings.announce_s
+        return {
+            fingerprint: now_s - answer.answered_s
+            for fingerprint, answer in self._answers.items()
+            if answer.is_own and answer.answered_s > since_s
+        }
+
+    def on_peer_losses(self, losses: dict[str, LossAges], now_s: float) -> None:
+        """Record what another VM says of lost targets."""
+        for fingerprint, ages_s in losses.items():
+            for id_, age_s in ages_s.items():
+                self._add(fingerprint, id_, _Loss(now_s - age_s, is_own=False))
+
+    def on_peer_loss_counts(self, incarnation: str, counts: dict[str, int], now_s: float) -> None:
+        """Record the losses of a VM of an earlier release, which tells only how many it counts."""
+        for fingerprint, count in counts.items():
+            for number in range(min(count, self._settings.block_after)):
+                id_ = short_id(f"{incarnation}/{number}")
+                self._losses.setdefault(fingerprint, {})[id_] = _Loss(now_s, is_own=False)
+
+    def on_peer_answers(self, ages_s: dict[str, float], now_s: float) -> None:
+        """Clear the requests that another VM had answered, of the losses before."""
+        for fingerprint, age_s in ages_s.items():
+            self._clear(fingerprint, _Answer(now_s - age_s, is_own=False))
+
+    def _add(self, fingerprint: str, id_: int, loss: _Loss) -> None:
+        if loss.lost_s <= self._answered_s(fingerprint):
+            return
+        known = self._losses.setdefault(fingerprint, {}).setdefault(id_, loss)
+        known.is_own = known.is_own or loss.is_own
+
+    def _clear(self, fingerprint: str, answer: _Answer) -> None:
+        if answer.answered_s <= self._answered_s(fingerprint):
+            return
+        self._answers[fingerprint] = answer
+        losses = self._losses.pop(fingerprint, {})
+        left = {id_: loss for id_, loss in losses.items() if loss.lost_s > answer.answered_s}
+        if left:
+            self._losses[fingerprint] = left
+
+    def _answered_s(self, fingerprint: str) -> float:
+        answer = self._answers.get(fingerprint)
+        return -inf if answer is None else answer.answered_s
 
     def _count_losses(self, fingerprint: str, now_s: float) -> int:
         since_s = now_s - self._settings.block_s
-        own = self._loss_counts.get(fingerprint)
-        total = own.losses if own is not None and own.last_loss_s > since_s else 0
-        for peer in self._peer_losses.values():
-            if peer.received_s > since_s:
-                total += peer.losses.get(fingerprint, 0)
-        return total
+        return sum(loss.lost_s > since_s for loss in self._losses.get(fingerprint, {}).values())
 
     def _drop_expired(self, now_s: float) -> None:
         since_s = now_s - self._settings.block_s
-        for key in [k for k, item in self._loss_counts.items() if item.last_loss_s <= since_s]:
-            del self._loss_counts[key]
-        for key in [k for k, peer in self._peer_losses.items() if peer.received_s <= since_s]:
-            del self._peer_losses[key]
+        for fingerprint, losses in list(self._losses.items()):
+            left = {id_: loss for id_, loss in losses.items() if loss.lost_s > since_s}
+            if left:
+                self._losses[fingerprint] = left
+            else:
+                del self._losses[fingerprint]
+        self._answers = {
+            fingerprint: answer
+            for fingerprint, answer in self._answers.items()
+            if answer.answered_s > since_s
+        }
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -11,6 +11,7 @@
 from attrs import field
 from attrs import frozen
 
+from siskinward.coordination.steering.crash_guard import LossAges
 from siskinward.coordination.steering.hashing import rendezvous_score
 from siskinward.coordination.steering.rows import Position
 from siskinward.coordination.steering.target_limits import LimitReport
@@ -57,7 +58,9 @@
     the store's, and ``ages_s`` the time since the store last confirmed each copy. ``in_flight``
     counts the VM's requests at targets, by ``short_id`` of the target's name. ``demand_per_s`` is
     the request rate of each client account at this VM. ``crashing_requests`` counts the targets
-    lost to a request, by its fingerprint. ``warm`` names objects that began to run at targets.
+    lost to a request, by its fingerprint; ``losses`` says which targets these are and how long ago
+    each was lost, and ``answered_requests`` how long ago such a request was answered. ``warm``
+    names objects that began to run at targets.
     ``slow`` counts by target's ``short_id`` the latest runs that were slow. ``limits`` are the rate
     limits that the VM heard from targets, ``warmups`` the warm-up times that its probes found.
     ``is_cut_off`` says that it reaches no target, ``is_store_lost`` that its reads of the store
@@ -72,6 +75,8 @@
     in_flight: dict[int, int] = field(factory=dict)
     demand_per_s: dict[AccountName, float] = field(factory=dict)
     crashing_requests: dict[str, int] = field(factory=dict)
+    losses: dict[str, LossAges] = field(factory=dict)
+    answered_requests: dict[str, float] = field(factory=dict)
     held: dict[str, int] = field(factory=dict)
     warm: tuple[WarmPair, ...] = ()
     slow: dict[int, int] = field(factory=dict)
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -80,6 +80,11 @@
         """Name of the target."""
         return self.record.name
 
+    @property
+    def start_id(self) -> int:
+        """Short id of this start of the target; all VMs agree on it."""
+        return short_id(f"{self.record.name}/{self.record.started_ms}")
+
     def set_cold(self, until_s: float, now_s: float) -> None:
         """Limit the target to its warm-up rate until a time; it has lost its cache."""
         if not self.is_cold(now_s) and until_s > now_s:
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -145,7 +145,12 @@
             vm = heartbeat.sender
             self._log.write("vm-heard", {"peer": vm.vm, "incarnation": vm.incarnation})
         incarnation = heartbeat.sender.incarnation
-        self._steering.crashes.on_peer_losses(incarnation, heartbeat.crashing_requests, now_s)
+        crashes = self._steering.crashes
+        if heartbeat.losses:
+            crashes.on_peer_losses(heartbeat.losses, now_s)
+        else:
+            crashes.on_peer_loss_counts(incarnation, heartbeat.crashing_requests, now_s)
+        crashes.on_peer_answers(heartbeat.answered_requests, now_s)
 
     def _is_heartbeat_due(self, step: int, now_s: float) -> bool:
         """Whether this step sends a full heartbeat; a new process introduces itself by several.
@@ -177,6 +182,7 @@
     def _create(self, now_s: float) -> Heartbeat:
         steering = self._steering
         report = self._create_report(now_s)
+        losses = steering.crashes.own_losses(now_s)
         return Heartbeat(
             sender=steering.fleet.own,
             number=report.number,
@@ -191,7 +197,9 @@
             is_cut_off=report.is_cut_off,
             is_store_lost=report.is_store_lost,
             demand_per_s=steering.shares.publish(),
-            crashing_requests=steering.crashes.own_losses(now_s),
+            crashing_requests={key: len(ages_s) for key, ages_s in losses.items()},
+            losses=losses,
+            answered_requests=steering.crashes.own_answers(now_s),
             held={name: copy.held_count for name, copy in self._loaded().items()},
         )
 
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -181,7 +181,7 @@
     ) -> Answered | OutcomeUnknown:
         response = answer.response
         self._limit_reader.read(response, target, may_end_limit=True)
-        self._steering.crashes.on_answer(outgoing.fingerprint)
+        self._steering.crashes.on_answer(outgoing.fingerprint, read_clock_s())
         is_error = response.status >= SERVER_ERROR
         if is_error:
             self._steering.targets.on_error(target)
@@ -226,7 +226,9 @@
         targets.on_error(target)
         if error.is_timeout:
             return OutcomeUnknown(SendFailure.TIMEOUT, error.detail)
-        self._steering.crashes.on_connection_lost(outgoing.fingerprint, target.name, now_s)
+        self._steering.crashes.on_connection_lost(
+            outgoing.fingerprint, target.name, target.start_id, now_s
+        )
         await curio.spawn(self._check_alive, target, daemon=True)
         return OutcomeUnknown(SendFailure.LOST, error.detail)
 
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
+from typing import TypeVar
 
 import msgpack
 from attrs import astuple
@@ -33,6 +35,11 @@
 from siskinward.state.identifiers import IncarnationId
 from siskinward.state.identifiers import TargetName
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+Key = TypeVar("Key")
+
 HEARTBEAT_TYPE = 1
 REPORT_TYPE = 2
 ASK_TYPE = 3
@@ -48,6 +55,8 @@
 WARMUPS_KEY = "warmups"
 CUT_OFF_KEY = "cut-off"
 STORE_LOST_KEY = "store-lost"
+LOSSES_KEY = "losses"
+ANSWERED_KEY = "answered"
 # Rates travel as integers: numbers of a heartbeat are rounded to single precision.
 RATE_SCALE = 10**RATE_DECIMALS
 # A heartbeat counts the held rows of a table beside its position, under this suffix.
@@ -67,7 +76,7 @@
         int(heartbeat.state),
         _encode_positions(heartbeat),
         heartbeat.ages_s,
-        _encode_in_flight(heartbeat),
+        _encode_in_flight(heartbeat) | _encode_losses(heartbeat),
         heartbeat.demand_per_s,
         heartbeat.crashing_requests,
     )
@@ -182,6 +191,11 @@
         is_store_lost=bool(in_flight.get(STORE_LOST_KEY)),
         demand_per_s={AccountName(name): rate for name, rate in decode_numbers(demand).items()},
         crashing_requests={str(key): int(count) for key, count in crashing_requests.items()},
+        losses={
+            str(key): _decode_ages(ages_ms, decode_integer)
+            for key, ages_ms in in_flight.get(LOSSES_KEY, {}).items()
+        },
+        answered_requests=_decode_ages(in_flight.get(ANSWERED_KEY, {}), str),
     )
 
 
@@ -232,6 +246,25 @@
     return fields
 
 
+def _encode_losses(heartbeat: Heartbeat) -> dict[Any, Any]:
+    fields: dict[Any, Any] = {}
+    if heartbeat.losses:
+        fields[LOSSES_KEY] = {key: _encode_ages(ages) for key, ages in heartbeat.losses.items()}
+    if heartbeat.answered_requests:
+        fields[ANSWERED_KEY] = _encode_ages(heartbeat.answered_requests)
+    return fields
+
+
+def _encode_ages(ages_s: dict[Any, float]) -> dict[Any, int]:
+    return {key: round(age_s * 1000) for key, age_s in ages_s.items()}
+
+
+def _decode_ages(ages_ms: dict[Any, Any], decode_key: Callable[[Any], Key]) -> dict[Key, float]:
+    return {
+        decode_key(key): max(0, decode_integer(age_ms)) / 1000 for key, age_ms in ages_ms.items()
+    }
+
+
 def _decode_in_flight(fields: dict[Any, Any]) -> dict[int, int]:
     return {key: int(count) for key, count in fields.items() if isinstance(key, int)}
 
--- a/tests/coordination/steering/test_limits.py
+++ b/tests/coordination/steering/test_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from steering_fixtures import SERVICE
@@ -85,22 +86,47 @@
     assert all(budget.try_take(SERVICE, 10.0) for _ in range(10))
 
 
+def lose(guard: CrashGuard, target: int, at_s: float, key: str = "key") -> None:
+    """Let a request's connection break at a target, which then refuses connections."""
+    guard.on_connection_lost(key, f"target-{target}", target, at_s - 0.1)
+    guard.on_target_down(f"target-{target}", at_s)
+
+
+def tell_losses(guard: CrashGuard, others: list[CrashGuard], at_s: float) -> None:
+    for other in others:
+        other.on_peer_losses(guard.own_losses(at_s), at_s)
+
+
 def test_crash_guard_blocks_after_three_confirmed_losses_anywhere() -> None:
     guards = [CrashGuard(CrashGuardSettings()) for _ in range(3)]
     key = fingerprint_of(AccountName("guild"), "r-1", "GET", "/poison", b"")
     for number, guard in enumerate(guards):
-        guard.on_connection_lost(key, f"target-{number}", 1.0)
-        guard.on_target_down(f"target-{number}", 1.2)
-    for number in (1, 2):
-        guards[0].on_peer_losses(f"vm-{number}", guards[number].own_losses(1.3), 1.3)
+        lose(guard, number, 1.2, key)
+    for guard in guards[1:]:
+        tell_losses(guard, guards[:1], 1.3)
     assert guards[0].is_blocked(key, 1.4)
     assert not guards[1].is_blocked(key, 1.4)
     assert not guards[0].is_blocked(key, 62.0)
 
 
+# Soak seed 591755232: one crash under several sends of a request counted once for each.
+def test_crash_guard_counts_each_start_of_a_target_once() -> None:
+    guards = [CrashGuard(CrashGuardSettings()) for _ in range(3)]
+    for guard in guards:
+        for _ in range(4):
+            guard.on_connection_lost("key", "target", 7, 1.0)
+        guard.on_target_down("target", 1.1)
+        tell_losses(guard, guards, 1.2)
+    assert not any(guard.is_blocked("key", 1.3) for guard in guards)
+    for start_id in (8, 9):
+        guards[0].on_connection_lost("key", "target", start_id, 5.0)
+        guards[0].on_target_down("target", 5.1)
+    assert guards[0].is_blocked("key", 5.2)
+
+
 def test_crash_guard_lost_connection_to_a_live_target_is_no_crash() -> None:
     guard = CrashGuard(CrashGuardSettings(block_after=1))
-    guard.on_connection_lost("key", "target", 1.0)
+    guard.on_connection_lost("key", "target", 1, 1.0)
     guard.on_target_alive("target")
     guard.on_target_down("target", 1.5)
     assert not guard.is_blocked("key", 1.6)
@@ -108,13 +134,57 @@
 
 def test_crash_guard_answered_request_is_cleared() -> None:
     guard = CrashGuard(CrashGuardSettings(block_after=1))
-    guard.on_connection_lost("key", "target", 1.0)
-    guard.on_target_down("target", 1.1)
+    lose(guard, 1, 1.1)
     assert guard.is_blocked("key", 1.2)
-    guard.on_answer("key")
+    guard.on_answer("key", 1.2)
     assert not guard.is_blocked("key", 1.2)
 
 
+def test_crash_guard_answer_at_another_vm_clears_the_losses_before_it() -> None:
+    losing, answering, killed = (CrashGuard(CrashGuardSettings()) for _ in range(3))
+    lose(losing, 1, 1.0)
+    lose(killed, 2, 1.0)
+    lose(killed, 3, 1.1)
+    tell_losses(killed, [losing, answering], 1.2)
+    tell_losses(losing, [answering], 1.2)
+    assert losing.is_blocked("key", 1.3)
+    answering.on_answer("key", 1.3)
+    losing.on_peer_answers(answering.own_answers(1.5), 1.5)
+    assert not losing.own_losses(1.5)
+    # What was told before the answer and arrives after it counts no more.
+    tell_losses(killed, [losing, answering], 1.6)
+    for guard in (losing, answering):
+        assert not guard.is_blocked("key", 1.6)
+
+
+def test_crash_guard_losses_after_an_answer_at_another_vm_count() -> None:
+    losing, answering = (CrashGuard(CrashGuardSettings(block_after=1)) for _ in range(2))
+    lose(losing, 1, 1.0)
+    tell_losses(losing, [answering], 1.0)
+    answering.on_answer("key", 1.2)
+    lose(losing, 2, 1.4)
+    losing.on_peer_answers(answering.own_answers(1.5), 1.5)
+    assert losing.is_blocked("key", 1.5)
+    assert answering.own_answers(11.3) == {}
+
+
+def test_crash_guard_answer_of_a_request_without_losses_is_not_announced() -> None:
+    guard = CrashGuard(CrashGuardSettings())
+    guard.on_answer("key", 1.0)
+    assert guard.own_answers(1.0) == {}
+
+
+def test_crash_guard_counts_the_losses_of_a_vm_that_tells_only_their_number() -> None:
+    guard = CrashGuard(CrashGuardSettings())
+    lose(guard, 1, 1.0)
+    guard.on_peer_loss_counts("earlier", {"key": 2}, 1.0)
+    assert guard.is_blocked("key", 1.1)
+    assert guard.own_losses(1.1) == {"key": {1: pytest.approx(0.1)}}
+    guard.on_peer_loss_counts("earlier", {"other": 2**60}, 1.0)
+    assert guard.is_blocked("other", 1.1)
+    assert not guard.is_blocked("other", 61.5)
+
+
 def test_fingerprint_tells_bodies_accounts_and_paths_apart() -> None:
     one = fingerprint_of(AccountName("guild"), "r-1", "POST", "/a", b"x")
     others = {
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -219,6 +219,30 @@
     run_site(scenario)
 
 
+async def lose_target_under_booking(site: Site, vm: str) -> None:
+    """Let the target that runs a VM's booking crash, and start again."""
+    set_fault(site, "bookings", TargetFault.CRASHES)
+    assert (await site.call(vm, BOOKING)).status == 502
+    await curio.sleep(0.7)
+    set_fault(site, "bookings", TargetFault.NONE)
+    for target in targets_of(site, "bookings"):
+        await target.start()
+    await curio.sleep(3.0)
+
+
+# Soak seed 591755232: a request was refused for 60 s at VMs that had not answered it themselves.
+def test_request_answered_at_one_vm_after_each_loss_is_blocked_on_none(run_site: Any) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        first, second, answering, idle = site.vms
+        for vm in (first, second, first, second):
+            await lose_target_under_booking(site, vm)
+            assert (await site.call(answering, BOOKING)).status == 200
+            await curio.sleep(1.5)
+        assert (await site.call(idle, BOOKING)).status == 200
+
+    run_site(scenario)
+
+
 def test_account_is_held_to_its_rate_over_all_vms(run_site: Any) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
         statuses: list[int] = []
--- a/tests/protocol/test_heartbeat_messages.py
+++ b/tests/protocol/test_heartbeat_messages.py
@@ -53,6 +53,19 @@
     assert heartbeat.in_flight == report.in_flight == {5: 2}
 
 
+def test_answers_of_requests_that_lost_targets_travel_with_heartbeats() -> None:
+    losses = {"f1": {4_000_000_000: 0.25, 7: 3.0}, "f2": {9: 0.0}}
+    heartbeat = Heartbeat(
+        VM,
+        1,
+        VmState.READY,
+        crashing_requests={"f1": 2, "f2": 1},
+        losses=losses,
+        answered_requests={"f3": 1.25},
+    )
+    assert decode_datagram(encode_heartbeat(heartbeat)) == heartbeat
+
+
 def test_loss_of_the_store_travels_with_heartbeats_and_load_reports() -> None:
     heartbeat = Heartbeat(VM, 1, VmState.READY, is_store_lost=True)
     report = LoadReport(VM.incarnation, 2, is_store_lost=True)
