Bound the memory that the bodies of all requests take together

Cause: bodies are held whole, each with a copy while it is sent, and only their single size had a bound.

Change: what a request states is reserved before its body is read; what doesn't fit beside the others gets 503 and Retry-After at once. Large bodies aren't copied when sent, and reading one lets other tasks run.

--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -28,6 +28,7 @@
 from siskinward.daemon.entry.peer_asks import AskSettings
 from siskinward.daemon.entry.quota_enforcer import QuotaEnforcer
 from siskinward.daemon.entry.quota_enforcer import QuotaSettings
+from siskinward.daemon.entry.refusals import RETRY_AFTER_S
 from siskinward.daemon.entry.refusals import SHUTDOWN_RETRY_AFTER_S
 from siskinward.daemon.entry.refusals import Reason
 from siskinward.daemon.entry.refusals import refuse
@@ -49,6 +50,7 @@
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.serving import ListenAddress
 from siskinward.transport.answer_memory import AnswerMemory
+from siskinward.transport.body_memory import BodyMemory
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.decision_log import DecisionLog
 from siskinward.transport.decision_log import LogSettings
@@ -132,7 +134,8 @@
         checker = self._path_checker = PathChecker(self._steering, self._pool, self._log)
         links = TargetLinks(self._steering, self._pool, self._relay_pool, checker)
         relay_handler = RelayHandler(self._steering, platform.headers, self._pool, links, checker)
-        self._relay_server = RelayServer(relay_handler.relay)
+        self._bodies = BodyMemory()
+        self._relay_server = RelayServer(relay_handler.relay, self._bodies)
         sender = Sender(self._steering, platform.headers, links, limit_reader)
         metrics = EntryMetrics()
         self._datagrams = PeerDatagramSocket(settings.host, settings.peer_port)
@@ -158,6 +161,9 @@
         lookup_handler = LookupHandler(self._steering, platform)
         self._front = FrontServer(
             handler.handle,
+            bodies=self._bodies,
+            on_no_room=request_log.record_no_room,
+            no_room_response=refuse(Reason.NO_ROOM_FOR_BODY, RETRY_AFTER_S),
             unfinished_response=refuse(Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER_S),
             cut_response=refuse(Reason.OUTCOME_UNKNOWN),
         )
@@ -364,6 +370,7 @@
 
     def _set_limits(self, limits: CallerLimits) -> None:
         self._front.limits = limits
+        self._bodies.largest_body_bytes = limits.body_limit_bytes
 
 
 def run_entry(platform: Platform) -> None:
--- a/src/siskinward/daemon/entry/refusals.py
+++ b/src/siskinward/daemon/entry/refusals.py
@@ -26,6 +26,7 @@
     TIMEOUT = "timeout"
     TIMEOUT_UNSENT = "timeout-unsent"
     SHUTTING_DOWN = "shutting-down"
+    NO_ROOM_FOR_BODY = "no-room-for-body"
 
 
 # 429 and 503 guarantee that the request has not run; 502 and 504 guarantee nothing.
@@ -43,6 +44,7 @@
     Reason.TIMEOUT: 504,
     Reason.TIMEOUT_UNSENT: 503,
     Reason.SHUTTING_DOWN: 503,
+    Reason.NO_ROOM_FOR_BODY: 503,
 }
 
 
--- a/src/siskinward/daemon/entry/request_log.py
+++ b/src/siskinward/daemon/entry/request_log.py
@@ -7,6 +7,7 @@
 from attrs import asdict
 
 from siskinward.coordination.steering.rows import StoreTable
+from siskinward.daemon.entry.refusals import STATUS_BY_REASON
 from siskinward.daemon.entry.refusals import Reason
 from siskinward.transport.clock import read_clock_s
 
@@ -15,6 +16,7 @@
     from siskinward.daemon.entry.request_context import RequestContext
     from siskinward.daemon.entry.steering import Steering
     from siskinward.protocol.steering_headers import SteeringHeaders
+    from siskinward.transport.body_memory import NoRoomForBodyError
     from siskinward.transport.decision_log import DecisionLog
     from siskinward.transport.front_server import Arrival
 
@@ -38,6 +40,14 @@
         """Count a retry under the outcome of the send before it."""
         self._metrics.count_retry(context.service, context.sends[-1].outcome)
 
+    def record_no_room(self, error: NoRoomForBodyError) -> None:
+        """Count and log a request that was refused before its body was read."""
+        reason = Reason.NO_ROOM_FOR_BODY
+        status = STATUS_BY_REASON[reason]
+        self._metrics.count_request("", status, reason, 0.0)
+        fields = {"status": status, "reason": reason.value, "error": str(error)}
+        self._log.write("request-refused", fields)
+
     def _targets_confirmed_s(self) -> float:
         return self._steering.tables[StoreTable.TARGETS].confirmed_s
 
--- a/src/siskinward/transport/client_protocol.py
+++ b/src/siskinward/transport/client_protocol.py
@@ -23,6 +23,8 @@
 # Parser steps, each of which may receive once, between two chances for other tasks.
 YIELD_STEPS = 64
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+# Smaller bodies are sent together with the headers, in one call.
+COPIED_BODY_BYTES = 64 * 1024
 RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
 
 
@@ -34,6 +36,13 @@
     http: h11.Connection, request: HttpRequest, headers: Iterable[tuple[bytes, bytes]]
 ) -> bytes:
     """Encode a request with ``headers`` and the length of its body."""
+    return b"".join(encode_request_parts(http, request, headers))
+
+
+def encode_request_parts(
+    http: h11.Connection, request: HttpRequest, headers: Iterable[tuple[bytes, bytes]]
+) -> list[bytes]:
+    """Encode a request as ``encode_request``; a large body is not copied."""
     sent_headers = list(headers)
     if request.body or request.method not in ("GET", "HEAD"):
         sent_headers.append((b"content-length", str(len(request.body)).encode()))
@@ -42,7 +51,9 @@
     if request.body:
         parts.append(http.send(h11.Data(data=request.body)))
     parts.append(http.send(h11.EndOfMessage()))
-    return b"".join(part for part in parts if part)
+    if len(request.body) < COPIED_BODY_BYTES:
+        return [b"".join(part for part in parts if part)]
+    return [part for part in parts if part]
 
 
 async def read_response(
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -18,6 +18,9 @@
 from attrs import field
 
 from siskinward.state.serving import CallerLimits
+from siskinward.transport.body_memory import BodyMemory
+from siskinward.transport.body_memory import BodyShare
+from siskinward.transport.body_memory import NoRoomForBodyError
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.draining import wait_until_none
 from siskinward.transport.http_messages import HttpRequest
@@ -40,7 +43,10 @@
 # Limits how long a caller that does not read its response can hold the connection.
 WRITE_TIMEOUT_S = 10.0
 WRITE_LIMIT_AT_END_S = 0.2
+# How long what follows a refused request is still read, so that its response isn't lost by a reset.
+LINGER_S = 2.0
 UNFINISHED = HttpResponse(503)
+NO_ROOM = HttpResponse(503)
 CUT = HttpResponse(502)
 
 
@@ -62,6 +68,7 @@
     """Serves one port.
 
     ``handler`` answers requests; ``on_malformed`` is called for those that are refused unhandled.
+    Those whose body does not fit into ``bodies`` get ``no_room_response``, after ``on_no_room``.
     While ``is_shutting_down``, a connection closes with its last response. At the end of a shutdown
     requests that are not read completely get ``unfinished_response``, and those that the handler
     has not answered ``cut_response``.
@@ -72,12 +79,18 @@
         handler: Callable[[Arrival], Awaitable[HttpResponse]],
         on_malformed: Callable[[MalformedRequestError], None] = lambda error: None,
         *,
+        bodies: BodyMemory | None = None,
+        on_no_room: Callable[[NoRoomForBodyError], None] = lambda error: None,
+        no_room_response: HttpResponse = NO_ROOM,
         unfinished_response: HttpResponse = UNFINISHED,
         cut_response: HttpResponse = CUT,
     ) -> None:
         self.limits = CallerLimits()
         self.handler = handler
         self.on_malformed = on_malformed
+        self.bodies = bodies or BodyMemory()
+        self.on_no_room = on_no_room
+        self.no_room_response = no_room_response
         self.unfinished_response = unfinished_response
         self.cut_response = cut_response
         self.is_shutting_down = False
@@ -160,6 +173,7 @@
     """
 
     arrival: Arrival
+    share: BodyShare
     http: h11.Connection
     previous_sent: curio.Event
     sent: curio.Event = field(factory=curio.Event)
@@ -173,6 +187,7 @@
         self._server = server
         self._sock = sock
         self._reader = self._new_reader()
+        self._share = BodyShare(server.bodies)
         self._last_response_sent = curio.Event()
         self._is_closing = False
         self._is_broken = False
@@ -199,6 +214,11 @@
                 self._server.on_malformed(error)
                 await self._refuse(HttpResponse(error.status, ((b"content-type", b"text/plain"),)))
                 break
+            except NoRoomForBodyError as error:
+                self._server.on_no_room(error)
+                await self._refuse(self._server.no_room_response)
+                await self._discard_rest()
+                break
             if request is None or self._is_closing:
                 # Requests that follow a closing response are not handled.
                 break
@@ -237,6 +257,7 @@
 
     async def on_disconnect(self) -> None:
         """Mark the exchanges as disconnected; cancel those that do not survive it."""
+        self._share.free()
         for exchange in list(self.exchanges):
             exchange.arrival.caller_disconnected = True
             if not exchange.arrival.survives_disconnect:
@@ -250,7 +271,8 @@
 
     async def _start_exchange(self, request: HttpRequest) -> None:
         arrival = Arrival(request, read_clock_s())
-        exchange = _Exchange(arrival, self._reader.http, self._last_response_sent)
+        share, self._share = self._share, BodyShare(self._server.bodies)
+        exchange = _Exchange(arrival, share, self._reader.http, self._last_response_sent)
         self._last_response_sent = exchange.sent
         self.exchanges.add(exchange)
         exchange.task = await curio.spawn(self._run_exchange, exchange, daemon=True)
@@ -272,6 +294,7 @@
             pass
         finally:
             self.exchanges.discard(exchange)
+            exchange.share.free()
             if not is_written:
                 # No other response may take the place of one that is missing or cut short.
                 self._is_broken = self._is_closing = True
@@ -307,6 +330,15 @@
         await self._last_response_sent.wait()
         await self._sock.sendall(encode_refusal(response))
 
+    async def _discard_rest(self) -> None:
+        """Read what the caller still sends, until it has seen the response and closes."""
+        self._is_closing = True
+        self._share.free()
+        await self._shutdown_socket()
+        async with curio.ignore_after(LINGER_S):
+            while await self._sock.recv(RECEIVE_SIZE_BYTES):
+                await curio.sleep(0)
+
     async def _shutdown_socket(self, how: int = socket.SHUT_WR) -> None:
         try:
             await self._sock.shutdown(how)
@@ -341,4 +373,4 @@
                 head = await self._reader.read_head()
         except curio.TaskTimeout:
             raise MalformedRequestError(408, "timed out reading the headers") from None
-        return None if head is None else await self._reader.read_rest(head)
+        return None if head is None else await self._reader.read_rest(head, share=self._share)
--- a/src/siskinward/transport/outbound_connection.py
+++ b/src/siskinward/transport/outbound_connection.py
@@ -17,7 +17,7 @@
 from attrs import frozen
 
 from siskinward.protocol.counts import decode_count
-from siskinward.transport.client_protocol import encode_request
+from siskinward.transport.client_protocol import encode_request_parts
 from siskinward.transport.client_protocol import read_response
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.sockets import connect
@@ -153,10 +153,11 @@
 
     async def _exchange(self, request: HttpRequest, share: AnswerShare | None) -> HttpResponse:
         http = h11.Connection(h11.CLIENT)
-        data = encode_request(http, request, request.headers)
+        parts = encode_request_parts(http, request, request.headers)
         self._carried_ids.add(request.header(self._echo_header))
         has_repeated = False
-        await self._sock.sendall(data)
+        for part in parts:
+            await self._sock.sendall(part)
         while True:
             response = await read_response(http, self._sock, self._on_response_head, share)
             if self._is_given_up:
@@ -212,7 +213,7 @@
 def _parser_for_next_response(http: h11.Connection, request: HttpRequest) -> h11.Connection:
     """Return a parser that expects the response to ``request`` after a repeated one."""
     successor = h11.Connection(h11.CLIENT)
-    encode_request(successor, request, request.headers)
+    encode_request_parts(successor, request, request.headers)
     trailing, is_closed = http.trailing_data
     if trailing:
         successor.receive_data(trailing)
--- a/src/siskinward/transport/server_protocol.py
+++ b/src/siskinward/transport/server_protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
 
 import curio
@@ -12,6 +13,12 @@
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 
+if TYPE_CHECKING:
+    from siskinward.transport.body_memory import BodyShare
+
+# Pieces that are received one after the other before other tasks get a chance.
+YIELD_PIECES = 16
+
 
 @frozen
 class MalformedRequestError(Exception):
@@ -37,6 +44,7 @@
         self._sock = sock
         self._limits = limits
         self.http = h11.Connection(h11.SERVER, limits.header_limit_bytes)
+        self._received_pieces = 0
 
     @property
     def trailing(self) -> bytes:
@@ -59,9 +67,19 @@
         self._check_headers(head)
         return head
 
-    async def read_rest(self, head: h11.Request, peer: tuple[str, int] = ("", 0)) -> HttpRequest:
-        """Read the body and return the request. Raises ``MalformedRequestError`` or ``OSError``."""
-        body = await self._read_body()
+    async def read_rest(
+        self,
+        head: h11.Request,
+        peer: tuple[str, int] = ("", 0),
+        share: BodyShare | None = None,
+    ) -> HttpRequest:
+        """Read the body and return the request; ``share`` counts what the body takes.
+
+        Raises ``MalformedRequestError``, ``NoRoomForBodyError`` or ``OSError``.
+        """
+        if share is not None:
+            share.grow_to(min(_stated_length(head), self._limits.body_limit_bytes))
+        body = await self._read_body(share)
         return HttpRequest(
             method=head.method.decode("ascii"),
             target=head.target.decode("ascii"),
@@ -71,7 +89,7 @@
             peer_port=peer[1],
         )
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, share: BodyShare | None) -> bytes:
         chunks: list[bytes] = []
         size_bytes = 0
         while True:
@@ -80,6 +98,8 @@
                     size_bytes += len(data)
                     if size_bytes > self._limits.body_limit_bytes:
                         raise MalformedRequestError(413, "the body is too large")
+                    if share is not None:
+                        share.grow_to(size_bytes)
                     chunks.append(bytes(data))
                 case h11.EndOfMessage():
                     return b"".join(chunks)
@@ -104,8 +124,15 @@
             if self.http.they_are_waiting_for_100_continue:
                 informational = h11.InformationalResponse(status_code=100, headers=[])
                 await self._sock.sendall(self.http.send(informational))
+            await self._give_way()
             self.feed(await self._sock.recv(RECEIVE_SIZE_BYTES))
 
+    async def _give_way(self) -> None:
+        # A caller that sends as fast as it is read would never let other tasks run.
+        self._received_pieces += 1
+        if self._received_pieces % YIELD_PIECES == 0:
+            await curio.sleep(0)
+
     def _check_headers(self, head: h11.Request) -> None:
         # The parser limits the size only of headers that are still incomplete.
         size_bytes = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
@@ -119,6 +146,12 @@
             )
 
 
+def _stated_length(head: h11.Request) -> int:
+    """Return the length of the body that a request states, which the parser has checked."""
+    lengths = [value for name, value in head.headers if name == b"content-length"]
+    return int(lengths[0]) if lengths else 0
+
+
 def encode_response(http: h11.Connection, response: HttpResponse, *, closes: bool) -> bytes:
     """Encode a response; the length of its body replaces any content length in its headers."""
     headers = [item for item in response.headers if item[0] != b"content-length"]
