Keep refusals of unread requests from being lost, and small relayed requests from being refused

A response to a request that is too large or malformed could be lost by a reset, as what the caller still sent was not read; it is now read for up to 2 s, as for a body without room. A relay counts frames from 64 KiB on, so that VMs go on asking each other what they reach. A heartbeat tells the newest losses of a blocked request only, as many as decide on the block.

tests/transport, tests/protocol, tests/coordination/steering and the tests of serving, stops and uploads pass.

--- a/src/siskinward/coordination/steering/crash_guard.py
+++ b/src/siskinward/coordination/steering/crash_guard.py
@@ -27,8 +27,9 @@
     Each further loss doubles that time, up to ``max_doublings`` times. A blocked request is
     remembered for ``remembered_blocks`` times the block. A broken connection counts only if the
     target proves to be down within ``confirm_within_s``. An answer that clears a request is told to
-    the other VMs for ``announce_s``. Each VM tells all losses of up to ``told_blocked`` requests
-    that are blocked, so that VMs that restart in turn learn them from the others.
+    the other VMs for ``announce_s``. Each VM tells the losses of up to ``told_blocked`` requests
+    that are blocked, so that VMs that restart in turn learn them from the others: the newest, as
+    many as decide on the block.
     """
 
     block_after: int = 3
@@ -120,12 +121,15 @@
         block_after = self._settings.block_after
         blocked = [key for key, losses in self._losses.items() if len(losses) >= block_after]
         return {
-            fingerprint: {
-                id_: now_s - loss.lost_s for id_, loss in self._losses[fingerprint].items()
-            }
+            fingerprint: self._newest_ages_s(self._losses[fingerprint], now_s)
             for fingerprint in blocked[-self._settings.told_blocked :]
         }
 
+    def _newest_ages_s(self, losses: dict[int, _Loss], now_s: float) -> LossAges:
+        count = self._settings.block_after + self._settings.max_doublings
+        newest = sorted(losses, key=lambda id_: losses[id_].lost_s)[-count:]
+        return {id_: now_s - losses[id_].lost_s for id_ in newest}
+
     def own_answers(self, now_s: float) -> dict[str, float]:
         """Return how long ago each request that had losses was answered, to send to the others."""
         since_s = now_s - self._settings.announce_s
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -213,6 +213,7 @@
             except MalformedRequestError as error:
                 self._server.on_malformed(error)
                 await self._refuse(HttpResponse(error.status, ((b"content-type", b"text/plain"),)))
+                await self._discard_rest()
                 break
             except NoRoomForBodyError as error:
                 self._server.on_no_room(error)
--- a/src/siskinward/transport/relay_server.py
+++ b/src/siskinward/transport/relay_server.py
@@ -34,6 +34,9 @@
     from siskinward.transport.relay_messages import RelayReply
     from siskinward.transport.relay_messages import RelayRequest
 
+# Smaller requests are always taken: VMs also ask each other whether a target can be reached.
+COUNTED_FRAME_BYTES = 64 * 1024
+
 
 class RelayServer:
     """Accepts requests to relay, and passes each to ``relay``.
@@ -85,7 +88,8 @@
     async def _serve_next(self, sock: Any, share: BodyShare) -> None:
         size_bytes = await receive_frame_size(sock, FRAME_LIMIT_BYTES)
         try:
-            share.grow_to(size_bytes)
+            if size_bytes >= COUNTED_FRAME_BYTES:
+                share.grow_to(size_bytes)
         except NoRoomForBodyError as error:
             await discard_frame(sock, size_bytes)
             await send_frame(sock, encode_relay_reply(_no_room(error)))
