Send no request whose caller has gone

Cause: a VM that lags reads a request and the end of its connection in one turn and cancels the request's task. A cancelled task goes on until it has to wait; with a token, a slot and a kept connection at hand it sends first. The record shows it: the run ends in the moment in which it begins.

Change: before each send a task takes a cancellation that is due and asks the connection whether its caller has ended it. A relay does the same. Such a request is counted as caller-gone, and gives its slot and token back.

--- a/src/siskinward/daemon/entry/refusals.py
+++ b/src/siskinward/daemon/entry/refusals.py
@@ -27,6 +27,7 @@
     TIMEOUT_UNSENT = "timeout-unsent"
     SHUTTING_DOWN = "shutting-down"
     NO_ROOM_FOR_BODY = "no-room-for-body"
+    CALLER_GONE = "caller-gone"
 
 
 # 429 and 503 guarantee that the request has not run; 502 and 504 guarantee nothing.
@@ -45,6 +46,7 @@
     Reason.TIMEOUT_UNSENT: 503,
     Reason.SHUTTING_DOWN: 503,
     Reason.NO_ROOM_FOR_BODY: 503,
+    Reason.CALLER_GONE: 503,
 }
 
 
--- a/src/siskinward/daemon/entry/relay_handler.py
+++ b/src/siskinward/daemon/entry/relay_handler.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import curio
 from attrs import evolve
 
 from siskinward.daemon.entry.target_links import LinkRequest
@@ -80,6 +81,8 @@
             relayed.time_left_s,
             relayed.is_idempotent,
         )
+        # The asking VM may have gone; a cancelled task goes on until it has to wait.
+        await curio.check_cancellation()
         try:
             answer = await self._links.exchange_directly(target, link_request)
         except ExchangeFailedError as error:
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import curio
+
 from siskinward.coordination.steering.admission_queue import Rejected
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import PlacementRequest
@@ -170,11 +172,12 @@
             fingerprint=context.fingerprint,
             home_regions=self._home_regions(context),
         )
-        # A request that must not run twice runs to its end even if its caller disconnects.
-        context.arrival.survives_disconnect = not context.route.is_idempotent
         run = self._start_run(context, placed, started_s)
         result: SendResult | None = None
         try:
+            await self._check_caller(context)
+            # A request that must not run twice runs to its end even if its caller disconnects.
+            context.arrival.survives_disconnect = not context.route.is_idempotent
             result = await self._sender.send(outgoing, target)
         finally:
             context.arrival.survives_disconnect = False
@@ -202,6 +205,15 @@
         )
         return result
 
+    async def _check_caller(self, context: RequestContext) -> None:
+        """End a request that is not sent yet if its caller has gone.
+
+        A cancelled task goes on until it has to wait, which it need not before it has sent.
+        """
+        await curio.check_cancellation()
+        if context.arrival.is_caller_gone():
+            raise self._create_refusal(context, Reason.CALLER_GONE, RETRY_AFTER_S)
+
     def _may_try_again(self, context: RequestContext, target: Target, result: SendResult) -> bool:
         """Return whether a target stays a candidate for the next attempt.
 
--- a/src/siskinward/standins/memory_network.py
+++ b/src/siskinward/standins/memory_network.py
@@ -62,6 +62,11 @@
         """Whether a read would return at once."""
         return bool(self._data) or self._is_ended or self._is_reset
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the stream was reset, or has ended with nothing left to read."""
+        return self._is_reset or (self._is_ended and not self._data)
+
     async def read(self, size_bytes: int) -> bytes:
         while not self.is_readable:
             self._changed.clear()
@@ -108,6 +113,11 @@
         """Whether a read would return at once."""
         return self._incoming.is_readable
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the stream has ended, with nothing left to read."""
+        return self._incoming.has_ended
+
     def setsockopt(self, *args: object) -> None:
         """Accept any option."""
 
@@ -274,6 +284,10 @@
         """Return whether the stream has ended or has unread bytes, without reading them."""
         return bool(sock.is_readable)
 
+    def has_ended(self, sock: Any) -> bool:
+        """Return whether the stream has ended and holds no unread bytes."""
+        return bool(sock.has_ended)
+
     def accept_waiting(self, listener: Any) -> list[Any]:
         """Return none: a listener in memory accepts in the step after a connect."""
         return []
--- a/src/siskinward/transport/front_server.py
+++ b/src/siskinward/transport/front_server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Any
@@ -34,11 +35,11 @@
 from siskinward.transport.sockets import accept
 from siskinward.transport.sockets import accept_waiting
 from siskinward.transport.sockets import enable_keepalive
+from siskinward.transport.sockets import has_ended
 from siskinward.transport.sockets import is_stale
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
-    from collections.abc import Callable
 
 # Limits how long a caller that does not read its response can hold the connection.
 WRITE_TIMEOUT_S = 10.0
@@ -55,13 +56,19 @@
     """A complete request and when its last byte was read.
 
     ``survives_disconnect`` is set by the handler while the request must not be cancelled, even if
-    its caller disconnects.
+    its caller disconnects. ``has_ended`` asks the connection itself, whose end may not have been
+    read yet.
     """
 
     request: HttpRequest
     received_s: float
     survives_disconnect: bool = False
     caller_disconnected: bool = False
+    has_ended: Callable[[], bool] = lambda: False
+
+    def is_caller_gone(self) -> bool:
+        """Return whether the caller has disconnected."""
+        return self.caller_disconnected or self.has_ended()
 
 
 class FrontServer:
@@ -271,7 +278,7 @@
                 return
 
     async def _start_exchange(self, request: HttpRequest) -> None:
-        arrival = Arrival(request, read_clock_s())
+        arrival = Arrival(request, read_clock_s(), has_ended=lambda: has_ended(self._sock))
         share, self._share = self._share, BodyShare(self._server.bodies)
         exchange = _Exchange(arrival, share, self._reader.http, self._last_response_sent)
         self._last_response_sent = exchange.sent
--- a/src/siskinward/transport/relay_server.py
+++ b/src/siskinward/transport/relay_server.py
@@ -25,6 +25,7 @@
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 from siskinward.transport.sockets import accept
 from siskinward.transport.sockets import enable_keepalive
+from siskinward.transport.sockets import has_ended
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -96,6 +97,8 @@
             return
         try:
             data = await receive_frame_data(sock, size_bytes)
+            if has_ended(sock):
+                raise ConnectionResetError("the other VM gave up on its request")
             await self._serve_one(sock, decode_relay_request(data))
         finally:
             share.free()
--- a/src/siskinward/transport/sockets.py
+++ b/src/siskinward/transport/sockets.py
@@ -67,6 +67,10 @@
         """Return whether an idle connection has ended, failed or holds unread bytes."""
         ...
 
+    def has_ended(self, sock: Any) -> bool:
+        """Return whether a connection has failed, or ended with nothing left to read."""
+        ...
+
     def accept_waiting(self, listener: Any) -> list[Any]:
         """Accept the connections that wait at a listening socket, without waiting for others."""
         ...
@@ -122,6 +126,18 @@
             return True
         return True
 
+    def has_ended(self, sock: Any) -> bool:
+        """Peek for the end of the stream or an error."""
+        if sock._socket is None:
+            return True
+        try:
+            data: bytes = sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return not data
+
     def accept_waiting(self, listener: Any) -> list[Any]:
         """Accept until the system has no more connections waiting."""
         accepted = []
@@ -209,6 +225,11 @@
     return _network.is_stale(sock)
 
 
+def has_ended(sock: Any) -> bool:
+    """Return whether a connection has failed, or ended with nothing left to read."""
+    return _network.has_ended(sock)
+
+
 def accept_waiting(listener: Any) -> list[Any]:
     """Accept the connections that wait at a listening socket, without waiting for others."""
     return _network.accept_waiting(listener)
