--- a/tests/coordination/steering/test_crash_guard_agreement.py
+++ b/tests/coordination/steering/test_crash_guard_agreement.py
@@ -76,13 +76,21 @@
             self.tell(vm)
 
 
+def play_all(played: list[tuple[str, int, str, int]], *, tells_each: bool) -> Vms:
+    """Play events, after each of which all VMs may tell one another what they know."""
+    vms = Vms()
+    for event in played:
+        vms.play(event)
+        if tells_each:
+            vms.tell_all()
+    return vms
+
+
 @given(st.lists(events, max_size=24))
 def test_guards_that_told_one_another_agree_on_what_is_blocked(
     played: list[tuple[str, int, str, int]],
 ) -> None:
-    vms = Vms()
-    for event in played:
-        vms.play(event)
+    vms = play_all(played, tells_each=False)
     vms.tell_all()
     for request in REQUESTS:
         assert len({guard.is_blocked(request, vms.now_s) for guard in vms.guards}) == 1
@@ -92,10 +100,7 @@
 def test_guards_block_exactly_after_so_many_targets_lost_since_the_last_answer(
     played: list[tuple[str, int, str, int]],
 ) -> None:
-    vms = Vms()
-    for event in played:
-        vms.play(event)
-        vms.tell_all()
+    vms = play_all(played, tells_each=True)
     for request, lost in vms.lost.items():
         is_blocked = len(lost) >= SETTINGS.block_after
         assert all(guard.is_blocked(request, vms.now_s) == is_blocked for guard in vms.guards)
