--- /dev/null
+++ b/review/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and process control for the cases of this review; standard library only."""
