--- a/review/deployment/case.py
+++ b/review/deployment/case.py
@@ -5,6 +5,8 @@
 import asyncio
 import logging
 import os
+import random
+import socket
 import sys
 import traceback
 from collections.abc import Awaitable
@@ -25,6 +27,7 @@
 ZONES = {"bud-a": "budapest", "deb-a": "debrecen", "pec-a": "pecs"}
 # Time bounds hold for VMs that have run undisturbed for ``contact`` (3 s).
 SETTLE_S = 4.0
+USED_PORTS = (7600, 7601, 8201, 8206, 8209, 9464)
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -38,8 +41,7 @@
         self.entries: list[Vm] = []
         self.targets: list[Target] = []
         self.heartbeats: dict[str, asyncio.Task[None]] = {}
-        # A network of loopback addresses of its own, so that ports of other runs don't matter.
-        self.net = f"127.{50 + os.getpid() % 150}"
+        self.net = _find_free_network()
         for number, zone in enumerate(ZONES, start=1):
             name, host = f"entry-{zone}", f"{self.net}.{number}.1"
             self.entries.append(Vm(name, host, zone, f"{self.net}.9.{number}:8205"))
@@ -78,6 +80,26 @@
         self.store.silent_hosts.clear()
 
 
+def _find_free_network() -> str:
+    """Return the first half of loopback addresses whose ports are free, apart from other runs."""
+    for number in random.sample(range(50, 200), 20):
+        net = f"127.{number}"
+        if all(_is_free(f"{net}.{zone}.1") for zone in range(1, len(ZONES) + 1)):
+            return net
+    raise RuntimeError("no loopback addresses with free ports found")
+
+
+def _is_free(host: str) -> bool:
+    for port in USED_PORTS:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((host, port))
+            except OSError:
+                return False
+    return True
+
+
 def run_case(folder: Path, play: Callable[[Record], Awaitable[bool]]) -> None:
     """Play a case that returns whether the rule held, and exit with the code for it."""
     logging.getLogger("asyncio").setLevel(logging.CRITICAL + 1)
