--- a/review/deployment/memory.py
+++ b/review/deployment/memory.py
@@ -26,11 +26,11 @@
     try:
         while True:
             status = Path(f"/proc/{vm.process.pid}/status").read_text()
-            line = next(item for item in status.splitlines() if item.startswith("VmRSS"))
-            resident_mb = int(line.split()[1]) // 1024
-            peak_mb = max(peak_mb, resident_mb)
-            if resident_mb > MEMORY_LIMIT_MB:
-                record.write(f"{vm.name} takes {resident_mb} MB: the platform kills it")
+            line = next(item for item in status.splitlines() if item.startswith("VmHWM"))
+            peak_now_mb = int(line.split()[1]) // 1024
+            peak_mb = max(peak_mb, peak_now_mb)
+            if peak_now_mb > MEMORY_LIMIT_MB:
+                record.write(f"{vm.name} takes {peak_now_mb} MB: the platform kills it")
                 vm.send_signal(signal.SIGKILL)
                 return peak_mb
             await asyncio.sleep(MEMORY_CHECK_S)
