--- a/review/deployment/bookings.py
+++ b/review/deployment/bookings.py
@@ -25,17 +25,17 @@
 
 
 def start_bookings(
-    vm: Vm, end_s: float, lost: list[str], record: Record
+    vm: Vm, end_s: float, lost: list[str], record: Record, route: str = "bookings"
 ) -> list[asyncio.Task[None]]:
-    """Start the clients; ``lost`` gets the bookings whose kept connection ends unanswered."""
+    """Start the clients; ``lost`` gets the requests whose kept connection ends unanswered."""
     return [
-        asyncio.create_task(_book_again_and_again(number, vm, end_s, lost, record))
+        asyncio.create_task(_book_again_and_again(number, vm, end_s, lost, record, route))
         for number in range(BOOKING_CLIENTS)
     ]
 
 
 async def _book_again_and_again(
-    number: int, vm: Vm, end_s: float, lost: list[str], record: Record
+    number: int, vm: Vm, end_s: float, lost: list[str], record: Record, route: str
 ) -> None:
     """Send bookings one after the other on a kept connection."""
     await asyncio.sleep(number * BOOKING_WORK_S / BOOKING_CLIENTS)
@@ -43,11 +43,11 @@
     count = 0
     while record.now_s() < end_s:
         count += 1
-        attempt = f"booking-{number}-{count}"
+        attempt = f"{route}-{number}-{count}"
         record.write(f"client sends {attempt} to {vm.name}")
         try:
             async with asyncio.timeout(BOOKING_TIME_LIMIT_S):
-                path = f"/bookings/{number}"
+                path = f"/{route}/{number}"
                 writer.write(
                     encode_head("POST", path, attempt, BOOKING_TIME_LIMIT_S, 9) + b"a booking"
                 )
--- a/review/deployment/target.py
+++ b/review/deployment/target.py
@@ -46,7 +46,9 @@
     async def report_periodically(self, store: Store) -> None:
         """Write the entry about every ``heartbeat`` (1500ms)."""
         while True:
-            self.report(store, "ready")
+            # A store that is silent takes no entry either.
+            if not store.silent_hosts:
+                self.report(store, "ready")
             await asyncio.sleep(1.5)
 
     def report(self, store: Store, state: str) -> None:
--- a/review/deployment/upload.py
+++ b/review/deployment/upload.py
@@ -1,4 +1,4 @@
-"""Clients that upload a body each: HOST CLIENTS BODY_BYTES CHUNK_BYTES TIME_LIMIT_S.
+"""Clients that upload a body each: HOST CLIENTS BODY_BYTES CHUNK_BYTES TIME_LIMIT_S THING.
 
 They send the ends of their bodies at the same time. On loopback a body takes a moment from one VM
 to another; at ``link_mbps`` it takes so long that uploads overlap by themselves.
@@ -22,7 +22,7 @@
     host = sys.argv[1]
     clients, body_bytes, chunk_bytes = (int(text) for text in sys.argv[2:5])
     all_sent = Barrier(clients)
-    arguments = (host, body_bytes, chunk_bytes, float(sys.argv[5]), all_sent)
+    arguments = (host, body_bytes, chunk_bytes, float(sys.argv[5]), sys.argv[6], all_sent)
     threads = [Thread(target=_upload, args=(number, *arguments)) for number in range(clients)]
     for thread in threads:
         thread.start()
@@ -36,12 +36,13 @@
     body_bytes: int,
     chunk_bytes: int,
     time_limit_s: float,
+    thing: str,
     all_sent: Barrier,
 ) -> None:
     head = (
         f"POST /sheets/{number} HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: upload-{number}\r\n"
         f"X-Deadline-Ms: {int(time_limit_s * 1000)}\r\nAuthorization: Bearer {KEY}\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n"
+        f"X-Affinity-Key: {thing}\r\nTransfer-Encoding: chunked\r\n\r\n"
     )
     chunk = b"%x\r\n%s\r\n" % (chunk_bytes, b"x" * chunk_bytes)
     try:
