Read what a target says of itself in one place

Load, rate limit and warm-up time were read from an answer in three places, each with its own headers and its own idea of which answers count: Sender for callers' requests, TargetProber for health checks, LimitReader for both; a VM that relays a request read nothing.

Each answer now passes AnswerReader in TargetLinks once at each VM that handles it, from an own connection, a relay or for another VM, and comes out as a typed TargetStatement, whose kind Sender and TargetProber go by. A relaying VM learns what it relays; an answer that can't be attributed says nothing any more, not even the load.

--- /dev/null
+++ b/src/siskinward/daemon/entry/answer_reader.py
@@ -0,0 +1,74 @@
+"""Records what targets say of themselves in their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinward.daemon.entry.target_statements import AnswerKind
+from siskinward.daemon.entry.target_statements import read_statement
+from siskinward.protocol.steering_headers import MalformedRateLimit
+from siskinward.protocol.steering_headers import NoRateLimit
+from siskinward.protocol.steering_headers import RateLimit
+from siskinward.transport.clock import read_clock_s
+
+if TYPE_CHECKING:
+    from siskinward.coordination.steering.targets import Target
+    from siskinward.daemon.entry.steering import Steering
+    from siskinward.daemon.entry.target_statements import TargetStatement
+    from siskinward.protocol.steering_headers import SteeringHeaders
+    from siskinward.transport.decision_log import DecisionLog
+    from siskinward.transport.http_messages import HttpRequest
+    from siskinward.transport.http_messages import HttpResponse
+
+
+class AnswerReader:
+    """The one place that reads what an answer says of its target.
+
+    Each answer passes here once at each VM that handles it: from an own connection or a relay, to a
+    caller's request, a request of another VM or a health check.
+    """
+
+    def __init__(self, steering: Steering, headers: SteeringHeaders, log: DecisionLog) -> None:
+        self._steering = steering
+        self._headers = headers
+        self._log = log
+
+    def read(
+        self,
+        target: Target,
+        request: HttpRequest,
+        response: HttpResponse,
+        *,
+        is_relayed: bool = False,
+    ) -> TargetStatement:
+        """Record what ``response`` says of ``target``, to which ``request`` was sent."""
+        statement = read_statement(
+            self._headers, target.name, request, response, is_relayed=is_relayed
+        )
+        if statement.is_sound:
+            self._record_load(target, statement)
+            self._record_rate_limit(target, statement)
+        return statement
+
+    def _record_load(self, target: Target, statement: TargetStatement) -> None:
+        # A health check waits for a slot and may be counted, so that its load is not the callers'.
+        if statement.load is not None and statement.kind is not AnswerKind.HEALTH:
+            target.record_reported_load(statement.load.requests)
+
+    def _record_rate_limit(self, target: Target, statement: TargetStatement) -> None:
+        """Record the limit that an answer states; only the answer of a run may end it by none.
+
+        A malformed limit changes nothing: the last one that could be read stays in force.
+        """
+        match statement.rate_limit:
+            case RateLimit(rate_per_s=rate_per_s):
+                self._set_rate_limit(target, rate_per_s)
+            case NoRateLimit() if statement.kind is AnswerKind.RUN:
+                self._set_rate_limit(target, None)
+            case MalformedRateLimit(text=text):
+                self._steering.limits.record_malformed(target.name)
+                self._log.write("target-limit-malformed", {"target": target.name, "value": text})
+
+    def _set_rate_limit(self, target: Target, rate_per_s: float | None) -> None:
+        if self._steering.limits.record_answer(target.name, rate_per_s, read_clock_s()):
+            self._log.write("target-limit", {"target": target.name, "rate_per_s": rate_per_s})
--- a/src/siskinward/daemon/entry/process.py
+++ b/src/siskinward/daemon/entry/process.py
@@ -16,10 +16,10 @@
 from siskinward.coordination.steering.fleet import VmState
 from siskinward.coordination.steering.rows import FOLLOWED_TABLES
 from siskinward.coordination.steering.rows import StoreTable
+from siskinward.daemon.entry.answer_reader import AnswerReader
 from siskinward.daemon.entry.dispatcher import Dispatcher
 from siskinward.daemon.entry.heartbeats import HeartbeatExchange
 from siskinward.daemon.entry.limit_enforcer import LimitEnforcer
-from siskinward.daemon.entry.limit_reader import LimitReader
 from siskinward.daemon.entry.lookup_handler import LookupHandler
 from siskinward.daemon.entry.metrics import EntryMetrics
 from siskinward.daemon.entry.metrics_page import MetricsPage
@@ -128,15 +128,15 @@
         self._store = platform.create_store(settings)
         memory = AnswerMemory()
         self._pool = TargetPool(PoolLimits(), platform.headers.attempt_id, settings.host, memory)
-        limit_reader = LimitReader(self._steering, platform.headers, self._log)
+        reader = AnswerReader(self._steering, platform.headers, self._log)
         relay_port = settings.peer_port + RELAY_PORT_OFFSET
         self._relay_pool = RelayPool(RelayLimits(), relay_port, memory)
         checker = self._path_checker = PathChecker(self._steering, self._pool, self._log)
-        links = TargetLinks(self._steering, self._pool, self._relay_pool, checker)
+        links = TargetLinks(self._steering, self._pool, self._relay_pool, checker, reader)
         relay_handler = RelayHandler(self._steering, platform.headers, self._pool, links, checker)
         self._bodies = BodyMemory()
         self._relay_server = RelayServer(relay_handler.relay, self._bodies)
-        sender = Sender(self._steering, platform.headers, links, limit_reader)
+        sender = Sender(self._steering, platform.headers, links)
         metrics = EntryMetrics()
         self._datagrams = PeerDatagramSocket(settings.host, settings.peer_port)
         quota = QuotaEnforcer(QuotaSettings(), self._steering, self._datagrams)
@@ -155,9 +155,7 @@
             self._supervisor,
             self._log,
         )
-        self._probes = TargetProber(
-            self._steering, platform.headers, links, limits, limit_reader, self._log
-        )
+        self._probes = TargetProber(self._steering, links, limits, self._log)
         lookup_handler = LookupHandler(self._steering, platform)
         self._front = FrontServer(
             handler.handle,
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -9,8 +9,8 @@
 from attrs import frozen
 
 from siskinward.daemon.entry.target_links import LinkRequest
+from siskinward.daemon.entry.target_statements import AnswerKind
 from siskinward.protocol.not_run import NOT_RUN_STATUSES
-from siskinward.protocol.steering_headers import decode_load
 from siskinward.protocol.steering_headers import encode_time_left
 from siskinward.protocol.steering_headers import end_to_end_headers
 from siskinward.state.identifiers import AccountName
@@ -24,15 +24,11 @@
 
 if TYPE_CHECKING:
     from siskinward.coordination.steering.targets import Target
-    from siskinward.daemon.entry.limit_reader import LimitReader
     from siskinward.daemon.entry.steering import Steering
     from siskinward.daemon.entry.target_links import LinkAnswer
     from siskinward.daemon.entry.target_links import TargetLinks
-    from siskinward.protocol.steering_headers import ReportedLoad
     from siskinward.protocol.steering_headers import SteeringHeaders
 
-MISDIRECTED = 421
-CLIENT_ERROR = 400
 SERVER_ERROR = 500
 
 
@@ -97,17 +93,10 @@
 class Sender:
     """Encodes the request for a target, sends it and classifies the outcome."""
 
-    def __init__(
-        self,
-        steering: Steering,
-        headers: SteeringHeaders,
-        links: TargetLinks,
-        limit_reader: LimitReader,
-    ) -> None:
+    def __init__(self, steering: Steering, headers: SteeringHeaders, links: TargetLinks) -> None:
         self._steering = steering
         self._headers = headers
         self._links = links
-        self._limit_reader = limit_reader
 
     async def send(self, outgoing: OutgoingRequest, target: Target) -> SendResult:
         """Send a request to a target and wait for its answer until the deadline."""
@@ -148,29 +137,23 @@
     def _classify_answer(
         self, outgoing: OutgoingRequest, target: Target, answer: LinkAnswer
     ) -> SendResult:
-        response = answer.response
-        if not self._is_answer_to(outgoing, answer) or self._is_contradictory(response):
-            return self._classify_garbled(target, answer)
-        if response.status == MISDIRECTED and not self._is_signed(response):
-            self._steering.targets.remove(target.name)
-            return NotRun(SendFailure.MISDIRECTED, answer.detail)
-        load = decode_load(response.header(self._headers.load))
-        if load is not None:
-            target.record_reported_load(load.requests)
-        if response.header(self._headers.not_run) is not None:
-            return self._classify_refusal(target, answer, load)
-        if not self._is_signed(response):
-            return self._classify_garbled(target, answer)
-        return self._classify_run(outgoing, target, answer)
+        match answer.statement.kind:
+            case AnswerKind.RUN:
+                return self._classify_run(outgoing, target, answer)
+            case AnswerKind.REFUSAL:
+                return self._classify_refusal(target, answer)
+            case AnswerKind.MISDIRECTED:
+                self._steering.targets.remove(target.name)
+                return NotRun(SendFailure.MISDIRECTED, answer.detail)
+            case _:
+                return self._classify_garbled(target, answer)
 
     def _classify_garbled(self, target: Target, answer: LinkAnswer) -> OutcomeUnknown:
         self._steering.targets.on_error(target)
         return OutcomeUnknown(SendFailure.GARBLED, answer.detail)
 
-    def _classify_refusal(
-        self, target: Target, answer: LinkAnswer, load: ReportedLoad | None
-    ) -> NotRun:
-        self._limit_reader.read(answer.response, target, may_end_limit=False)
+    def _classify_refusal(self, target: Target, answer: LinkAnswer) -> NotRun:
+        load = answer.statement.load
         if load is not None and load.requests >= load.slots:
             return NotRun(SendFailure.FULL, answer.detail)
         self._steering.targets.on_error(target)
@@ -180,7 +163,6 @@
         self, outgoing: OutgoingRequest, target: Target, answer: LinkAnswer
     ) -> Answered | OutcomeUnknown:
         response = answer.response
-        self._limit_reader.read(response, target, may_end_limit=True)
         self._steering.crashes.on_answer(outgoing.fingerprint, read_clock_s())
         is_error = response.status >= SERVER_ERROR
         if is_error:
@@ -193,26 +175,6 @@
         passed_on = HttpResponse(response.status, headers, response.body)
         return Answered(passed_on, is_error, answer.relay, answer.detail)
 
-    def _is_answer_to(self, outgoing: OutgoingRequest, answer: LinkAnswer) -> bool:
-        """Return whether only this send can have caused the answer.
-
-        Own connections see to that. A relay may run an older release, which goes by the id only.
-        """
-        name = self._headers.attempt_id
-        expected = outgoing.request.header(name)
-        if answer.relay is not None and not expected:
-            return False
-        return answer.response.header(name) == expected
-
-    def _is_contradictory(self, response: HttpResponse) -> bool:
-        """Return whether a response states that the request did not run, and that it did."""
-        if response.header(self._headers.not_run) is None:
-            return False
-        return self._is_signed(response) or response.status < CLIENT_ERROR
-
-    def _is_signed(self, response: HttpResponse) -> bool:
-        return response.header(self._headers.signature) is not None
-
     async def _classify_failure(
         self, outgoing: OutgoingRequest, target: Target, error: ExchangeFailedError
     ) -> SendResult:
--- a/src/siskinward/daemon/entry/target_links.py
+++ b/src/siskinward/daemon/entry/target_links.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from siskinward.daemon.entry.target_statements import TargetStatement
 from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import VmName
 from siskinward.transport.clock import read_clock_s
@@ -19,10 +20,10 @@
 if TYPE_CHECKING:
     from siskinward.coordination.steering.target_paths import TargetPaths
     from siskinward.coordination.steering.targets import Target
+    from siskinward.daemon.entry.answer_reader import AnswerReader
     from siskinward.daemon.entry.path_checker import PathChecker
     from siskinward.daemon.entry.steering import Steering
     from siskinward.transport.relay_pool import RelayPool
-    from siskinward.transport.target_pool import TargetAnswer
     from siskinward.transport.target_pool import TargetPool
 
 # A relay that proves unreachable costs time that the request needs for its answer.
@@ -44,9 +45,13 @@
 
 @frozen
 class LinkAnswer:
-    """A target's answer, and the VM that relayed it, if any did; ``detail`` is for the log."""
+    """A target's answer, what it says of the target, and the VM that relayed it, if any did.
+
+    ``detail`` is for the log.
+    """
 
     response: HttpResponse
+    statement: TargetStatement
     detail: str
     relay: VmName | None = None
 
@@ -55,12 +60,18 @@
     """This VM's ways to targets. Failures are those of a direct exchange."""
 
     def __init__(
-        self, steering: Steering, pool: TargetPool, relays: RelayPool, checker: PathChecker
+        self,
+        steering: Steering,
+        pool: TargetPool,
+        relays: RelayPool,
+        checker: PathChecker,
+        reader: AnswerReader,
     ) -> None:
         self._steering = steering
         self._pool = pool
         self._relays = relays
         self._checker = checker
+        self._reader = reader
         self.relayed_count = 0
 
     @property
@@ -72,15 +83,14 @@
         started_s = read_clock_s()
         if self._paths.is_direct(target.name):
             try:
-                answer = await self.exchange_directly(target, link_request)
-                return LinkAnswer(answer.response, f"connection {answer.connection}")
+                return await self.exchange_directly(target, link_request)
             except ExchangeFailedError as error:
                 if error.phase is not SendPhase.NOT_CONNECTED or not self._may_relay(started_s):
                     raise
         left_s = link_request.time_left_s - (read_clock_s() - started_s)
         return await self._relay(target, link_request, left_s)
 
-    async def exchange_directly(self, target: Target, link_request: LinkRequest) -> TargetAnswer:
+    async def exchange_directly(self, target: Target, link_request: LinkRequest) -> LinkAnswer:
         """Exchange a request over an own connection. Raises ``ExchangeFailedError``."""
         number = self._paths.on_sent(read_clock_s())
         try:
@@ -99,7 +109,8 @@
         finally:
             self._paths.on_ended(number)
         self._paths.on_heard(target.name, read_clock_s())
-        return answer
+        statement = self._reader.read(target, link_request.request, answer.response)
+        return LinkAnswer(answer.response, statement, f"connection {answer.connection}")
 
     async def can_connect(self, target: Target) -> bool | None:
         """Return whether a target accepts connections; None if that cannot be told from here."""
@@ -149,7 +160,8 @@
             if isinstance(reply, HttpResponse):
                 self._paths.on_relayed(target.name)
                 self.relayed_count += 1
-                return LinkAnswer(reply, f"relay {vm.vm}", vm.vm)
+                statement = self._reader.read(target, link_request.request, reply, is_relayed=True)
+                return LinkAnswer(reply, statement, f"relay {vm.vm}", vm.vm)
             last_error = reply.error
             # Only what was not sent may be sent through the next VM.
             if not reply.may_ask_another:
--- a/src/siskinward/daemon/entry/target_prober.py
+++ b/src/siskinward/daemon/entry/target_prober.py
@@ -7,8 +7,7 @@
 import curio
 
 from siskinward.daemon.entry.target_links import LinkRequest
-from siskinward.protocol.counts import decode_count
-from siskinward.state.serving import LONGEST_WARMUP_S
+from siskinward.daemon.entry.target_statements import AnswerKind
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.outbound_connection import ExchangeFailedError
@@ -17,10 +16,8 @@
 if TYPE_CHECKING:
     from siskinward.coordination.steering.targets import Target
     from siskinward.daemon.entry.limit_enforcer import LimitEnforcer
-    from siskinward.daemon.entry.limit_reader import LimitReader
     from siskinward.daemon.entry.steering import Steering
     from siskinward.daemon.entry.target_links import TargetLinks
-    from siskinward.protocol.steering_headers import SteeringHeaders
     from siskinward.transport.decision_log import DecisionLog
 
 CHECK_INTERVAL_S = 0.1
@@ -31,25 +28,20 @@
 class TargetProber:
     """Probes targets at their service's health path.
 
-    Only four things are taken from a probe: whether the target answers, its name, its remaining
-    warm-up time and a rate limit. The health that a target reports is ignored: it may be wrong
-    either way.
+    A probe tells whether the target answers, and what any answer of it says. The health that a
+    target reports is ignored: it may be wrong either way.
     """
 
     def __init__(
         self,
         steering: Steering,
-        headers: SteeringHeaders,
         links: TargetLinks,
         limits: LimitEnforcer,
-        limit_reader: LimitReader,
         log: DecisionLog,
     ) -> None:
         self._steering = steering
-        self._headers = headers
         self._links = links
         self._limits = limits
-        self._limit_reader = limit_reader
         self._log = log
         self._probing: set[str] = set()
 
@@ -89,25 +81,14 @@
             targets.on_unreachable(target, read_clock_s())
             self._log.write("target-unreached", {"target": target.name, "error": error.detail})
             return
-        response = answer.response
-        name = response.header(self._headers.target)
-        if name is not None and name != target.name.encode():
+        statement = answer.statement
+        if statement.kind is AnswerKind.MISDIRECTED:
             targets.remove(target.name)
-            self._log.write(
-                "target-replaced", {"target": target.name, "by": name.decode("latin-1")}
-            )
+            name = (statement.name or b"").decode("latin-1")
+            self._log.write("target-replaced", {"target": target.name, "by": name})
             return
-        self._limit_reader.read(response, target, may_end_limit=False)
-        stated_s = _decode_warmup_s(response.header(self._headers.warmup_left_ms) or b"0")
+        stated_s = statement.warmup_left_s
         is_stated = stated_s is not None
         warmup_left_s = service.warmup_s if stated_s is None else stated_s
         targets.on_reached(target, warmup_left_s, read_clock_s(), is_stated=is_stated)
         self._log.write("target-reached", {"target": target.name, "warmup_left_s": warmup_left_s})
-
-
-def _decode_warmup_s(value: bytes) -> float | None:
-    """Decode a warm-up time in milliseconds; None if it is malformed or out of range."""
-    warmup_ms = decode_count(value)
-    if warmup_ms is None or warmup_ms / 1000.0 > LONGEST_WARMUP_S:
-        return None
-    return warmup_ms / 1000.0
--- a/src/siskinward/protocol/steering_headers.py
+++ b/src/siskinward/protocol/steering_headers.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 
 from siskinward.protocol.counts import decode_count
+from siskinward.state.serving import LONGEST_WARMUP_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -109,6 +110,17 @@
     return RateLimit(round(float(text), RATE_DECIMALS))
 
 
+def decode_warmup_s(value: bytes | None) -> float | None:
+    """Decode a warm-up time in milliseconds, 0 if it is missing.
+
+    Return None if it is malformed or out of range.
+    """
+    warmup_ms = decode_count(value or b"0")
+    if warmup_ms is None or warmup_ms / 1000.0 > LONGEST_WARMUP_S:
+        return None
+    return warmup_ms / 1000.0
+
+
 def bearer_key(value: bytes | None) -> str | None:
     """Return the key of an ``Authorization`` field, or None if it holds no bearer token."""
     if value is None or not value.lower().startswith(BEARER):
