Send nothing new to a target that says that it leaves

They say in every answer that they leave; VMs passed these answers on and sent them more. 2 late requests on, both lost (502).

Cause: no way of an answer read the header, only the store's rows took a target out. The logs had no line of any kind between such an answer and the next send, which rules out a mark that is lost or overridden.

AnswerReader, which reads each answer, now marks the start of the target. From then on the VM sends it nothing: it is no candidate, a token of its limit is given back, a connection that has just been opened for it is not used (send-withheld), it is not probed, and a relay refuses. If all targets that the entries offer leave, requests are refused at once (targets-leaving, Retry-After 1 s), those that wait included. Rows, a lost history, reloads and later answers don't end the word; the next start (born) and another target at the address are free of it. Doubtful values make a target the last choice.

Shown in logs (target-leaving, target-leaving-ended), metrics by state, explain and status.

--- a/src/siskinward/console/commands/status.py
+++ b/src/siskinward/console/commands/status.py
@@ -97,6 +97,7 @@
     return (
         f"{place}: configuration {report.configuration_version}, reaches {report.live_vms} VMs "
         f"including itself, ages: {ages or 'nothing read yet'}"
+        f"{f'; {report.leaving_targets} targets leave' if report.leaving_targets else ''}"
         f"{f'; does not follow {unfollowed}, see task-failed in its log' if unfollowed else ''}"
     )
 
--- a/src/siskinward/console/vm_logs.py
+++ b/src/siskinward/console/vm_logs.py
@@ -15,7 +15,14 @@
 
 LINE_START = '{"at_s"'
 REQUEST_KINDS = ("request-answered", "request-refused")
-TARGET_KINDS = ("target", "target-gone", "target-unreached", "target-reached", "target-replaced")
+TARGET_KINDS = (
+    "target",
+    "target-gone",
+    "target-leaving",
+    "target-unreached",
+    "target-reached",
+    "target-replaced",
+)
 STATE_KINDS = (
     "start",
     "stop",
--- a/src/siskinward/coordination/steering/fleet.py
+++ b/src/siskinward/coordination/steering/fleet.py
@@ -63,6 +63,7 @@
     names objects that began to run at targets.
     ``slow`` counts by target's ``short_id`` the latest runs that were slow. ``limits`` are the rate
     limits that the VM heard from targets, ``warmups`` the warm-up times that its probes found.
+    ``leaving`` are the starts of targets that told the VM that they leave, by their ``start_id``.
     ``is_cut_off`` says that it reaches no target, ``is_store_lost`` that its reads of the store
     fail.
     """
@@ -82,6 +83,7 @@
     slow: dict[int, int] = field(factory=dict)
     limits: tuple[LimitReport, ...] = ()
     warmups: tuple[WarmupReport, ...] = ()
+    leaving: tuple[int, ...] = ()
     is_cut_off: bool = False
     is_store_lost: bool = False
 
@@ -99,6 +101,7 @@
     slow: dict[int, int] = field(factory=dict)
     limits: tuple[LimitReport, ...] = ()
     warmups: tuple[WarmupReport, ...] = ()
+    leaving: tuple[int, ...] = ()
     is_cut_off: bool = False
     is_store_lost: bool = False
 
--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -21,7 +21,6 @@
 from siskinward.state.identifiers import TargetName
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
     from random import Random
 
     from siskinward.coordination.steering.limit_pauses import LimitPauses
@@ -102,6 +101,11 @@
     """No usable target exists."""
 
 
+@frozen
+class TargetsLeaving:
+    """All targets that could be used say that they leave; waiting for one of them is no use."""
+
+
 @frozen
 class ConsideredTarget:
     """A target considered for a request, with its load and state as known to this VM."""
@@ -138,11 +142,25 @@
 
     def choose(
         self, request: PlacementRequest, now_s: float
-    ) -> Placed | NoCapacity | LimitsUsedUp | NoTarget:
-        """Choose a target with capacity."""
+    ) -> Placed | NoCapacity | LimitsUsedUp | NoTarget | TargetsLeaving:
+        """Choose a target with capacity.
+
+        Targets that may be leaving are chosen only for what no other can take.
+        """
         candidates = self._candidates(request, now_s)
         if not candidates:
-            return NoTarget()
+            is_leaving = self._targets.are_leaving(self._eligible(request))
+            return TargetsLeaving() if is_leaving else NoTarget()
+        staying = [target for target in candidates if not target.is_leaving_doubted]
+        if staying and len(staying) < len(candidates):
+            choice = self._choose_within_limits(request, staying, now_s)
+            if isinstance(choice, Placed):
+                return choice
+        return self._choose_within_limits(request, candidates, now_s)
+
+    def _choose_within_limits(
+        self, request: PlacementRequest, candidates: list[Target], now_s: float
+    ) -> Placed | NoCapacity | LimitsUsedUp:
         unpaused = self._within_limits(request, candidates, now_s)
         if not unpaused:
             return LimitsUsedUp(tuple(candidates))
@@ -234,9 +252,11 @@
 
     def _candidates(self, request: PlacementRequest, now_s: float) -> list[Target]:
         usable = self._targets.usable(request.service, now_s)
-        if request.home_regions:
-            usable = [target for target in usable if target.region in request.home_regions]
-        return _exclude_tried(usable, request.tried)
+        return _restrict(usable, request)
+
+    def _eligible(self, request: PlacementRequest) -> list[Target]:
+        """Return the targets that the request may be sent to, whatever their state."""
+        return _restrict(list(self._targets.of_service(request.service)), request)
 
     def _accepts_cold_request(self, target: Target, now_s: float) -> bool:
         rate_per_s = self.warmup_rates_per_s.get(target.record.service, 0.0)
@@ -257,7 +277,10 @@
         return target.load < slots + int(overcommit * slots)
 
 
-def _exclude_tried(targets: list[Target], tried: Collection[TargetName]) -> list[Target]:
-    if not tried:
-        return targets
-    return [target for target in targets if target.name not in tried]
+def _restrict(targets: list[Target], request: PlacementRequest) -> list[Target]:
+    """Leave out the targets outside a request's home regions, and those that it was sent to."""
+    if request.home_regions:
+        targets = [target for target in targets if target.region in request.home_regions]
+    if request.tried:
+        targets = [target for target in targets if target.name not in request.tried]
+    return targets
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -9,6 +9,7 @@
 from attrs import frozen
 
 from siskinward.coordination.steering.hashing import short_id
+from siskinward.coordination.steering.leaving_targets import LeavingTargets
 from siskinward.coordination.steering.row import ENTRY_RETURN_S
 from siskinward.state.identifiers import RegionName
 from siskinward.state.identifiers import TargetName
@@ -21,6 +22,8 @@
     from siskinward.state.identifiers import DomainName
     from siskinward.state.identifiers import ServiceName
 
+LEAVING_STATE = "leaving"
+
 
 @frozen
 class TargetSettings:
@@ -59,6 +62,9 @@
 
     A target that could not be connected to, and never ``was_reached`` before, may not exist at all:
     another writer's entry may name any address. It gets no request until a probe reaches it.
+
+    A target that ``is_leaving`` gets nothing new. One of which that ``is_leaving_doubted`` gets
+    requests that no other can serve. ``has_told_leaving`` says that this VM heard it itself.
     """
 
     record: TargetRecord
@@ -74,6 +80,9 @@
     expires_at_s: float = inf
     needs_probe: bool = False
     was_reached: bool = False
+    is_leaving: bool = False
+    is_leaving_doubted: bool = False
+    has_told_leaving: bool = False
 
     @property
     def name(self) -> TargetName:
@@ -105,6 +114,8 @@
 
     def state_name(self, now_s: float) -> str:
         """Return the state in one word, for logs and metrics."""
+        if self.is_leaving:
+            return LEAVING_STATE
         if not self.record.is_ready:
             return "draining"
         if not self.is_usable(now_s):
@@ -124,7 +135,8 @@
 class TargetTable:
     """All known targets, by name and by service.
 
-    ``revision`` grows when a target's record is stored or removed and when evacuations are set.
+    ``revision`` grows when a target's record is stored or removed, when one leaves, and when
+    evacuations are set.
     """
 
     def __init__(
@@ -138,6 +150,8 @@
         self._remembered_since_s: dict[TargetName, float] = {}
         self._evacuated: dict[DomainName, float] = {}
         self._warmups_s: dict[ServiceName, float] = {}
+        self._leaving = LeavingTargets()
+        self._ended_leaving: list[TargetName] = []
         self.revision = 0
 
     def get(self, name: TargetName) -> Target | None:
@@ -161,10 +175,19 @@
         ]
 
     def accepts_requests(self, target: Target) -> bool:
-        """Return whether a target is ready and outside evacuated failure domains."""
+        """Return whether a target stays, is ready and outside evacuated failure domains."""
+        return not target.is_leaving and self._is_offered(target)
+
+    def _is_offered(self, target: Target) -> bool:
+        """Return whether a target's entry and the operator offer it, whatever it says itself."""
         record = target.record
         return record.is_ready and record.failure_domain not in self._evacuated
 
+    def are_leaving(self, targets: Collection[Target]) -> bool:
+        """Return whether targets leave that would be used, and no other would be."""
+        offered = [target for target in targets if self._is_offered(target)]
+        return bool(offered) and all(target.is_leaving for target in offered)
+
     def slots_by_region(self, service: ServiceName) -> dict[RegionName, int]:
         """Return the slots of a service's ready targets by region, suspended targets included."""
         slots: dict[RegionName, int] = {}
@@ -190,6 +213,7 @@
         target.record = record
         target.region = region
         target.expires_at_s = inf
+        target.is_leaving = target.is_leaving or self._is_marked(target)
         cold_until_s = now_s + record.warmup_left_s if record.warmup_left_s > 0 else -inf
         # The row may have been written before the target stated its warm-up time to the probe.
         target.set_cold(max(cold_until_s, target.probed_cold_until_s), now_s)
@@ -219,6 +243,8 @@
             self.revision += 1
             del self._by_service[target.record.service][name]
             self._remembered[name] = target
+            if target.is_leaving:
+                self._ended_leaving.append(name)
 
     def names(self) -> Iterable[TargetName]:
         """Return the names of all known targets, and of those that are remembered."""
@@ -250,6 +276,47 @@
                 del self._remembered[name]
                 del self._remembered_since_s[name]
 
+        if self._leaving:
+            self._leaving.retain([target.start_id for target in self._targets.values()], now_s)
+
+    def record_leaving(self, target: Target, now_s: float) -> bool:
+        """Record that a target itself says that it leaves; return whether that is news."""
+        target.has_told_leaving = True
+        self._leaving.add(target.start_id, now_s)
+        return self._mark_leaving(target)
+
+    def apply_leaving(self, start_ids: Collection[int], now_s: float) -> list[TargetName]:
+        """Record the starts that told another VM that they leave; return the targets it marks."""
+        if not any([self._leaving.add(start_id, now_s) for start_id in start_ids]):
+            return []
+        targets = (*self._targets.values(), *self._remembered.values())
+        return [
+            target.name
+            for target in targets
+            if target.start_id in self._leaving and self._mark_leaving(target)
+        ]
+
+    def own_leaving(self) -> tuple[int, ...]:
+        """Return the starts of known targets that told this VM that they leave."""
+        return tuple(
+            target.start_id for target in self._targets.values() if target.has_told_leaving
+        )
+
+    def take_ended_leaving(self) -> list[TargetName]:
+        """Return the leaving targets that were removed or started again since the last call."""
+        ended, self._ended_leaving = self._ended_leaving, []
+        return ended
+
+    def _is_marked(self, target: Target) -> bool:
+        return bool(self._leaving) and target.start_id in self._leaving
+
+    def _mark_leaving(self, target: Target) -> bool:
+        if target.is_leaving:
+            return False
+        target.is_leaving = True
+        self.revision += 1
+        return True
+
     def set_warmups(self, warmups_s: dict[ServiceName, float]) -> None:
         """Set the warm-up time of each service's targets."""
         self._warmups_s = warmups_s
@@ -299,7 +366,7 @@
         return [
             target
             for target in self._targets.values()
-            if target.needs_probe and now_s >= target.suspended_until_s
+            if target.needs_probe and now_s >= target.suspended_until_s and not target.is_leaving
         ]
 
     def on_reached(
--- a/src/siskinward/daemon/entry/answer_reader.py
+++ b/src/siskinward/daemon/entry/answer_reader.py
@@ -6,6 +6,7 @@
 
 from siskinward.daemon.entry.target_statements import AnswerKind
 from siskinward.daemon.entry.target_statements import read_statement
+from siskinward.protocol.steering_headers import LeavingWord
 from siskinward.protocol.steering_headers import MalformedRateLimit
 from siskinward.protocol.steering_headers import NoRateLimit
 from siskinward.protocol.steering_headers import RateLimit
@@ -48,8 +49,26 @@
         if statement.is_sound:
             self._record_load(target, statement)
             self._record_rate_limit(target, statement)
+        self._record_leaving(target, statement)
         return statement
 
+    def _record_leaving(self, target: Target, statement: TargetStatement) -> None:
+        """Record whether the target says that it leaves; it can't take that back.
+
+        An unsound answer that says so raises a doubt, which a sound one that doesn't ends.
+        """
+        targets = self._steering.targets
+        match statement.leaving:
+            case LeavingWord.LEAVES if statement.is_sound:
+                if targets.record_leaving(target, read_clock_s()):
+                    fields = {"target": target.name, "told_in": statement.kind.value}
+                    self._log.write("target-leaving", fields)
+            case LeavingWord.STAYS if statement.is_sound:
+                target.is_leaving_doubted = False
+            case LeavingWord.LEAVES | LeavingWord.DOUBTFUL:
+                if statement.kind is not AnswerKind.MISDIRECTED:
+                    target.is_leaving_doubted = True
+
     def _record_load(self, target: Target, statement: TargetStatement) -> None:
         # A health check waits for a slot and may be counted, so that its load is not the callers'.
         if statement.load is not None and statement.kind is not AnswerKind.HEALTH:
--- a/src/siskinward/daemon/entry/deployment_report.py
+++ b/src/siskinward/daemon/entry/deployment_report.py
@@ -10,6 +10,7 @@
 
 from siskinward.coordination.steering.fleet import EntryVm
 from siskinward.coordination.steering.rows import StoreTable
+from siskinward.coordination.steering.targets import LEAVING_STATE
 from siskinward.daemon.entry.metrics_page import METRICS_PATH
 from siskinward.daemon.entry.metrics_page import PREFIX
 from siskinward.daemon.entry.ports import Evacuation
@@ -59,6 +60,7 @@
     """A VM that is registered in the store; its metrics are None if it gave none.
 
     The tasks that follow the ``unfollowed_tables`` have ended by an error and wait to be restarted.
+    ``leaving_targets`` counts the targets that said that they leave, as far as the VM knows.
     """
 
     vm: EntryVm
@@ -66,6 +68,7 @@
     live_vms: int | None = None
     table_ages_s: dict[str, float] = field(factory=dict)
     unfollowed_tables: tuple[str, ...] = ()
+    leaving_targets: int = 0
 
     @property
     def has_answered(self) -> bool:
@@ -176,6 +179,7 @@
         families = {item.name: item.samples for item in text_string_to_metric_families(text)}
         ages = families.get(PREFIX + "table_age_seconds", [])
         followed = families.get(PREFIX + "table_followed", [])
+        targets = families.get(PREFIX + "targets", [])
         return VmReport(
             vm,
             configuration_version=int(families[PREFIX + "configuration_version"][0].value),
@@ -184,6 +188,9 @@
             unfollowed_tables=tuple(
                 sample.labels["table"] for sample in followed if not sample.value
             ),
+            leaving_targets=sum(
+                int(sample.value) for sample in targets if sample.labels["state"] == LEAVING_STATE
+            ),
         )
     except (ArithmeticError, LookupError, ValueError) as error:
         raise MetricsError(StepError("read metrics", vm.host, str(error))) from error
--- a/src/siskinward/daemon/entry/dispatcher.py
+++ b/src/siskinward/daemon/entry/dispatcher.py
@@ -17,6 +17,7 @@
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import Placed
 from siskinward.coordination.steering.placement import PlacementRequest
+from siskinward.coordination.steering.placement import TargetsLeaving
 from siskinward.state.identifiers import AccountName
 from siskinward.transport.clock import read_clock_s
 
@@ -60,7 +61,7 @@
 class _Waiter:
     claim: DispatchRequest
     entry: QueueEntry
-    result: Placed | _Reserved | LimitsUsedUp | None = None
+    result: Placed | _Reserved | LimitsUsedUp | TargetsLeaving | None = None
     has_result: curio.Event = field(factory=curio.Event)
 
 
@@ -80,7 +81,7 @@
 
     async def acquire(
         self, request: DispatchRequest
-    ) -> Placed | Rejected | LimitReached | NoTarget:
+    ) -> Placed | Rejected | LimitReached | NoTarget | TargetsLeaving:
         """Acquire a slot at a target, waiting if necessary; ``release`` returns it."""
         attempt, denied = request, 0
         while True:
@@ -99,21 +100,25 @@
 
     async def _acquire_slot(
         self, request: DispatchRequest
-    ) -> Placed | _Reserved | Rejected | LimitsUsedUp | NoTarget:
+    ) -> Placed | _Reserved | Rejected | LimitsUsedUp | NoTarget | TargetsLeaving:
         now_s = read_clock_s()
         service = request.placement.service
         choice = self._steering.placement.choose(request.placement, now_s)
-        if isinstance(choice, NoTarget | LimitsUsedUp):
+        if isinstance(choice, NoTarget | LimitsUsedUp | TargetsLeaving):
             return choice
         if isinstance(choice, Placed) and not self._queue(service).waiting:
             return self._reserve(request.placement, choice, now_s)
         return await self._wait(request, now_s)
 
     async def _start_within_limit(self, request: PlacementRequest, placed: Placed) -> Placed | None:
-        """Take a token of the target's rate limit; without one, return the slot and None."""
+        """Take a token of the target's rate limit; without one, return the slot and None.
+
+        The target may have said meanwhile that it leaves.
+        """
         is_allowed = False
         try:
             is_allowed = await self._limits.try_take(placed.target.name)
+            is_allowed = is_allowed and not placed.target.is_leaving
         finally:
             if not is_allowed:
                 await self.release(placed.target)
@@ -144,8 +149,8 @@
             match self._steering.placement.choose(waiter.claim.placement, now_s):
                 case Placed() as placed:
                     waiter.result = self._reserve(waiter.claim.placement, placed, now_s)
-                case LimitsUsedUp() as used_up:
-                    waiter.result = used_up
+                case LimitsUsedUp() | TargetsLeaving() as unserved:
+                    waiter.result = unserved
                 case _:
                     continue
             self._queue(service).remove(entry)
@@ -154,7 +159,7 @@
 
     async def _wait(
         self, request: DispatchRequest, now_s: float
-    ) -> Placed | _Reserved | LimitsUsedUp | Rejected:
+    ) -> Placed | _Reserved | LimitsUsedUp | TargetsLeaving | Rejected:
         service = request.placement.service
         queue = self._queue(service)
         entered = queue.try_enqueue(
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -66,6 +66,8 @@
             self._steering.shares.update_demand(now_s)
             self._steering.issuer.update_membership(now_s)
             self._steering.targets.remove_expired(now_s)
+            for target in self._steering.targets.take_ended_leaving():
+                self._log.write("target-leaving-ended", {"target": target})
             self._steering.limit_tokens.update_membership(now_s)
             self._steering.limits.retain(self._steering.targets.names())
             heartbeats = self._steering.fleet.heartbeats(now_s)
@@ -129,6 +131,8 @@
     def _apply_statements(self, message: Heartbeat | LoadReport, host: str, now_s: float) -> None:
         """Record what targets stated to another VM."""
         self._steering.targets.apply_warmups(message.warmups, now_s)
+        for target in self._steering.targets.apply_leaving(message.leaving, now_s):
+            self._log.write("target-leaving", {"target": target, "told_by": host})
         changed = self._steering.limits.apply_reports(message.limits, now_s)
         if changed:
             self._log_limits(changed, host)
@@ -175,6 +179,7 @@
             slow=self._slow_runs(now_s),
             limits=self._steering.limits.own_reports(now_s),
             warmups=self._steering.targets.own_warmups(now_s),
+            leaving=self._steering.targets.own_leaving(),
             is_cut_off=self._steering.paths.is_cut_off,
             is_store_lost=self._steering.store_reads.are_failing(now_s),
         )
@@ -194,6 +199,7 @@
             slow=report.slow,
             limits=report.limits,
             warmups=report.warmups,
+            leaving=report.leaving,
             is_cut_off=report.is_cut_off,
             is_store_lost=report.is_store_lost,
             demand_per_s=steering.shares.publish(),
--- a/src/siskinward/daemon/entry/path_checker.py
+++ b/src/siskinward/daemon/entry/path_checker.py
@@ -61,7 +61,7 @@
         await self._record({target.name for target in targets}, reached, started_s)
 
     def _candidates(self) -> list[Target]:
-        """Return the ready targets of the services in the configuration.
+        """Return the targets of the services in the configuration that are ready and stay.
 
         Another writer's entry may name a service that does not exist, and an address where no
         target is.
@@ -71,7 +71,9 @@
         return [
             target
             for target in self._steering.targets.all()
-            if target.record.is_ready and target.record.service in services
+            if target.record.is_ready
+            and not target.is_leaving
+            and target.record.service in services
         ]
 
     async def _connect(self, target: Target, reached: set[TargetName]) -> None:
--- a/src/siskinward/daemon/entry/refusals.py
+++ b/src/siskinward/daemon/entry/refusals.py
@@ -22,6 +22,7 @@
     CRASHES_TARGETS = "crashes-targets"
     TARGETS_SHED = "targets-shed"
     TARGETS_LIMITED = "targets-limited"
+    TARGETS_LEAVING = "targets-leaving"
     OUTCOME_UNKNOWN = "outcome-unknown"
     TIMEOUT = "timeout"
     TIMEOUT_UNSENT = "timeout-unsent"
@@ -41,6 +42,7 @@
     Reason.CRASHES_TARGETS: 503,
     Reason.TARGETS_SHED: 503,
     Reason.TARGETS_LIMITED: 503,
+    Reason.TARGETS_LEAVING: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.TIMEOUT: 504,
     Reason.TIMEOUT_UNSENT: 503,
@@ -51,6 +53,8 @@
 
 
 RETRY_AFTER_S = 0.25
+# A target that starts in place of one that leaves is known within this time.
+LEAVING_RETRY_AFTER_S = 1.0
 # Another VM can serve the request at once.
 SHUTDOWN_RETRY_AFTER_S = 0.01
 
--- a/src/siskinward/daemon/entry/relay_handler.py
+++ b/src/siskinward/daemon/entry/relay_handler.py
@@ -8,6 +8,7 @@
 from attrs import evolve
 
 from siskinward.daemon.entry.target_links import LinkRequest
+from siskinward.daemon.entry.target_links import SendWithheldError
 from siskinward.protocol.steering_headers import encode_time_left
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpResponse
@@ -85,6 +86,8 @@
         await curio.check_cancellation()
         try:
             answer = await self._links.exchange_directly(target, link_request)
+        except SendWithheldError as error:
+            return _not_connected(error.detail)
         except ExchangeFailedError as error:
             is_own_fault = self._steering.paths.is_cut_off
             is_unsent = error.phase is SendPhase.NOT_CONNECTED
--- a/src/siskinward/daemon/entry/request_context.py
+++ b/src/siskinward/daemon/entry/request_context.py
@@ -15,6 +15,8 @@
 from siskinward.state.serving import ServedRoute
 from siskinward.transport.front_server import Arrival
 
+UNSENT = (SendFailure.NOT_CONNECTED.value, SendFailure.WITHHELD.value)
+
 
 @frozen
 class SendRecord:
@@ -62,4 +64,4 @@
     @property
     def attempts(self) -> int:
         """Sends that may have reached a target."""
-        return sum(send.outcome != SendFailure.NOT_CONNECTED.value for send in self.sends)
+        return sum(send.outcome not in UNSENT for send in self.sends)
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -9,10 +9,12 @@
 from siskinward.coordination.steering.admission_queue import Rejected
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import PlacementRequest
+from siskinward.coordination.steering.placement import TargetsLeaving
 from siskinward.daemon.entry.dispatcher import DispatchRequest
 from siskinward.daemon.entry.dispatcher import LimitReached
 from siskinward.daemon.entry.quota_enforcer import OverQuota
 from siskinward.daemon.entry.quota_enforcer import WithinQuota
+from siskinward.daemon.entry.refusals import LEAVING_RETRY_AFTER_S
 from siskinward.daemon.entry.refusals import RETRY_AFTER_S
 from siskinward.daemon.entry.refusals import SHUTDOWN_RETRY_AFTER_S
 from siskinward.daemon.entry.refusals import Reason
@@ -123,6 +125,8 @@
         match acquired:
             case NoTarget():
                 raise self._create_refusal(context, Reason.NO_TARGET, RETRY_AFTER_S)
+            case TargetsLeaving():
+                raise self._create_refusal(context, Reason.TARGETS_LEAVING, LEAVING_RETRY_AFTER_S)
             case Rejected(retry_after_s=retry_after_s):
                 self._record_considered(context, request)
                 raise self._create_refusal(context, Reason.NO_CAPACITY, retry_after_s)
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -9,6 +9,7 @@
 from attrs import frozen
 
 from siskinward.daemon.entry.target_links import LinkRequest
+from siskinward.daemon.entry.target_links import SendWithheldError
 from siskinward.daemon.entry.target_statements import AnswerKind
 from siskinward.protocol.not_run import NOT_RUN_STATUSES
 from siskinward.protocol.steering_headers import encode_time_left
@@ -36,6 +37,7 @@
     """Why a send produced no answer that can be passed on to the caller."""
 
     NOT_CONNECTED = "not-connected"
+    WITHHELD = "send-withheld"
     FULL = "target-full"
     SHED = "target-shed"
     MISDIRECTED = "target-replaced"
@@ -114,6 +116,8 @@
             answer = await self._links.exchange(target, request)
         except ExchangeFailedError as error:
             return await self._classify_failure(outgoing, target, error)
+        except SendWithheldError as error:
+            return NotRun(SendFailure.WITHHELD, error.detail)
         return self._classify_answer(outgoing, target, answer)
 
     def _encode(self, outgoing: OutgoingRequest, target: Target, left_s: float) -> HttpRequest:
--- a/src/siskinward/daemon/entry/target_links.py
+++ b/src/siskinward/daemon/entry/target_links.py
@@ -56,8 +56,19 @@
     relay: VmName | None = None
 
 
+@frozen
+class SendWithheldError(Exception):
+    """The target has said that it wants nothing more, so that the request was not sent."""
+
+    detail: str
+
+
 class TargetLinks:
-    """This VM's ways to targets. Failures are those of a direct exchange."""
+    """This VM's ways to targets. Failures are those of a direct exchange.
+
+    What the target said while a request was on its way binds that request, too: the exchange raises
+    ``SendWithheldError``.
+    """
 
     def __init__(
         self,
@@ -79,7 +90,10 @@
         return self._steering.paths
 
     async def exchange(self, target: Target, link_request: LinkRequest) -> LinkAnswer:
-        """Exchange a request with a target. Raises ``ExchangeFailedError``."""
+        """Exchange a request with a target.
+
+        Raises ``ExchangeFailedError`` or ``SendWithheldError``.
+        """
         started_s = read_clock_s()
         if self._paths.is_direct(target.name):
             try:
@@ -91,7 +105,10 @@
         return await self._relay(target, link_request, left_s)
 
     async def exchange_directly(self, target: Target, link_request: LinkRequest) -> LinkAnswer:
-        """Exchange a request over an own connection. Raises ``ExchangeFailedError``."""
+        """Exchange a request over an own connection.
+
+        Raises ``ExchangeFailedError`` or ``SendWithheldError``.
+        """
         number = self._paths.on_sent(read_clock_s())
         try:
             answer = await self._pool.exchange(
@@ -99,6 +116,7 @@
                 link_request.request,
                 link_request.time_left_s,
                 idempotent=link_request.is_idempotent,
+                check=lambda: _check_wanted(target),
             )
         except ExchangeFailedError as error:
             if error.phase is SendPhase.NOT_CONNECTED:
@@ -149,6 +167,7 @@
             relay_left_s = left_s - (read_clock_s() - started_s)
             if relay_left_s <= 0:
                 break
+            _check_wanted(target)
             request = _relay_request(target, link_request, relay_left_s)
             try:
                 reply = await self._relays.exchange(vm.host, request)
@@ -169,6 +188,12 @@
         raise last_error
 
 
+def _check_wanted(target: Target) -> None:
+    """Raise ``SendWithheldError`` if a target wants nothing more."""
+    if target.is_leaving:
+        raise SendWithheldError(f"the target {target.name} leaves")
+
+
 def _relay_request(
     target: Target, link_request: LinkRequest | None, time_left_s: float
 ) -> RelayRequest:
--- a/src/siskinward/daemon/entry/target_prober.py
+++ b/src/siskinward/daemon/entry/target_prober.py
@@ -7,6 +7,7 @@
 import curio
 
 from siskinward.daemon.entry.target_links import LinkRequest
+from siskinward.daemon.entry.target_links import SendWithheldError
 from siskinward.daemon.entry.target_statements import AnswerKind
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpRequest
@@ -73,6 +74,8 @@
             answer = await self._links.exchange(
                 target, LinkRequest(request, PROBE_TIMEOUT_S, is_idempotent=True)
             )
+        except SendWithheldError:
+            return
         except ExchangeFailedError as error:
             if error.phase is SendPhase.SENT and error.is_timeout:
                 # The target accepted the connection: it is reachable, but too busy to answer.
--- a/src/siskinward/daemon/entry/target_statements.py
+++ b/src/siskinward/daemon/entry/target_statements.py
@@ -7,10 +7,12 @@
 
 from attrs import frozen
 
+from siskinward.protocol.steering_headers import LeavingWord
 from siskinward.protocol.steering_headers import MalformedRateLimit
 from siskinward.protocol.steering_headers import NoRateLimit
 from siskinward.protocol.steering_headers import RateLimit
 from siskinward.protocol.steering_headers import ReportedLoad
+from siskinward.protocol.steering_headers import decode_leaving
 from siskinward.protocol.steering_headers import decode_load
 from siskinward.protocol.steering_headers import decode_rate_limit
 from siskinward.protocol.steering_headers import decode_warmup_s
@@ -50,6 +52,7 @@
     load: ReportedLoad | None
     rate_limit: RateLimit | NoRateLimit | MalformedRateLimit
     warmup_left_s: float | None
+    leaving: LeavingWord
 
     @property
     def is_sound(self) -> bool:
@@ -72,6 +75,7 @@
         load=decode_load(response.header(names.load)),
         rate_limit=decode_rate_limit(response.header(names.rate_limit)),
         warmup_left_s=decode_warmup_s(response.header(names.warmup_left_ms)),
+        leaving=decode_leaving(response.header_lines(names.leaving)),
     )
 
 
--- a/src/siskinward/platform/_headers.py
+++ b/src/siskinward/platform/_headers.py
@@ -17,4 +17,5 @@
     not_run=b"x-not-executed",
     warmup_left_ms=b"x-warmup-ms",
     rate_limit=b"server-limit",
+    leaving=b"server-leaving",
 )
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -20,6 +20,7 @@
 from siskinward.platform.standins._target_faults import RefusalCopy
 from siskinward.platform.standins._target_faults import TargetFault
 from siskinward.transport.clock import read_clock_s
+from siskinward.transport.http_messages import Headers
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.server_protocol import encode_response
@@ -58,7 +59,8 @@
     while ``4 * slots`` are being handled. ``fault`` affects the next ``remaining_faults``
     requests, in the form that ``fault_variant`` selects; between two pieces of an endless answer
     ``endless_gap_s`` pass. ``rate_limit`` is
-    stated in every answer, as given, and ``extra_headers`` precede the others. ``arrivals`` has
+    stated in every answer, as given, as is ``leaving``, by which it says that it leaves; a request
+    that it runs ends with ``run_status``. ``extra_headers`` precede the others. ``arrivals`` has
     each request that reached the target, ``arrivals_s`` the time of each, probes included,
     misdirected ones not, and ``stated_s`` that of each whole answer that stated a limit;
     ``crashes_s`` that of each crash.
@@ -80,6 +82,8 @@
     warmup_left_ms: int = 0
     advertised_host: str = ""
     rate_limit: str | None = None
+    leaving: str | None = None
+    run_status: int = 200
     extra_headers: tuple[tuple[bytes, bytes], ...] = ()
     runs: list[RunRecord] = field(factory=list)
     arrivals: list[ArrivalRecord] = field(factory=list)
@@ -173,14 +177,16 @@
             self.arrivals.append(ArrivalRecord(attempt_id, read_clock_s()))
         expected = request.header(HEADERS.expected_target)
         if expected is not None and expected.decode() != self.name:
-            return HttpResponse(421, (*_echo(request), (HEADERS.target, self.name.encode())))
+            return HttpResponse(
+                421, (*_echo(request), (HEADERS.target, self.name.encode()), *self._stated())
+            )
         self.arrivals_s.append(read_clock_s())
         if request.target == HEALTH_PATH:
             self.probes += 1
             return self._health()
         if self._sheds() or self._running >= self.slots * 4:
             not_run = (HEADERS.not_run, b"1")
-            return HttpResponse(503, (*_echo(request), not_run, self._load(), *self._limit()))
+            return HttpResponse(503, (*_echo(request), not_run, self._load(), *self._stated()))
         return await self._run(request, sock)
 
     async def _run(self, request: HttpRequest, sock: Any) -> HttpResponse | None:
@@ -214,7 +220,7 @@
             (HEADERS.attempt_id, record.attempt_id.encode()),
             (HEADERS.signature, f"{self.name}.{record.attempt_id}".encode()),
             self._load(),
-            *self._limit(),
+            *self._stated(),
         )
         return HttpResponse(status, headers, f"{self.name} ran {record.attempt_id}".encode())
 
@@ -278,24 +284,24 @@
         """Return the status of a request that ran."""
         if self._try_inject(TargetFault.FAILS_AS_REFUSED):
             return 503
-        return 500 if self._try_inject(TargetFault.FAILS) else 200
+        return 500 if self._try_inject(TargetFault.FAILS) else self.run_status
 
     def _load(self) -> tuple[bytes, bytes]:
         running = min(self._running, self.slots)
         load = f"{running},{self._running - running},{self.slots}"
         return (HEADERS.load, load.encode())
 
-    def _limit(self) -> tuple[tuple[bytes, bytes], ...]:
-        if self.rate_limit is None:
-            return ()
-        return ((HEADERS.rate_limit, self.rate_limit.encode()),)
+    def _stated(self) -> Headers:
+        """Return what the target states in all answers to its callers."""
+        limit = _header(HEADERS.rate_limit, self.rate_limit)
+        return (*limit, *_header(HEADERS.leaving, self.leaving))
 
     def _health(self) -> HttpResponse:
         headers = (
             *self.extra_headers,
             (HEADERS.target, self.name.encode()),
             (HEADERS.warmup_left_ms, str(self.warmup_left_ms).encode()),
-            *self._limit(),
+            *self._stated(),
         )
         return HttpResponse(200, headers)
 
@@ -337,5 +343,9 @@
     return () if attempt_id is None else ((HEADERS.attempt_id, attempt_id),)
 
 
+def _header(name: bytes, value: str | None) -> Headers:
+    return () if value is None else ((name, value.encode()),)
+
+
 def _text(request: HttpRequest, name: bytes) -> str:
     return (request.header(name) or b"").decode()
--- a/src/siskinward/protocol/heartbeats.py
+++ b/src/siskinward/protocol/heartbeats.py
@@ -53,6 +53,7 @@
 SLOW_KEY = "slow"
 LIMITS_KEY = "limits"
 WARMUPS_KEY = "warmups"
+LEAVING_KEY = "leaving"
 CUT_OFF_KEY = "cut-off"
 STORE_LOST_KEY = "store-lost"
 LOSSES_KEY = "losses"
@@ -187,6 +188,7 @@
         slow=_decode_slow(in_flight),
         limits=_decode_limits(in_flight),
         warmups=_decode_warmups(in_flight),
+        leaving=tuple(decode_integer(item) for item in in_flight.get(LEAVING_KEY, ())),
         is_cut_off=bool(in_flight.get(CUT_OFF_KEY)),
         is_store_lost=bool(in_flight.get(STORE_LOST_KEY)),
         demand_per_s={AccountName(name): rate for name, rate in decode_numbers(demand).items()},
@@ -216,6 +218,7 @@
         slow=_decode_slow(in_flight),
         limits=_decode_limits(in_flight),
         warmups=_decode_warmups(in_flight),
+        leaving=tuple(decode_integer(item) for item in in_flight.get(LEAVING_KEY, ())),
         is_cut_off=bool(in_flight.get(CUT_OFF_KEY)),
         is_store_lost=bool(in_flight.get(STORE_LOST_KEY)),
     )
@@ -237,6 +240,8 @@
         fields[WARMUPS_KEY] = {
             item.target_id: round(item.left_s * 1000) for item in message.warmups
         }
+    if message.leaving:
+        fields[LEAVING_KEY] = message.leaving
     if message.is_cut_off:
         fields[CUT_OFF_KEY] = True
     if message.is_store_lost:
--- a/src/siskinward/protocol/steering_headers.py
+++ b/src/siskinward/protocol/steering_headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -11,6 +12,7 @@
 from siskinward.state.serving import LONGEST_WARMUP_S
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -19,6 +21,8 @@
 RATE_LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{0,30})?|\.[0-9]{1,30}")
 # Finer differences are no other limit; messages between VMs carry rates to this precision.
 RATE_DECIMALS = 6
+LEAVES_VALUE = b"1"
+STAYS_VALUE = b"0"
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -47,7 +51,7 @@
 
     ``signature`` marks responses that the target itself produced, ``not_run`` its responses to
     requests that it did not run. In ``rate_limit`` a target states how many requests a second it
-    accepts from all VMs together.
+    accepts from all VMs together, by ``leaving`` that it is about to shut down.
     """
 
     attempt_id: bytes
@@ -61,6 +65,7 @@
     not_run: bytes
     warmup_left_ms: bytes
     rate_limit: bytes
+    leaving: bytes
 
 
 @frozen
@@ -110,6 +115,26 @@
     return RateLimit(round(float(text), RATE_DECIMALS))
 
 
+class LeavingWord(Enum):
+    """What a target says of whether it is about to shut down."""
+
+    STAYS = "stays"
+    DOUBTFUL = "doubtful"
+    LEAVES = "leaves"
+
+
+def decode_leaving(values: Collection[bytes]) -> LeavingWord:
+    """Decode the header lines by which a target says that it leaves, none of which it need send.
+
+    ``1`` in any line says so, and ``0`` that it stays, as if the header were missing. Any other
+    value is doubtful.
+    """
+    words = {value.strip() for value in values}
+    if LEAVES_VALUE in words:
+        return LeavingWord.LEAVES
+    return LeavingWord.DOUBTFUL if words - {STAYS_VALUE} else LeavingWord.STAYS
+
+
 def decode_warmup_s(value: bytes | None) -> float | None:
     """Decode a warm-up time in milliseconds, 0 if it is missing.
 
--- a/src/siskinward/transport/http_messages.py
+++ b/src/siskinward/transport/http_messages.py
@@ -35,3 +35,7 @@
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header line called ``name`` (lower case)."""
         return next((value for key, value in self.headers if key == name), None)
+
+    def header_lines(self, name: bytes) -> list[bytes]:
+        """Return the values of all header lines called ``name`` (lower case)."""
+        return [value for key, value in self.headers if key == name]
--- a/src/siskinward/transport/target_pool.py
+++ b/src/siskinward/transport/target_pool.py
@@ -14,6 +14,8 @@
 from siskinward.transport.outbound_connection import OutboundConnection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from siskinward.state.serving import TargetRecord
     from siskinward.transport.answer_memory import AnswerMemory
     from siskinward.transport.http_messages import HttpRequest
@@ -42,6 +44,10 @@
     connection: int
 
 
+def _allow() -> None:
+    """Allow an exchange."""
+
+
 class TargetPool:
     """Reuses the idle connection that was used last; opens a new one if none is idle.
 
@@ -59,10 +65,24 @@
         self._active: dict[OutboundConnection, bool] = {}
 
     async def exchange(
-        self, target: TargetRecord, request: HttpRequest, timeout_s: float, *, idempotent: bool
+        self,
+        target: TargetRecord,
+        request: HttpRequest,
+        timeout_s: float,
+        *,
+        idempotent: bool,
+        check: Callable[[], None] = _allow,
     ) -> TargetAnswer:
-        """Run one exchange with a target. Raises ``ExchangeFailedError``."""
+        """Run one exchange with a target. Raises ``ExchangeFailedError``.
+
+        Nothing is sent if ``check``, which is called once there is a connection, raises an error.
+        """
         connection = await self._acquire(target, request, timeout_s, idempotent=idempotent)
+        try:
+            check()
+        except Exception:
+            await connection.close()
+            raise
         self._active[connection] = idempotent
         try:
             async with self._memory.open_share(connection.fail) as share:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,6 +20,7 @@
     "x-not-executed",
     "x-warmup-ms",
     "x-tenant",
+    "server-leaving",
     "rows-get",
     "rows-feed",
     "rows-tx",
