Let a relay tell whether a leaving target is there by connecting

Callers of a VM that is cut off from targets: a connection that broke under a request makes it ask another VM whether the target is still there, to tell a crash from a lost connection. A target that drains or leaves was answered for by 'gets no more requests', without a connection; the asking VM took that for a target that is down and counted a crash against the request, which is blocked after three. Found by reading what else asks whether a target accepts requests.

The relay connects first, whatever the target's entry or answers say; requests are refused as before.

test_relay_says_that_a_leaving_target_is_there failed before in both cases: assert False is True and passes, as the rest of test_relay_outcomes.py.

--- a/src/siskinward/daemon/entry/relay_handler.py
+++ b/src/siskinward/daemon/entry/relay_handler.py
@@ -61,10 +61,11 @@
         if target is None or target.record.address != f"{request.host}:{request.port}":
             detail = f"the relay does not know the target {request.target}"
             return _not_connected(detail, is_relays_fault=True)
-        if not self._steering.targets.accepts_requests(target):
-            return _not_connected(f"the target {request.target} gets no more requests")
+        # Connecting tells whether a target is there, be it leaving or not.
         if request.request is None:
             return await self._connect(target)
+        if not self._steering.targets.accepts_requests(target):
+            return _not_connected(f"the target {request.target} gets no more requests")
         return await self._send(target, request, request.request)
 
     async def _connect(self, target: Target) -> RelayReply:
--- a/tests/platform/test_relay_outcomes.py
+++ b/tests/platform/test_relay_outcomes.py
@@ -16,6 +16,7 @@
 
 from siskinward.platform.standins import TargetFault
 from siskinward.standins.memory_network import CutKind
+from siskinward.state.identifiers import TargetName
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.outbound_connection import ExchangeFailedError
@@ -151,3 +152,25 @@
         assert (await site.send(FIRST_VM, evolve(request, headers=headers))).status == 502
 
     run_site(scenario, SITE)
+
+
+# A target that drains, asked after by a VM that is cut off, counted as crashed under the request.
+@pytest.mark.parametrize("is_told", [False, True], ids=["by-its-entry", "by-its-answers"])
+def test_relay_says_that_a_leaving_target_is_there(run_site: Any, is_told: bool) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        vm = site.vms[FIRST_VM]
+        relay_all(vm)
+        target = next(iter(site.targets.values()))
+        if is_told:
+            target.leaving = "1"
+            for number in range(20):
+                await site.call("vm-deb-a-0", f"/{target.service}/{number}")
+        else:
+            await site.report(target, "draining")
+        await curio.sleep(1.0)
+        known = vm.steering.targets.get(TargetName(target.name))
+        assert known is not None
+        assert not vm.steering.targets.accepts_requests(known)
+        assert await vm._probes._links.can_connect(known) is True
+
+    run_site(scenario, SITE)
