Take no status beyond 599 for an answer

Cause: the HTTP library allows 200 to 999, and only the reply of a relay was checked further. The range stands once now, and is checked where a head is read, on every way: own connections, relays, health checks, the store, siskinward node. A booking's caller gets 502, never a refusal: it may have run.

--- a/src/siskinward/transport/client_protocol.py
+++ b/src/siskinward/transport/client_protocol.py
@@ -10,6 +10,7 @@
 import curio
 import h11
 
+from siskinward.transport.http_messages import FINAL_STATUSES
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.sockets import RECEIVE_SIZE_BYTES
 
@@ -28,6 +29,10 @@
 RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
 
 
+class UnknownStatusError(OSError):
+    """A response has a status that HTTP doesn't know, so that it is no answer."""
+
+
 class SplicedResponseError(OSError):
     """A piece of another response stands before the response."""
 
@@ -92,6 +97,7 @@
                 http.receive_data(await sock.recv(RECEIVE_SIZE_BYTES))
             case h11.Response():
                 on_head()
+                _check_status(event)
                 _check_is_one_head(event)
                 head = event
             case h11.Data(data=data):
@@ -114,6 +120,12 @@
     raise AssertionError("the steps do not end")
 
 
+def _check_status(head: h11.Response) -> None:
+    """Raise ``UnknownStatusError`` if a head has a status that HTTP doesn't know."""
+    if head.status_code not in FINAL_STATUSES:
+        raise UnknownStatusError(f"expected a status of 200 to 599, found {head.status_code}")
+
+
 def _check_is_one_head(head: h11.Response) -> None:
     """Raise ``SplicedResponseError`` if a piece of another response precedes the head.
 
--- a/src/siskinward/transport/http_messages.py
+++ b/src/siskinward/transport/http_messages.py
@@ -4,6 +4,9 @@
 
 from attrs import frozen
 
+FINAL_STATUSES = range(200, 600)
+"""The statuses that end an exchange; others are interim, or none that HTTP knows."""
+
 Headers = tuple[tuple[bytes, bytes], ...]
 """Header lines in order; names are lower case."""
 
--- a/src/siskinward/transport/relay_messages.py
+++ b/src/siskinward/transport/relay_messages.py
@@ -15,6 +15,7 @@
 from siskinward.protocol.peer_fields import decode_text
 from siskinward.protocol.peer_fields import unpack
 from siskinward.state.identifiers import TargetName
+from siskinward.transport.http_messages import FINAL_STATUSES
 from siskinward.transport.http_messages import Headers
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
@@ -25,8 +26,6 @@
 FRAME_LIMIT_BYTES = 80 * 1024 * 1024
 ANSWER_TYPE = 1
 FAILURE_TYPE = 2
-# The statuses of answers that are final.
-STATUSES = range(200, 600)
 
 
 @frozen
@@ -143,7 +142,7 @@
 
 def _decode_status(value: Any) -> int:
     status = decode_integer(value)
-    if status not in STATUSES:
+    if status not in FINAL_STATUSES:
         raise ValueError(f"expected the status of an answer, found {status}")
     return status
 
