Bound the memory of the store's answers

What callers would see: a VM of 200 MB killed, with the requests at it. The two tables that a VM follows are read at once; answers without end took 123 to 135 MB together, two of 60 MB each 240 MB.

Cause: read_response counts what it receives only where its caller asks for that. The pools of targets and relays do, the store's client did not.

It counts now: 8 MiB for an answer, 16 MiB for all. A page is 1 MB at most; changes that take more are read page by page, as after a lost history.

--- a/src/siskinward/platform/_store.py
+++ b/src/siskinward/platform/_store.py
@@ -19,6 +19,9 @@
 from siskinward.platform._units import DecodeError
 from siskinward.state.errors import SiskinwardError
 from siskinward.state.errors import StepError
+from siskinward.transport.answer_memory import AnswerLimits
+from siskinward.transport.answer_memory import AnswerMemory
+from siskinward.transport.answer_memory import AnswerTooLargeError
 from siskinward.transport.http_messages import HttpRequest
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.outbound_connection import ExchangeFailedError
@@ -30,6 +33,8 @@
 
 CALL_TIMEOUT_S = 1.0
 PAGE_ROWS = 500
+# A page of the store takes 1 MB at most. Changes that take more are read page by page.
+ANSWER_LIMITS = AnswerLimits(answer_bytes=8 * 1024 * 1024, total_bytes=16 * 1024 * 1024)
 # Every call names a part of its table; only the unnamed part is used.
 PART = ""
 # ``op`` holds the operator's configuration, ``servers`` the status rows of targets.
@@ -47,12 +52,17 @@
         super().__init__(StepError(step, "store", detail))
 
 
+class StoreAnswerTooLargeError(StoreError):
+    """Raised when an answer takes more memory than it may."""
+
+
 class StoreClient:
     """Client of the store; keeps connections open, one for each concurrent call."""
 
     def __init__(self, address: ListenAddress) -> None:
         self._address = address
         self._idle: list[OutboundConnection] = []
+        self._memory = AnswerMemory(ANSWER_LIMITS)
         self.calls: dict[tuple[str, str], int] = {}
 
     async def read_table(self, table: StoreTable) -> Snapshot:
@@ -84,14 +94,18 @@
     ) -> Changes | HistoryDropped:
         """Read the changes after a position, waiting for the first one; raises ``StoreError``.
 
-        An answer of another era says nothing about the versions after ``after``.
+        An answer of another era says nothing about the versions after ``after``. Changes that are
+        too many for one answer count as dropped history.
         """
         query = {
             "table": TABLE_NAMES[table],
             "after": str(after.version),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        response = await self._get("rows-feed", query, CALL_TIMEOUT_S + wait_s)
+        try:
+            response = await self._get("rows-feed", query, CALL_TIMEOUT_S + wait_s)
+        except StoreAnswerTooLargeError:
+            return HistoryDropped()
         if response.status == 410:
             return HistoryDropped()
         answer = _decode("rows-feed", response, table)
@@ -126,9 +140,12 @@
     async def _exchange(self, call: str, request: HttpRequest, timeout_s: float) -> HttpResponse:
         try:
             connection = await self._acquire_connection()
-            response = await connection.exchange(request, timeout_s)
+            async with self._memory.open_share(connection.fail) as share:
+                response = await connection.exchange(request, timeout_s, share)
         except ExchangeFailedError as error:
             self._count_call(call, error.phase.value)
+            if isinstance(error.__cause__, AnswerTooLargeError):
+                raise StoreAnswerTooLargeError(call, error.detail) from error
             raise StoreError(call, error.detail) from error
         self._count_call(call, str(response.status))
         if connection.is_open:
