Send a target nothing while it rests

Cause: as for targets that leave, nothing read the header. AnswerReader does now, in each sound answer of status 503: a refusal, a signed 503, a health answer; on an own connection, at the VM that asked a relay and at the relay. Until the longest rest ends the target is no candidate, gets no probe, no token of its limit is used for it, and what is on its way is withheld; then it gets one request at a time until it answers one. All resting: requests are refused at once, those that wait included, with the time until the first rest ends. A rest teaches no health.

Shown as state 'resting' in metrics and explain, target-resting, target-rest-ended in the log.

--- a/src/siskinward/console/vm_logs.py
+++ b/src/siskinward/console/vm_logs.py
@@ -19,6 +19,7 @@
     "target",
     "target-gone",
     "target-leaving",
+    "target-resting",
     "target-unreached",
     "target-reached",
     "target-replaced",
--- a/src/siskinward/coordination/steering/placement.py
+++ b/src/siskinward/coordination/steering/placement.py
@@ -106,6 +106,13 @@
     """All targets that could be used say that they leave; waiting for one of them is no use."""
 
 
+@frozen
+class TargetsResting:
+    """All targets that could be used want nothing for a while, the first for ``for_s``."""
+
+    for_s: float
+
+
 @frozen
 class ConsideredTarget:
     """A target considered for a request, with its load and state as known to this VM."""
@@ -142,15 +149,14 @@
 
     def choose(
         self, request: PlacementRequest, now_s: float
-    ) -> Placed | NoCapacity | LimitsUsedUp | NoTarget | TargetsLeaving:
+    ) -> Placed | NoCapacity | LimitsUsedUp | NoTarget | TargetsLeaving | TargetsResting:
         """Choose a target with capacity.
 
         Targets that may be leaving are chosen only for what no other can take.
         """
         candidates = self._candidates(request, now_s)
         if not candidates:
-            is_leaving = self._targets.are_leaving(self._eligible(request))
-            return TargetsLeaving() if is_leaving else NoTarget()
+            return self._explain_no_candidate(request, now_s)
         staying = [target for target in candidates if not target.is_leaving_doubted]
         if staying and len(staying) < len(candidates):
             choice = self._choose_within_limits(request, staying, now_s)
@@ -158,6 +164,15 @@
                 return choice
         return self._choose_within_limits(request, candidates, now_s)
 
+    def _explain_no_candidate(
+        self, request: PlacementRequest, now_s: float
+    ) -> NoTarget | TargetsLeaving | TargetsResting:
+        eligible = self._eligible(request)
+        if self._targets.are_leaving(eligible):
+            return TargetsLeaving()
+        end_s = self._targets.first_rest_end_s(eligible, now_s)
+        return NoTarget() if end_s is None else TargetsResting(end_s - now_s)
+
     def _choose_within_limits(
         self, request: PlacementRequest, candidates: list[Target], now_s: float
     ) -> Placed | NoCapacity | LimitsUsedUp:
@@ -183,7 +198,7 @@
                 if self._accepts_cold_request(target, now_s):
                     return Placed(target, warm_seen)
                 continue
-            if self._is_error_outlier(target, candidates):
+            if target.is_returning or self._is_error_outlier(target, candidates):
                 if target.in_flight == 0:
                     return Placed(target, warm_seen)
                 continue
@@ -213,6 +228,8 @@
             return None
         for target in ranked:
             is_free = target is not full and target.load < target.record.slots
+            if target.is_returning and target.in_flight:
+                continue
             if is_free and self._is_warm(request, target, now_s):
                 return target
         return None
--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -65,6 +65,9 @@
 
     A target that ``is_leaving`` gets nothing new. One of which that ``is_leaving_doubted`` gets
     requests that no other can serve. ``has_told_leaving`` says that this VM heard it itself.
+
+    A target that asked this VM for a rest gets nothing from it until ``rests_until_s``, and then
+    one request at a time until it answers one: it ``is_returning``.
     """
 
     record: TargetRecord
@@ -83,6 +86,8 @@
     is_leaving: bool = False
     is_leaving_doubted: bool = False
     has_told_leaving: bool = False
+    rests_until_s: float = -inf
+    is_returning: bool = False
 
     @property
     def name(self) -> TargetName:
@@ -104,10 +109,20 @@
         """Return whether the target is limited to its warm-up rate."""
         return now_s < self.cold_until_s
 
+    def is_resting(self, now_s: float) -> bool:
+        """Return whether the target wants nothing from this VM for now."""
+        return now_s < self.rests_until_s
+
+    def is_withheld(self, now_s: float) -> bool:
+        """Return whether the target itself has said that it wants nothing, now or any more."""
+        return self.is_leaving or self.is_resting(now_s)
+
     def is_usable(self, now_s: float) -> bool:
-        """Return whether the target is ready, not suspended and not expired."""
+        """Return whether the target is ready, not suspended, not resting and not expired."""
         if self.needs_probe and not self.was_reached:
             return False
+        if self.is_resting(now_s):
+            return False
         return (
             self.record.is_ready and now_s >= self.suspended_until_s and now_s < self.expires_at_s
         )
@@ -118,6 +133,8 @@
             return LEAVING_STATE
         if not self.record.is_ready:
             return "draining"
+        if self.is_resting(now_s):
+            return "resting"
         if not self.is_usable(now_s):
             return "unreachable"
         return "cold" if self.is_cold(now_s) else "usable"
@@ -152,6 +169,7 @@
         self._warmups_s: dict[ServiceName, float] = {}
         self._leaving = LeavingTargets()
         self._ended_leaving: list[TargetName] = []
+        self._resting: dict[TargetName, Target] = {}
         self.revision = 0
 
     def get(self, name: TargetName) -> Target | None:
@@ -183,6 +201,13 @@
         record = target.record
         return record.is_ready and record.failure_domain not in self._evacuated
 
+    def first_rest_end_s(self, targets: Collection[Target], now_s: float) -> float | None:
+        """Return when the first of the targets' rests ends; None if any that is used has none."""
+        offered = [target for target in targets if self.accepts_requests(target)]
+        if not offered or not all(target.is_resting(now_s) for target in offered):
+            return None
+        return min(target.rests_until_s for target in offered)
+
     def are_leaving(self, targets: Collection[Target]) -> bool:
         """Return whether targets leave that would be used, and no other would be."""
         offered = [target for target in targets if self._is_offered(target)]
@@ -279,6 +304,21 @@
         if self._leaving:
             self._leaving.retain([target.start_id for target in self._targets.values()], now_s)
 
+    def record_rest(self, target: Target, for_s: float, now_s: float) -> bool:
+        """Record that a target wants nothing from this VM for a time; return whether it begins."""
+        is_new = not target.is_resting(now_s)
+        target.rests_until_s = max(target.rests_until_s, now_s + for_s)
+        target.is_returning = True
+        self._resting[target.name] = target
+        return is_new
+
+    def take_ended_rests(self, now_s: float) -> list[TargetName]:
+        """Return the targets whose rests have ended since the last call."""
+        ended = [name for name, item in self._resting.items() if not item.is_resting(now_s)]
+        for name in ended:
+            del self._resting[name]
+        return ended
+
     def record_leaving(self, target: Target, now_s: float) -> bool:
         """Record that a target itself says that it leaves; return whether that is news."""
         target.has_told_leaving = True
@@ -338,6 +378,7 @@
 
     def on_answer(self, target: Target) -> None:
         """Record a request that the target completed."""
+        target.is_returning = False
         target.was_reached = True
         target.connect_failures = 0
         target.error_share *= 1.0 - self._settings.error_smoothing
@@ -366,7 +407,9 @@
         return [
             target
             for target in self._targets.values()
-            if target.needs_probe and now_s >= target.suspended_until_s and not target.is_leaving
+            if target.needs_probe
+            and now_s >= target.suspended_until_s
+            and not target.is_withheld(now_s)
         ]
 
     def on_reached(
--- a/src/siskinward/daemon/entry/answer_reader.py
+++ b/src/siskinward/daemon/entry/answer_reader.py
@@ -8,8 +8,10 @@
 from siskinward.daemon.entry.target_statements import read_statement
 from siskinward.protocol.steering_headers import LeavingWord
 from siskinward.protocol.steering_headers import MalformedRateLimit
+from siskinward.protocol.steering_headers import MalformedRest
 from siskinward.protocol.steering_headers import NoRateLimit
 from siskinward.protocol.steering_headers import RateLimit
+from siskinward.protocol.steering_headers import Rest
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
@@ -49,6 +51,7 @@
         if statement.is_sound:
             self._record_load(target, statement)
             self._record_rate_limit(target, statement)
+            self._record_rest(target, statement)
         self._record_leaving(target, statement)
         return statement
 
@@ -69,6 +72,15 @@
                 if statement.kind is not AnswerKind.MISDIRECTED:
                     target.is_leaving_doubted = True
 
+    def _record_rest(self, target: Target, statement: TargetStatement) -> None:
+        """Record that the target wants nothing for a while; a malformed time is none."""
+        match statement.rest:
+            case Rest(for_s=for_s) if for_s > 0:
+                if self._steering.targets.record_rest(target, for_s, read_clock_s()):
+                    self._log.write("target-resting", {"target": target.name, "for_s": for_s})
+            case MalformedRest(text=text):
+                self._log.write("target-rest-malformed", {"target": target.name, "value": text})
+
     def _record_load(self, target: Target, statement: TargetStatement) -> None:
         # A health check waits for a slot and may be counted, so that its load is not the callers'.
         if statement.load is not None and statement.kind is not AnswerKind.HEALTH:
--- a/src/siskinward/daemon/entry/dispatcher.py
+++ b/src/siskinward/daemon/entry/dispatcher.py
@@ -18,6 +18,7 @@
 from siskinward.coordination.steering.placement import Placed
 from siskinward.coordination.steering.placement import PlacementRequest
 from siskinward.coordination.steering.placement import TargetsLeaving
+from siskinward.coordination.steering.placement import TargetsResting
 from siskinward.state.identifiers import AccountName
 from siskinward.transport.clock import read_clock_s
 
@@ -50,6 +51,10 @@
     retry_after_s: float
 
 
+Withheld = TargetsLeaving | TargetsResting
+"""The targets that could be used want nothing, so that waiting for one is no use."""
+
+
 @frozen
 class _Reserved:
     """A slot at a target whose rate limit has yet to allow the request."""
@@ -61,7 +66,7 @@
 class _Waiter:
     claim: DispatchRequest
     entry: QueueEntry
-    result: Placed | _Reserved | LimitsUsedUp | TargetsLeaving | None = None
+    result: Placed | _Reserved | LimitsUsedUp | Withheld | None = None
     has_result: curio.Event = field(factory=curio.Event)
 
 
@@ -81,7 +86,7 @@
 
     async def acquire(
         self, request: DispatchRequest
-    ) -> Placed | Rejected | LimitReached | NoTarget | TargetsLeaving:
+    ) -> Placed | Rejected | LimitReached | NoTarget | Withheld:
         """Acquire a slot at a target, waiting if necessary; ``release`` returns it."""
         attempt, denied = request, 0
         while True:
@@ -100,11 +105,11 @@
 
     async def _acquire_slot(
         self, request: DispatchRequest
-    ) -> Placed | _Reserved | Rejected | LimitsUsedUp | NoTarget | TargetsLeaving:
+    ) -> Placed | _Reserved | Rejected | LimitsUsedUp | NoTarget | Withheld:
         now_s = read_clock_s()
         service = request.placement.service
         choice = self._steering.placement.choose(request.placement, now_s)
-        if isinstance(choice, NoTarget | LimitsUsedUp | TargetsLeaving):
+        if isinstance(choice, NoTarget | LimitsUsedUp | TargetsLeaving | TargetsResting):
             return choice
         if isinstance(choice, Placed) and not self._queue(service).waiting:
             return self._reserve(request.placement, choice, now_s)
@@ -113,12 +118,12 @@
     async def _start_within_limit(self, request: PlacementRequest, placed: Placed) -> Placed | None:
         """Take a token of the target's rate limit; without one, return the slot and None.
 
-        The target may have said meanwhile that it leaves.
+        The target may have said meanwhile that it wants nothing more.
         """
         is_allowed = False
         try:
             is_allowed = await self._limits.try_take(placed.target.name)
-            is_allowed = is_allowed and not placed.target.is_leaving
+            is_allowed = is_allowed and not placed.target.is_withheld(read_clock_s())
         finally:
             if not is_allowed:
                 await self.release(placed.target)
@@ -149,7 +154,7 @@
             match self._steering.placement.choose(waiter.claim.placement, now_s):
                 case Placed() as placed:
                     waiter.result = self._reserve(waiter.claim.placement, placed, now_s)
-                case LimitsUsedUp() | TargetsLeaving() as unserved:
+                case LimitsUsedUp() | TargetsLeaving() | TargetsResting() as unserved:
                     waiter.result = unserved
                 case _:
                     continue
@@ -159,7 +164,7 @@
 
     async def _wait(
         self, request: DispatchRequest, now_s: float
-    ) -> Placed | _Reserved | LimitsUsedUp | TargetsLeaving | Rejected:
+    ) -> Placed | _Reserved | LimitsUsedUp | Withheld | Rejected:
         service = request.placement.service
         queue = self._queue(service)
         entered = queue.try_enqueue(
--- a/src/siskinward/daemon/entry/heartbeats.py
+++ b/src/siskinward/daemon/entry/heartbeats.py
@@ -68,6 +68,8 @@
             self._steering.targets.remove_expired(now_s)
             for target in self._steering.targets.take_ended_leaving():
                 self._log.write("target-leaving-ended", {"target": target})
+            for target in self._steering.targets.take_ended_rests(now_s):
+                self._log.write("target-rest-ended", {"target": target})
             self._steering.limit_tokens.update_membership(now_s)
             self._steering.limits.retain(self._steering.targets.names())
             heartbeats = self._steering.fleet.heartbeats(now_s)
--- a/src/siskinward/daemon/entry/refusals.py
+++ b/src/siskinward/daemon/entry/refusals.py
@@ -23,6 +23,7 @@
     TARGETS_SHED = "targets-shed"
     TARGETS_LIMITED = "targets-limited"
     TARGETS_LEAVING = "targets-leaving"
+    TARGETS_RESTING = "targets-resting"
     OUTCOME_UNKNOWN = "outcome-unknown"
     TIMEOUT = "timeout"
     TIMEOUT_UNSENT = "timeout-unsent"
@@ -43,6 +44,7 @@
     Reason.TARGETS_SHED: 503,
     Reason.TARGETS_LIMITED: 503,
     Reason.TARGETS_LEAVING: 503,
+    Reason.TARGETS_RESTING: 503,
     Reason.OUTCOME_UNKNOWN: 502,
     Reason.TIMEOUT: 504,
     Reason.TIMEOUT_UNSENT: 503,
--- a/src/siskinward/daemon/entry/relay_handler.py
+++ b/src/siskinward/daemon/entry/relay_handler.py
@@ -88,7 +88,8 @@
         try:
             answer = await self._links.exchange_directly(target, link_request)
         except SendWithheldError as error:
-            return _not_connected(error.detail)
+            # A rest binds the VM that sends.
+            return _not_connected(error.detail, is_relays_fault=not target.is_leaving)
         except ExchangeFailedError as error:
             is_own_fault = self._steering.paths.is_cut_off
             is_unsent = error.phase is SendPhase.NOT_CONNECTED
--- a/src/siskinward/daemon/entry/request_handler.py
+++ b/src/siskinward/daemon/entry/request_handler.py
@@ -10,6 +10,7 @@
 from siskinward.coordination.steering.placement import NoTarget
 from siskinward.coordination.steering.placement import PlacementRequest
 from siskinward.coordination.steering.placement import TargetsLeaving
+from siskinward.coordination.steering.placement import TargetsResting
 from siskinward.daemon.entry.dispatcher import DispatchRequest
 from siskinward.daemon.entry.dispatcher import LimitReached
 from siskinward.daemon.entry.quota_enforcer import OverQuota
@@ -127,6 +128,8 @@
                 raise self._create_refusal(context, Reason.NO_TARGET, RETRY_AFTER_S)
             case TargetsLeaving():
                 raise self._create_refusal(context, Reason.TARGETS_LEAVING, LEAVING_RETRY_AFTER_S)
+            case TargetsResting(for_s=for_s):
+                raise self._create_refusal(context, Reason.TARGETS_RESTING, for_s)
             case Rejected(retry_after_s=retry_after_s):
                 self._record_considered(context, request)
                 raise self._create_refusal(context, Reason.NO_CAPACITY, retry_after_s)
@@ -302,7 +305,7 @@
 
 def _refusal_reason(reason: SendFailure) -> Reason:
     match reason:
-        case SendFailure.SHED | SendFailure.FULL | SendFailure.MISDIRECTED:
+        case SendFailure.SHED | SendFailure.FULL | SendFailure.RESTING | SendFailure.MISDIRECTED:
             return Reason.TARGETS_SHED
         case SendFailure.TIMEOUT:
             return Reason.TIMEOUT_UNSENT
--- a/src/siskinward/daemon/entry/sender.py
+++ b/src/siskinward/daemon/entry/sender.py
@@ -40,6 +40,7 @@
     WITHHELD = "send-withheld"
     FULL = "target-full"
     SHED = "target-shed"
+    RESTING = "target-resting"
     MISDIRECTED = "target-replaced"
     LOST = "target-lost"
     GARBLED = "answer-garbled"
@@ -157,6 +158,9 @@
         return OutcomeUnknown(SendFailure.GARBLED, answer.detail)
 
     def _classify_refusal(self, target: Target, answer: LinkAnswer) -> NotRun:
+        if target.is_resting(read_clock_s()):
+            # It refused because it rests, which says nothing of its health.
+            return NotRun(SendFailure.RESTING, answer.detail)
         load = answer.statement.load
         if load is not None and load.requests >= load.slots:
             return NotRun(SendFailure.FULL, answer.detail)
--- a/src/siskinward/daemon/entry/target_links.py
+++ b/src/siskinward/daemon/entry/target_links.py
@@ -190,8 +190,9 @@
 
 def _check_wanted(target: Target) -> None:
     """Raise ``SendWithheldError`` if a target wants nothing more."""
-    if target.is_leaving:
-        raise SendWithheldError(f"the target {target.name} leaves")
+    if target.is_withheld(read_clock_s()):
+        word = "leaves" if target.is_leaving else "rests"
+        raise SendWithheldError(f"the target {target.name} {word}")
 
 
 def _relay_request(
--- a/src/siskinward/daemon/entry/target_statements.py
+++ b/src/siskinward/daemon/entry/target_statements.py
@@ -9,12 +9,15 @@
 
 from siskinward.protocol.steering_headers import LeavingWord
 from siskinward.protocol.steering_headers import MalformedRateLimit
+from siskinward.protocol.steering_headers import MalformedRest
 from siskinward.protocol.steering_headers import NoRateLimit
 from siskinward.protocol.steering_headers import RateLimit
 from siskinward.protocol.steering_headers import ReportedLoad
+from siskinward.protocol.steering_headers import Rest
 from siskinward.protocol.steering_headers import decode_leaving
 from siskinward.protocol.steering_headers import decode_load
 from siskinward.protocol.steering_headers import decode_rate_limit
+from siskinward.protocol.steering_headers import decode_rest
 from siskinward.protocol.steering_headers import decode_warmup_s
 
 if TYPE_CHECKING:
@@ -23,6 +26,7 @@
     from siskinward.transport.http_messages import HttpRequest
     from siskinward.transport.http_messages import HttpResponse
 
+TURNED_AWAY_STATUS = 503
 MISDIRECTED_STATUS = 421
 CLIENT_ERROR = 400
 
@@ -44,7 +48,8 @@
     The answer to a request that another target got, ``MISDIRECTED``, says nothing of the target
     that was meant, nor does one that is ``UNSOUND``: it may be the answer to another request.
     ``warmup_left_s`` is None if the time is malformed, and 0 if none is stated. ``name`` is what
-    the target calls itself, where it does.
+    the target calls itself, where it does. Only an answer that turns a request away asks for a
+    ``rest``.
     """
 
     kind: AnswerKind
@@ -53,6 +58,7 @@
     rate_limit: RateLimit | NoRateLimit | MalformedRateLimit
     warmup_left_s: float | None
     leaving: LeavingWord
+    rest: Rest | MalformedRest
 
     @property
     def is_sound(self) -> bool:
@@ -76,9 +82,16 @@
         rate_limit=decode_rate_limit(response.header(names.rate_limit)),
         warmup_left_s=decode_warmup_s(response.header(names.warmup_left_ms)),
         leaving=decode_leaving(response.header_lines(names.leaving)),
+        rest=_read_rest(names, response),
     )
 
 
+def _read_rest(names: SteeringHeaders, response: HttpResponse) -> Rest | MalformedRest:
+    if response.status != TURNED_AWAY_STATUS:
+        return Rest()
+    return decode_rest(response.header_lines(names.retry_after))
+
+
 def _classify(
     names: SteeringHeaders,
     target: TargetName,
--- a/src/siskinward/platform/_headers.py
+++ b/src/siskinward/platform/_headers.py
@@ -18,4 +18,5 @@
     warmup_left_ms=b"x-warmup-ms",
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
+    retry_after=b"retry-after",
 )
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -60,10 +60,11 @@
     requests, in the form that ``fault_variant`` selects; between two pieces of an endless answer
     ``endless_gap_s`` pass. ``rate_limit`` is
     stated in every answer, as given, as is ``leaving``, by which it says that it leaves; a request
-    that it runs ends with ``run_status``. ``extra_headers`` precede the others. ``arrivals`` has
-    each request that reached the target, ``arrivals_s`` the time of each, probes included,
-    misdirected ones not, and ``stated_s`` that of each whole answer that stated a limit;
-    ``crashes_s`` that of each crash.
+    that it runs ends with ``run_status``. With ``rest``, it asks callers that it turns away to come
+    back after that time, health checks too if ``sheds_probes``; ``rests`` has the requests that it
+    answered so. ``extra_headers`` precede the others. ``arrivals`` has each request that reached
+    the target, ``arrivals_s`` the time of each, probes included, misdirected ones not, and
+    ``stated_s`` that of each whole answer that stated a limit; ``crashes_s`` that of each crash.
     ``advertised_host`` is where callers reach the target, if that is not ``host``.
     """
 
@@ -84,11 +85,14 @@
     rate_limit: str | None = None
     leaving: str | None = None
     run_status: int = 200
+    rest: str | None = None
+    sheds_probes: bool = False
     extra_headers: tuple[tuple[bytes, bytes], ...] = ()
     runs: list[RunRecord] = field(factory=list)
     arrivals: list[ArrivalRecord] = field(factory=list)
     arrivals_s: list[float] = field(factory=list)
     stated_s: list[float] = field(factory=list)
+    rests: list[ArrivalRecord] = field(factory=list)
     crashes_s: list[float] = field(factory=list)
     probes: int = 0
     heartbeat: int = 1
@@ -183,12 +187,22 @@
         self.arrivals_s.append(read_clock_s())
         if request.target == HEALTH_PATH:
             self.probes += 1
+            if self.sheds_probes:
+                return self._turn_away(request)
             return self._health()
         if self._sheds() or self._running >= self.slots * 4:
-            not_run = (HEADERS.not_run, b"1")
-            return HttpResponse(503, (*_echo(request), not_run, self._load(), *self._stated()))
+            return self._turn_away(request)
         return await self._run(request, sock)
 
+    def _turn_away(self, request: HttpRequest) -> HttpResponse:
+        if self.rest is not None:
+            attempt_id = _text(request, HEADERS.attempt_id)
+            self.rests.append(ArrivalRecord(attempt_id, read_clock_s()))
+        rest = _header(HEADERS.retry_after, self.rest)
+        not_run = (HEADERS.not_run, b"1")
+        stated = (self._load(), *rest, *self._stated())
+        return HttpResponse(503, (*self.extra_headers, *_echo(request), not_run, *stated))
+
     async def _run(self, request: HttpRequest, sock: Any) -> HttpResponse | None:
         record = RunRecord(
             attempt_id=_text(request, HEADERS.attempt_id),
--- a/src/siskinward/protocol/steering_headers.py
+++ b/src/siskinward/protocol/steering_headers.py
@@ -18,9 +18,12 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 BEARER = b"bearer "
-RATE_LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{0,30})?|\.[0-9]{1,30}")
+DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{0,30})?|\.[0-9]{1,30}")
+# A target is asked again after this time, however long a rest it asked for.
+LONGEST_REST_S = 3600.0
 # Finer differences are no other limit; messages between VMs carry rates to this precision.
 RATE_DECIMALS = 6
+MAX_SHOWN_CHARACTERS = 80
 LEAVES_VALUE = b"1"
 STAYS_VALUE = b"0"
 HOP_BY_HOP_HEADERS = frozenset(
@@ -51,7 +54,8 @@
 
     ``signature`` marks responses that the target itself produced, ``not_run`` its responses to
     requests that it did not run. In ``rate_limit`` a target states how many requests a second it
-    accepts from all VMs together, by ``leaving`` that it is about to shut down.
+    accepts from all VMs together, by ``leaving`` that it is about to shut down, and by
+    ``retry_after`` how long a VM that it turned away is to send it nothing.
     """
 
     attempt_id: bytes
@@ -66,6 +70,7 @@
     warmup_left_ms: bytes
     rate_limit: bytes
     leaving: bytes
+    retry_after: bytes
 
 
 @frozen
@@ -110,9 +115,41 @@
     if value is None:
         return NoRateLimit()
     text = value.decode("latin-1").strip()
-    if not RATE_LIMIT_PATTERN.fullmatch(text):
+    number = _decode_decimal(text)
+    if number is None:
         return MalformedRateLimit(text)
-    return RateLimit(round(float(text), RATE_DECIMALS))
+    return RateLimit(round(number, RATE_DECIMALS))
+
+
+@frozen
+class Rest:
+    """The target wants nothing from this VM for ``for_s``, 0 if it asks for no rest."""
+
+    for_s: float = 0.0
+
+
+@frozen
+class MalformedRest:
+    """No header line holds a decimal number."""
+
+    text: str
+
+
+def decode_rest(values: Collection[bytes]) -> Rest | MalformedRest:
+    """Decode the header lines that state a time in seconds, a decimal number without sign.
+
+    The longest that can be read counts, up to ``LONGEST_REST_S``. A date is malformed.
+    """
+    texts = [value.decode("latin-1").strip() for value in values]
+    times_s = [time_s for text in texts if (time_s := _decode_decimal(text)) is not None]
+    if texts and not times_s:
+        return MalformedRest(texts[0][:MAX_SHOWN_CHARACTERS])
+    return Rest(min(max(times_s, default=0.0), LONGEST_REST_S))
+
+
+def _decode_decimal(text: str) -> float | None:
+    """Decode a decimal number without sign or exponent; None if it is none, or too long."""
+    return float(text) if DECIMAL_PATTERN.fullmatch(text) else None
 
 
 class LeavingWord(Enum):
