Bound the memory of rows that other VMs send

What callers would see: a VM of 200 MB killed by what another VM, or whoever reaches its internal ports, sends in place of rows: two frames that don't end took 92 MB, two small ones that expand to 100 MB each 215 MB, eight requests for rows without end 269 MB.

Cause: a frame of rows, and of a request for them, could be 32 MiB, and what it expanded to had no bound. A reply may now take 8 MiB and expand to 16 (the rows of 10,000 targets take some 4 MB before compression), a request 4 KiB.

--- a/src/siskinward/protocol/row_messages.py
+++ b/src/siskinward/protocol/row_messages.py
@@ -27,7 +27,10 @@
 
 ROWS_TYPE = 1
 REFERRAL_TYPE = 2
-FRAME_LIMIT_BYTES = 32 * 1024 * 1024
+REQUEST_LIMIT_BYTES = 4 * 1024
+# A reply is compressed; the rows of 10,000 targets take some 4 MB before that.
+REPLY_LIMIT_BYTES = 8 * 1024 * 1024
+ROWS_LIMIT_BYTES = 16 * 1024 * 1024
 
 
 @frozen
@@ -82,7 +85,7 @@
 def decode_rows_reply(data: bytes, now_s: float) -> RowsReply:
     """Decode the reply to a request for rows; raises ``PeerMessageError``."""
     try:
-        message_type, *rest = unpack(zlib.decompress(data))
+        message_type, *rest = unpack(_decompress(data))
         if message_type == REFERRAL_TYPE:
             (hosts,) = rest
             return Referral(tuple(_decode_host(host) for host in hosts))
@@ -96,6 +99,15 @@
         raise PeerMessageError(f"malformed reply with rows: {error}") from error
 
 
+def _decompress(data: bytes) -> bytes:
+    """Decompress a reply; raises ``PeerMessageError`` if that takes too much memory."""
+    decompressor = zlib.decompressobj()
+    rows = decompressor.decompress(data, ROWS_LIMIT_BYTES)
+    if not decompressor.eof:
+        raise PeerMessageError(f"a reply cut short, or of rows over {ROWS_LIMIT_BYTES} bytes")
+    return rows
+
+
 def _encode_held(held: HeldRow, now_s: float) -> tuple[Any, ...]:
     row = held.row
     return (row.key, row.value, row.version, max(0.0, held.until_s - now_s))
--- a/src/siskinward/transport/peer_rows.py
+++ b/src/siskinward/transport/peer_rows.py
@@ -13,7 +13,8 @@
 from siskinward.coordination.steering.rows import Snapshot
 from siskinward.coordination.steering.rows import StoreTable
 from siskinward.protocol.peer_fields import PeerMessageError
-from siskinward.protocol.row_messages import FRAME_LIMIT_BYTES
+from siskinward.protocol.row_messages import REPLY_LIMIT_BYTES
+from siskinward.protocol.row_messages import REQUEST_LIMIT_BYTES
 from siskinward.protocol.row_messages import Referral
 from siskinward.protocol.row_messages import RowsRequest
 from siskinward.protocol.row_messages import decode_rows_reply
@@ -47,7 +48,7 @@
             sock = await connect(host, port)
         async with curio.timeout_after(EXCHANGE_TIMEOUT_S), sock:
             await send_frame(sock, encode_rows_request(request))
-            return decode_rows_reply(await receive_frame(sock, FRAME_LIMIT_BYTES), read_clock_s())
+            return decode_rows_reply(await receive_frame(sock, REPLY_LIMIT_BYTES), read_clock_s())
     except curio.TaskTimeout:
         raise OSError("timed out waiting for rows") from None
 
@@ -82,7 +83,7 @@
     async def _serve_one(self, sock: Any) -> None:
         try:
             async with curio.timeout_after(EXCHANGE_TIMEOUT_S), sock:
-                request = decode_rows_request(await receive_frame(sock, FRAME_LIMIT_BYTES))
+                request = decode_rows_request(await receive_frame(sock, REQUEST_LIMIT_BYTES))
                 update = self._find(request)
                 if update is None:
                     return
