Ask once for each target whether it leaves, where targets are chosen

A target's own state now says that it leaves; the table adds what entries and the operator offer. No change of behaviour; tests of placement, targets and sends pass.

--- a/src/siskinward/coordination/steering/targets.py
+++ b/src/siskinward/coordination/steering/targets.py
@@ -118,10 +118,10 @@
         return self.is_leaving or self.is_resting(now_s)
 
     def is_usable(self, now_s: float) -> bool:
-        """Return whether the target is ready, not suspended, not resting and not expired."""
+        """Return whether the target is ready, stays, and is not suspended, resting or expired."""
         if self.needs_probe and not self.was_reached:
             return False
-        if self.is_resting(now_s):
+        if self.is_leaving or now_s < self.rests_until_s:
             return False
         return (
             self.record.is_ready and now_s >= self.suspended_until_s and now_s < self.expires_at_s
@@ -189,7 +189,7 @@
         return [
             target
             for target in self.of_service(service)
-            if target.is_usable(now_s) and self.accepts_requests(target)
+            if target.is_usable(now_s) and self._is_offered(target)
         ]
 
     def accepts_requests(self, target: Target) -> bool:
