Let targets leave and rest in the soak, and check that VMs keep to it

Two faults, drawn apart so that older seeds keep theirs: targets say that they leave, by '1' or a doubtful word, while their entries stay ready, and then start again; and targets turn requests away and ask for rests.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,9 @@
 LARGEST_INDEX = 1000
 # A multiple of the number of forms of each fault, so that each form is as likely.
 VARIANTS = 12
+LEAVING_GAP_S = (1.0, 6.0)
+LEAVING_DURATIONS_S = (1.0, 3.0, 5.0)
+REST_GAP_S = (1.0, 6.0)
 RATE_LIMITS = ("0", "0.5", "1.3", "1.8", "4", "12.5", "many", "")
 
 
@@ -67,6 +70,8 @@
     TARGET_NO_LENGTH = "target-no-length"
     ZONE_CUT = "zone-cut"
     ODD_ENTRIES = "odd-entries"
+    TARGET_LEAVING = "target-leaving"
+    TARGET_REST = "target-rest"
 
 
 ANSWER_FAULTS = (
@@ -86,6 +91,8 @@
     *ANSWER_FAULTS,
     FaultKind.ZONE_CUT,
     FaultKind.ODD_ENTRIES,
+    FaultKind.TARGET_LEAVING,
+    FaultKind.TARGET_REST,
 )
 
 
@@ -116,6 +123,8 @@
     faults += _draw_answer_faults(Random(f"spoilt answers of {seed}"), length_s, targets)
     faults += _draw_zone_cuts(Random(f"zone cuts of {seed}"), length_s)
     faults += _draw_odd_entries(Random(f"odd entries of {seed}"), length_s)
+    faults += _draw_leaving(Random(f"leaving targets of {seed}"), length_s, targets)
+    faults += _draw_rests(Random(f"resting targets of {seed}"), length_s, targets)
     kinds = [kind for kind in FaultKind if kind not in DRAWN_APART]
     at_s = random.uniform(*GAP_S)
     while at_s < length_s:
@@ -227,3 +236,28 @@
         faults.append(Fault(FaultKind.ODD_ENTRIES, at_s, for_s, indexes, variant=variant))
         at_s += random.uniform(*ODD_ENTRIES_GAP_S)
     return faults
+
+
+def _draw_leaving(random: Random, length_s: float, targets: int) -> list[Fault]:
+    """Draw times in which some targets, or half of them, say that they leave, and start again."""
+    faults = []
+    at_s = random.uniform(*LEAVING_GAP_S)
+    while at_s < length_s:
+        count = random.choice((1, 2, max(1, targets // 2)))
+        indexes = tuple(random.sample(range(targets), count))
+        for_s, variant = random.choice(LEAVING_DURATIONS_S), random.randrange(VARIANTS)
+        faults.append(Fault(FaultKind.TARGET_LEAVING, at_s, for_s, indexes, variant=variant))
+        at_s += random.uniform(*LEAVING_GAP_S)
+    return faults
+
+
+def _draw_rests(random: Random, length_s: float, targets: int) -> list[Fault]:
+    """Draw times in which some targets, or all, turn requests away and ask for rests."""
+    faults = []
+    at_s = random.uniform(*REST_GAP_S)
+    while at_s < length_s:
+        indexes = tuple(random.sample(range(targets), random.choice((1, 2, targets))))
+        for_s, variant = random.choice(DURATIONS_S), random.randrange(VARIANTS)
+        faults.append(Fault(FaultKind.TARGET_REST, at_s, for_s, indexes, variant=variant))
+        at_s += random.uniform(*REST_GAP_S)
+    return faults
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -52,6 +52,9 @@
     FaultKind.TARGET_FAIL_AS_REFUSED: TargetFault.FAILS_AS_REFUSED,
     FaultKind.TARGET_NO_LENGTH: TargetFault.NO_LENGTH,
 }
+# Most targets leave; a word that is doubtful, or says nothing, costs them no request.
+LEAVING_WORDS = ("1", "1", "1", "0", "1", "yes")
+RESTS = ("3", "0.7", "1.5", "soon")
 ENDLESS_FAULTS = (
     TargetFault.ENDLESS_HEAD,
     TargetFault.ENDLESS_INTERIM,
@@ -133,6 +136,10 @@
                 await self._state_limits(fault, targets)
             case FaultKind.TARGET_ENDLESS:
                 await self._answer_endlessly(fault, targets)
+            case FaultKind.TARGET_LEAVING:
+                await self._let_leave(fault, targets)
+            case FaultKind.TARGET_REST:
+                await self._let_rest(fault, targets)
             case _ if fault.kind in PROXY_FAULTS:
                 await self._inject_proxy_fault(fault, proxies)
             case _:
@@ -153,6 +160,30 @@
             if self.checker.limits.statement(target) == own[target.name]:
                 self.checker.limits.state(target, None, read_clock_s())
 
+    async def _let_leave(self, fault: Fault, targets: list[TargetProcess]) -> None:
+        """Let targets say that they leave, and start again; their entries stay ready."""
+        word = LEAVING_WORDS[fault.variant % len(LEAVING_WORDS)]
+        staying = [target for target in targets if target.leaving is None]
+        periods = [self.checker.words.leave(target, word, read_clock_s()) for target in staying]
+        await curio.sleep(fault.for_s)
+        for target, period in zip(staying, periods, strict=True):
+            if period is not None:
+                period.until_s = read_clock_s()
+            await target.crash()
+            target.leaving = None
+            target.started_ms += 1
+            await target.start()
+            await self._report(target)
+
+    async def _let_rest(self, fault: Fault, targets: list[TargetProcess]) -> None:
+        """Let targets turn requests away and ask for rests."""
+        rest = RESTS[fault.variant % len(RESTS)]
+        for target in targets:
+            target.fault, target.rest = TargetFault.SHEDS, rest
+        await curio.sleep(fault.for_s)
+        for target in targets:
+            target.fault, target.rest = TargetFault.NONE, None
+
     async def _inject_connection_fault(self, fault: Fault, proxies: list[LoopbackProxy]) -> None:
         for proxy in proxies:
             if fault.kind in (FaultKind.STORE_SILENCE, FaultKind.TARGET_SILENCE):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -17,6 +17,7 @@
 from soak.retry_arrivals import retry_times_s
 from soak.retry_arrivals import worst_window
 from soak.stated_limits import StatedLimits
+from soak.target_words import TargetWords
 from soak.vm_process import VmProcess
 
 if TYPE_CHECKING:
@@ -75,6 +76,7 @@
     drained: list[Withdrawal] = field(factory=list)
     cuts: list[TargetCut] = field(factory=list)
     limits: StatedLimits = field(factory=StatedLimits)
+    words: TargetWords = field(factory=TargetWords)
     quota_in_window: float = 0.0
     broken: list[str] = field(factory=list)
     check_counts: dict[str, int] = field(factory=dict)
@@ -102,6 +104,7 @@
         self._check_withdrawn_keys()
         self._check_drained()
         self.check_limits()
+        self.check_words()
         self._check_cuts()
         self._check_graceful_shutdown()
         self._check_recovery(recovered_since_s)
@@ -211,6 +214,11 @@
         self._count_checks("stated limits", len(self.limits.periods))
         self._report(self.limits.excesses())
 
+    def check_words(self) -> None:
+        """Check that targets that leave, or rest, get no requests of the VMs that they told."""
+        self._report(self.words.broken(self.calls, self.targets, self.bounds.drain_s))
+        self.check_counts.update(self.words.check_counts)
+
     def check_memory(self) -> None:
         """Check that no VM takes more memory than the smallest VM has."""
         for vm in self.vms:
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -76,6 +76,7 @@
             else:
                 self.checker.check_invariants()
                 self.checker.check_limits()
+                self.checker.check_words()
         finally:
             await self._stop()
         served = sum(call.status == 200 for call in self.callers.calls)
--- a/soak/target_process.py
+++ b/soak/target_process.py
@@ -22,6 +22,7 @@
 from attrs import field
 
 from siskinward.platform.standins import ArrivalRecord
+from siskinward.platform.standins import RestRecord
 from siskinward.platform.standins import RunRecord
 from siskinward.platform.standins import TargetFault
 from siskinward.platform.standins import TargetStandIn
@@ -99,6 +100,8 @@
                     "fault": self.fault.value,
                     "fault_variant": self.fault_variant,
                     "rate_limit": self.rate_limit,
+                    "leaving": self.leaving,
+                    "rest": self.rest,
                 }
                 if wanted != sent:
                     await control.sendall(json.dumps(wanted).encode() + b"\n")
@@ -114,6 +117,8 @@
                         self.runs.append(RunRecord(**value))
                     case "arrivals":
                         self.arrivals.append(ArrivalRecord(**value))
+                    case "rests":
+                        self.rests.append(RestRecord(**value))
                     case _:
                         getattr(self, name).append(value)
 
@@ -134,7 +139,7 @@
 async def _run_target(identity: str) -> None:
     """Serve until the run's process is gone."""
     target = TargetStandIn(*json.loads(identity))
-    for name in ("runs", "arrivals", "arrivals_s", "stated_s"):
+    for name in ("runs", "arrivals", "arrivals_s", "stated_s", "rests"):
         setattr(target, name, _Reported(name))
     control = curio.io.Socket(socket.socket(fileno=STANDARD_INPUT)).as_stream()
     while line := await control.readline():
@@ -142,6 +147,8 @@
         target.fault = TargetFault(wanted["fault"])
         target.fault_variant = wanted["fault_variant"]
         target.rate_limit = wanted["rate_limit"]
+        target.leaving = wanted["leaving"]
+        target.rest = wanted["rest"]
         # Nothing is answered before the first wishes are known, such as a limit.
         await target.start()
 
--- a/soak/vm_process.py
+++ b/soak/vm_process.py
@@ -21,7 +21,8 @@
     """Runs an entry process and restarts it after an exit, as the platform does.
 
     ``stops_s`` holds the times of requests to shut down, ``disturbances_s`` those of all other
-    faults of the process. ``unexpected_exits`` holds exit codes that no sent signal explains.
+    faults of the process, and ``freezes_s`` those at which it was suspended or woken.
+    ``unexpected_exits`` holds exit codes that no sent signal explains.
     """
 
     name: str
@@ -33,6 +34,7 @@
     starts_and_exits_s: list[float] = field(factory=list)
     disturbances_s: list[float] = field(factory=list)
     stops_s: list[float] = field(factory=list)
+    freezes_s: list[float] = field(factory=list)
     unexpected_exits: list[int] = field(factory=list)
     _process: subprocess.Popen[bytes] | None = None
     _is_exit_expected: bool = False
@@ -73,11 +75,13 @@
     def pause(self) -> None:
         """Send SIGSTOP: the process is suspended."""
         self.record_disturbance()
+        self.freezes_s.append(time.monotonic())
         self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Send SIGCONT: the process continues."""
         self.record_disturbance()
+        self.freezes_s.append(time.monotonic())
         self._signal(signal.SIGCONT)
 
     def reload(self) -> None:
@@ -112,6 +116,12 @@
         happened_s = (*self.disturbances_s, *self.stops_s, *self.starts_and_exits_s)
         return not any(since_s <= at_s <= until_s for at_s in happened_s)
 
+    def ran_on(self, since_s: float, until_s: float) -> bool:
+        """Return whether the same process of this release ran all the time, and wasn't frozen."""
+        happened_s = (*self.freezes_s, *self.starts_and_exits_s)
+        is_ours = self.program == ENTRY_PROGRAM
+        return is_ours and not any(since_s <= at_s <= until_s for at_s in happened_s)
+
     def was_only_stopped(self, since_s: float, until_s: float) -> bool:
         """Return whether the process was asked to shut down in this time, and not disturbed."""
         return any(since_s <= at_s <= until_s for at_s in self.stops_s) and not any(
--- a/src/siskinward/platform/standins/__init__.py
+++ b/src/siskinward/platform/standins/__init__.py
@@ -17,6 +17,7 @@
 from siskinward.platform.standins._store import StoreFault as StoreFault
 from siskinward.platform.standins._store import StoreStandIn as StoreStandIn
 from siskinward.platform.standins._target import ArrivalRecord as ArrivalRecord
+from siskinward.platform.standins._target import RestRecord as RestRecord
 from siskinward.platform.standins._target import RunRecord as RunRecord
 from siskinward.platform.standins._target import TargetStandIn as TargetStandIn
 from siskinward.platform.standins._target_faults import TargetFault as TargetFault
--- a/src/siskinward/platform/standins/_target.py
+++ b/src/siskinward/platform/standins/_target.py
@@ -51,6 +51,15 @@
     at_s: float
 
 
+@frozen
+class RestRecord:
+    """A request that a target turned away and asked to come back after ``rest``, as stated."""
+
+    attempt_id: str
+    at_s: float
+    rest: str
+
+
 @define(eq=False)
 class TargetStandIn:
     """Runs each request for ``work_s`` and records it in ``runs``.
@@ -92,7 +101,7 @@
     arrivals: list[ArrivalRecord] = field(factory=list)
     arrivals_s: list[float] = field(factory=list)
     stated_s: list[float] = field(factory=list)
-    rests: list[ArrivalRecord] = field(factory=list)
+    rests: list[RestRecord] = field(factory=list)
     crashes_s: list[float] = field(factory=list)
     probes: int = 0
     heartbeat: int = 1
@@ -197,7 +206,7 @@
     def _turn_away(self, request: HttpRequest) -> HttpResponse:
         if self.rest is not None:
             attempt_id = _text(request, HEADERS.attempt_id)
-            self.rests.append(ArrivalRecord(attempt_id, read_clock_s()))
+            self.rests.append(RestRecord(attempt_id, read_clock_s(), self.rest))
         rest = _header(HEADERS.retry_after, self.rest)
         not_run = (HEADERS.not_run, b"1")
         stated = (self._load(), *rest, *self._stated())
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -350,6 +350,8 @@
     "target-no-length",
     "zone-cut",
     "odd-entries",
+    "target-leaving",
+    "target-rest",
 )
 
 
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -122,3 +122,30 @@
     )
     assert result.broken == ()
     assert result.check_counts["followed targets"] == 3
+
+
+# Targets say that they leave, and ask for rests, while VMs are killed and the store falls silent.
+WORD_SEEDS = (2, 5)
+
+
+@pytest.mark.parametrize("seed", WORD_SEEDS)
+def test_vms_keep_to_what_targets_say_of_themselves(tmp_path: Path, seed: int) -> None:
+    result = run_soak(
+        tmp_path,
+        seed,
+        length_s=8.0,
+        recover_s=1.0,
+        targets=6,
+        checks_time_bounds=False,
+        kinds=(
+            FaultKind.TARGET_LEAVING,
+            FaultKind.TARGET_REST,
+            FaultKind.STORE_SILENCE,
+            FaultKind.STORE_RESTORED,
+            FaultKind.VM_KILL,
+            FaultKind.VM_RELOAD,
+        ),
+    )
+    assert result.broken == ()
+    assert result.check_counts["answers that said that a target leaves"] > 0
+    assert result.check_counts["rests"] > 0
