--- a/soak/faults.py
+++ b/soak/faults.py
@@ -240,24 +240,30 @@
 
 def _draw_leaving(random: Random, length_s: float, targets: int) -> list[Fault]:
     """Draw times in which some targets, or half of them, say that they leave, and start again."""
-    faults = []
-    at_s = random.uniform(*LEAVING_GAP_S)
-    while at_s < length_s:
-        count = random.choice((1, 2, max(1, targets // 2)))
-        indexes = tuple(random.sample(range(targets), count))
-        for_s, variant = random.choice(LEAVING_DURATIONS_S), random.randrange(VARIANTS)
-        faults.append(Fault(FaultKind.TARGET_LEAVING, at_s, for_s, indexes, variant=variant))
-        at_s += random.uniform(*LEAVING_GAP_S)
-    return faults
+    series = _Series(LEAVING_GAP_S, LEAVING_DURATIONS_S, (1, 2, max(1, targets // 2)))
+    return series.draw(FaultKind.TARGET_LEAVING, random, length_s, targets)
 
 
 def _draw_rests(random: Random, length_s: float, targets: int) -> list[Fault]:
     """Draw times in which some targets, or all, turn requests away and ask for rests."""
-    faults = []
-    at_s = random.uniform(*REST_GAP_S)
-    while at_s < length_s:
-        indexes = tuple(random.sample(range(targets), random.choice((1, 2, targets))))
-        for_s, variant = random.choice(DURATIONS_S), random.randrange(VARIANTS)
-        faults.append(Fault(FaultKind.TARGET_REST, at_s, for_s, indexes, variant=variant))
-        at_s += random.uniform(*REST_GAP_S)
-    return faults
+    series = _Series(REST_GAP_S, DURATIONS_S, (1, 2, targets))
+    return series.draw(FaultKind.TARGET_REST, random, length_s, targets)
+
+
+@frozen
+class _Series:
+    """Faults of targets, a gap apart, each for a time and of so many targets."""
+
+    gap_s: tuple[float, float]
+    durations_s: tuple[float, ...]
+    counts: tuple[int, ...]
+
+    def draw(self, kind: FaultKind, random: Random, length_s: float, targets: int) -> list[Fault]:
+        faults = []
+        at_s = random.uniform(*self.gap_s)
+        while at_s < length_s:
+            indexes = tuple(random.sample(range(targets), random.choice(self.counts)))
+            for_s, variant = random.choice(self.durations_s), random.randrange(VARIANTS)
+            faults.append(Fault(kind, at_s, for_s, indexes, variant=variant))
+            at_s += random.uniform(*self.gap_s)
+        return faults
--- a/tests/fakes/raw_server.py
+++ b/tests/fakes/raw_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -17,6 +19,30 @@
 HOST = "127.0.0.1"
 
 
+def measure_peak_mb(main: Callable[[], Any]) -> tuple[Any, float]:
+    """Run a coroutine function; return its result and the most memory that was allocated."""
+    tracemalloc.start()
+    try:
+        result = curio.run(main)
+        return result, tracemalloc.get_traced_memory()[1] / 1e6
+    finally:
+        tracemalloc.stop()
+
+
+async def start_endless_server(start: bytes, piece: bytes) -> int:
+    """Answer each connection with ``start`` and ``piece`` again and again; return the port."""
+
+    async def answer(sock: Any) -> None:
+        await sock.recv(65536)
+        with suppress(OSError):
+            await sock.sendall(start)
+            while True:
+                await sock.sendall(piece)
+
+    port, _ = await start_raw_server(answer)
+    return port
+
+
 async def start_raw_server(handle: Callable[[Any], Awaitable[None]]) -> tuple[int, Any]:
     """Serve each connection with ``handle``; return the port and the task to cancel."""
     listener = listen(HOST, 0)
--- a/tests/platform/test_endless_store_answers.py
+++ b/tests/platform/test_endless_store_answers.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import tracemalloc
 from typing import Any
 
 import curio
 import pytest
 from fakes.raw_server import HOST
-from fakes.raw_server import start_raw_server
+from fakes.raw_server import measure_peak_mb
+from fakes.raw_server import start_endless_server
 
 from siskinward.coordination.steering.rows import FOLLOWED_TABLES
 from siskinward.coordination.steering.rows import HistoryDropped
@@ -39,17 +39,6 @@
 
 def read_endless(form: str, read: Any) -> tuple[list[Any], float]:
     """Read all followed tables at once; return the outcomes and the peak memory in MB."""
-    start, piece = FORMS[form]
-
-    async def answer(sock: Any) -> None:
-        await sock.recv(65536)
-        try:
-            await sock.sendall(start)
-            while True:
-                await sock.sendall(piece)
-        except OSError:
-            # The VM has had enough.
-            return
 
     async def read_table(store: StoreClient, table: StoreTable) -> Any:
         try:
@@ -58,17 +47,12 @@
             return error
 
     async def main() -> list[Any]:
-        port, _ = await start_raw_server(answer)
+        port = await start_endless_server(*FORMS[form])
         store = StoreClient(ListenAddress(HOST, port))
         tasks = [await curio.spawn(read_table, store, table) for table in FOLLOWED_TABLES]
         return [await task.join() for task in tasks]
 
-    tracemalloc.start()
-    try:
-        outcomes = curio.run(main)
-        return outcomes, tracemalloc.get_traced_memory()[1] / 1e6
-    finally:
-        tracemalloc.stop()
+    return measure_peak_mb(main)
 
 
 # A faulty target filled the memory of a machine on other systems; here the store could.
--- a/tests/transport/test_peer_rows_memory.py
+++ b/tests/transport/test_peer_rows_memory.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import tracemalloc
 import zlib
-from typing import Any
 
 import curio
 import pytest
 from fakes.raw_server import HOST
-from fakes.raw_server import start_raw_server
+from fakes.raw_server import measure_peak_mb
+from fakes.raw_server import start_endless_server
 
 from siskinward.coordination.steering.rows import FOLLOWED_TABLES
 from siskinward.coordination.steering.rows import Position
@@ -33,41 +32,21 @@
 }
 
 
-def measure_peak_mb(main: Any) -> float:
-    tracemalloc.start()
-    try:
-        curio.run(main)
-        return tracemalloc.get_traced_memory()[1] / 1e6
-    finally:
-        tracemalloc.stop()
-
-
 @pytest.mark.parametrize("form", FORMS)
 def test_rows_without_end_take_little_memory(form: str) -> None:
-    start, piece = FORMS[form]
-
-    async def answer(sock: Any) -> None:
-        await sock.recv(65536)
-        try:
-            await sock.sendall(start)
-            while True:
-                await sock.sendall(piece)
-        except OSError:
-            # The VM has had enough.
-            return
-
     async def fetch(port: int, request: RowsRequest) -> None:
         with pytest.raises((OSError, PeerMessageError)):
             await fetch_rows(HOST, port, request)
 
     async def main() -> None:
-        port, _ = await start_raw_server(answer)
+        port = await start_endless_server(*FORMS[form])
         requests = [RowsRequest(table, Position(0, 1), HOST) for table in FOLLOWED_TABLES]
         tasks = [await curio.spawn(fetch, port, request) for request in requests]
         for task in tasks:
             await task.join()
 
-    assert measure_peak_mb(main) < ROWS_MEMORY_MB
+    _, peak_mb = measure_peak_mb(main)
+    assert peak_mb < ROWS_MEMORY_MB
 
 
 def test_requests_for_rows_without_end_take_little_memory() -> None:
@@ -90,4 +69,5 @@
             await task.join()
         await server.cancel()
 
-    assert measure_peak_mb(main) < ROWS_MEMORY_MB
+    _, peak_mb = measure_peak_mb(main)
+    assert peak_mb < ROWS_MEMORY_MB
