Let the store's stand-in end a page at 1 MB, as the platform's store does

The platform's page says '(at most 500 rows or 1 MB)'; the stand-in knew the rows only. It ends a page at 1 MB now, at least one row on each. The test is unchanged and passes: the changes are too many for one answer and are read page by page.

--- a/src/siskinward/platform/standins/_store.py
+++ b/src/siskinward/platform/standins/_store.py
@@ -26,6 +26,7 @@
     from siskinward.platform.standins._target import TargetStandIn
 
 PAGE_ROWS = 500
+PAGE_BYTES = 1_000_000
 SILENCE_S = 3600.0
 
 
@@ -169,7 +170,7 @@
             key=lambda row: row.key,
         )
         rows = [row for row in rows if row.key >= start]
-        page = rows[: int(query.get("limit", PAGE_ROWS))]
+        page = _first_page(rows, int(query.get("limit", PAGE_ROWS)))
         return self._reply(page, more_pages=len(page) < len(rows))
 
     async def _feed(self, query: dict[str, str]) -> HttpResponse:
@@ -216,6 +217,16 @@
         return ((b"store-era", str(self.era).encode()),)
 
 
+def _first_page(rows: list[_Row], limit: int) -> list[_Row]:
+    """Return the first rows, up to a number of them and ``PAGE_BYTES``, but one in any case."""
+    size_bytes = 0
+    for number, row in enumerate(rows[:limit]):
+        size_bytes += len(json.dumps(_encode(row)))
+        if number and size_bytes > PAGE_BYTES:
+            return rows[:number]
+    return rows[:limit]
+
+
 def _encode(row: _Row) -> dict[str, Any]:
     encoded: dict[str, Any] = {
         "table": row.table,
