--- a/tests/protocol/test_heartbeat_messages.py
+++ b/tests/protocol/test_heartbeat_messages.py
@@ -53,6 +53,39 @@
     assert heartbeat.in_flight == report.in_flight == {5: 2}
 
 
+# As VMs of the release before write them, who say nothing of targets that leave.
+EARLIER_HEARTBEAT = (
+    b"\x99\x01\x97\xa4vm-1\xa1a\xa810.0.0.1P\xa5bud-a\xa8budapest\xca\x00\x00\x00\x00\x01\x01"
+    b"\x80\x80\x81\x05\x02\x80\x80"
+)
+EARLIER_REPORT = b"\x96\x02\xa1a\x02\x92\x00\x00\x92\x00\x00\x81\x05\x02"
+
+
+def test_leaving_targets_travel_with_heartbeats_and_load_reports() -> None:
+    heartbeat = Heartbeat(VM, 1, VmState.READY, in_flight={5: 2}, leaving=(7, 4_000_000_000))
+    report = LoadReport(VM.incarnation, 2, in_flight={5: 2}, leaving=(7, 4_000_000_000))
+    assert decode_datagram(encode_heartbeat(heartbeat)) == heartbeat
+    decoded = decode_datagram(encode_report(report))
+    assert isinstance(decoded, LoadReport)
+    assert (decoded.leaving, decoded.in_flight) == (report.leaving, report.in_flight)
+
+
+@pytest.mark.parametrize("data", [EARLIER_HEARTBEAT, EARLIER_REPORT], ids=["heartbeat", "report"])
+def test_message_of_the_release_before_says_nothing_of_leaving_targets(data: bytes) -> None:
+    message = decode_datagram(data)
+    assert isinstance(message, Heartbeat | LoadReport)
+    assert message.leaving == ()
+    assert message.in_flight == {5: 2}
+
+
+@pytest.mark.parametrize("leaving", [None, 7, ["x"], [2**60], {"a": 1}])
+def test_malformed_starts_of_leaving_targets_are_refused(leaving: Any) -> None:
+    in_flight = {"leaving": leaving}
+    fields = (2, "a", 2, [-1, -1], [0, 0], in_flight)
+    with pytest.raises(PeerMessageError):
+        decode_datagram(msgpack.packb(fields))
+
+
 def test_answers_of_requests_that_lost_targets_travel_with_heartbeats() -> None:
     losses = {"f1": {4_000_000_000: 0.25, 7: 3.0}, "f2": {9: 0.0}}
     heartbeat = Heartbeat(
