Let the soak's check of rests end with the target's start

The VM's log: target-resting for 3 s at 2339.582; the target's entry with its next start (born) at 2341.694, by the soak's own fault target-leaving; four requests to that start at 2341.7. So the VM was right, and the check took the next start for the one that had asked. It ends a rest at the next start now, and is as strict for each start; a test holds both sides.

--- a/soak/injection.py
+++ b/soak/injection.py
@@ -164,11 +164,11 @@
         """Let targets say that they leave, and start again; their entries stay ready."""
         word = LEAVING_WORDS[fault.variant % len(LEAVING_WORDS)]
         staying = [target for target in targets if target.leaving is None]
-        periods = [self.checker.words.leave(target, word, read_clock_s()) for target in staying]
+        for target in staying:
+            self.checker.words.leave(target, word, read_clock_s())
         await curio.sleep(fault.for_s)
-        for target, period in zip(staying, periods, strict=True):
-            if period is not None:
-                period.until_s = read_clock_s()
+        for target in staying:
+            self.checker.words.record_restart(target, read_clock_s())
             await target.crash()
             target.leaving = None
             target.started_ms += 1
--- a/soak/target_words.py
+++ b/soak/target_words.py
@@ -60,19 +60,27 @@
 
 @define
 class TargetWords:
-    """Records what targets say; ``check_counts`` counts what was judged, by promise."""
+    """Records what targets say; ``check_counts`` counts what was judged, by promise.
+
+    ``restarts_s`` has the times, by target, at which a start ended that was followed by another.
+    """
 
     leaving: list[LeavingPeriod] = field(factory=list)
+    restarts_s: dict[str, list[float]] = field(factory=dict)
     check_counts: dict[str, int] = field(factory=dict)
 
-    def leave(self, target: TargetStandIn, word: str, now_s: float) -> LeavingPeriod | None:
-        """Let a target say a word on leaving; return the period if that means that it leaves."""
+    def leave(self, target: TargetStandIn, word: str, now_s: float) -> None:
+        """Let a target say a word on leaving."""
         target.leaving = word
-        if decode_leaving([word.encode()]) is not LeavingWord.LEAVES:
-            return None
-        period = LeavingPeriod(target, now_s)
-        self.leaving.append(period)
-        return period
+        if decode_leaving([word.encode()]) is LeavingWord.LEAVES:
+            self.leaving.append(LeavingPeriod(target, now_s))
+
+    def record_restart(self, target: TargetStandIn, now_s: float) -> None:
+        """Record that a start of a target ends, and with it what it has said."""
+        self.restarts_s.setdefault(target.name, []).append(now_s)
+        for period in self.leaving:
+            if period.target is target and period.covers(now_s):
+                period.until_s = now_s
 
     def broken(
         self, calls: Iterable[Call], targets: Iterable[TargetStandIn], drain_s: float
@@ -107,7 +115,8 @@
             if call is None or call.ended_s is None or not _has_heard(call):
                 continue
             self.check_counts["rests"] += 1
-            since_s, until_s = max(rest.at_s + REST_SLACK_S, call.ended_s), rest.at_s + rest_s
+            since_s = max(rest.at_s + REST_SLACK_S, call.ended_s)
+            until_s = self._end_of_rest_s(target, rest.at_s, rest_s)
             reached = [
                 arrival
                 for arrival in target.arrivals
@@ -119,6 +128,11 @@
                     f" {rest_s} s that it had asked for at {rest.at_s:.3f}"
                 )
 
+    def _end_of_rest_s(self, target: TargetStandIn, at_s: float, rest_s: float) -> float:
+        """Return when a rest ends: the next start of the target has not asked for it."""
+        restarts_s = self.restarts_s.get(target.name, [])
+        return min([at_s + rest_s, *(time_s for time_s in restarts_s if time_s >= at_s)])
+
 
 def _is_of(vm: VmProcess, arrival: ArrivalRecord, calls: dict[str, Call]) -> bool:
     call = calls.get(arrival.attempt_id)
--- a/tests/soak/test_target_words.py
+++ b/tests/soak/test_target_words.py
@@ -79,7 +79,7 @@
 
 
 def test_checker_allows_requests_to_the_next_start(leaving: Words) -> None:
-    leaving.words.leaving[0].until_s = LEAVING_S + 4.0
+    leaving.words.record_restart(leaving.target, LEAVING_S + 4.0)
     leaving.target.leaving = None
     leaving.call(LEAVING_S + 5.0)
     assert leaving.broken() == []
@@ -129,6 +129,14 @@
     assert words.words.check_counts["rests"] == 1
 
 
+# Seed 608877665: the target had started again 2.1 s after it asked for 3 s.
+def test_checker_allows_requests_to_the_next_start_of_a_target_that_rested() -> None:
+    words = rested(2.2, 2.3, 2.4)
+    assert len(words.broken()) == 1
+    words.words.record_restart(words.target, 2.1)
+    assert words.broken() == []
+
+
 @pytest.mark.parametrize("rest", ["0", "-3", "soon"])
 def test_checker_takes_a_malformed_time_for_no_rest(rest: str) -> None:
     assert rested(0.6, 1.0, 2.0, rest=rest).broken() == []
