--- a/tests/platform/test_resting_targets.py
+++ b/tests/platform/test_resting_targets.py
@@ -7,15 +7,18 @@
 
 import curio
 import pytest
+from cut_vms import check_promises
 from cut_vms import relay_all
 from leaving_load import LeavingLoad
 from leaving_load import arrivals_since
 from site_calls import read_metrics
+from steady_load import SteadyLoad
 
 from siskinward.platform._headers import HEADERS
 from siskinward.platform.standins import SiteSettings
 from siskinward.platform.standins import TargetFault
 from siskinward.platform.standins import TargetStandIn
+from siskinward.platform.standins._target_faults import RefusalCopy
 from siskinward.state.identifiers import TargetName
 from siskinward.transport.clock import read_clock_s
 
@@ -248,6 +251,29 @@
     run_site(scenario, SITE)
 
 
+@pytest.mark.parametrize("copy", RefusalCopy, ids=lambda copy: copy.name.lower())
+def test_copy_of_a_refusal_with_a_rest_neither_rests_nor_refuses_another_request(
+    run_site: Any, copy: RefusalCopy
+) -> None:
+    async def scenario(site: Site, network: MemoryNetwork) -> None:
+        for target in site.targets.values():
+            target.fault, target.fault_variant = TargetFault.REPEATS_REFUSALS, copy
+            target.rest = "0.4"
+        load = SteadyLoad(site, list(site.vms), 20.0, ("bookings",))
+        running = await curio.spawn(load.run)
+        await curio.sleep(8.0)
+        load.stop()
+        await running.join()
+        assert sum(len(target.rests) for target in site.targets.values()) > 10
+        check_promises(site, load)
+        for target in site.targets.values():
+            for vm in site.vms:
+                asked_s = max((rest.at_s for rest in target.rests), default=0.0)
+                assert known_target(site, target, vm).rests_until_s <= asked_s + 0.4 + UNDER_WAY_S
+
+    run_site(scenario, SITE)
+
+
 def test_next_start_of_a_target_is_free_of_the_rest_of_the_one_before(run_site: Any) -> None:
     async def scenario(site: Site, network: MemoryNetwork) -> None:
         old = site.targets[ONE]
