--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -7,6 +7,7 @@
 
 import curio
 import pytest
+from cut_vms import relay_all
 from steady_load import SteadyLoad
 
 from siskinward.platform.standins import TargetFault
@@ -32,10 +33,11 @@
 PARALLEL_ENDLESS = 8
 
 
+@pytest.mark.parametrize("relays", [False, True], ids=["own", "relayed"])
 @pytest.mark.parametrize("gap_s", [0.0, 0.3], ids=["fast", "slow"])
 @pytest.mark.parametrize("fault", ENDLESS, ids=lambda fault: fault.value)
 def test_answer_that_never_ends_fails_in_time_and_harms_no_other(
-    run_site: Any, monkeypatch: pytest.MonkeyPatch, fault: TargetFault, gap_s: float
+    run_site: Any, monkeypatch: pytest.MonkeyPatch, fault: TargetFault, gap_s: float, relays: bool
 ) -> None:
     totals: list[int] = []
     add_piece = AnswerShare.add_piece
@@ -50,6 +52,8 @@
             if target.service == "bookings":
                 target.fault = fault
                 target.endless_gap_s = gap_s
+        if relays:
+            relay_all(next(iter(site.vms.values())))
         load = SteadyLoad(site, list(site.vms), 20.0, ("listings",))
         running = await curio.spawn(load.run)
         started_s = read_clock_s()
