--- a/soak/faults.py
+++ b/soak/faults.py
@@ -180,14 +180,8 @@
 
 def _draw_endless(random: Random, length_s: float, targets: int) -> list[Fault]:
     """Draw answers without end of one or two targets, in one of their forms."""
-    faults = []
-    at_s = random.uniform(*ENDLESS_GAP_S)
-    while at_s < length_s:
-        indexes = tuple(random.sample(range(targets), random.choice((1, 2))))
-        for_s, variant = random.choice(DURATIONS_S), random.randrange(VARIANTS)
-        faults.append(Fault(FaultKind.TARGET_ENDLESS, at_s, for_s, indexes, variant=variant))
-        at_s += random.uniform(*ENDLESS_GAP_S)
-    return faults
+    series = _Series(ENDLESS_GAP_S, DURATIONS_S, (1, 2))
+    return series.draw(FaultKind.TARGET_ENDLESS, random, length_s, targets)
 
 
 def _draw_stops(random: Random, length_s: float, vms: int) -> list[Fault]:
--- a/tests/platform/leaving_load.py
+++ b/tests/platform/leaving_load.py
@@ -11,11 +11,13 @@
 
 from siskinward.platform._headers import HEADERS
 from siskinward.platform.standins import Site
+from siskinward.state.identifiers import TargetName
 from siskinward.transport.clock import read_clock_s
 from siskinward.transport.http_messages import HttpResponse
 from siskinward.transport.outbound_connection import ExchangeFailedError
 
 if TYPE_CHECKING:
+    from siskinward.coordination.steering.targets import Target
     from siskinward.platform.standins import TargetStandIn
 
 LEAVING = "1"
@@ -101,6 +103,20 @@
     return signature.startswith(f"{target.name}.".encode())
 
 
+async def start_target(site: Site, target: TargetStandIn) -> None:
+    """Start a target and let it write its entry."""
+    site.targets[target.name] = target
+    await target.start()
+    await site.report(target)
+
+
+def known_target(site: Site, target: TargetStandIn, vm: str) -> Target:
+    """Return a target as a VM knows it."""
+    known = site.vms[vm].steering.targets.get(TargetName(target.name))
+    assert known is not None
+    return known
+
+
 def arrivals_since(target: TargetStandIn, since_s: float) -> int:
     """Return how many requests, probes aside, reached a target since a time."""
     return sum(arrival.at_s >= since_s for arrival in target.arrivals)
--- a/tests/platform/test_leaving_targets.py
+++ b/tests/platform/test_leaving_targets.py
@@ -12,6 +12,8 @@
 from leaving_load import LEAVING
 from leaving_load import LeavingLoad
 from leaving_load import arrivals_since
+from leaving_load import known_target
+from leaving_load import start_target
 from site_calls import read_metrics
 
 from siskinward.platform._headers import HEADERS
@@ -19,7 +21,6 @@
 from siskinward.platform.standins import TargetFault
 from siskinward.platform.standins import TargetStandIn
 from siskinward.platform.standins._site import STORE_HOST
-from siskinward.state.identifiers import TargetName
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
@@ -145,18 +146,14 @@
     async def scenario(site: Site, network: MemoryNetwork) -> None:
         target = site.targets[ONE]
         leave(target)
-        for vm in site.vms.values():
-            known = vm.steering.targets.get(TargetName(target.name))
-            assert known is not None
-            known.needs_probe = True
+        for vm in site.vms:
+            known_target(site, target, vm).needs_probe = True
         await curio.sleep(0.5)
         assert target.probes == len(site.vms)
         await LeavingLoad(site).run(2.0)
         assert not target.arrivals
-        for vm in site.vms.values():
-            known = vm.steering.targets.get(TargetName(target.name))
-            assert known is not None
-            known.needs_probe = True
+        for vm in site.vms:
+            known_target(site, target, vm).needs_probe = True
         await curio.sleep(0.5)
         assert target.probes == len(site.vms)
 
@@ -215,9 +212,7 @@
         load = await load_leaving(site, old)
         await old.crash()
         new = TargetStandIn(old.name, old.service, old.host, old.port, old.zone, started_ms=2)
-        site.targets[ONE] = new
-        await new.start()
-        await site.report(new)
+        await start_target(site, new)
         await load.run(AFTER_S)
         assert len(new.arrivals) > 5
 
@@ -231,9 +226,7 @@
         await old.crash()
         await site.store.put("servers", old.name, None)
         new = TargetStandIn("listings-new", "listings", old.host, old.port, old.zone)
-        site.targets["listings-new"] = new
-        await new.start()
-        await site.report(new)
+        await start_target(site, new)
         await load.run(AFTER_S)
         assert len(new.arrivals) > 5
 
@@ -302,9 +295,7 @@
         assert "targets-leaving" in reasons
         # A target that starts meanwhile serves those that come back when they were told to.
         new = TargetStandIn("listings-new", "listings", "10.1.64.99", leaving[0].port, "bud-a")
-        site.targets["listings-new"] = new
-        await new.start()
-        await site.report(new)
+        await start_target(site, new)
         await curio.sleep(0.5)
         assert (await load.send(0, VM)).response.status == 200  # type: ignore[union-attr]
 
@@ -355,10 +346,7 @@
         # Its next answers don't say so any more.
         targets[0].leaving = None
         await load.run(1.0)
-        assert not any(
-            vm.steering.targets.get(TargetName(targets[0].name)).is_leaving_doubted  # type: ignore[union-attr]
-            for vm in site.vms.values()
-        )
+        assert not any(known_target(site, targets[0], vm).is_leaving_doubted for vm in site.vms)
 
     run_site(scenario, SITE)
 
--- a/tests/platform/test_resting_targets.py
+++ b/tests/platform/test_resting_targets.py
@@ -11,6 +11,8 @@
 from cut_vms import relay_all
 from leaving_load import LeavingLoad
 from leaving_load import arrivals_since
+from leaving_load import known_target
+from leaving_load import start_target
 from site_calls import read_metrics
 from steady_load import SteadyLoad
 
@@ -19,11 +21,9 @@
 from siskinward.platform.standins import TargetFault
 from siskinward.platform.standins import TargetStandIn
 from siskinward.platform.standins._target_faults import RefusalCopy
-from siskinward.state.identifiers import TargetName
 from siskinward.transport.clock import read_clock_s
 
 if TYPE_CHECKING:
-    from siskinward.coordination.steering.targets import Target
     from siskinward.platform.standins import Site
     from siskinward.standins.memory_network import MemoryNetwork
 
@@ -46,13 +46,6 @@
         target.rest = rest
 
 
-def known_target(site: Site, target: TargetStandIn, vm: str = VM) -> Target:
-    """Return a target as a VM knows it."""
-    known = site.vms[vm].steering.targets.get(TargetName(target.name))
-    assert known is not None
-    return known
-
-
 def broken_rests(load: LeavingLoad, target: TargetStandIn, rest_s: float) -> list[str]:
     """Return the requests that VMs sent to a target within the rests that it asked them for."""
     vms = {call.attempt_id: call.vm for call in load.calls}
@@ -122,7 +115,7 @@
         for target in targets:
             target.fault, target.rest, target.work_s = TargetFault.NONE, None, 0.2
         await curio.sleep(1.5)
-        rested = [item for item in targets if known_target(site, item).is_returning]
+        rested = [item for item in targets if known_target(site, item, VM).is_returning]
         assert rested
         since_s = read_clock_s()
         calls = [await curio.spawn(load.send, number, VM) for number in range(60)]
@@ -161,7 +154,7 @@
         ask_for_rest(value, target)
         target.remaining_faults = 3
         await LeavingLoad(site).run(2.0)
-        rests_s = known_target(site, target).rests_until_s - read_clock_s()
+        rests_s = known_target(site, target, VM).rests_until_s - read_clock_s()
         assert rests_s == pytest.approx(3600.0, abs=3.0)
 
     run_site(scenario, SITE)
@@ -204,7 +197,7 @@
     async def scenario(site: Site, network: MemoryNetwork) -> None:
         target = site.targets[ONE]
         target.rest, target.sheds_probes = "30", True
-        known_target(site, target).needs_probe = True
+        known_target(site, target, VM).needs_probe = True
         await curio.sleep(0.5)
         assert target.probes == 1
         load = LeavingLoad(site)
@@ -282,9 +275,7 @@
         await load.run(2.0)
         await old.crash()
         new = TargetStandIn(old.name, old.service, old.host, old.port, old.zone, started_ms=2)
-        site.targets[ONE] = new
-        await new.start()
-        await site.report(new)
+        await start_target(site, new)
         await load.run(4.0)
         assert len(new.arrivals) > 5
 
