Test that the relaying VM itself hears that a target leaves

The test said so and could not fail for it: its 'assert relays' was always true, and the other VMs are told by the asking one. It now asks which VMs heard the word themselves: the asking VM and the one that relayed.

--- a/tests/platform/test_leaving_targets.py
+++ b/tests/platform/test_leaving_targets.py
@@ -174,11 +174,13 @@
         for target in leaving:
             assert not load.late(target)
         since_s = read_clock_s()
-        await load.run(AFTER_S)
-        relays = [vm for vm in site.vms if vm != VM]
         told = [target for target in leaving if load.told_s(VM, target) < since_s]
         assert told
-        assert relays
+        for target in told:
+            heard = {vm for vm in site.vms if known_target(site, target, vm).has_told_leaving}
+            assert VM in heard
+            assert len(heard) == 2
+        await load.run(AFTER_S)
         for target in told:
             assert arrivals_since(target, since_s) == 0
 
